--- /dev/null
+++ b/src/blackboard.rs
@@ -0,0 +1,251 @@
+//! The control state that controllers share, and the snapshot of it that traffic reads.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use serde::{Deserialize, Serialize};
+
+use crate::document::{Document, Service};
+use crate::membership::{Member, Table};
+use crate::placement;
+
+/// What an upstream says about itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// How many can run at once.
+    pub slots: u32,
+    /// The models that are loaded, as `NAME@VERSION`.
+    pub models: Vec<Arc<str>>,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Differs after each restart.
+    pub incarnation: u64,
+}
+
+/// What instances tell each other about an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Its address.
+    pub addr: Arc<str>,
+    /// The service it belongs to.
+    pub service: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Grows with each observation, whoever makes it.
+    pub version: u64,
+    /// Whether it answered the last poll.
+    pub is_alive: bool,
+    /// Whether the platform lists it.
+    pub is_listed: bool,
+    /// Its own words.
+    pub load: Load,
+}
+
+/// An upstream on the blackboard.
+#[derive(Debug, Clone)]
+pub struct Upstream {
+    /// The newest report.
+    pub report: Report,
+    /// When the report changed here.
+    pub heard_ms: u64,
+    /// When it last was alive.
+    pub alive_ms: u64,
+    /// Until when a refused connection keeps work away.
+    pub suspect_until_ms: u64,
+    /// The number of the change that brought the report, for exchanges.
+    pub changed: u64,
+    /// What traffic counts.
+    pub counters: Arc<Counters>,
+}
+
+/// What traffic counts for one upstream, without a lock.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Requests that run from here.
+    pub in_flight: AtomicU32,
+    /// Requests sent since the last report.
+    pub sent_since: AtomicU32,
+    /// Streams from here that are suspiciously silent.
+    pub late: AtomicU32,
+}
+
+/// The state that the controllers read and write; only the control thread has it.
+#[derive(Debug)]
+pub struct Board {
+    /// This instance.
+    pub me: Member,
+    /// The table in force.
+    pub table: Arc<Table>,
+    /// The configuration in force.
+    pub document: Arc<Document>,
+    /// All upstreams that are known, by address.
+    pub upstreams: BTreeMap<Arc<str>, Upstream>,
+    /// Counts changes of reports.
+    pub changes: u64,
+    /// Whether a planned stop has begun.
+    pub is_stopping: bool,
+    /// Events that were late, repeated or from strangers.
+    pub ignored_events: u64,
+}
+
+impl Board {
+    /// An empty board.
+    pub fn new(me: Member) -> Board {
+        Board {
+            me,
+            table: Arc::default(),
+            document: Arc::default(),
+            upstreams: BTreeMap::new(),
+            changes: 0,
+            is_stopping: false,
+            ignored_events: 0,
+        }
+    }
+
+    /// Whether this start of this instance is in the table.
+    pub fn is_member(&self) -> bool {
+        self.table.roster.contains(&self.me)
+    }
+
+    /// What traffic may know.
+    pub fn snapshot(&self, now_ms: u64) -> Snapshot {
+        let entries = self.upstreams.values().map(|upstream| Entry {
+            state: self.state(upstream, now_ms),
+            report: upstream.report.clone(),
+            heard_ms: upstream.heard_ms,
+            counters: Arc::clone(&upstream.counters),
+        });
+        Snapshot {
+            me: self.me.clone(),
+            table: Arc::clone(&self.table),
+            document: Arc::clone(&self.document),
+            upstreams: entries.collect(),
+            is_stopping: self.is_stopping,
+            ignored_events: self.ignored_events,
+        }
+    }
+
+    fn state(&self, upstream: &Upstream, now_ms: u64) -> State {
+        let report = &upstream.report;
+        if report.load.leaving {
+            State::Leaving
+        } else if self.document.drained.contains(&report.addr) {
+            State::Drained
+        } else if !report.is_alive {
+            State::Down
+        } else if upstream.suspect_until_ms > now_ms {
+            State::Suspect
+        } else {
+            State::Live
+        }
+    }
+}
+
+/// Whether an upstream gets work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum State {
+    /// It does.
+    #[display("live")]
+    Live,
+    /// It has just refused a connection from here.
+    #[display("suspect")]
+    Suspect,
+    /// It doesn't answer.
+    #[display("down")]
+    Down,
+    /// An operator keeps work away.
+    #[display("drained")]
+    Drained,
+    /// It takes no new work.
+    #[display("leaving")]
+    Leaving,
+}
+
+/// The board as traffic sees it; replaced as a whole.
+#[derive(Debug)]
+pub struct Snapshot {
+    /// This instance.
+    pub me: Member,
+    /// The table in force.
+    pub table: Arc<Table>,
+    /// The configuration in force.
+    pub document: Arc<Document>,
+    /// All upstreams, by address.
+    pub upstreams: Vec<Entry>,
+    /// Whether a planned stop has begun.
+    pub is_stopping: bool,
+    /// Control events that were late, repeated or from strangers.
+    pub ignored_events: u64,
+}
+
+/// An upstream as traffic sees it.
+#[derive(Debug)]
+pub struct Entry {
+    /// Whether it gets work.
+    pub state: State,
+    /// Its last report.
+    pub report: Report,
+    /// When the report came.
+    pub heard_ms: u64,
+    /// What is counted about it.
+    pub counters: Arc<Counters>,
+}
+
+impl Entry {
+    /// As a candidate for placement.
+    pub fn candidate(&self) -> placement::Candidate {
+        placement::Candidate {
+            addr: Arc::clone(&self.report.addr),
+            reported: u64::from(self.report.load.running + self.report.load.waiting),
+            slots: u64::from(self.report.load.slots),
+            sent_since: u64::from(self.counters.sent_since.load(Ordering::Relaxed)),
+        }
+    }
+
+    /// Slots that are likely free.
+    pub fn free_slots(&self) -> u64 {
+        let candidate = self.candidate();
+        candidate.slots.saturating_sub(candidate.reported + candidate.sent_since)
+    }
+}
+
+impl Snapshot {
+    /// The upstreams of a service that get work and have `model` loaded, if one is named.
+    pub fn live<'a>(
+        &'a self,
+        service: &'a str,
+        model: Option<&'a str>,
+    ) -> impl Iterator<Item = &'a Entry> {
+        self.upstreams.iter().filter(move |entry| {
+            let loaded = &entry.report.load.models;
+            entry.state == State::Live
+                && *entry.report.service == *service
+                && model.is_none_or(|model| loaded.iter().any(|name| **name == *model))
+        })
+    }
+
+    /// The upstream at `addr`.
+    pub fn upstream(&self, addr: &str) -> Option<&Entry> {
+        self.upstreams.iter().find(|entry| *entry.report.addr == *addr)
+    }
+
+    /// A service of the configuration.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.document.services.get(name)
+    }
+
+    /// Whether so many upstreams are silent at once that the fault is likely on this side.
+    pub fn suspects_itself(&self) -> bool {
+        const FEWEST: usize = 3;
+        let active = |entry: &&Entry| entry.counters.in_flight.load(Ordering::Relaxed) > 0;
+        let late = |entry: &&Entry| entry.counters.late.load(Ordering::Relaxed) > 0;
+        let active: Vec<_> = self.upstreams.iter().filter(active).collect();
+        let late = active.iter().filter(|entry| late(entry)).count();
+        active.len() >= FEWEST && late * 2 > active.len()
+    }
+}
--- /dev/null
+++ b/src/call.rs
@@ -0,0 +1,370 @@
+//! Serving a quick call to a plain service.
+//!
+//! A call that may be repeated goes to another upstream when one fails, within a budget. One that
+//! may not is claimed first, sent at most once, and its answer is recorded before the caller gets
+//! it ([docs/DESIGN.md](../docs/DESIGN.md#claims)).
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::admission::Arrival;
+use crate::blackboard::Entry;
+use crate::claim::{self, Ask, Claimed};
+use crate::clock;
+use crate::door::Permit;
+use crate::error::{Error, Kind, Result};
+use crate::generate::InFlight;
+use crate::health::Sign;
+use crate::metrics::Sample;
+use crate::node::Node;
+use crate::placement;
+use crate::record::{Answer, Identity, Kind as RecordKind, Op, Outcome, Record};
+use crate::registry::{Note, Row};
+use crate::vote::Verdict;
+use crate::wire::{Inquiry, RunState};
+
+/// How many upstreams are tried.
+const TRIES: usize = 3;
+/// A claim that is older than this when the call could be sent is given up: this process may have
+/// been paused. Far shorter than the retry horizon, for which holders keep the claim.
+const CLAIM_MS: u64 = 10_000;
+/// How often an outcome is offered to the holders before the caller gets its answer anyway.
+const SETTLE_TRIES: u32 = 3;
+/// When to ask again for a call that still runs.
+const RUNNING_RETRY_MS: u64 = 1_000;
+/// How long an owner may take to say what it knows of a run.
+const INQUIRY_MS: u64 = 300;
+/// When to come back if no upstream takes work.
+const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
+/// The longest answer that is passed on.
+const ANSWER_LIMIT_BYTES: usize = 8 << 20;
+
+/// A caller's call.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Whose it is.
+    pub organisation: Arc<str>,
+    /// The service.
+    pub service: Arc<str>,
+    /// The HTTP method.
+    pub method: reqwest::Method,
+    /// The path under the service, and the query.
+    pub path: String,
+    /// The value of `content-type`.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: bytes::Bytes,
+    /// The caller's idempotency key, with the organisation before it.
+    pub key: Option<Arc<str>>,
+    /// A hash of all that makes it another call.
+    pub body_hash: u64,
+    /// Whether it may be run more than once.
+    pub repeat: bool,
+    /// When the caller gives up.
+    pub deadline_ms: u64,
+}
+
+/// An answer, and whether it was given before.
+#[derive(Debug)]
+pub struct Served {
+    /// What the service answered.
+    pub answer: Answer,
+    /// Whether it comes from an earlier run of the same key.
+    pub is_replayed: bool,
+}
+
+/// How one try went.
+enum Tried {
+    /// The service answered.
+    Answered(Answer),
+    /// Nothing of the call can have reached the service.
+    NotSent,
+    /// The call may have run.
+    Unknown,
+}
+
+/// Serves a call.
+///
+/// # Errors
+///
+/// Any kind of [`crate::error::Category`]; whether the call has run is part of the error.
+pub async fn serve(node: &Arc<Node>, call: &Call) -> Result<Served> {
+    let since_ms = node.clock.now_ms();
+    let served =
+        if call.repeat { serve_repeatable(node, call).await } else { serve_once(node, call).await };
+    let outcome = match &served {
+        Ok(Served { is_replayed: true, .. }) => "replayed",
+        Ok(_) => "done",
+        Err(error) => error.code(),
+    };
+    let total_ms = node.clock.now_ms() - since_ms;
+    if served.is_err() {
+        slog::info!(node.log, "a call has failed"; "request" => call.key.as_deref(),
+            "organisation" => &*call.organisation, "service" => &*call.service,
+            "outcome" => outcome, "total_ms" => total_ms);
+    }
+    let sample = Sample {
+        organisation: Arc::clone(&call.organisation),
+        service: Arc::clone(&call.service),
+        outcome,
+        first_ms: None,
+        total_ms,
+        tokens: 0,
+        extra_attempts: 0,
+        resume_ms: 0,
+    };
+    node.registry.record(sample);
+    served
+}
+
+async fn serve_repeatable(node: &Node, call: &Call) -> Result<Served> {
+    let _permit = enter(node, call).await?;
+    let mut avoid = Vec::new();
+    for _ in 0..TRIES {
+        let Some(addr) = choose(node, call, &avoid) else { break };
+        match send(node, &node.pooled, call, &addr).await {
+            Tried::Answered(answer) => {
+                earn(node);
+                return Ok(Served { answer, is_replayed: false });
+            }
+            Tried::NotSent => node.notice(&addr, Sign::Refused),
+            Tried::Unknown if !spend(node) => {
+                return Err(Kind::UpstreamFailed { service: call.service.to_string() }.into());
+            }
+            Tried::Unknown => {}
+        }
+        avoid.push(addr);
+    }
+    Err(no_upstream(call))
+}
+
+async fn serve_once(node: &Arc<Node>, call: &Call) -> Result<Served> {
+    let key = call.key.clone().ok_or_else(|| no_key(call))?;
+    let ask = Ask { key, kind: RecordKind::Call, body_hash: call.body_hash };
+    loop {
+        let claimed_ms = node.clock.now_ms();
+        match claim::take(node, &ask).await? {
+            Claimed::Granted(identity) => {
+                // A caller that goes away must not stop what was claimed half-way.
+                let run = run_claimed(Arc::clone(node), call.clone(), identity, claimed_ms);
+                let ran = tokio::spawn(run).await;
+                return ran.unwrap_or_else(|_| Err(Kind::OutcomeUnknown.into()));
+            }
+            Claimed::Held(record) => {
+                if let Some(ended) = answer_held(node, call, *record).await {
+                    return ended;
+                }
+            }
+        }
+    }
+}
+
+/// What another run's record tells the caller; `None` to look again.
+async fn answer_held(node: &Node, call: &Call, record: Record) -> Option<Result<Served>> {
+    match record.outcome {
+        Some(Outcome::Answered(answer)) => return Some(Ok(Served { answer, is_replayed: true })),
+        Some(Outcome::Evicted) => return Some(Err(Kind::AnswerExpired.into())),
+        Some(_) => return Some(Err(Kind::OutcomeUnknown.into())),
+        None => {}
+    }
+    let state = inquire(node, &record).await;
+    if state == RunState::Abandoned {
+        node.vote(&Op::Release { identity: record.identity }).await;
+    }
+    if node.clock.now_ms() < call.deadline_ms {
+        claim::pause().await;
+        let is_lost = state == RunState::Unknown;
+        return if is_lost { settled_after_all(node, call).await } else { None };
+    }
+    let error = match state {
+        RunState::Unknown => Kind::OutcomeUnknown,
+        _ => Kind::InProgress { retry_after_ms: RUNNING_RETRY_MS },
+    };
+    Some(Err(error.into()))
+}
+
+/// Looks once more at a run whose owner knows nothing of it: it may have ended just now.
+async fn settled_after_all(node: &Node, call: &Call) -> Option<Result<Served>> {
+    let key = call.key.clone()?;
+    let ask = Ask { key, kind: RecordKind::Call, body_hash: call.body_hash };
+    match claim::take(node, &ask).await {
+        Ok(Claimed::Held(record)) => Some(match record.outcome {
+            Some(Outcome::Answered(answer)) => Ok(Served { answer, is_replayed: true }),
+            Some(Outcome::Evicted) => Err(Kind::AnswerExpired.into()),
+            _ => Err(Kind::OutcomeUnknown.into()),
+        }),
+        Ok(Claimed::Granted(identity)) => {
+            claim::give_back(node, identity).await;
+            None
+        }
+        Err(error) => Some(Err(error)),
+    }
+}
+
+async fn inquire(node: &Node, record: &Record) -> RunState {
+    let nonce = record.identity.nonce;
+    if record.owner.id == node.me.id {
+        return node.registry.state(nonce).await;
+    }
+    let question = Inquiry { nonce, state: RunState::Unknown };
+    let addr = &record.owner.addr;
+    let answer: Option<Inquiry> =
+        node.peers.post(addr, "/peer/inquire", &question, INQUIRY_MS).await;
+    answer.map_or(RunState::Unknown, |answer| answer.state)
+}
+
+async fn run_claimed(
+    node: Arc<Node>,
+    call: Call,
+    identity: Identity,
+    claimed_ms: u64,
+) -> Result<Served> {
+    register(&node, &call, identity.nonce);
+    let nonce = identity.nonce;
+    let outcome = match dispatch(&node, &call, &identity, claimed_ms).await {
+        Ok(outcome) => outcome,
+        Err(not_run) => {
+            claim::give_back(&node, identity).await;
+            node.registry.close(nonce, not_run.code(), 0);
+            return Err(not_run);
+        }
+    };
+    settle(&node, identity, outcome.clone()).await;
+    let Outcome::Answered(answer) = outcome else {
+        node.registry.close(nonce, "unknown", 0);
+        return Err(Kind::OutcomeUnknown.into());
+    };
+    node.registry.close(nonce, "done", 0);
+    Ok(Served { answer, is_replayed: false })
+}
+
+fn register(node: &Node, call: &Call, nonce: u64) {
+    let row = Row {
+        key: call.key.clone().unwrap_or_default(),
+        nonce,
+        organisation: Arc::clone(&call.organisation),
+        service: Arc::clone(&call.service),
+        state: Arc::from("claimed"),
+        upstream: Arc::from(""),
+        attempts: 0,
+        tokens: 0,
+        since_ms: clock::wall_ms(),
+        events: Vec::new(),
+    };
+    node.registry.begin(row, None);
+}
+
+/// Sends a claimed call at most once.
+///
+/// # Errors
+///
+/// Only if it has not run and never will under this claim.
+async fn dispatch(
+    node: &Node,
+    call: &Call,
+    identity: &Identity,
+    claimed_ms: u64,
+) -> Result<Outcome> {
+    let _permit = enter(node, call).await?;
+    let mut avoid = Vec::new();
+    for _ in 0..TRIES {
+        let Some(addr) = choose(node, call, &avoid) else { break };
+        let note = Note::Placed { upstream: Arc::clone(&addr), attempt: 1 };
+        node.registry.note(identity.nonce, note);
+        if node.clock.now_ms().saturating_sub(claimed_ms) > CLAIM_MS {
+            return Err(Kind::ClaimUnavailable { retry_after_ms: RUNNING_RETRY_MS }.into());
+        }
+        match send(node, &node.unpooled, call, &addr).await {
+            Tried::Answered(answer) => return Ok(Outcome::Answered(answer)),
+            Tried::Unknown => return Ok(Outcome::Unknown),
+            Tried::NotSent => node.notice(&addr, Sign::Refused),
+        }
+        avoid.push(addr);
+    }
+    Err(no_upstream(call))
+}
+
+async fn settle(node: &Node, identity: Identity, outcome: Outcome) {
+    let op = Op::Settle { identity, owner: node.owner(), term: 1, outcome };
+    for _ in 0..SETTLE_TRIES {
+        match node.vote(&op).await {
+            Verdict::Accepted | Verdict::Fenced { .. } => return,
+            _ => claim::pause().await,
+        }
+    }
+}
+
+async fn enter(node: &Node, call: &Call) -> Result<Permit> {
+    let snapshot = node.snapshot();
+    let organisation = snapshot.document.organisations.get(&call.organisation);
+    let arrival = Arrival {
+        id: 0,
+        service: Arc::clone(&call.service),
+        organisation: Arc::clone(&call.organisation),
+        weight: organisation.map_or(1, |organisation| organisation.weight),
+        organisation_queue: organisation.map_or(1, |organisation| organisation.queue as usize),
+        deadline_ms: call.deadline_ms,
+    };
+    node.door.enter(arrival).await
+}
+
+fn choose(node: &Node, call: &Call, avoid: &[Arc<str>]) -> Option<Arc<str>> {
+    let snapshot = node.snapshot();
+    let live = snapshot.live(&call.service, None);
+    let candidates: Vec<_> = live.map(Entry::candidate).collect();
+    let spread = call.key.as_deref().unwrap_or(&call.path);
+    placement::choose(&candidates, spread, avoid, &mut fastrand::Rng::new())
+}
+
+async fn send(node: &Node, client: &reqwest::Client, call: &Call, addr: &Arc<str>) -> Tried {
+    let snapshot = node.snapshot();
+    let _in_flight = snapshot.upstream(addr).map(|entry| InFlight::new(&entry.counters));
+    let left_ms = call.deadline_ms.saturating_sub(node.clock.now_ms()).max(1);
+    let url = format!("http://{addr}/{}", call.path);
+    let mut request = client.request(call.method.clone(), url);
+    request = request.timeout(Duration::from_millis(left_ms)).body(call.body.clone());
+    if let Some(content_type) = &call.content_type {
+        request = request.header("content-type", content_type);
+    }
+    if let Some(key) = &call.key {
+        request = request.header("idempotency-key", &**key);
+    }
+    let response = match request.send().await {
+        Ok(response) => response,
+        Err(error) if error.is_connect() || error.is_builder() => return Tried::NotSent,
+        Err(_) => return Tried::Unknown,
+    };
+    read_answer(response).await
+}
+
+async fn read_answer(response: reqwest::Response) -> Tried {
+    let status = response.status().as_u16();
+    let header = response.headers().get("content-type");
+    let content_type = header.and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let content_type = Arc::from(content_type);
+    match response.bytes().await {
+        Ok(body) if body.len() <= ANSWER_LIMIT_BYTES => {
+            Tried::Answered(Answer { status, content_type, body: body.to_vec() })
+        }
+        _ => Tried::Unknown,
+    }
+}
+
+fn earn(node: &Node) {
+    if let Ok(mut budget) = node.budget.lock() {
+        budget.earn();
+    }
+}
+
+fn spend(node: &Node) -> bool {
+    node.budget.lock().is_ok_and(|mut budget| budget.spend())
+}
+
+fn no_upstream(call: &Call) -> Error {
+    let service = call.service.to_string();
+    Kind::NoUpstream { service, retry_after_ms: NO_UPSTREAM_RETRY_MS }.into()
+}
+
+fn no_key(call: &Call) -> Error {
+    Kind::NoIdempotencyKey { service: call.service.to_string() }.into()
+}
--- /dev/null
+++ b/src/claim.rs
@@ -0,0 +1,76 @@
+//! Getting the right to run a request, and giving it back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::error::{Kind, Result};
+use crate::node::Node;
+use crate::record::{Identity, Kind as RecordKind, Op, Record};
+use crate::vote::Verdict;
+
+/// How often a claim is tried anew when epochs changed or runs collided.
+const TRIES: u32 = 60;
+/// The longest wait between two tries.
+const WAIT_MS: u64 = 40;
+
+/// What a request is, before it has a run.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// `ORGANISATION/IDEMPOTENCY-KEY`.
+    pub key: Arc<str>,
+    /// What kind of request it is.
+    pub kind: RecordKind,
+    /// A hash of its body.
+    pub body_hash: u64,
+}
+
+/// What became of a claim.
+#[derive(Debug)]
+pub enum Claimed {
+    /// This run may go on.
+    Granted(Identity),
+    /// Another run has the key.
+    Held(Box<Record>),
+}
+
+/// Claims a key for a new run.
+///
+/// # Errors
+///
+/// `key_reused`, or `claim_unavailable`: then nothing was run and nothing will be.
+pub async fn take(node: &Node, ask: &Ask) -> Result<Claimed> {
+    for _ in 0..TRIES {
+        let identity = Identity {
+            key: Arc::clone(&ask.key),
+            kind: ask.kind,
+            body_hash: ask.body_hash,
+            nonce: fastrand::u64(1..),
+        };
+        let op = Op::Claim { identity: identity.clone(), owner: node.owner() };
+        let verdict = node.vote(&op).await;
+        if let Verdict::Granted(_) = verdict {
+            return Ok(Claimed::Granted(identity));
+        }
+        give_back(node, identity).await;
+        match verdict {
+            Verdict::Conflict => return Err(Kind::KeyReused.into()),
+            Verdict::Held(record) => return Ok(Claimed::Held(record)),
+            Verdict::Unavailable { retry_after_ms } => {
+                return Err(Kind::ClaimUnavailable { retry_after_ms }.into());
+            }
+            _ => pause().await,
+        }
+    }
+    Err(Kind::ClaimUnavailable { retry_after_ms: 1_000 }.into())
+}
+
+/// Gives a run's claim back; the run must never have been acted on, and never will be.
+pub async fn give_back(node: &Node, identity: Identity) {
+    node.registry.abandon(identity.nonce);
+    node.vote(&Op::Release { identity }).await;
+}
+
+/// A short wait of random length, so that colliding runs part.
+pub async fn pause() {
+    tokio::time::sleep(Duration::from_millis(fastrand::u64(1..WAIT_MS))).await;
+}
--- /dev/null
+++ b/src/copies.rs
@@ -0,0 +1,182 @@
+//! How far each holder has copied a generation, and what may therefore be released.
+//!
+//! A token is released to the caller only once a majority of the key's holders has it. The third
+//! holder is spared until one of the first two is late, which saves a third of the copying.
+
+use crate::journal::Journal;
+use crate::membership::{self, Member, Roster};
+use crate::record::Reply;
+
+/// After this long without a reply from a holder, the spared holder is put to work.
+const LATE_MS: u64 = 100;
+/// How long a holder that failed is left alone.
+const BACK_OFF_MS: u64 = 100;
+
+/// What to send to one holder.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Due {
+    /// The receiver.
+    pub member: Member,
+    /// The index of the first token to send.
+    pub from: u32,
+    /// Whether to send the end; all tokens are there already.
+    pub settle: bool,
+}
+
+/// The state of copying.
+#[derive(Debug, Default)]
+pub struct Copies {
+    epoch: u64,
+    holders: Vec<Holder>,
+}
+
+#[derive(Debug)]
+struct Holder {
+    member: Member,
+    have: u32,
+    sent_ms: Option<u64>,
+    sent_to: u32,
+    greeted: bool,
+    settled: bool,
+    spared: bool,
+    retry_ms: u64,
+}
+
+impl Copies {
+    /// Goes over to the holders of a newer roster; those that stay keep what they have.
+    pub fn adopt(&mut self, roster: &Roster, key: &str) {
+        if roster.epoch <= self.epoch {
+            return;
+        }
+        self.epoch = roster.epoch;
+        let chosen = roster.holders(key);
+        let needed = membership::quorum(chosen.len());
+        let mut old = std::mem::take(&mut self.holders);
+        for (rank, member) in chosen.into_iter().enumerate() {
+            let kept = old.iter().position(|holder| holder.member.is_same(member));
+            let mut holder = match kept {
+                Some(at) => old.swap_remove(at),
+                None => Holder::new(member.clone()),
+            };
+            holder.sent_ms = None;
+            holder.retry_ms = 0;
+            holder.spared = rank >= needed;
+            self.holders.push(holder);
+        }
+    }
+
+    /// The epoch whose roster is in use.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Notes what a holder showed at a take-over.
+    pub fn note_prefix(&mut self, id: &str, theirs: &Journal, mine: &Journal) {
+        if let Some(holder) = self.holders.iter_mut().find(|holder| *holder.member.id == *id) {
+            holder.have = mine.common_len(theirs);
+        }
+    }
+
+    /// How many tokens a majority holds.
+    pub fn committed(&self) -> u32 {
+        let mut have: Vec<_> = self.holders.iter().filter(|h| h.greeted).map(|h| h.have).collect();
+        have.sort_unstable_by(|one, other| other.cmp(one));
+        let needed = membership::quorum(self.holders.len());
+        have.get(needed - 1).copied().unwrap_or(0)
+    }
+
+    /// Whether a majority has the end.
+    pub fn is_settled(&self) -> bool {
+        let settled = self.holders.iter().filter(|holder| holder.settled).count();
+        !self.holders.is_empty() && settled >= membership::quorum(self.holders.len())
+    }
+
+    /// Appends what has to be sent now, and notes it as sent.
+    pub fn collect_due(&mut self, len: u32, ended: bool, now_ms: u64, out: &mut Vec<Due>) {
+        self.wake_spared(now_ms);
+        for holder in &mut self.holders {
+            let is_waiting = holder.sent_ms.is_some() || holder.retry_ms > now_ms;
+            if holder.spared || is_waiting {
+                continue;
+            }
+            let is_behind = holder.have < len || !holder.greeted;
+            let settle = ended && !is_behind && !holder.settled;
+            if is_behind || settle {
+                holder.sent_ms = Some(now_ms);
+                holder.sent_to = len;
+                let member = holder.member.clone();
+                out.push(Due { member, from: holder.have, settle });
+            }
+        }
+    }
+
+    fn wake_spared(&mut self, now_ms: u64) {
+        let is_late = |holder: &Holder| {
+            let waits = holder.sent_ms.is_some_and(|sent| now_ms.saturating_sub(sent) >= LATE_MS);
+            waits || holder.retry_ms > now_ms
+        };
+        if self.holders.iter().any(is_late) {
+            self.holders.iter_mut().for_each(|holder| holder.spared = false);
+        }
+    }
+
+    /// Takes in a holder's reply; `false` if the sender was fenced off.
+    pub fn take_reply(
+        &mut self,
+        epoch: u64,
+        from: &Member,
+        reply: Option<&Reply>,
+        now_ms: u64,
+    ) -> bool {
+        let known = self.holders.iter_mut().find(|holder| holder.member.is_same(from));
+        let Some(holder) = known.filter(|_| epoch == self.epoch) else { return true };
+        if holder.sent_ms.take().is_none() {
+            return true;
+        }
+        match reply {
+            Some(Reply::Accepted { have }) => holder.accept(*have),
+            Some(Reply::Gap { .. }) => holder.have = 0,
+            Some(Reply::Fenced { .. }) => return false,
+            _ => holder.retry_ms = now_ms + BACK_OFF_MS,
+        }
+        true
+    }
+
+    /// Notes that a holder accepted the end.
+    pub fn take_settled(
+        &mut self,
+        epoch: u64,
+        from: &Member,
+        reply: Option<&Reply>,
+        now_ms: u64,
+    ) -> bool {
+        let is_accepted = matches!(reply, Some(Reply::Accepted { .. }));
+        let is_open = self.take_reply(epoch, from, reply, now_ms);
+        if is_accepted && epoch == self.epoch {
+            for holder in self.holders.iter_mut().filter(|holder| holder.member.is_same(from)) {
+                holder.settled = true;
+            }
+        }
+        is_open
+    }
+}
+
+impl Holder {
+    fn new(member: Member) -> Holder {
+        Holder {
+            member,
+            have: 0,
+            sent_ms: None,
+            sent_to: 0,
+            greeted: false,
+            settled: false,
+            spared: false,
+            retry_ms: 0,
+        }
+    }
+
+    fn accept(&mut self, have: u32) {
+        self.greeted = true;
+        self.have = self.have.max(have.min(self.sent_to));
+    }
+}
--- /dev/null
+++ b/src/door.rs
@@ -0,0 +1,185 @@
+//! The task that owns an instance's admission queues.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+
+use crate::admission::{Action, Admission, Arrival, Depth, Event, Reason};
+use crate::clock::Clock;
+use crate::decide::Decide;
+use crate::error::{Error, Kind, Result};
+
+/// How often waiting requests are checked against their deadlines.
+const TICK_MS: u64 = 100;
+
+enum Message {
+    Enter(Arrival, oneshot::Sender<Result<Permit>>),
+    Event(Event),
+    Depth(Arc<str>, oneshot::Sender<Depth>),
+}
+
+/// A handle to the task.
+#[derive(Clone)]
+pub struct Door {
+    messages: mpsc::UnboundedSender<Message>,
+    next_id: Arc<AtomicU64>,
+    clock: Clock,
+}
+
+/// The right to run; its end lets the next one in.
+pub struct Permit {
+    door: Door,
+    service: Arc<str>,
+    since_ms: u64,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let ran_ms = self.door.clock.now_ms().saturating_sub(self.since_ms);
+        let service = Arc::clone(&self.service);
+        self.door.tell(Event::Done { service, ran_ms });
+    }
+}
+
+/// Tells the task when a waiting caller has gone.
+struct Waiting {
+    door: Door,
+    id: u64,
+    is_settled: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.door.tell(Event::Left { id: self.id });
+        }
+    }
+}
+
+impl Door {
+    /// Starts the task on the current runtime.
+    pub fn spawn(clock: Clock) -> Door {
+        let (messages, inbox) = mpsc::unbounded_channel();
+        let door = Door { messages, next_id: Arc::default(), clock };
+        let task = Task {
+            admission: Admission::default(),
+            clock,
+            waiting: HashMap::new(),
+            door: door.clone(),
+        };
+        tokio::spawn(task.run(inbox));
+        door
+    }
+
+    /// Waits until the request may run; its `id` is set here.
+    ///
+    /// # Errors
+    ///
+    /// `queue_full` and `too_late`, with the time to come back; the request has not run.
+    pub async fn enter(&self, mut arrival: Arrival) -> Result<Permit> {
+        arrival.id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let mut waiting = Waiting { door: self.clone(), id: arrival.id, is_settled: false };
+        let (reply, answered) = oneshot::channel();
+        let ended = || Error::internal("the admission task has ended; restart this instance");
+        self.messages.send(Message::Enter(arrival, reply)).map_err(|_| ended())?;
+        let answer = answered.await.map_err(|_| ended())?;
+        waiting.is_settled = true;
+        answer
+    }
+
+    /// Sets a service's limits.
+    pub fn limit(&self, service: &Arc<str>, slots: usize, queue: usize) {
+        self.tell(Event::Limits { service: Arc::clone(service), slots, queue });
+    }
+
+    /// How busy a service's queue is.
+    pub async fn depth(&self, service: &Arc<str>) -> Depth {
+        let (reply, answered) = oneshot::channel();
+        let _ = self.messages.send(Message::Depth(Arc::clone(service), reply));
+        answered.await.unwrap_or_default()
+    }
+
+    fn tell(&self, event: Event) {
+        let _ = self.messages.send(Message::Event(event));
+    }
+}
+
+struct Task {
+    admission: Admission,
+    clock: Clock,
+    waiting: HashMap<u64, Caller>,
+    door: Door,
+}
+
+struct Caller {
+    service: Arc<str>,
+    reply: oneshot::Sender<Result<Permit>>,
+}
+
+impl Task {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
+        let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = inbox.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                _ = ticks.tick() => self.step(Event::Tick),
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Enter(arrival, reply) => {
+                let service = Arc::clone(&arrival.service);
+                self.waiting.insert(arrival.id, Caller { service, reply });
+                self.step(Event::Arrive(arrival));
+            }
+            Message::Event(event) => {
+                if let Event::Left { id } = event {
+                    self.waiting.remove(&id);
+                }
+                self.step(event);
+            }
+            Message::Depth(service, reply) => {
+                let _ = reply.send(self.admission.depth(&service));
+            }
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        let now_ms = self.clock.now_ms();
+        self.admission.step(event, now_ms, &mut fastrand::Rng::new(), &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Admit { id } => {
+                let Some(caller) = self.waiting.remove(&id) else { return };
+                let since_ms = self.clock.now_ms();
+                let door = self.door.clone();
+                let permit = Permit { door, service: caller.service, since_ms };
+                // If the caller has gone, the permit's end frees the slot again.
+                let _ = caller.reply.send(Ok(permit));
+            }
+            Action::Refuse { id, reason, retry_after_ms } => {
+                let Some(caller) = self.waiting.remove(&id) else { return };
+                let kind = match reason {
+                    Reason::QueueFull => Kind::QueueFull { retry_after_ms },
+                    Reason::TooLate => Kind::TooLate { retry_after_ms },
+                };
+                let _ = caller.reply.send(Err(kind.into()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/engine.rs
@@ -0,0 +1,203 @@
+//! Model engines as the system meets them: streams that can be started, attached to, cancelled.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eventsource_stream::Eventsource;
+use futures_util::future::BoxFuture;
+use futures_util::stream::{Stream, StreamExt};
+use serde::{Deserialize, Serialize};
+
+use crate::blackboard::Load;
+
+/// How long a poll or a cancellation may take.
+const SHORT_MS: u64 = 1_000;
+
+/// What an engine needs to start a stream.
+#[derive(Debug, Clone, Serialize)]
+pub struct Start {
+    /// The name under which it can be attached to and cancelled.
+    pub stream_id: Arc<str>,
+    /// The model, as `NAME@VERSION`.
+    pub model: Arc<str>,
+    /// The prompt.
+    pub prompt: Arc<str>,
+    /// Where the answer ends at the latest.
+    pub max_tokens: u32,
+    /// Higher goes first.
+    pub priority: u8,
+    /// The accepted tokens to continue from.
+    pub prefix: Vec<String>,
+}
+
+/// What a stream brings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// A token.
+    Token {
+        /// Its index in the answer.
+        index: u32,
+        /// Its text.
+        text: String,
+    },
+    /// The explicit end.
+    End {
+        /// How many tokens the answer has.
+        tokens: u32,
+        /// Why it ends.
+        reason: String,
+    },
+}
+
+/// Why there is no stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// The engine can't be reached.
+    Unreachable,
+    /// The engine takes no new work, or not this model.
+    Leaving,
+    /// The engine refused for another reason, or doesn't know the stream.
+    Refused,
+}
+
+/// The events of one stream; it ends early when the connection breaks.
+pub type Events = Pin<Box<dyn Stream<Item = Event> + Send>>;
+
+/// What the system needs of a model engine.
+pub trait Engine: Send + Sync {
+    /// Starts a stream.
+    fn start<'a>(
+        &'a self,
+        addr: &'a str,
+        start: &'a Start,
+    ) -> BoxFuture<'a, Result<Events, Failure>>;
+
+    /// Attaches to a running stream at the token `from`.
+    fn attach<'a>(
+        &'a self,
+        addr: &'a str,
+        stream_id: &'a str,
+        from: u32,
+    ) -> BoxFuture<'a, Result<Events, Failure>>;
+
+    /// Cancels a stream, if it can be reached.
+    fn cancel<'a>(&'a self, addr: &'a str, stream_id: &'a str) -> BoxFuture<'a, ()>;
+
+    /// Asks for the load.
+    fn load<'a>(&'a self, addr: &'a str) -> BoxFuture<'a, Option<Load>>;
+
+    /// Orders an upstream to load just these models; `true` if it did.
+    fn order<'a>(&'a self, addr: &'a str, order: &'a Order) -> BoxFuture<'a, bool>;
+}
+
+/// An order as an upstream takes it.
+#[derive(Debug, Clone, Serialize)]
+pub struct Order {
+    /// The lease's fencing number.
+    pub fencing: u64,
+    /// Everything that has to be loaded.
+    pub models: Vec<Arc<str>>,
+    /// How long it may take.
+    #[serde(skip)]
+    pub timeout_ms: u64,
+}
+
+/// Engines over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpEngine {
+    client: reqwest::Client,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Line {
+    Token { index: u32, text: String },
+    End { finish_reason: String, tokens: u32 },
+}
+
+#[derive(Deserialize)]
+struct Refusal {
+    leaving: bool,
+}
+
+impl HttpEngine {
+    /// Engines that are reached through `client`.
+    pub fn new(client: reqwest::Client) -> HttpEngine {
+        HttpEngine { client }
+    }
+
+    async fn open(&self, request: reqwest::RequestBuilder) -> Result<Events, Failure> {
+        let response = request.send().await.map_err(|_| Failure::Unreachable)?;
+        match response.status().as_u16() {
+            200 => Ok(events(response)),
+            503 => match response.json::<Refusal>().await {
+                Ok(Refusal { leaving: true }) => Err(Failure::Leaving),
+                _ => Err(Failure::Refused),
+            },
+            _ => Err(Failure::Refused),
+        }
+    }
+}
+
+/// The events of an answer in the form that engines and peers both use.
+pub fn events(response: reqwest::Response) -> Events {
+    let events = response.bytes_stream().eventsource();
+    let parsed = events.map(|event| {
+        let event = event.ok()?;
+        match serde_json::from_str(&event.data).ok()? {
+            Line::Token { index, text } => Some(Event::Token { index, text }),
+            Line::End { finish_reason, tokens } => {
+                Some(Event::End { tokens, reason: finish_reason })
+            }
+        }
+    });
+    // The first break or unreadable event ends the stream: nothing after it can be trusted.
+    Box::pin(
+        parsed
+            .take_while(|event| std::future::ready(event.is_some()))
+            .filter_map(std::future::ready),
+    )
+}
+
+impl Engine for HttpEngine {
+    fn start<'a>(
+        &'a self,
+        addr: &'a str,
+        start: &'a Start,
+    ) -> BoxFuture<'a, Result<Events, Failure>> {
+        let request = self.client.post(format!("http://{addr}/v1/completions")).json(start);
+        Box::pin(self.open(request))
+    }
+
+    fn attach<'a>(
+        &'a self,
+        addr: &'a str,
+        stream_id: &'a str,
+        from: u32,
+    ) -> BoxFuture<'a, Result<Events, Failure>> {
+        let url = format!("http://{addr}/v1/streams/{stream_id}?from={from}");
+        Box::pin(self.open(self.client.get(url)))
+    }
+
+    fn cancel<'a>(&'a self, addr: &'a str, stream_id: &'a str) -> BoxFuture<'a, ()> {
+        let request = self.client.delete(format!("http://{addr}/v1/streams/{stream_id}"));
+        let request = request.timeout(Duration::from_millis(SHORT_MS));
+        Box::pin(async move { drop(request.send().await) })
+    }
+
+    fn load<'a>(&'a self, addr: &'a str) -> BoxFuture<'a, Option<Load>> {
+        let request = self.client.get(format!("http://{addr}/load"));
+        let request = request.timeout(Duration::from_millis(SHORT_MS));
+        Box::pin(async move {
+            let response = request.send().await.ok()?.error_for_status().ok()?;
+            response.json().await.ok()
+        })
+    }
+
+    fn order<'a>(&'a self, addr: &'a str, order: &'a Order) -> BoxFuture<'a, bool> {
+        let request = self.client.post(format!("http://{addr}/orders")).json(order);
+        let request = request.timeout(Duration::from_millis(order.timeout_ms));
+        Box::pin(async move { request.send().await.is_ok_and(|r| r.status().is_success()) })
+    }
+}
--- /dev/null
+++ b/src/follow.rs
@@ -0,0 +1,207 @@
+//! Passing on a generation that another instance owns, and taking it over if that one is lost.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use serde::{Deserialize, Serialize};
+
+use crate::claim::{self, Claimed};
+use crate::error::Kind;
+use crate::generate::{self, Runner, Wanted};
+use crate::generation::{Generation, Prefix};
+use crate::node::Node;
+use crate::record::{Identity, Op, Outcome, Record};
+use crate::registry::Note;
+use crate::shared::{Shared, State};
+use crate::vote::{Grant, Verdict};
+
+/// How long an owner may be silent; it sends something far more often.
+const SILENCE_MS: u64 = 1_200;
+/// How often an owner shows that it is there.
+pub const PING_MS: u64 = 300;
+
+/// What an owner sends to those who pass its generation on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Line {
+    /// It is there.
+    Ping,
+    /// The next token.
+    Token {
+        /// Its index.
+        index: u32,
+        /// Its text.
+        text: String,
+    },
+    /// The explicit end.
+    End {
+        /// How many tokens there are.
+        tokens: u32,
+        /// Why the engine stopped.
+        reason: Arc<str>,
+    },
+}
+
+/// Passes one generation on.
+pub struct Follower {
+    node: Arc<Node>,
+    wanted: Wanted,
+    shared: Arc<Shared>,
+    since_ms: u64,
+}
+
+/// What comes next.
+enum Next {
+    /// It has ended.
+    Ended,
+    /// Another owner has it.
+    Follow(Box<Record>),
+    /// This instance has become its owner, and has to keep to this model.
+    Own(Box<Generation>, Arc<str>),
+    /// Nobody has it, and nothing of it was shown.
+    StartOver,
+    /// The holders can't be asked now.
+    Wait,
+}
+
+impl Follower {
+    /// A follower that feeds `shared`.
+    pub fn new(node: Arc<Node>, wanted: Wanted, shared: Arc<Shared>) -> Follower {
+        let since_ms = node.clock.now_ms();
+        Follower { node, wanted, shared, since_ms }
+    }
+
+    /// Passes the generation on until it ends, here or elsewhere.
+    pub async fn run(self, record: Record) {
+        let mut record = record;
+        let deadline_ms = generate::policy_of(&self.node, &self.wanted.service).deadline_ms;
+        while self.node.clock.now_ms() < deadline_ms {
+            let is_elsewhere = record.owner.id != self.node.me.id;
+            if is_elsewhere && self.relay(&record).await {
+                return self.end("passed_on");
+            }
+            match self.take_over(&record).await {
+                Next::Ended => return self.end("passed_on"),
+                Next::Follow(newer) => record = *newer,
+                Next::Own(generation, model) => {
+                    let node = Arc::clone(&self.node);
+                    let shared = Arc::clone(&self.shared);
+                    let wanted = Wanted { model, ..self.wanted };
+                    let runner = Runner::new(node, wanted, shared, *generation, self.since_ms);
+                    return runner.run(None).await;
+                }
+                Next::StartOver => {
+                    // Its owner gave it up before it ran: the caller may send it again.
+                    self.shared.fail(&Kind::ClaimUnavailable { retry_after_ms: 100 }.into());
+                    return self.end("refused");
+                }
+                Next::Wait => claim::pause().await,
+            }
+        }
+        let deadline_ms = self.node.clock.now_ms() - self.since_ms;
+        self.shared.fail(&Kind::DeadlinePassed { deadline_ms }.into());
+        self.end("late");
+    }
+
+    fn end(&self, outcome: &'static str) {
+        let total_ms = self.node.clock.now_ms().saturating_sub(self.since_ms);
+        let sample = generate::sample(&self.wanted, outcome, total_ms);
+        self.node.registry.end(self.shared.nonce, sample);
+    }
+
+    /// Passes on what the owner sends; `true` if that reached the end.
+    async fn relay(&self, record: &Record) -> bool {
+        let key = &record.identity.key;
+        let from = self.shared.released();
+        let opening = self.node.peers.follow(&record.owner.addr, key, from);
+        let patience = Duration::from_millis(SILENCE_MS);
+        let Ok(Some(response)) = tokio::time::timeout(patience, opening).await else {
+            return false;
+        };
+        self.shared.set(State::Running);
+        let mut events = response.bytes_stream().eventsource();
+        while let Ok(Some(Ok(event))) = tokio::time::timeout(patience, events.next()).await {
+            match serde_json::from_str(&event.data) {
+                Ok(Line::Ping) => {}
+                Ok(Line::Token { index, text }) if self.shared.release_next(index, &text) => {}
+                Ok(Line::End { tokens, reason }) if tokens == self.shared.released() => {
+                    self.shared.set(State::Finished { reason });
+                    return true;
+                }
+                _ => return false,
+            }
+        }
+        false
+    }
+
+    /// Asks the holders for the right to go on.
+    async fn take_over(&self, record: &Record) -> Next {
+        let identity = record.identity.clone();
+        let term = record.term + 1;
+        let op = Op::TakeOver { identity: identity.clone(), owner: self.node.owner(), term };
+        match self.node.vote(&op).await {
+            Verdict::Granted(grants) => self.go_on(identity, term, grants),
+            Verdict::Fenced { .. } | Verdict::Held(_) => self.find_owner(&identity).await,
+            Verdict::Absent if self.shared.released() == 0 => Next::StartOver,
+            Verdict::Absent => {
+                self.shared.fail(&Kind::AnswerLost.into());
+                Next::Ended
+            }
+            _ => Next::Wait,
+        }
+    }
+
+    fn go_on(&self, identity: Identity, term: u64, grants: Vec<Grant>) -> Next {
+        let progress = |grant: &&Grant| {
+            let record = &grant.record;
+            (record.outcome.is_some(), record.journal_term, record.journal.len())
+        };
+        let Some(best) = grants.iter().max_by_key(progress) else { return Next::Wait };
+        let best = &best.record;
+        match &best.outcome {
+            Some(Outcome::Finished { tokens, reason }) => {
+                self.shared.release(&best.journal, *tokens);
+                self.shared.set(State::Finished { reason: Arc::clone(reason) });
+                return Next::Ended;
+            }
+            Some(_) => {
+                self.shared.fail(&Kind::AnswerExpired.into());
+                return Next::Ended;
+            }
+            None => {}
+        }
+        slog::warn!(self.node.log, "taking over a generation"; "request" => &*identity.key,
+            "from" => &*best.owner.id, "term" => term, "tokens" => best.journal.len());
+        let event = format!("taken over by {} in term {term}", self.node.me.id);
+        self.node.registry.note(self.shared.nonce, Note::Event(Arc::from(event)));
+        let prefix = Prefix { journal: best.journal.clone(), stream: best.stream.clone() };
+        let policy = generate::policy_of(&self.node, &self.wanted.service);
+        let owner = self.node.owner();
+        let mut generation = Generation::resume(identity, owner, policy, term, prefix);
+        let table = self.node.tables.borrow().clone();
+        for grant in &grants {
+            generation.note_prefix(&table.roster, &grant.holder, &grant.record.journal);
+        }
+        let model = best.stream.as_ref().map_or(&self.wanted.model, |stream| &stream.model);
+        Next::Own(Box::new(generation), Arc::clone(model))
+    }
+
+    async fn find_owner(&self, identity: &Identity) -> Next {
+        claim::pause().await;
+        match claim::take(&self.node, &self.wanted.ask).await {
+            Ok(Claimed::Held(record)) if record.identity.nonce == identity.nonce => {
+                Next::Follow(record)
+            }
+            Ok(Claimed::Granted(granted)) => {
+                claim::give_back(&self.node, granted).await;
+                Next::StartOver
+            }
+            Ok(Claimed::Held(_)) => {
+                self.shared.fail(&Kind::AnswerLost.into());
+                Next::Ended
+            }
+            Err(_) => Next::Wait,
+        }
+    }
+}
--- /dev/null
+++ b/src/generation.rs
@@ -0,0 +1,566 @@
+//! The owner's decision about one generation: which tokens are accepted, when they may be
+//! released, and when to go on elsewhere.
+//!
+//! A token is accepted only from a current attempt and only at the journal's end, so that a late
+//! token of an older attempt never shows. Each new attempt continues from the accepted prefix.
+//! See [docs/DESIGN.md](../docs/DESIGN.md#generations).
+
+use std::sync::Arc;
+
+use crate::copies::{Copies, Due};
+use crate::decide::{Decide, Random};
+use crate::journal::Journal;
+use crate::membership::{Member, Roster};
+use crate::record::{Identity, Op, Outcome, Owner, Reply, Stream};
+
+/// Two ticks further apart than this mean that this process itself stood still.
+const OWN_PAUSE_MS: u64 = 400;
+/// A silence is suspicious after this many usual gaps.
+const SUSPICIOUS_GAPS: u64 = 6;
+/// The weight of the newest gap in the average: one part in this many.
+const GAP_SMOOTHING: u64 = 8;
+/// The longest wait before another try when no upstream takes the work.
+const MAX_BACK_OFF_MS: u64 = 1_000;
+/// The first wait before another try.
+const MIN_BACK_OFF_MS: u64 = 20;
+
+/// How a service wants its generations treated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Policy {
+    /// Whether a suspicious silence starts a second attempt beside the first.
+    pub hedge: bool,
+    /// The shortest silence that is suspicious.
+    pub gap_floor_ms: u64,
+    /// The longest silence that is not.
+    pub gap_ceiling_ms: u64,
+    /// How long new work may wait for its first token.
+    pub first_token_ms: u64,
+    /// How long resumed work may wait for its first token.
+    pub resumed_token_ms: u64,
+    /// When the caller's patience ends.
+    pub deadline_ms: u64,
+}
+
+/// What happens to a generation.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// The roster in force; the first one starts the work.
+    Roster(Arc<Roster>),
+    /// An upstream was chosen for an attempt.
+    Placed {
+        /// Which attempt.
+        attempt: u32,
+        /// Where it runs.
+        stream: Stream,
+    },
+    /// A token arrived.
+    Token {
+        /// Which attempt sent it.
+        attempt: u32,
+        /// Its index in the answer.
+        index: u32,
+        /// Its text.
+        text: String,
+    },
+    /// An attempt's explicit end arrived.
+    End {
+        /// Which attempt sent it.
+        attempt: u32,
+        /// How many tokens the answer has.
+        tokens: u32,
+        /// Why the engine stopped.
+        reason: Arc<str>,
+    },
+    /// An attempt broke off, or no upstream took it.
+    Lost {
+        /// Which attempt.
+        attempt: u32,
+        /// Whether some upstream had taken it.
+        was_placed: bool,
+    },
+    /// A holder answered an append.
+    Appended(Copied),
+    /// A holder answered the end.
+    Settled(Copied),
+    /// Time has passed.
+    Tick {
+        /// Whether so many upstreams are silent at once that the fault is likely on this side.
+        suspect_ourselves: bool,
+    },
+}
+
+/// A holder's answer.
+#[derive(Debug, Clone)]
+pub struct Copied {
+    /// The epoch under which it was asked.
+    pub epoch: u64,
+    /// The holder.
+    pub member: Member,
+    /// Its reply; `None` if none came in time.
+    pub reply: Option<Reply>,
+}
+
+/// What a generation wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Start an attempt.
+    Begin(Attempt),
+    /// Cancel an attempt's stream.
+    Cancel {
+        /// Which attempt.
+        attempt: u32,
+    },
+    /// Send an operation to a holder.
+    Copy {
+        /// Under which epoch.
+        epoch: u64,
+        /// To whom.
+        member: Member,
+        /// What.
+        op: Op,
+    },
+    /// Everything before this index may be shown to the caller.
+    Release {
+        /// The number of tokens.
+        to: u32,
+    },
+    /// The answer is whole and its end is recorded.
+    Finish {
+        /// How many tokens it has.
+        tokens: u32,
+        /// Why the engine stopped.
+        reason: Arc<str>,
+    },
+    /// Another instance has taken over: nothing may be released any more.
+    Yield,
+    /// The deadline has passed without an end.
+    GiveUp,
+}
+
+/// An attempt to be started.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Attempt {
+    /// Grows within one owner.
+    pub number: u32,
+    /// The accepted tokens it has to continue from.
+    pub from: u32,
+    /// A running stream to attach to, before anything else is tried.
+    pub attach: Option<Stream>,
+    /// Upstreams to avoid if others can be had.
+    pub avoid: Vec<Arc<str>>,
+    /// Whether it resumes lost work and goes ahead of new work.
+    pub is_resumed: bool,
+}
+
+#[derive(Debug)]
+struct Live {
+    number: u32,
+    stream: Option<Stream>,
+    heard_ms: u64,
+    is_resumed: bool,
+    has_token: bool,
+    was_attached: bool,
+}
+
+/// Work done beyond one undisturbed run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Extra {
+    /// Attempts after the first.
+    pub attempts: u32,
+    /// Tokens that came from attempts that were no longer current, or twice.
+    pub dropped_tokens: u32,
+    /// The longest time without an accepted token after a loss.
+    pub longest_resume_ms: u64,
+}
+
+/// One generation as its owner sees it.
+#[derive(Debug)]
+pub struct Generation {
+    identity: Identity,
+    owner: Owner,
+    term: u64,
+    policy: Policy,
+    journal: Journal,
+    copies: Copies,
+    live: Vec<Live>,
+    next_attempt: u32,
+    avoid: Vec<Arc<str>>,
+    attach: Option<Stream>,
+    retry_ms: Option<u64>,
+    back_off_ms: u64,
+    usual_gap_ms: u64,
+    last_token_ms: u64,
+    lost_ms: Option<u64>,
+    last_tick_ms: u64,
+    ending: Option<Arc<str>>,
+    released: u32,
+    closed: bool,
+    extra: Extra,
+}
+
+impl Generation {
+    /// A new generation, owned under the first term.
+    pub fn new(identity: Identity, owner: Owner, policy: Policy) -> Generation {
+        Generation {
+            identity,
+            owner,
+            term: 1,
+            policy,
+            journal: Journal::default(),
+            copies: Copies::default(),
+            live: Vec::new(),
+            next_attempt: 1,
+            avoid: Vec::new(),
+            attach: None,
+            retry_ms: None,
+            back_off_ms: MIN_BACK_OFF_MS,
+            usual_gap_ms: 0,
+            last_token_ms: 0,
+            lost_ms: None,
+            last_tick_ms: 0,
+            ending: None,
+            released: 0,
+            closed: false,
+            extra: Extra::default(),
+        }
+    }
+
+    /// A generation taken over under `term`, from the prefix that its holders had.
+    pub fn resume(
+        identity: Identity,
+        owner: Owner,
+        policy: Policy,
+        term: u64,
+        prefix: Prefix,
+    ) -> Generation {
+        let mut generation = Generation::new(identity, owner, policy);
+        generation.term = term;
+        generation.journal = prefix.journal;
+        generation.attach = prefix.stream;
+        generation
+    }
+
+    /// Notes what a holder showed at a take-over, so that only the rest is sent to it.
+    pub fn note_prefix(&mut self, roster: &Roster, id: &str, theirs: &Journal) {
+        self.copies.adopt(roster, &self.identity.key);
+        self.copies.note_prefix(id, theirs, &self.journal);
+    }
+
+    /// The accepted tokens.
+    pub fn journal(&self) -> &Journal {
+        &self.journal
+    }
+
+    /// What was spent beyond one undisturbed run.
+    pub fn extra(&self) -> Extra {
+        self.extra
+    }
+
+    fn begin(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let number = self.next_attempt;
+        self.next_attempt += 1;
+        self.retry_ms = None;
+        let attach = self.attach.take();
+        let is_resumed = number > 1 || self.term > 1;
+        if number > 1 {
+            self.extra.attempts += 1;
+        }
+        self.live.push(Live {
+            number,
+            stream: None,
+            heard_ms: now_ms,
+            is_resumed,
+            has_token: false,
+            was_attached: attach.is_some(),
+        });
+        out.push(Action::Begin(Attempt {
+            number,
+            from: self.journal.len(),
+            attach,
+            avoid: self.avoid.clone(),
+            is_resumed,
+        }));
+    }
+
+    fn position(&self, attempt: u32) -> Option<usize> {
+        self.live.iter().position(|live| live.number == attempt)
+    }
+
+    fn take_token(
+        &mut self,
+        attempt: u32,
+        index: u32,
+        text: &str,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let position = self.position(attempt).filter(|_| self.ending.is_none());
+        let Some(at) = position.filter(|_| index == self.journal.len()) else {
+            self.extra.dropped_tokens += 1;
+            return;
+        };
+        self.keep_only(at, out);
+        let live = &mut self.live[0];
+        if live.has_token {
+            let gap_ms = now_ms.saturating_sub(live.heard_ms);
+            self.usual_gap_ms = smooth(self.usual_gap_ms, gap_ms);
+        }
+        live.heard_ms = now_ms;
+        live.has_token = true;
+        self.journal.push(text);
+        self.last_token_ms = now_ms;
+        self.back_off_ms = MIN_BACK_OFF_MS;
+        self.avoid.clear();
+        if let Some(lost_ms) = self.lost_ms.take() {
+            let waited_ms = now_ms.saturating_sub(lost_ms);
+            self.extra.longest_resume_ms = self.extra.longest_resume_ms.max(waited_ms);
+        }
+        self.copy(now_ms, out);
+    }
+
+    /// The first accepted token decides between two attempts; the other is cancelled.
+    fn keep_only(&mut self, at: usize, out: &mut Vec<Action>) {
+        if self.live.len() == 1 {
+            return;
+        }
+        let kept = self.live.swap_remove(at);
+        for other in self.live.drain(..) {
+            out.push(Action::Cancel { attempt: other.number });
+        }
+        self.live.push(kept);
+    }
+
+    fn take_end(
+        &mut self,
+        attempt: u32,
+        tokens: u32,
+        reason: Arc<str>,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(at) = self.position(attempt).filter(|_| self.ending.is_none()) else { return };
+        if tokens != self.journal.len() {
+            // The stream lost tokens on its way: what was accepted stands, the rest comes anew.
+            self.lose(attempt, true, now_ms, out);
+            return;
+        }
+        self.keep_only(at, out);
+        self.ending = Some(reason);
+        self.copy(now_ms, out);
+    }
+
+    fn lose(&mut self, attempt: u32, was_placed: bool, now_ms: u64, out: &mut Vec<Action>) {
+        let Some(at) = self.position(attempt).filter(|_| self.ending.is_none()) else { return };
+        let lost = self.live.swap_remove(at);
+        if let Some(stream) = &lost.stream {
+            self.avoid_upstream(stream);
+        }
+        if !self.live.is_empty() {
+            return;
+        }
+        self.lost_ms.get_or_insert(lost.heard_ms);
+        if was_placed && (lost.has_token || lost.was_attached) {
+            self.begin(now_ms, out);
+        } else {
+            self.retry_ms = Some(now_ms + self.back_off_ms);
+            self.back_off_ms = (self.back_off_ms * 2).min(MAX_BACK_OFF_MS);
+        }
+    }
+
+    fn avoid_upstream(&mut self, stream: &Stream) {
+        if !self.avoid.contains(&stream.upstream) {
+            self.avoid.push(Arc::clone(&stream.upstream));
+        }
+    }
+
+    fn patience_ms(&self, live: &Live, suspect_ourselves: bool) -> u64 {
+        let patience_ms = match (live.has_token, live.is_resumed) {
+            (true, _) => {
+                let usual_ms = self.usual_gap_ms.saturating_mul(SUSPICIOUS_GAPS);
+                usual_ms.clamp(self.policy.gap_floor_ms, self.policy.gap_ceiling_ms)
+            }
+            (false, true) => self.policy.resumed_token_ms,
+            (false, false) => self.policy.first_token_ms,
+        };
+        if suspect_ourselves { patience_ms.max(self.policy.gap_ceiling_ms) } else { patience_ms }
+    }
+
+    fn tick(&mut self, suspect_ourselves: bool, now_ms: u64, out: &mut Vec<Action>) {
+        let stood_still_ms = now_ms.saturating_sub(self.last_tick_ms);
+        if self.last_tick_ms > 0 && stood_still_ms > OWN_PAUSE_MS {
+            // What arrived meanwhile still waits in the sockets.
+            self.live.iter_mut().for_each(|live| live.heard_ms = now_ms);
+        }
+        self.last_tick_ms = now_ms;
+        if self.ending.is_none() {
+            if now_ms >= self.policy.deadline_ms {
+                self.close(Action::GiveUp, out);
+                return;
+            }
+            self.suspect(suspect_ourselves, now_ms, out);
+        }
+        if self.retry_ms.is_some_and(|retry_ms| retry_ms <= now_ms) {
+            self.begin(now_ms, out);
+        }
+        self.copy(now_ms, out);
+    }
+
+    fn suspect(&mut self, suspect_ourselves: bool, now_ms: u64, out: &mut Vec<Action>) {
+        let is_silent = |live: &Live| {
+            let silent_ms = now_ms.saturating_sub(live.heard_ms);
+            silent_ms > self.patience_ms(live, suspect_ourselves)
+        };
+        if self.live.is_empty() || !self.live.iter().all(is_silent) {
+            return;
+        }
+        let silent = self.live.remove(0);
+        self.lost_ms.get_or_insert(silent.heard_ms);
+        if let Some(stream) = &silent.stream {
+            self.avoid_upstream(stream);
+        }
+        if self.policy.hedge && self.live.is_empty() {
+            // The silent one may still win the race.
+            self.live.push(silent);
+        } else {
+            out.push(Action::Cancel { attempt: silent.number });
+        }
+        self.begin(now_ms, out);
+    }
+
+    fn close(&mut self, last: Action, out: &mut Vec<Action>) {
+        for live in self.live.drain(..) {
+            out.push(Action::Cancel { attempt: live.number });
+        }
+        self.closed = true;
+        out.push(last);
+    }
+
+    fn take_copied(&mut self, is_open: bool, now_ms: u64, out: &mut Vec<Action>) {
+        if !is_open {
+            // The new owner attaches to the stream, so that it must not be cancelled.
+            self.live.clear();
+            self.close(Action::Yield, out);
+            return;
+        }
+        let committed = self.copies.committed();
+        if committed > self.released {
+            self.released = committed;
+            out.push(Action::Release { to: committed });
+        }
+        self.copy(now_ms, out);
+        self.finish_if_settled(out);
+    }
+
+    fn finish_if_settled(&mut self, out: &mut Vec<Action>) {
+        if let Some(reason) = self.ending.clone().filter(|_| self.copies.is_settled()) {
+            self.closed = true;
+            out.push(Action::Finish { tokens: self.journal.len(), reason });
+        }
+    }
+
+    fn copy(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let mut due = Vec::new();
+        let ended = self.ending.is_some() && self.released == self.journal.len();
+        self.copies.collect_due(self.journal.len(), ended, now_ms, &mut due);
+        for due in due {
+            let op = if due.settle { self.settle_op() } else { self.append_op(&due) };
+            out.push(Action::Copy { epoch: self.copies.epoch(), member: due.member, op });
+        }
+    }
+
+    fn append_op(&self, due: &Due) -> Op {
+        Op::Append {
+            identity: self.identity.clone(),
+            owner: self.owner.clone(),
+            term: self.term,
+            from: due.from,
+            tokens: self.journal.slice(due.from, self.journal.len()),
+            stream: self.live.first().and_then(|live| live.stream.clone()),
+        }
+    }
+
+    fn settle_op(&self) -> Op {
+        let reason = self.ending.clone().unwrap_or_default();
+        Op::Settle {
+            identity: self.identity.clone(),
+            owner: self.owner.clone(),
+            term: self.term,
+            outcome: Outcome::Finished { tokens: self.journal.len(), reason },
+        }
+    }
+}
+
+/// What the holders of a lost owner's generation had.
+#[derive(Debug, Clone, Default)]
+pub struct Prefix {
+    /// The accepted tokens.
+    pub journal: Journal,
+    /// The stream that may still run.
+    pub stream: Option<Stream>,
+}
+
+fn smooth(usual_ms: u64, gap_ms: u64) -> u64 {
+    if usual_ms == 0 {
+        return gap_ms.max(1);
+    }
+    ((usual_ms * (GAP_SMOOTHING - 1) + gap_ms) / GAP_SMOOTHING).max(1)
+}
+
+impl Decide for Generation {
+    type Event = Event;
+    type Action = Action;
+
+    fn step(&mut self, event: Event, now_ms: u64, _random: &mut dyn Random, out: &mut Vec<Action>) {
+        if self.closed {
+            return;
+        }
+        match event {
+            Event::Roster(roster) => {
+                self.copies.adopt(&roster, &self.identity.key);
+                if self.next_attempt == 1 {
+                    self.begin(now_ms, out);
+                }
+                self.copy(now_ms, out);
+            }
+            Event::Placed { attempt, stream } => {
+                if let Some(at) = self.position(attempt) {
+                    self.live[at].stream = Some(stream);
+                }
+            }
+            Event::Token { attempt, index, text } => {
+                self.take_token(attempt, index, &text, now_ms, out);
+            }
+            Event::End { attempt, tokens, reason } => {
+                self.take_end(attempt, tokens, reason, now_ms, out);
+            }
+            Event::Lost { attempt, was_placed } => self.lose(attempt, was_placed, now_ms, out),
+            Event::Appended(Copied { epoch, member, reply }) => {
+                let is_open = self.copies.take_reply(epoch, &member, reply.as_ref(), now_ms);
+                self.take_copied(is_open, now_ms, out);
+            }
+            Event::Settled(Copied { epoch, member, reply }) => {
+                let is_open = self.copies.take_settled(epoch, &member, reply.as_ref(), now_ms);
+                self.take_copied(is_open, now_ms, out);
+            }
+            Event::Tick { suspect_ourselves } => self.tick(suspect_ourselves, now_ms, out),
+        }
+    }
+}
+
+/// How long the upstream that should send the next token has been silent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Silence {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// For how long.
+    pub since_ms: u64,
+}
+
+impl Generation {
+    /// The silence after a stream's first token, if there is one.
+    pub fn silence(&self, now_ms: u64) -> Option<Silence> {
+        let live = self.live.first().filter(|live| live.has_token && self.ending.is_none())?;
+        let upstream = Arc::clone(&live.stream.as_ref()?.upstream);
+        Some(Silence { upstream, since_ms: now_ms.saturating_sub(live.heard_ms) })
+    }
+}
--- /dev/null
+++ b/src/health.rs
@@ -0,0 +1,236 @@
+//! The controller of upstreams: who is there, who is leaving, and how busy they are.
+//!
+//! Each upstream is polled by one instance, which all compute alike; reports then spread by
+//! exchanges between instances. Once an upstream is known to be leaving, only a new incarnation
+//! takes that back ([docs/DESIGN.md](../docs/DESIGN.md#upstreams)).
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::blackboard::{Board, Load, Report, Upstream};
+use crate::decide::Random;
+
+/// How long a refused connection keeps work away, unless a poll succeeds sooner.
+const SUSPECT_MS: u64 = 1_000;
+/// A report this old may be renewed by any instance: its poller may be lost.
+const STALE_MS: u64 = 3_000;
+/// How long an upstream that is neither listed nor alive is remembered.
+const FORGET_MS: u64 = 30_000;
+/// How many instances on average renew a stale report in one tick.
+const STALE_POLLERS: u64 = 2;
+
+/// A line of the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// The service it belongs to.
+    pub service: Arc<str>,
+    /// Its address.
+    pub addr: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Its incarnation, 0 if the platform doesn't know.
+    pub incarnation: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// What traffic noticed about an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sign {
+    /// It refused the connection.
+    Refused,
+    /// It said that it is leaving.
+    Leaving,
+}
+
+/// The controller's own state.
+#[derive(Debug, Default)]
+pub struct Health {
+    pollers: BTreeMap<Arc<str>, Arc<str>>,
+    pollers_epoch: u64,
+}
+
+impl Health {
+    /// Takes in the platform's list. An upstream that is missing from it stays for as long as it
+    /// answers, since a restarted platform may list nothing for a while.
+    pub fn hear_list(&mut self, board: &mut Board, listed: Vec<Listed>, now_ms: u64) {
+        for line in listed {
+            let report = blank_report(&line.addr, &line.service, &line.domain);
+            ensure(board, report, now_ms);
+            let Some(upstream) = board.upstreams.get_mut(&line.addr) else { continue };
+            let known = upstream.report.load.incarnation;
+            let is_about_this = line.incarnation == 0 || known == 0 || line.incarnation == known;
+            let leaves = line.leaving && is_about_this && !upstream.report.load.leaving;
+            if leaves || !upstream.report.is_listed {
+                upstream.report.is_listed = true;
+                upstream.report.load.leaving |= leaves;
+                let version = upstream.report.version + 1;
+                mark_changed(board, &line.addr, version, now_ms);
+            }
+        }
+    }
+
+    /// Adds the upstreams that operators added and forgets those long gone.
+    pub fn follow_document(&mut self, board: &mut Board, now_ms: u64) {
+        let document = Arc::clone(&board.document);
+        for (addr, added) in &document.upstreams {
+            ensure(board, blank_report(addr, &added.service, &added.domain), now_ms);
+        }
+        board.upstreams.retain(|addr, upstream| {
+            let is_kept = document.upstreams.contains_key(addr) || upstream.report.is_alive;
+            is_kept || now_ms.saturating_sub(upstream.alive_ms) < FORGET_MS
+        });
+    }
+
+    /// Takes in the answer to a poll, `None` if there was none.
+    pub fn hear_load(
+        &mut self,
+        board: &mut Board,
+        addr: &str,
+        load: Option<Load>,
+        wall_ms: u64,
+        now_ms: u64,
+    ) {
+        let Some(upstream) = board.upstreams.get_mut(addr) else {
+            board.ignored_events += 1;
+            return;
+        };
+        let old = &upstream.report;
+        let mut report = Report { is_alive: load.is_some(), ..old.clone() };
+        if let Some(load) = load {
+            let same = load.incarnation == old.load.incarnation;
+            let leaving = load.leaving || (same && old.load.leaving);
+            report.load = Load { leaving, ..load };
+            upstream.suspect_until_ms = 0;
+        }
+        report.version = wall_ms.max(old.version + 1);
+        if report.is_alive {
+            upstream.alive_ms = now_ms;
+        }
+        replace(board, report, now_ms);
+    }
+
+    /// Takes in another instance's reports.
+    pub fn hear_reports(&mut self, board: &mut Board, reports: Vec<Report>, now_ms: u64) {
+        for mut report in reports {
+            let Some(mine) = board.upstreams.get(&report.addr) else {
+                ensure(board, report.clone(), now_ms);
+                continue;
+            };
+            let same = mine.report.load.incarnation == report.load.incarnation;
+            let leaving = same && (mine.report.load.leaving || report.load.leaving);
+            if report.version > mine.report.version {
+                report.load.leaving |= leaving;
+                report.is_listed |= mine.report.is_listed;
+                replace(board, report, now_ms);
+            } else if leaving && !mine.report.load.leaving {
+                self.set_leaving(board, &report.addr, now_ms);
+            }
+        }
+    }
+
+    /// Takes in what traffic noticed.
+    pub fn hear_sign(&mut self, board: &mut Board, addr: &str, sign: Sign, now_ms: u64) {
+        let Some(upstream) = board.upstreams.get_mut(addr) else {
+            board.ignored_events += 1;
+            return;
+        };
+        match sign {
+            Sign::Refused => upstream.suspect_until_ms = now_ms + SUSPECT_MS,
+            Sign::Leaving => self.set_leaving(board, addr, now_ms),
+        }
+    }
+
+    fn set_leaving(&mut self, board: &mut Board, addr: &str, now_ms: u64) {
+        let Some(upstream) = board.upstreams.get_mut(addr) else { return };
+        if !upstream.report.load.leaving {
+            upstream.report.load.leaving = true;
+            let version = upstream.report.version + 1;
+            mark_changed(board, addr, version, now_ms);
+        }
+    }
+
+    /// The addresses that this instance has to poll now.
+    pub fn due_polls(
+        &mut self,
+        board: &Board,
+        now_ms: u64,
+        random: &mut dyn Random,
+    ) -> Vec<Arc<str>> {
+        if self.pollers_epoch != board.table.epoch() {
+            self.pollers.clear();
+            self.pollers_epoch = board.table.epoch();
+        }
+        self.pollers.retain(|addr, _| board.upstreams.contains_key(addr));
+        let members = board.table.roster.members.len().max(1) as u64;
+        let mut due = Vec::new();
+        for (addr, upstream) in &board.upstreams {
+            let poller =
+                self.pollers.entry(Arc::clone(addr)).or_insert_with(|| poller(board, addr));
+            let is_mine = *poller == board.me.id;
+            let is_stale = now_ms.saturating_sub(upstream.heard_ms) > STALE_MS;
+            if is_mine || (is_stale && random.below(members) < STALE_POLLERS) {
+                due.push(Arc::clone(addr));
+            }
+        }
+        due
+    }
+}
+
+fn poller(board: &Board, addr: &str) -> Arc<str> {
+    let score = |id: &str| xxh3_64_with_seed(addr.as_bytes(), xxh3_64_with_seed(id.as_bytes(), 1));
+    let best = board.table.roster.members.iter().max_by_key(|member| score(&member.id));
+    Arc::clone(best.map_or(&board.me.id, |member| &member.id))
+}
+
+fn blank_report(addr: &Arc<str>, service: &Arc<str>, domain: &Arc<str>) -> Report {
+    Report {
+        addr: Arc::clone(addr),
+        service: Arc::clone(service),
+        domain: Arc::clone(domain),
+        version: 0,
+        is_alive: false,
+        is_listed: false,
+        load: Load::default(),
+    }
+}
+
+fn ensure(board: &mut Board, report: Report, now_ms: u64) {
+    if board.upstreams.contains_key(&report.addr) {
+        return;
+    }
+    board.changes += 1;
+    let upstream = Upstream {
+        heard_ms: now_ms,
+        alive_ms: now_ms,
+        suspect_until_ms: 0,
+        changed: board.changes,
+        counters: Arc::default(),
+        report,
+    };
+    board.upstreams.insert(Arc::clone(&upstream.report.addr), upstream);
+}
+
+fn replace(board: &mut Board, report: Report, now_ms: u64) {
+    let Some(upstream) = board.upstreams.get_mut(&report.addr) else { return };
+    upstream.counters.sent_since.store(0, std::sync::atomic::Ordering::Relaxed);
+    if report.is_alive {
+        upstream.alive_ms = now_ms;
+    }
+    let version = report.version;
+    let addr = Arc::clone(&report.addr);
+    upstream.report = report;
+    mark_changed(board, &addr, version, now_ms);
+}
+
+fn mark_changed(board: &mut Board, addr: &str, version: u64, now_ms: u64) {
+    board.changes += 1;
+    if let Some(upstream) = board.upstreams.get_mut(addr) {
+        upstream.report.version = version;
+        upstream.changed = board.changes;
+        upstream.heard_ms = now_ms;
+    }
+}
--- /dev/null
+++ b/src/ledger_task.rs
@@ -0,0 +1,205 @@
+//! The task that owns an instance's ledger: batches go in by a channel, so that no request takes
+//! a lock that another may hold.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+
+use crate::clock::Clock;
+use crate::decide::Decide;
+use crate::ledger::{Action, Event, Handover, Ledger};
+use crate::membership::{Member, Table};
+use crate::peer;
+use crate::record::{Record, Reply, Request};
+use crate::wire::AskHandover;
+
+/// How often time passes for the ledger.
+const TICK_MS: u64 = 100;
+/// How long a handover may take.
+const HANDOVER_TIMEOUT_MS: u64 = 1_000;
+
+/// What can be asked of the task.
+enum Message {
+    Table(Arc<Table>),
+    Batch(Vec<Request>, oneshot::Sender<Vec<Reply>>),
+    AskHandover(AskHandover, oneshot::Sender<Option<Handover>>),
+    Handover(Handover),
+    Record(Arc<str>, oneshot::Sender<Option<Record>>),
+    Status(oneshot::Sender<Status>),
+}
+
+/// How the ledger is.
+#[derive(Debug, Clone, Copy)]
+pub struct Status {
+    /// Whether it answers claims in the epoch in force.
+    pub is_ready: bool,
+    /// How many records it keeps.
+    pub records: usize,
+    /// Events that were late, repeated or from strangers.
+    pub ignored_events: u64,
+}
+
+/// A handle to the task.
+#[derive(Clone)]
+pub struct LedgerTask {
+    messages: mpsc::UnboundedSender<Message>,
+}
+
+impl LedgerTask {
+    /// Starts the task on the current runtime.
+    pub fn spawn(ledger: Ledger, clock: Clock, client: peer::Client) -> LedgerTask {
+        let (messages, inbox) = mpsc::unbounded_channel();
+        let handle = LedgerTask { messages };
+        let task = Task {
+            ledger,
+            clock,
+            client,
+            table: Arc::default(),
+            handle: handle.clone(),
+            batches: HashMap::new(),
+            questions: HashMap::new(),
+            next: 0,
+        };
+        tokio::spawn(task.run(inbox));
+        handle
+    }
+
+    /// Puts a newer table into force.
+    pub fn adopt(&self, table: Arc<Table>) {
+        let _ = self.messages.send(Message::Table(table));
+    }
+
+    /// Applies a batch; empty if the task has ended.
+    pub async fn apply(&self, requests: Vec<Request>) -> Vec<Reply> {
+        self.ask(|reply| Message::Batch(requests, reply)).await.unwrap_or_default()
+    }
+
+    /// The records that a new holder asks for.
+    pub async fn hand_over(&self, question: AskHandover) -> Option<Handover> {
+        self.ask(|reply| Message::AskHandover(question, reply)).await.flatten()
+    }
+
+    /// The record of a key, for operators.
+    pub async fn record(&self, key: &str) -> Option<Record> {
+        self.ask(|reply| Message::Record(Arc::from(key), reply)).await.flatten()
+    }
+
+    /// How the ledger is; `None` if the task has ended.
+    pub async fn status(&self) -> Option<Status> {
+        self.ask(Message::Status).await
+    }
+
+    async fn ask<T>(&self, message: impl FnOnce(oneshot::Sender<T>) -> Message) -> Option<T> {
+        let (reply, answered) = oneshot::channel();
+        self.messages.send(message(reply)).ok()?;
+        answered.await.ok()
+    }
+}
+
+struct Task {
+    ledger: Ledger,
+    clock: Clock,
+    client: peer::Client,
+    table: Arc<Table>,
+    handle: LedgerTask,
+    batches: HashMap<u64, oneshot::Sender<Vec<Reply>>>,
+    questions: HashMap<u64, oneshot::Sender<Option<Handover>>>,
+    next: u64,
+}
+
+impl Task {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
+        let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = inbox.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                _ = ticks.tick() => self.step(Event::Tick),
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        self.next += 1;
+        let batch = self.next;
+        match message {
+            Message::Table(table) => self.adopt(table),
+            Message::Batch(requests, reply) => {
+                self.batches.insert(batch, reply);
+                self.step(Event::Batch { batch, requests });
+            }
+            Message::AskHandover(AskHandover { to, epoch, table }, reply) => {
+                self.adopt(table);
+                self.questions.insert(batch, reply);
+                self.step(Event::AskHandover { batch, to, epoch });
+            }
+            Message::Handover(handover) => self.step(Event::Handover(handover)),
+            Message::Record(key, reply) => {
+                let _ = reply.send(self.ledger.record(&key).cloned());
+            }
+            Message::Status(reply) => {
+                let status = Status {
+                    is_ready: self.ledger.is_ready(),
+                    records: self.ledger.len(),
+                    ignored_events: self.ledger.ignored_events(),
+                };
+                let _ = reply.send(status);
+            }
+        }
+    }
+
+    fn adopt(&mut self, table: Arc<Table>) {
+        if table.epoch() > self.table.epoch() {
+            self.table = Arc::clone(&table);
+            self.step(Event::Table(table));
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        let now_ms = self.clock.now_ms();
+        self.ledger.step(event, now_ms, &mut fastrand::Rng::new(), &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Reply { batch, replies } => {
+                if let Some(reply) = self.batches.remove(&batch) {
+                    let _ = reply.send(replies);
+                }
+            }
+            Action::Answer { batch, handover } => {
+                if let Some(reply) = self.questions.remove(&batch) {
+                    let _ = reply.send(handover);
+                }
+            }
+            Action::Ask { member, epoch } => {
+                let to = self.ledger_owner();
+                let table = Arc::clone(&self.table);
+                let question = AskHandover { to, epoch, table };
+                tokio::spawn(ask(self.client.clone(), self.handle.clone(), member, question));
+            }
+        }
+    }
+
+    fn ledger_owner(&self) -> Member {
+        self.ledger.me().clone()
+    }
+}
+
+async fn ask(client: peer::Client, handle: LedgerTask, member: Member, question: AskHandover) {
+    let path = "/peer/handover";
+    let answer = client.post(&member.addr, path, &question, HANDOVER_TIMEOUT_MS).await;
+    let handover: Option<Handover> = answer.flatten();
+    if let Some(handover) = handover {
+        let _ = handle.messages.send(Message::Handover(handover));
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,131 @@
+//! The one binary: an instance, its settings' check, and the operators' command line.
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use siskinrock::error::Error;
+use siskinrock::settings::{self, Settings};
+use siskinrock::{ctl, log, router};
+
+/// A request was refused, or something can't be reached.
+const EXIT_FAILED: u8 = 1;
+/// The call or the settings can't be read.
+const EXIT_USAGE: u8 = 2;
+/// It isn't known whether a command was applied.
+const EXIT_UNKNOWN: u8 = 4;
+
+const HELP: &str = "\
+siskinrock: a serving system for long generations on engines that fail
+
+USAGE: siskinrock COMMAND [FLAGS]
+
+  router   serve callers, operators and peers
+  check    check the settings of a router without serving
+  ctl      ask and command a running system
+  help     this page; also --help after each command
+";
+
+fn main() -> ExitCode {
+    let mut arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let command = if arguments.is_empty() { OsString::new() } else { arguments.remove(0) };
+    let wants_help = arguments.iter().any(|argument| argument == "--help" || argument == "-h");
+    match command.to_str() {
+        Some("router" | "check") if wants_help => print(settings::HELP),
+        Some("ctl") if wants_help || arguments.is_empty() => print(ctl::HELP),
+        Some("router") => serve(arguments),
+        Some("check") => check(arguments),
+        Some("ctl") => operate(arguments),
+        Some("help" | "--help" | "-h") => print(HELP),
+        Some("--version") => print(concat!("siskinrock ", env!("CARGO_PKG_VERSION"), "\n")),
+        _ => {
+            eprint!("{HELP}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn print(text: &str) -> ExitCode {
+    print!("{text}");
+    ExitCode::SUCCESS
+}
+
+fn environment(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+fn check(arguments: Vec<OsString>) -> ExitCode {
+    match Settings::read(arguments, &environment) {
+        Ok(settings) => {
+            println!("the settings of {} are in order", settings.id);
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(&error, EXIT_USAGE),
+    }
+}
+
+fn serve(arguments: Vec<OsString>) -> ExitCode {
+    let settings = match Settings::read(arguments, &environment) {
+        Ok(settings) => settings,
+        Err(error) => return fail(&error, EXIT_USAGE),
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build();
+    let Ok(runtime) = runtime else { return ExitCode::from(EXIT_FAILED) };
+    let logger = log::to_stderr(settings.log);
+    match runtime.block_on(run_router(settings, logger)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error, EXIT_FAILED),
+    }
+}
+
+async fn run_router(settings: Settings, logger: slog::Logger) -> Result<(), Error> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate()).map_err(cannot_listen)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(cannot_listen)?;
+    let router = router::Router::start(settings, logger.clone()).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = router.wait_for_stop() => {}
+    }
+    // Further signals are taken and change nothing: a planned stop cuts no request.
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            slog::info!(logger, "already stopping; requests in progress end first");
+        }
+    });
+    router.stop().await;
+    Ok(())
+}
+
+fn cannot_listen(error: std::io::Error) -> Error {
+    Error::from_signals(&error)
+}
+
+fn operate(arguments: Vec<OsString>) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let Ok(runtime) = runtime else { return ExitCode::from(EXIT_FAILED) };
+    match runtime.block_on(ctl::run(arguments, &environment)) {
+        Ok(output) => {
+            println!("{}", output.text);
+            ExitCode::from(output.status)
+        }
+        Err(error) => match error.code() {
+            "settings" | "bad_command" => fail(&error, EXIT_USAGE),
+            "store_unknown" => fail(&error, EXIT_UNKNOWN),
+            _ => fail(&error, EXIT_FAILED),
+        },
+    }
+}
+
+fn fail(error: &Error, status: u8) -> ExitCode {
+    eprintln!("siskinrock: {error}");
+    ExitCode::from(status)
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,159 @@
+//! What the parts of a running instance share.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use futures_util::future::BoxFuture;
+use tokio::sync::{mpsc, watch};
+
+use crate::blackboard::Snapshot;
+use crate::budget::Budget;
+use crate::clock::Clock;
+use crate::control;
+use crate::control_loop;
+use crate::door::Door;
+use crate::engine::Engine;
+use crate::health::Sign;
+use crate::ledger_task::LedgerTask;
+use crate::membership::{Member, Table};
+use crate::peer::{self, Holders};
+use crate::record::{Op, Owner, Reply, Request};
+use crate::registry::Registry;
+use crate::settings::Settings;
+use crate::store::Store;
+use crate::vote::{Verdict, Vote};
+
+/// How long a vote goes on while epochs differ.
+const CATCH_UP_MS: u64 = 2_000;
+/// The wait before a vote is tried in a newer epoch.
+const CATCH_UP_STEP_MS: u64 = 20;
+
+/// A running instance.
+pub struct Node {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its clock.
+    pub clock: Clock,
+    /// Its log.
+    pub log: slog::Logger,
+    /// This start of it.
+    pub me: Member,
+    /// What the control thread last published.
+    pub snapshot: ArcSwap<Snapshot>,
+    /// The table in force, for those who wait for the next one.
+    pub tables: watch::Sender<Arc<Table>>,
+    /// The control thread.
+    pub control: mpsc::UnboundedSender<control_loop::Message>,
+    /// The records that this instance holds.
+    pub ledger: LedgerTask,
+    /// All holders of records.
+    pub holders: Arc<dyn Holders>,
+    /// The model engines.
+    pub engine: Arc<dyn Engine>,
+    /// The platform.
+    pub store: Arc<dyn Store>,
+    /// The admission queues.
+    pub door: Door,
+    /// The requests of this instance.
+    pub registry: Registry,
+    /// Calls to peers.
+    pub peers: peer::Client,
+    /// Calls that may be repeated, over kept connections.
+    pub pooled: reqwest::Client,
+    /// Calls that may not: each has its own connection, so that a connection which closed while
+    /// idle never leaves the outcome unknown.
+    pub unpooled: reqwest::Client,
+    /// Repeats that may still be made.
+    pub budget: Mutex<Budget>,
+}
+
+impl Node {
+    /// What the control thread last published.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// This instance as the owner of requests.
+    pub fn owner(&self) -> Owner {
+        Owner { id: Arc::clone(&self.me.id), addr: Arc::clone(&self.me.addr) }
+    }
+
+    /// Tells the control thread what traffic noticed.
+    pub fn notice(&self, addr: &Arc<str>, sign: Sign) {
+        let addr = Arc::clone(addr);
+        self.tell(control::Event::Noticed { addr, sign });
+    }
+
+    /// Gives the control thread an event.
+    pub fn tell(&self, event: control::Event) {
+        let _ = self.control.send(control_loop::Message::Event(event));
+    }
+
+    /// Puts one operation to the holders of its key, until a verdict stands or epochs agree.
+    pub async fn vote(&self, op: &Op) -> Verdict {
+        let give_up_ms = self.clock.now_ms() + CATCH_UP_MS;
+        loop {
+            let verdict = self.vote_once(op).await;
+            let is_stale = matches!(verdict, Verdict::Stale { .. });
+            // A claim must not carry votes of one epoch into another.
+            if !is_stale || matches!(op, Op::Claim { .. }) || self.clock.now_ms() > give_up_ms {
+                return verdict;
+            }
+            tokio::time::sleep(Duration::from_millis(CATCH_UP_STEP_MS)).await;
+        }
+    }
+
+    async fn vote_once(&self, op: &Op) -> Verdict {
+        let table = self.tables.borrow().clone();
+        let holders = table.roster.holders(&op.identity().key);
+        let mut vote = Vote::new(holders.len());
+        let (replies, mut answers) = mpsc::unbounded_channel();
+        for member in holders {
+            let request = Request { epoch: table.epoch(), op: op.clone() };
+            let asked = ask(Arc::clone(&self.holders), member.clone(), request);
+            let replies = replies.clone();
+            // The holder is asked to the end, also when the others have decided by then.
+            tokio::spawn(async move { drop(replies.send(asked.await)) });
+        }
+        drop(replies);
+        while let Some(answer) = answers.recv().await {
+            if let Some(Reply::Stale { .. }) = answer.reply {
+                self.tell(control::Event::Differs(answer.member.clone()));
+            }
+            if let Some(verdict) = vote.take(&answer.member.id, answer.reply) {
+                return verdict;
+            }
+        }
+        Verdict::Unavailable { retry_after_ms: CATCH_UP_MS }
+    }
+}
+
+struct Answer {
+    member: Member,
+    reply: Option<Reply>,
+}
+
+async fn ask(holders: Arc<dyn Holders>, member: Member, request: Request) -> Answer {
+    let reply = holders.ask(&member, request).await;
+    Answer { member, reply }
+}
+
+/// Holders of which one is this instance itself.
+pub struct AllHolders {
+    /// This instance.
+    pub me: Member,
+    /// Its own records.
+    pub ledger: LedgerTask,
+    /// The others.
+    pub remote: peer::RemoteHolders,
+}
+
+impl Holders for AllHolders {
+    fn ask<'a>(&'a self, holder: &'a Member, request: Request) -> BoxFuture<'a, Option<Reply>> {
+        if !holder.is_same(&self.me) {
+            return self.remote.ask(holder, request);
+        }
+        Box::pin(async move { self.ledger.apply(vec![request]).await.pop() })
+    }
+}
--- /dev/null
+++ b/src/operate.rs
@@ -0,0 +1,265 @@
+//! Operators' questions and commands.
+//!
+//! A change is a compare-and-swap of the whole configuration in the store. It is answered as
+//! accepted only when the store has it, together with how many instances have it in force
+//! ([docs/DESIGN.md](../docs/DESIGN.md#configuration)).
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::change;
+use crate::clock;
+use crate::command::{self, Command};
+use crate::control;
+use crate::control_loop::DOCUMENT_KEY;
+use crate::document::{Change, Document};
+use crate::error::{Error, Kind, Result};
+use crate::node::Node;
+use crate::query::{self, Row};
+use crate::store::{Entry, Write, Written};
+use crate::wire::Status;
+
+/// How often a change is tried when others change other things at the same time.
+const TRIES: u32 = 12;
+/// How often a lost reply is looked up.
+const LOOK_UPS: u32 = 4;
+/// The wait between look-ups.
+const LOOK_UP_MS: u64 = 300;
+/// How long an answer waits for a change to be in force everywhere.
+const IN_FORCE_MS: u64 = 5_000;
+/// How often that is checked.
+const IN_FORCE_STEP_MS: u64 = 50;
+
+/// What an operator sends.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Question {
+    /// The query or command.
+    pub command: String,
+    /// A unique name, so that a lost reply can be resolved.
+    #[serde(default)]
+    pub command_id: Option<String>,
+    /// Whether only a preview is wanted.
+    #[serde(default)]
+    pub dry_run: bool,
+    /// Who sends it, for the history.
+    #[serde(default)]
+    pub operator: Option<String>,
+    /// The revision that the operator looked at.
+    #[serde(default)]
+    pub if_revision: Option<u64>,
+}
+
+/// What an operator gets.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Answer {
+    /// The configuration's revision, after the change if there was one.
+    pub revision: u64,
+    /// What was done, or would be.
+    pub summary: String,
+    /// The rows of a query.
+    pub rows: Vec<Row>,
+    /// How many instances have the revision in force.
+    pub in_force: usize,
+    /// How many instances there are.
+    pub of: usize,
+    /// Instances that don't have it in force yet.
+    pub missing: Vec<String>,
+    /// The name under which a change is remembered.
+    pub command_id: Option<String>,
+}
+
+/// Answers a question or carries out a command.
+///
+/// # Errors
+///
+/// Each kind says whether anything was changed, and what to do.
+pub async fn answer(node: &Arc<Node>, question: Question) -> Result<Answer> {
+    let command = command::parse(&question.command)?;
+    match &command {
+        Command::Show(show) => {
+            let rows = query::show(node, show).await?;
+            Ok(Answer { rows, ..standing(node) })
+        }
+        Command::Explain { request } => {
+            let rows = query::explain(node, request).await;
+            Ok(Answer { rows, ..standing(node) })
+        }
+        _ => change_config(node, &question, &command).await,
+    }
+}
+
+fn standing(node: &Node) -> Answer {
+    Answer { revision: node.snapshot().document.revision, ..Answer::default() }
+}
+
+async fn change_config(node: &Arc<Node>, question: &Question, command: &Command) -> Result<Answer> {
+    let generated = || format!("{:016x}", fastrand::u64(..));
+    let command_id = question.command_id.clone().unwrap_or_else(generated);
+    let mut seen_revision = question.if_revision;
+    for _ in 0..TRIES {
+        let current = read_current(node).await?;
+        if let Some(change) = current.document.change_by(&command_id) {
+            let summary = format!("was applied before: {}", change.command);
+            let revision = change.revision;
+            node.tell(control::Event::Accepted(Arc::new(current.document)));
+            return Ok(in_force(node, revision, summary, command_id).await);
+        }
+        let mut document = current.document;
+        let base = *seen_revision.get_or_insert(document.revision);
+        let effect = apply(node, &mut document, command)?;
+        refuse_raced(&document, base, &effect.subject, question)?;
+        if question.dry_run {
+            let summary = format!("would change: {}", effect.summary);
+            return Ok(Answer { summary, ..standing(node) });
+        }
+        document.record(Change {
+            revision: 0,
+            command_id: Arc::from(command_id.as_str()),
+            subject: Arc::from(effect.subject),
+            command: Arc::from(change::redact(&question.command)),
+            operator: Arc::from(question.operator.as_deref().unwrap_or("unnamed")),
+            at_ms: clock::wall_ms(),
+        });
+        match write(node, &document, current.store_revision).await {
+            Written::Applied { .. } => {
+                let revision = document.revision;
+                log_change(node, &document);
+                node.tell(control::Event::Accepted(Arc::new(document)));
+                return Ok(in_force(node, revision, effect.summary, command_id).await);
+            }
+            Written::NotSent => {
+                return Err(Kind::StoreDown { detail: "the write was refused".to_owned() }.into());
+            }
+            Written::Unknown => look_up(node, &command_id).await?,
+            // Another operator was first; the next round tells whether that matters.
+            Written::Refused(_) => {}
+        }
+    }
+    Err(Error::refused(
+        "the configuration changes too often now; nothing was changed, run it again",
+    ))
+}
+
+/// The configuration in the store.
+struct Current {
+    document: Document,
+    store_revision: u64,
+}
+
+async fn read_current(node: &Node) -> Result<Current> {
+    let known = node.snapshot().document.revision;
+    let current = match node.store.read(DOCUMENT_KEY).await? {
+        Some(Entry { value, revision }) => Current {
+            document: serde_json::from_str(&value).map_err(Error::internal)?,
+            store_revision: revision,
+        },
+        None => Current { document: Document::default(), store_revision: 0 },
+    };
+    let found = current.document.revision;
+    if found < known {
+        return Err(Kind::StoreStale { found, known }.into());
+    }
+    Ok(current)
+}
+
+fn apply(node: &Node, document: &mut Document, command: &Command) -> Result<change::Effect> {
+    let Command::Stop { router } = command else { return change::apply(document, command) };
+    let snapshot = node.snapshot();
+    let roster = &snapshot.table.roster;
+    let Some(member) = roster.member(router) else {
+        let hint = crate::error::did_you_mean(router, roster.members.iter().map(|m| &*m.id));
+        return Err(Error::refused(format!(
+            "router {router} is not there{hint}; see 'show routers'"
+        )));
+    };
+    document.stopping.retain(|entry| {
+        entry.split_once('#').is_some_and(|(id, incarnation)| {
+            roster.member(id).is_some_and(|m| m.incarnation.to_string() == incarnation)
+        })
+    });
+    Ok(change::stop(document, router, member.incarnation))
+}
+
+fn refuse_raced(document: &Document, base: u64, subject: &str, question: &Question) -> Result<()> {
+    let Some(other) = document.change_since(base, subject) else { return Ok(()) };
+    Err(Kind::Raced {
+        subject: subject.to_owned(),
+        revision: other.revision,
+        command: other.command.to_string(),
+        operator: other.operator.to_string(),
+        retry: change::redact(&question.command),
+    }
+    .into())
+}
+
+async fn write(node: &Node, document: &Document, expect: u64) -> Written {
+    let value = serde_json::to_string(document).unwrap_or_default();
+    node.store.write(DOCUMENT_KEY, Write { value, expect, lease: None }).await
+}
+
+/// Waits until the store tells whether a change whose reply was lost is there.
+async fn look_up(node: &Node, command_id: &str) -> Result<()> {
+    for _ in 0..LOOK_UPS {
+        tokio::time::sleep(Duration::from_millis(LOOK_UP_MS)).await;
+        if read_current(node).await.is_ok() {
+            // The next round finds the change by its name, or makes it.
+            return Ok(());
+        }
+    }
+    Err(Kind::StoreUnknown { command_id: command_id.to_owned() }.into())
+}
+
+fn log_change(node: &Node, document: &Document) {
+    if let Some(change) = document.history.last() {
+        slog::info!(node.log, "the configuration has changed"; "revision" => change.revision,
+            "command" => &*change.command, "operator" => &*change.operator);
+    }
+}
+
+async fn in_force(node: &Arc<Node>, revision: u64, summary: String, command_id: String) -> Answer {
+    let give_up_ms = node.clock.now_ms() + IN_FORCE_MS;
+    loop {
+        let asked = query::ask_all::<Status>(node, "/peer/status").await;
+        let has = |status: &Option<Status>| status.as_ref().is_some_and(|s| s.revision >= revision);
+        let of = asked.len();
+        let lacking = asked.into_iter().filter(|(_, status)| !has(status));
+        let missing: Vec<_> = lacking.map(|(member, _)| member.id.to_string()).collect();
+        if missing.is_empty() || node.clock.now_ms() > give_up_ms {
+            let in_force = of - missing.len();
+            let command_id = Some(command_id);
+            let rows = Vec::new();
+            return Answer { revision, summary, rows, in_force, of, missing, command_id };
+        }
+        tokio::time::sleep(Duration::from_millis(IN_FORCE_STEP_MS)).await;
+    }
+}
+
+/// How far this instance is.
+pub async fn status(node: &Node) -> Status {
+    let snapshot = node.snapshot();
+    let ledger = node.ledger.status().await;
+    Status {
+        id: Arc::clone(&node.me.id),
+        incarnation: node.me.incarnation,
+        revision: snapshot.document.revision,
+        epoch: snapshot.table.epoch(),
+        is_ready: ledger.is_some_and(|ledger| ledger.is_ready),
+    }
+}
+
+/// What this instance holds about a request, as a row.
+pub async fn held_record(node: &Node, key: &str) -> Option<Row> {
+    let record = node.ledger.record(key).await?;
+    let value = json!({
+        "request": key,
+        "router": node.me.id,
+        "state": if record.outcome.is_some() { "settled" } else { "claimed" },
+        "tokens": record.journal.len(),
+        "attempts": record.term,
+        "course": format!("record held here; owner {}, term {}", record.owner.id, record.term),
+    });
+    value.as_object().cloned()
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,151 @@
+//! Calls from one instance to another, and the seam through which holders are asked.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use futures_util::future::BoxFuture;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+
+use crate::membership::Member;
+use crate::record::{Reply, Request};
+use crate::wire::{self, Batch, Replies};
+
+/// How long a holder may take to answer.
+const ASK_TIMEOUT_MS: u64 = 400;
+/// How many batches to one holder may be under way at once.
+const BATCHES_AT_ONCE: usize = 4;
+/// The most operations in one batch.
+const BATCH_LIMIT: usize = 256;
+
+/// Whoever can be asked about records.
+pub trait Holders: Send + Sync {
+    /// Asks one holder; `None` if it did not answer in time.
+    fn ask<'a>(&'a self, holder: &'a Member, request: Request) -> BoxFuture<'a, Option<Reply>>;
+}
+
+/// Calls to other instances.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: reqwest::Client,
+    key: Arc<str>,
+}
+
+impl Client {
+    /// Calls that carry `key`.
+    pub fn new(http: reqwest::Client, key: &str) -> Client {
+        Client { http, key: Arc::from(key) }
+    }
+
+    /// Sends a message and decodes the answer; `None` if there was none in time.
+    pub async fn post<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        addr: &str,
+        path: &str,
+        message: &Q,
+        timeout_ms: u64,
+    ) -> Option<A> {
+        let request = self.http.post(format!("http://{addr}{path}"));
+        let request = request.header(wire::PEER_KEY, &*self.key).body(wire::encode(message));
+        let sent = request.timeout(Duration::from_millis(timeout_ms)).send().await;
+        let response = sent.ok()?.error_for_status().ok()?;
+        wire::decode(&response.bytes().await.ok()?).ok()
+    }
+
+    /// Opens a stream of a generation that a peer serves.
+    pub async fn follow(&self, addr: &str, key: &str, from: u32) -> Option<reqwest::Response> {
+        let request = self.http.get(format!("http://{addr}/peer/follow?from={from}"));
+        // A key has visible characters only, so that it can stand in a header as it is.
+        let request = request.header(wire::FOLLOWED_KEY, key);
+        let response = request.header(wire::PEER_KEY, &*self.key).send().await.ok()?;
+        response.error_for_status().ok()
+    }
+}
+
+struct Pending {
+    request: Request,
+    reply: oneshot::Sender<Reply>,
+}
+
+/// Holders over the network, with operations to one holder sent in batches.
+///
+/// While a batch is under way, the operations for the next one gather, so that the number of
+/// calls stays near constant as streams are added.
+pub struct RemoteHolders {
+    client: Client,
+    lines: ArcSwap<Lines>,
+    opening: Mutex<()>,
+}
+
+type Lines = HashMap<Arc<str>, mpsc::UnboundedSender<Pending>>;
+
+impl RemoteHolders {
+    /// Holders that are reached through `client`.
+    pub fn new(client: Client) -> RemoteHolders {
+        RemoteHolders { client, lines: ArcSwap::default(), opening: Mutex::default() }
+    }
+
+    fn line(&self, addr: &Arc<str>) -> Option<mpsc::UnboundedSender<Pending>> {
+        if let Some(line) = self.lines.load().get(addr) {
+            return Some(line.clone());
+        }
+        let _one_at_a_time = self.opening.lock().ok()?;
+        if let Some(line) = self.lines.load().get(addr) {
+            return Some(line.clone());
+        }
+        let (sender, receiver) = mpsc::unbounded_channel();
+        tokio::spawn(send_batches(self.client.clone(), Arc::clone(addr), receiver));
+        let mut lines = Lines::clone(&self.lines.load());
+        lines.insert(Arc::clone(addr), sender.clone());
+        self.lines.store(Arc::new(lines));
+        Some(sender)
+    }
+}
+
+impl Holders for RemoteHolders {
+    fn ask<'a>(&'a self, holder: &'a Member, request: Request) -> BoxFuture<'a, Option<Reply>> {
+        Box::pin(async move {
+            let (reply, answered) = oneshot::channel();
+            self.line(&holder.addr)?.send(Pending { request, reply }).ok()?;
+            let timeout = Duration::from_millis(ASK_TIMEOUT_MS);
+            tokio::time::timeout(timeout, answered).await.ok()?.ok()
+        })
+    }
+}
+
+async fn send_batches(client: Client, addr: Arc<str>, mut line: mpsc::UnboundedReceiver<Pending>) {
+    let permits = Arc::new(Semaphore::new(BATCHES_AT_ONCE));
+    let mut gathered = Vec::new();
+    loop {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
+        if line.recv_many(&mut gathered, BATCH_LIMIT).await == 0 {
+            return;
+        }
+        let pending = std::mem::take(&mut gathered);
+        let client = client.clone();
+        let addr = Arc::clone(&addr);
+        tokio::spawn(async move {
+            send_batch(&client, &addr, pending).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn send_batch(client: &Client, addr: &str, pending: Vec<Pending>) {
+    let is_wanted = |pending: &Pending| !pending.reply.is_closed();
+    let (requests, replies): (Vec<_>, Vec<_>) =
+        pending.into_iter().filter(is_wanted).map(|p| (p.request, p.reply)).unzip();
+    if requests.is_empty() {
+        return;
+    }
+    let batch = Batch { requests };
+    let answer = client.post(addr, "/peer/records", &batch, ASK_TIMEOUT_MS).await;
+    let Some(Replies { replies: answers }) = answer else { return };
+    for (reply, answer) in replies.into_iter().zip(answers) {
+        // A receiver that has gone no longer wants it.
+        let _ = reply.send(answer);
+    }
+}
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,310 @@
+//! The controller of membership: joining, leaving, exchanges with peers, and suspicion.
+//!
+//! Each instance exchanges state with the next one on the ring and with one at random, so that
+//! the cost of a node does not grow with the fleet. A peer that stays silent is taken out of the
+//! table only after others, asked for their view, can't reach it either
+//! ([docs/DESIGN.md](../docs/DESIGN.md#membership)).
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::blackboard::{Board, Report};
+use crate::decide::Random;
+use crate::document::Document;
+use crate::membership::{Member, Table};
+
+/// So many exchanges in a row have to fail before a peer is suspected.
+const FAILURES: u32 = 3;
+/// How many others are asked about a suspect.
+const WITNESSES: usize = 2;
+/// How many peers each instance passes a change on to.
+const FAN_OUT: usize = 4;
+/// A suspect that some witness reaches is left alone for so long.
+const CLEARED_MS: u64 = 10_000;
+
+/// What two instances tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exchange {
+    /// Who sends it.
+    pub from: Member,
+    /// The sender's epoch.
+    pub epoch: u64,
+    /// The sender's configuration revision.
+    pub revision: u64,
+    /// The sender's table, when the receiver is known to have an older one.
+    pub table: Option<Arc<Table>>,
+    /// The sender's configuration, when the receiver is known to have an older one.
+    pub document: Option<Arc<Document>>,
+    /// Reports that are news to the receiver.
+    pub reports: Vec<Report>,
+    /// How a change is passed on, when this is part of that.
+    pub route: Option<Route>,
+}
+
+/// How a change travels: as a tree from where it entered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// The instance where it entered.
+    pub origin: Arc<str>,
+    /// The failure domain that it stays in; `None` for all.
+    pub domain: Option<Arc<str>>,
+}
+
+/// What is worth passing on at once, beside changed reports.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct News {
+    /// A newer table.
+    pub table: bool,
+    /// A newer configuration.
+    pub document: bool,
+}
+
+/// What is known about one peer.
+#[derive(Debug, Default)]
+struct Peer {
+    incarnation: u64,
+    failures: u32,
+    in_flight: bool,
+    epoch: u64,
+    revision: u64,
+    sent_changes: u64,
+    sending_changes: u64,
+    cleared_until_ms: u64,
+    witnesses: Option<Witnesses>,
+}
+
+#[derive(Debug)]
+struct Witnesses {
+    asked: usize,
+    unreachable: usize,
+}
+
+/// The controller's own state.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: BTreeMap<Arc<str>, Peer>,
+    /// Peers to be taken out of the table.
+    pub removals: Vec<Member>,
+}
+
+/// What the controller wants done.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Wish {
+    /// Send an exchange.
+    Send(Member, Exchange),
+    /// Ask a witness whether it reaches a suspect.
+    AskWitness {
+        /// Whom to ask.
+        witness: Member,
+        /// About whom.
+        suspect: Member,
+    },
+}
+
+impl Peers {
+    /// The exchanges of one tick.
+    pub fn tick(&mut self, board: &Board, random: &mut dyn Random, out: &mut Vec<Wish>) {
+        let roster = &board.table.roster;
+        self.known.retain(|id, peer| {
+            roster.member(id).is_some_and(|member| member.incarnation == peer.incarnation)
+        });
+        self.removals.retain(|member| roster.contains(member));
+        let mut targets: Vec<Member> = Vec::new();
+        for member in roster.successors(&board.me.id) {
+            targets.push(member.clone());
+            let is_suspect = self.known.get(&member.id).is_some_and(|peer| peer.failures > 0);
+            if !is_suspect {
+                break;
+            }
+        }
+        let others: Vec<_> = roster.members.iter().filter(|m| m.id != board.me.id).collect();
+        if !others.is_empty() {
+            let drawn = others[random.below(others.len() as u64) as usize];
+            if !targets.contains(drawn) {
+                targets.push(drawn.clone());
+            }
+        }
+        for member in targets {
+            self.send(board, &member, out);
+        }
+    }
+
+    fn send(&mut self, board: &Board, to: &Member, out: &mut Vec<Wish>) {
+        let peer = self.known.entry(Arc::clone(&to.id)).or_default();
+        peer.incarnation = to.incarnation;
+        if peer.in_flight {
+            return;
+        }
+        peer.in_flight = true;
+        peer.sending_changes = board.changes;
+        out.push(Wish::Send(to.clone(), self.exchange_for(board, &to.id)));
+    }
+
+    /// Exchanges tables with a peer that goes by another epoch.
+    pub fn catch_up(&mut self, board: &Board, to: &Member, out: &mut Vec<Wish>) {
+        let mut exchange = self.exchange_for(board, &to.id);
+        exchange.table = Some(Arc::clone(&board.table));
+        out.push(Wish::Send(to.clone(), exchange));
+    }
+
+    fn exchange_for(&self, board: &Board, to: &str) -> Exchange {
+        let peer = self.known.get(to);
+        let sent = peer.map_or(0, |peer| peer.sent_changes);
+        let is_news = |report: &&Report| *report.addr != *to;
+        let changed = board.upstreams.values().filter(|upstream| upstream.changed > sent);
+        let is_behind = |theirs: u64, mine: u64| theirs > 0 && theirs < mine;
+        let epoch = board.table.epoch();
+        let revision = board.document.revision;
+        let sends_table = peer.is_some_and(|peer| is_behind(peer.epoch, epoch));
+        let sends_document = peer.is_some_and(|peer| is_behind(peer.revision, revision));
+        Exchange {
+            from: board.me.clone(),
+            epoch,
+            revision,
+            table: sends_table.then(|| Arc::clone(&board.table)),
+            document: sends_document.then(|| Arc::clone(&board.document)),
+            reports: changed.map(|u| &u.report).filter(is_news).cloned().collect(),
+            route: None,
+        }
+    }
+
+    /// Passes a change on to this instance's children in the tree that `route` describes.
+    pub fn spread(&mut self, board: &Board, route: &Route, news: News, out: &mut Vec<Wish>) {
+        let is_on_route =
+            |member: &&Member| route.domain.as_ref().is_none_or(|domain| member.domain == *domain);
+        let members: Vec<_> = board.table.roster.members.iter().filter(is_on_route).collect();
+        let place_of = |id: &str| members.iter().position(|member| *member.id == *id);
+        let Some(root) = place_of(&route.origin) else { return };
+        let Some(mine) = place_of(&board.me.id) else { return };
+        let count = members.len();
+        let first = (mine + count - root) % count * FAN_OUT + 1;
+        for child in first..(first + FAN_OUT).min(count) {
+            let member = members[(root + child) % count];
+            let mut exchange = self.exchange_for(board, &member.id);
+            exchange.table = news.table.then(|| Arc::clone(&board.table));
+            exchange.document = news.document.then(|| Arc::clone(&board.document));
+            exchange.route = Some(route.clone());
+            let peer = self.known.entry(Arc::clone(&member.id)).or_default();
+            peer.incarnation = member.incarnation;
+            out.push(Wish::Send(member.clone(), exchange));
+        }
+    }
+
+    /// The answer to a peer's exchange: whatever is newer here.
+    pub fn answer(&mut self, board: &Board, theirs: &Exchange) -> Exchange {
+        let is_known = board.table.roster.contains(&theirs.from);
+        let mut mine = Exchange {
+            from: board.me.clone(),
+            epoch: board.table.epoch(),
+            revision: board.document.revision,
+            table: None,
+            document: None,
+            reports: Vec::new(),
+            route: None,
+        };
+        if theirs.epoch < mine.epoch {
+            mine.table = Some(Arc::clone(&board.table));
+        }
+        if theirs.revision < mine.revision {
+            mine.document = Some(Arc::clone(&board.document));
+        }
+        if is_known {
+            let peer = self.known.entry(Arc::clone(&theirs.from.id)).or_default();
+            peer.incarnation = theirs.from.incarnation;
+            peer.failures = 0;
+            peer.epoch = theirs.epoch;
+            peer.revision = theirs.revision;
+        } else {
+            // A newcomer learns everything at once.
+            mine.reports = board.upstreams.values().map(|u| u.report.clone()).collect();
+        }
+        mine
+    }
+
+    /// Takes in the answer of a peer, `None` if there was none in time.
+    pub fn hear_answer(
+        &mut self,
+        board: &Board,
+        from: &Member,
+        answer: Option<&Exchange>,
+        now_ms: u64,
+        random: &mut dyn Random,
+        out: &mut Vec<Wish>,
+    ) {
+        let Some(peer) = self.known.get_mut(&from.id) else { return };
+        peer.in_flight = false;
+        let Some(answer) = answer.filter(|answer| answer.from.is_same(from)) else {
+            peer.failures += 1;
+            self.suspect(board, from, now_ms, random, out);
+            return;
+        };
+        peer.failures = 0;
+        peer.witnesses = None;
+        peer.epoch = answer.epoch;
+        peer.revision = answer.revision;
+        peer.sent_changes = peer.sending_changes;
+    }
+
+    fn suspect(
+        &mut self,
+        board: &Board,
+        suspect: &Member,
+        now_ms: u64,
+        random: &mut dyn Random,
+        out: &mut Vec<Wish>,
+    ) {
+        let Some(peer) = self.known.get_mut(&suspect.id) else { return };
+        let is_due = peer.failures >= FAILURES && peer.witnesses.is_none();
+        if !is_due || peer.cleared_until_ms > now_ms {
+            return;
+        }
+        let reachable = |member: &&Member| {
+            member.id != board.me.id && member.id != suspect.id && member.domain != board.me.domain
+        };
+        let mut others: Vec<_> = board.table.roster.members.iter().filter(reachable).collect();
+        let mut chosen = Vec::new();
+        while chosen.len() < WITNESSES && !others.is_empty() {
+            let drawn = random.below(others.len() as u64) as usize;
+            chosen.push(others.swap_remove(drawn).clone());
+        }
+        peer.witnesses = Some(Witnesses { asked: chosen.len(), unreachable: 0 });
+        if chosen.is_empty() {
+            self.removals.push(suspect.clone());
+        }
+        let ask = |witness| Wish::AskWitness { witness, suspect: suspect.clone() };
+        out.extend(chosen.into_iter().map(ask));
+    }
+
+    /// Takes in a witness's view, `None` if it did not answer either.
+    pub fn hear_witness(&mut self, suspect: &Member, reaches: Option<bool>, now_ms: u64) {
+        let Some(peer) = self.known.get_mut(&suspect.id) else { return };
+        let Some(witnesses) = &mut peer.witnesses else { return };
+        if peer.incarnation != suspect.incarnation {
+            return;
+        }
+        match reaches {
+            Some(true) => {
+                peer.witnesses = None;
+                peer.failures = 0;
+                peer.cleared_until_ms = now_ms + CLEARED_MS;
+                return;
+            }
+            Some(false) => witnesses.unreachable += 1,
+            None => witnesses.asked = witnesses.asked.saturating_sub(1),
+        }
+        let is_settled = witnesses.unreachable >= witnesses.asked.max(1);
+        if is_settled && !self.removals.iter().any(|member| member.is_same(suspect)) {
+            self.removals.push(suspect.clone());
+        } else if witnesses.asked == 0 {
+            // Nobody answered: the cut may be on this side, so ask again later.
+            peer.witnesses = None;
+        }
+    }
+
+    /// The revision that a peer last showed.
+    pub fn revision_of(&self, id: &str) -> Option<u64> {
+        self.known.get(id).map(|peer| peer.revision)
+    }
+}
--- /dev/null
+++ b/src/reply.rs
@@ -0,0 +1,232 @@
+//! How answers and errors look to callers.
+
+use std::convert::Infallible;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use salvo::http::{HeaderValue, StatusCode};
+use salvo::prelude::*;
+use serde::Serialize;
+use tokio::sync::watch;
+
+use crate::error::{Body, Error};
+use crate::follow::{self, Line};
+use crate::generate::EventId;
+use crate::shared::{Failed, Progress, Shared, State};
+
+/// How often a caller without news is shown that the connection lives.
+const KEEP_ALIVE_MS: u64 = 1_000;
+/// How long a caller keeps waiting before it connects again, in an event stream.
+const RECONNECT_MS: u64 = 200;
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: &'a Body,
+}
+
+/// Answers with an error.
+pub fn render_error(res: &mut Response, error: &Error) {
+    render_failed(res, &Failed { status: error.status(), body: error.body() });
+}
+
+/// Answers with an error that another part has prepared.
+pub fn render_failed(res: &mut Response, failed: &Failed) {
+    let status = StatusCode::from_u16(failed.status);
+    res.status_code(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    if let Some(retry_after_ms) = failed.body.retry_after_ms {
+        let seconds = HeaderValue::from(retry_after_ms.div_ceil(1_000));
+        res.headers_mut().insert("retry-after", seconds);
+    }
+    res.render(Json(ErrorBody { error: &failed.body }));
+}
+
+/// The part of a token's event that callers read, in the form of completions.
+#[derive(Serialize)]
+struct Chunk<'a> {
+    object: &'static str,
+    token_index: u32,
+    choices: [Choice<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    text: &'a str,
+    finish_reason: Option<&'a str>,
+}
+
+/// The explicit end of an answer, and a whole answer.
+#[derive(Serialize)]
+struct Whole<'a> {
+    object: &'static str,
+    choices: [Choice<'a>; 1],
+    usage: Usage,
+}
+
+#[derive(Serialize)]
+struct Usage {
+    completion_tokens: u32,
+}
+
+/// Waits until a generation has been admitted, or has failed before that.
+///
+/// # Errors
+///
+/// What the caller is told when the generation failed before its first token.
+pub async fn started(shared: &Shared) -> Result<(), Arc<Failed>> {
+    let mut progress = shared.watch();
+    let is_decided = |progress: &Progress| progress.state != State::Waiting;
+    let decided = progress.wait_for(is_decided).await;
+    match decided.map(|progress| progress.clone()) {
+        Ok(Progress { released: 0, state: State::Failed(failed) }) => Err(failed),
+        _ => Ok(()),
+    }
+}
+
+/// A connection that shows a generation.
+struct Viewer {
+    shared: Arc<Shared>,
+    progress: watch::Receiver<Progress>,
+    next: u32,
+    has_ended: bool,
+}
+
+impl Viewer {
+    fn new(shared: Arc<Shared>, next: u32) -> Viewer {
+        let progress = shared.watch();
+        Viewer { shared, progress, next, has_ended: false }
+    }
+
+    /// Waits for news for at most `patience_ms`.
+    async fn news(&mut self, patience_ms: u64) -> Option<Progress> {
+        let next = self.next;
+        let is_news = |progress: &Progress| {
+            let is_over = matches!(progress.state, State::Finished { .. } | State::Failed(_));
+            progress.released > next || is_over
+        };
+        let news = self.progress.wait_for(is_news);
+        let news = tokio::time::timeout(Duration::from_millis(patience_ms), news).await;
+        news.ok()?.ok().map(|progress| progress.clone())
+    }
+}
+
+/// Streams a generation to a caller from the token `next` on.
+pub fn stream_events(res: &mut Response, shared: Arc<Shared>, next: u32) {
+    set_event_stream(res);
+    let viewer = Viewer::new(shared, next);
+    let opening = format!("retry: {RECONNECT_MS}\n\n");
+    let opening = stream::once(async move { Ok::<_, Infallible>(Bytes::from(opening)) });
+    let events = stream::unfold(viewer, caller_events);
+    res.stream(Box::pin(futures_util::StreamExt::chain(opening, events)));
+}
+
+async fn caller_events(mut viewer: Viewer) -> Option<(Result<Bytes, Infallible>, Viewer)> {
+    if viewer.has_ended {
+        return None;
+    }
+    let Some(progress) = viewer.news(KEEP_ALIVE_MS).await else {
+        return Some((Ok(Bytes::from_static(b": keep-alive\n\n")), viewer));
+    };
+    let mut text = String::new();
+    let tokens = viewer.shared.tokens(viewer.next);
+    for token in tokens.since(0) {
+        write_token(&mut text, viewer.shared.nonce, viewer.next, token);
+        viewer.next += 1;
+    }
+    viewer.has_ended = write_end(&mut text, &viewer, &progress.state);
+    Some((Ok(Bytes::from(text)), viewer))
+}
+
+fn write_token(text: &mut String, nonce: u64, index: u32, token: &str) {
+    let choices = [Choice { index: 0, text: token, finish_reason: None }];
+    let chunk = Chunk { object: "text_completion", token_index: index, choices };
+    let data = serde_json::to_string(&chunk).unwrap_or_default();
+    let EventId { nonce, index } = EventId { nonce, index };
+    // Writing to a string can't fail.
+    let _ = write!(text, "id: {nonce:016x}.{index}\ndata: {data}\n\n");
+}
+
+fn write_end(text: &mut String, viewer: &Viewer, state: &State) -> bool {
+    match state {
+        State::Finished { reason } if viewer.next == viewer.shared.released() => {
+            let choices = [Choice { index: 0, text: "", finish_reason: Some(reason) }];
+            let usage = Usage { completion_tokens: viewer.next };
+            let whole = Whole { object: "text_completion", choices, usage };
+            let data = serde_json::to_string(&whole).unwrap_or_default();
+            let _ = write!(text, "event: end\ndata: {data}\n\ndata: [DONE]\n\n");
+            true
+        }
+        State::Failed(failed) => {
+            let error = ErrorBody { error: &failed.body };
+            let data = serde_json::to_string(&error).unwrap_or_default();
+            let _ = write!(text, "event: error\ndata: {data}\n\n");
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Waits for a whole generation and answers it in one piece.
+pub async fn render_whole(res: &mut Response, shared: &Arc<Shared>) {
+    let mut progress = shared.watch();
+    let is_over =
+        |progress: &Progress| matches!(progress.state, State::Finished { .. } | State::Failed(_));
+    let state = progress.wait_for(is_over).await.map(|progress| progress.state.clone());
+    match state {
+        Ok(State::Finished { reason }) => {
+            let tokens = shared.tokens(0);
+            let text: String = tokens.since(0).collect();
+            let choices = [Choice { index: 0, text: &text, finish_reason: Some(&reason) }];
+            let usage = Usage { completion_tokens: tokens.len() };
+            res.render(Json(Whole { object: "text_completion", choices, usage }));
+        }
+        Ok(State::Failed(failed)) => render_failed(res, &failed),
+        _ => render_error(res, &Error::internal("the generation has vanished; ask again")),
+    }
+}
+
+/// Streams a generation to a peer that passes it on.
+pub fn stream_to_peer(res: &mut Response, shared: Arc<Shared>, next: u32) {
+    set_event_stream(res);
+    res.stream(Box::pin(stream::unfold(Viewer::new(shared, next), peer_events)));
+}
+
+async fn peer_events(mut viewer: Viewer) -> Option<(Result<Bytes, Infallible>, Viewer)> {
+    if viewer.has_ended {
+        return None;
+    }
+    let mut text = String::new();
+    let Some(progress) = viewer.news(follow::PING_MS).await else {
+        write_line(&mut text, &Line::Ping);
+        return Some((Ok(Bytes::from(text)), viewer));
+    };
+    let tokens = viewer.shared.tokens(viewer.next);
+    for token in tokens.since(0) {
+        write_line(&mut text, &Line::Token { index: viewer.next, text: token.to_owned() });
+        viewer.next += 1;
+    }
+    match progress.state {
+        State::Finished { reason } if viewer.next == viewer.shared.released() => {
+            viewer.has_ended = true;
+            write_line(&mut text, &Line::End { tokens: viewer.next, reason });
+        }
+        // A break without an end tells the peer to look for the next owner.
+        State::Failed(_) => viewer.has_ended = true,
+        _ => {}
+    }
+    Some((Ok(Bytes::from(text)), viewer))
+}
+
+fn write_line(text: &mut String, line: &Line) {
+    let data = serde_json::to_string(line).unwrap_or_default();
+    let _ = write!(text, "data: {data}\n\n");
+}
+
+fn set_event_stream(res: &mut Response) {
+    let headers = res.headers_mut();
+    headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
+    headers.insert("cache-control", HeaderValue::from_static("no-store"));
+}
--- /dev/null
+++ b/src/router.rs
@@ -0,0 +1,258 @@
+//! Starting, running and stopping an instance.
+
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::server::ServerHandle;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+
+use crate::blackboard::Board;
+use crate::budget::Budget;
+use crate::clock::Clock;
+use crate::control::{self, Control};
+use crate::control_loop::{self, Parts};
+use crate::document::ServiceKind;
+use crate::door::Door;
+use crate::engine::HttpEngine;
+use crate::error::{Error, Kind, Result};
+use crate::ledger::{Ledger, Limits};
+use crate::ledger_task::LedgerTask;
+use crate::membership::{Member, Table};
+use crate::metrics::Metrics;
+use crate::node::{AllHolders, Node};
+use crate::peer;
+use crate::query;
+use crate::registry::Registry;
+use crate::server;
+use crate::settings::Settings;
+use crate::store::HttpStore;
+use crate::wire::Status;
+
+/// How long a connection to another process may take to open.
+const CONNECT_TIMEOUT_MS: u64 = 300;
+/// How long an unused connection is kept.
+const IDLE_MS: u64 = 30_000;
+/// How often admission limits follow the reported load.
+const LIMITS_MS: u64 = 100;
+/// How many repeats may be made in a burst.
+const REPEATS: u64 = 50;
+/// How often a stopping instance looks whether it is done.
+const STOP_STEP_MS: u64 = 50;
+/// How long a stopping instance waits for the others to take over its records.
+const HAND_OVER_MS: u64 = 15_000;
+/// The share of the free slots that one instance may fill at once, when there are others: two
+/// instances that see the same free slot then rarely both take it.
+const FREE_SHARE: f64 = 0.5;
+
+/// A running instance.
+pub struct Router {
+    node: Arc<Node>,
+    server: ServerHandle,
+    serving: tokio::task::JoinHandle<()>,
+}
+
+impl Router {
+    /// Starts an instance on the current runtime, and its control thread.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be listened on, or a thread can't be started.
+    pub async fn start(settings: Settings, log: slog::Logger) -> Result<Router> {
+        let listener = listen(&settings).await?;
+        let clock = Clock::start();
+        let me = Member {
+            id: Arc::clone(&settings.id),
+            incarnation: fastrand::u64(1..1 << 53),
+            addr: Arc::from(settings.advertise.to_string()),
+            domain: Arc::clone(&settings.domain),
+        };
+        let log = log.new(slog::o!("instance" => me.id.to_string()));
+        let (control, inbox) = mpsc::unbounded_channel();
+        let node = Arc::new(build_node(settings, clock, &log, me, control)?);
+        start_control(&node, inbox)?;
+        tokio::spawn(follow_load(Arc::clone(&node)));
+        let server = salvo::Server::new(acceptor(listener)?);
+        let handle = server.handle();
+        let paths = server::router(Arc::clone(&node));
+        let serving = tokio::spawn(server.serve(paths));
+        slog::info!(log, "listening"; "address" => &*node.me.addr, "domain" => &*node.me.domain);
+        Ok(Router { node, server: handle, serving })
+    }
+
+    /// What its parts share.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Waits until an operator's command stops it.
+    pub async fn wait_for_stop(&self) {
+        loop {
+            if self.node.snapshot().is_stopping {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
+        }
+    }
+
+    /// Stops without cutting a request: the address is withdrawn, callers that keep it are served
+    /// for as long as they may, the records are handed over, and every request ends first.
+    pub async fn stop(self) {
+        let node = Arc::clone(&self.node);
+        slog::info!(node.log, "stopping: no new callers are sent here");
+        node.tell(control::Event::Stop);
+        wait_until_left(&node).await;
+        tokio::time::sleep(Duration::from_millis(node.settings.keep_ms)).await;
+        while node.registry.active().await > 0 {
+            tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
+        }
+        self.server.stop_graceful(None);
+        // Connections that callers keep open without a request must not hold up the stop.
+        let idle = Duration::from_millis(CONNECT_TIMEOUT_MS);
+        let _ = tokio::time::timeout(idle, self.serving).await;
+        slog::info!(node.log, "stopped");
+    }
+}
+
+async fn listen(settings: &Settings) -> Result<TcpListener> {
+    TcpListener::bind(settings.listen).await.map_err(|error| {
+        let address = settings.listen.to_string();
+        Kind::Listen { address, detail: error.to_string() }.into()
+    })
+}
+
+fn acceptor(listener: TcpListener) -> Result<TcpAcceptor> {
+    TcpAcceptor::try_from(listener).map_err(Error::internal)
+}
+
+fn client(keep: usize) -> Result<reqwest::Client> {
+    let client = reqwest::Client::builder()
+        .connect_timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
+        .pool_idle_timeout(Duration::from_millis(IDLE_MS))
+        .pool_max_idle_per_host(keep)
+        .no_proxy()
+        .build();
+    client.map_err(Error::internal)
+}
+
+fn build_node(
+    settings: Settings,
+    clock: Clock,
+    log: &slog::Logger,
+    me: Member,
+    control: mpsc::UnboundedSender<control_loop::Message>,
+) -> Result<Node> {
+    let pooled = client(usize::MAX)?;
+    let peers = peer::Client::new(pooled.clone(), &settings.peer_key);
+    let limits =
+        Limits { horizon_ms: settings.horizon_ms, organisation_bytes: settings.organisation_bytes };
+    let ledger = LedgerTask::spawn(Ledger::new(me.clone(), limits), clock, peers.clone());
+    let remote = peer::RemoteHolders::new(peers.clone());
+    let holders = AllHolders { me: me.clone(), ledger: ledger.clone(), remote };
+    let metrics = Metrics::new(settings.statsd);
+    let first = Board::new(me.clone()).snapshot(0);
+    Ok(Node {
+        clock,
+        log: log.clone(),
+        snapshot: ArcSwap::from_pointee(first),
+        tables: watch::Sender::new(Arc::default()),
+        control,
+        ledger,
+        holders: Arc::new(holders),
+        engine: Arc::new(HttpEngine::new(pooled.clone())),
+        store: Arc::new(HttpStore::new(pooled.clone(), settings.store.clone())),
+        door: Door::spawn(clock),
+        registry: Registry::spawn(clock, metrics),
+        peers,
+        pooled,
+        unpooled: client(0)?,
+        budget: Mutex::new(Budget::new(REPEATS)),
+        me,
+        settings,
+    })
+}
+
+fn start_control(
+    node: &Arc<Node>,
+    inbox: mpsc::UnboundedReceiver<control_loop::Message>,
+) -> Result<()> {
+    // The thread has connections of its own, so that traffic can't hold them up.
+    let own = client(usize::MAX)?;
+    let published = Arc::downgrade(node);
+    let adopted = Arc::downgrade(node);
+    let parts = Parts {
+        inbox,
+        events: node.control.clone(),
+        control: Control::new(node.me.clone()),
+        clock: node.clock,
+        tick_ms: node.settings.tick_ms,
+        seeds: node.settings.seeds.clone(),
+        store: Arc::new(HttpStore::new(own.clone(), node.settings.store.clone())),
+        engine: Arc::new(HttpEngine::new(own.clone())),
+        peers: peer::Client::new(own, &node.settings.peer_key),
+        publish: Box::new(move |snapshot| {
+            if let Some(node) = published.upgrade() {
+                node.snapshot.store(snapshot);
+            }
+        }),
+        adopt: Box::new(move |table| {
+            if let Some(node) = adopted.upgrade() {
+                node.ledger.adopt(Arc::clone(&table));
+                node.tables.send_replace(table);
+            }
+        }),
+        log: node.log.clone(),
+    };
+    let thread = thread::Builder::new().name("control".to_owned());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(Error::internal)?;
+    let started = thread.spawn(move || runtime.block_on(control_loop::run(parts)));
+    started.map(drop).map_err(Error::internal)
+}
+
+/// Keeps the admission limits in step with the configuration and the reported load.
+async fn follow_load(node: Arc<Node>) {
+    loop {
+        let snapshot = node.snapshot();
+        for (name, service) in &snapshot.document.services {
+            let slots = match service.kind {
+                ServiceKind::Plain => service.concurrency as usize,
+                ServiceKind::Generation => generation_slots(&node, &snapshot, name).await,
+            };
+            node.door.limit(name, slots, service.queue as usize);
+        }
+        tokio::time::sleep(Duration::from_millis(LIMITS_MS)).await;
+    }
+}
+
+async fn generation_slots(
+    node: &Node,
+    snapshot: &crate::blackboard::Snapshot,
+    name: &Arc<str>,
+) -> usize {
+    let free: u64 = snapshot.live(name, None).map(|entry| entry.free_slots()).sum();
+    let is_alone = snapshot.table.roster.members.len() <= 1;
+    let share = if is_alone { free } else { (free as f64 * FREE_SHARE).ceil() as u64 };
+    node.door.depth(name).await.running + share as usize
+}
+
+/// Waits until the table no longer lists this instance and the others hold its records.
+async fn wait_until_left(node: &Arc<Node>) {
+    let give_up_ms = node.clock.now_ms() + HAND_OVER_MS;
+    while node.clock.now_ms() < give_up_ms {
+        let table: Arc<Table> = node.tables.borrow().clone();
+        let is_gone = !table.roster.contains(&node.me);
+        if is_gone {
+            let asked = query::ask_all::<Status>(node, "/peer/status").await;
+            let is_ready = |status: &Status| status.is_ready && status.epoch >= table.epoch();
+            if asked.iter().all(|(_, status)| status.as_ref().is_some_and(is_ready)) {
+                return;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
+    }
+    slog::warn!(node.log, "the table still lists this instance; the others will notice its end");
+}
--- /dev/null
+++ b/src/vote.rs
@@ -0,0 +1,134 @@
+//! Counting the holders' answers to one claim or take-over.
+
+use std::sync::Arc;
+
+use crate::membership;
+use crate::record::{Record, Reply};
+
+/// When to come back if the holders can't be reached or are not ready.
+const UNREACHABLE_RETRY_MS: u64 = 1_000;
+
+/// What the answers amount to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// A majority granted it.
+    Granted(Vec<Grant>),
+    /// A majority recorded it.
+    Accepted,
+    /// Another run has the key, as far as a majority can tell.
+    Held(Box<Record>),
+    /// The key was used with another body.
+    Conflict,
+    /// A newer term is in force.
+    Fenced {
+        /// That term.
+        term: u64,
+    },
+    /// No holder knows the key.
+    Absent,
+    /// A holder goes by another epoch.
+    Stale {
+        /// That epoch.
+        epoch: u64,
+    },
+    /// Too few holders could answer; nothing was run.
+    Unavailable {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+}
+
+/// One holder's yes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Grant {
+    /// The holder's name.
+    pub holder: Arc<str>,
+    /// What it holds.
+    pub record: Record,
+}
+
+/// The answers so far.
+#[derive(Debug)]
+pub struct Vote {
+    needed: usize,
+    outstanding: usize,
+    granted: Vec<Grant>,
+    held: Option<Box<Record>>,
+    accepted: usize,
+    absent: usize,
+    fenced: u64,
+    retry_after_ms: u64,
+}
+
+impl Vote {
+    /// A vote among `holders`.
+    pub fn new(holders: usize) -> Vote {
+        Vote {
+            needed: membership::quorum(holders),
+            outstanding: holders,
+            granted: Vec::new(),
+            held: None,
+            accepted: 0,
+            absent: 0,
+            fenced: 0,
+            retry_after_ms: UNREACHABLE_RETRY_MS,
+        }
+    }
+
+    /// Takes in one holder's answer, `None` if there was none in time; a verdict ends the vote.
+    pub fn take(&mut self, holder: &Arc<str>, reply: Option<Reply>) -> Option<Verdict> {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        match reply {
+            Some(Reply::Conflict) => return Some(Verdict::Conflict),
+            Some(Reply::Stale { epoch }) => return Some(Verdict::Stale { epoch }),
+            Some(Reply::Granted(record)) => {
+                self.granted.push(Grant { holder: Arc::clone(holder), record: *record });
+            }
+            Some(Reply::Held(record)) => self.note_held(record),
+            Some(Reply::Accepted { .. }) => self.accepted += 1,
+            Some(Reply::Absent) => self.absent += 1,
+            Some(Reply::Fenced { term }) => self.fenced = self.fenced.max(term),
+            Some(Reply::Quarantined { left_ms }) => {
+                self.retry_after_ms = self.retry_after_ms.max(left_ms);
+            }
+            _ => {}
+        }
+        self.conclude()
+    }
+
+    fn note_held(&mut self, record: Box<Record>) {
+        let says_more = |held: &Record| {
+            let theirs = (record.outcome.is_some(), record.term, record.journal.len());
+            theirs > (held.outcome.is_some(), held.term, held.journal.len())
+        };
+        if self.held.as_deref().is_none_or(says_more) {
+            self.held = Some(record);
+        }
+    }
+
+    fn conclude(&mut self) -> Option<Verdict> {
+        if self.granted.len() >= self.needed {
+            return Some(Verdict::Granted(std::mem::take(&mut self.granted)));
+        }
+        if self.accepted >= self.needed {
+            return Some(Verdict::Accepted);
+        }
+        let hoped_for = self.granted.len().max(self.accepted) + self.outstanding;
+        if hoped_for >= self.needed {
+            return None;
+        }
+        if let Some(record) = self.held.take() {
+            return Some(Verdict::Held(record));
+        }
+        if self.fenced > 0 {
+            return Some(Verdict::Fenced { term: self.fenced });
+        }
+        if self.absent >= self.needed {
+            return Some(Verdict::Absent);
+        }
+        if self.outstanding > 0 {
+            return None;
+        }
+        Some(Verdict::Unavailable { retry_after_ms: self.retry_after_ms })
+    }
+}
