Tell the truth about claims that can't be decided, and sync without the lost

Cause: a retry while the table changed was answered 'claim_unavailable, ran: no' although an earlier attempt with the key had run: the new holders waited 1.5 s for the records of the paused instance, and the answer spoke of the attempt where the caller asks about the request. Seen red in tests/at_most_once.rs (retried_after_the_router_was_paused_past_its_place_in_the_table): left claim_unavailable/no, right outcome_unknown/unknown.

Ruled out: answering claims before the sync has ended where the evidence covers just that key; a later holder would take the epoch as one without votes.

Change: a sync ends once the missing members can't make up a majority of any key's holders; 'claim_unavailable' now says ran: unknown.

Conclusion: one lost instance, or one lost failure domain of three, no longer delays claims.

--- a/src/error.rs
+++ b/src/error.rs
@@ -20,7 +20,7 @@
 pub enum Category {
     /// The request has to be changed.
     Input,
-    /// Nothing was run; the same request may be sent again later.
+    /// This attempt was not run; the same request may be sent again later.
     NotRun,
     /// Another request or operator was first.
     Conflict,
@@ -79,7 +79,7 @@
     )]
     NoUpstream { service: String, retry_after_ms: u64 },
     #[display(
-        "the holders of this key can't be reached or don't know its past; send the request again after the time in Retry-After"
+        "this attempt was not run, and whether an earlier one with this key was can't be told now; send the request again with the same key after the time in Retry-After"
     )]
     ClaimUnavailable { retry_after_ms: u64 },
     #[display("this instance is not in service yet; use another address from /v1/addresses")]
@@ -228,6 +228,7 @@
     pub fn ran(&self) -> Ran {
         match *self.kind {
             Kind::OutcomeUnknown
+            | Kind::ClaimUnavailable { .. }
             | Kind::InProgress { .. }
             | Kind::UpstreamFailed { .. }
             | Kind::AnswerLost
--- a/src/evidence.rs
+++ b/src/evidence.rs
@@ -5,6 +5,8 @@
 //! what it heard covers every majority that could have granted a claim; else it refuses until the
 //! retry horizon has passed, rather than guess ([docs/DESIGN.md](../docs/DESIGN.md#claims)).
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::membership::{self, Member, Roster};
@@ -55,13 +57,23 @@
         self.past.last().is_none_or(|oldest| oldest.epoch <= 1)
     }
 
-    /// Whether every member of the roster just before has answered completely.
-    pub fn is_whole(&self) -> bool {
+    /// Whether no claim on any key can be unknown, so that nothing more has to be waited for.
+    ///
+    /// Holds if the members that are missing can't make up a majority of any key's holders: there
+    /// is at most one, or all are of one failure domain and holders are of different ones.
+    pub fn covers_all(&self) -> bool {
         let Some(roster) = self.past.first() else { return true };
-        roster
-            .members
-            .iter()
-            .all(|member| self.find(member).is_some_and(|heard| heard.answered_in(roster.epoch)))
+        let is_missing = |member: &&Member| {
+            !self.find(member).is_some_and(|heard| heard.answered_in(roster.epoch))
+        };
+        let missing: Vec<_> = roster.members.iter().filter(is_missing).collect();
+        let domains: BTreeSet<_> = roster.members.iter().map(|member| &member.domain).collect();
+        let are_of_one_domain = missing.windows(2).all(|pair| pair[0].domain == pair[1].domain);
+        match missing.len() {
+            0 => true,
+            1 => roster.members.len() > 1,
+            _ => are_of_one_domain && domains.len() >= membership::HOLDERS,
+        }
     }
 
     fn find(&self, member: &Member) -> Option<&Heard> {
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -214,19 +214,20 @@
         sources
     }
 
-    /// Ends the questions once all have answered, or time is up.
+    /// Ends the questions once enough have answered, or time is up.
     fn conclude(&mut self, now_ms: u64) {
         if self.is_ready() {
             return;
         }
         let heard = |member: &Member| self.evidence.heard.iter().any(|h| h.member.is_same(member));
+        let is_enough = self.evidence.covers_all();
         let all_heard = self.sources().iter().all(heard);
         let is_late = now_ms.saturating_sub(self.adopted_ms) >= SYNC_TIMEOUT_MS;
-        if !all_heard && !is_late {
+        if !is_enough && !all_heard && !is_late {
             return;
         }
         self.complete_epochs.push(self.table.epoch());
-        if !self.evidence.is_whole() {
+        if !is_enough {
             let doubt = Doubt {
                 holder: self.me.clone(),
                 roster: self.table.roster.clone(),
