--- a/src/vote.rs
+++ b/src/vote.rs
@@ -51,6 +51,7 @@
 #[derive(Debug)]
 pub struct Vote {
     needed: usize,
+    heard: Vec<Arc<str>>,
     outstanding: usize,
     granted: Vec<Grant>,
     held: Option<Box<Record>>,
@@ -65,6 +66,7 @@
     pub fn new(holders: usize) -> Vote {
         Vote {
             needed: membership::quorum(holders),
+            heard: Vec::new(),
             outstanding: holders,
             granted: Vec::new(),
             held: None,
@@ -76,7 +78,12 @@
     }
 
     /// Takes in one holder's answer, `None` if there was none in time; a verdict ends the vote.
+    /// A holder's second answer changes nothing.
     pub fn take(&mut self, holder: &Arc<str>, reply: Option<Reply>) -> Option<Verdict> {
+        if self.heard.contains(holder) {
+            return None;
+        }
+        self.heard.push(Arc::clone(holder));
         self.outstanding = self.outstanding.saturating_sub(1);
         match reply {
             Some(Reply::Conflict) => return Some(Verdict::Conflict),
