--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,127 @@
+//! Promises: a leaving upstream gets no new work after a few seconds; a planned stop cuts nothing.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use siskinrock_standin::caller;
+use siskinrock_standin::platform::Listed;
+use support::{Cluster, DOMAINS, Shape, wait_for};
+
+const ALLOWED: Duration = Duration::from_secs(3);
+
+/// Short answers, one after the other, until told to stop; gives back how many there were.
+fn load(
+    cluster: &Cluster,
+    name: &str,
+    stop: tokio::sync::watch::Receiver<bool>,
+) -> tokio::task::JoinHandle<usize> {
+    let mut plan = cluster.plan("", 10);
+    let name = name.to_owned();
+    tokio::spawn(async move {
+        let mut count = 0;
+        while !*stop.borrow() {
+            plan.idempotency_key = format!("{name}-{count}");
+            let answer = caller::generate(&plan).await.unwrap();
+            assert_eq!(answer.tokens.len(), 10);
+            plan.addresses.rotate_left(1);
+            count += 1;
+        }
+        count
+    })
+}
+
+/// Waits until every upstream but the first gets no more work, and none is given to it.
+async fn gets_no_new_work(cluster: &Cluster, left: Instant) {
+    tokio::time::sleep_until((left + ALLOWED).into()).await;
+    let before = cluster.engine_stats(0).await.started;
+    let others = cluster.engine_stats(1).await.started + cluster.engine_stats(2).await.started;
+    wait_for("others get work", || async {
+        let now = cluster.engine_stats(1).await.started + cluster.engine_stats(2).await.started;
+        (now > others + 20).then_some(())
+    })
+    .await;
+    assert_eq!(cluster.engine_stats(0).await.started, before);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drained_by_an_operator() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let loads: Vec<_> =
+        (0..6).map(|n| load(&cluster, &format!("load-{n}"), stopped.clone())).collect();
+    cluster.ctl_ok(&format!("drain upstream {}", cluster.engines[0].addr));
+    gets_no_new_work(&cluster, Instant::now()).await;
+    stop.send(true).unwrap();
+    for load in loads {
+        assert!(load.await.unwrap() > 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaving_by_its_own_word_while_the_list_lags() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let listed = |leaving| -> Vec<Listed> {
+        let lines = cluster.engines.iter().enumerate().map(|(number, engine)| Listed {
+            service: "planning".to_owned(),
+            addr: engine.addr.to_string(),
+            domain: DOMAINS[number].to_owned(),
+            incarnation: 0,
+            leaving,
+        });
+        lines.collect()
+    };
+    // The list says for the whole test that all are live.
+    cluster.list_upstreams(&listed(false)).await;
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let loads: Vec<_> =
+        (0..6).map(|n| load(&cluster, &format!("load-{n}"), stopped.clone())).collect();
+    let url = format!("http://{}/leave", cluster.engines[0].addr);
+    cluster.http.post(url).send().await.unwrap();
+    gets_no_new_work(&cluster, Instant::now()).await;
+    let shown = cluster.ctl_ok("show upstreams where state = leaving");
+    assert!(shown.contains(&cluster.engines[0].addr.to_string()), "{shown}");
+    stop.send(true).unwrap();
+    for load in loads {
+        assert!(load.await.unwrap() > 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_instance_is_stopped_in_turn_under_load() {
+    let mut cluster = Cluster::start(Shape { routers: 4, ..Shape::default() }).await;
+    let mut long = cluster.plan("long", 150);
+    long.addresses.truncate(1);
+    let (sender, mut tokens) = tokio::sync::mpsc::unbounded_channel();
+    let long = tokio::spawn(async move {
+        let mut on_token = |index| {
+            let _ = sender.send(index);
+        };
+        caller::generate_watched(&long, &mut on_token).await
+    });
+    tokens.recv().await.expect("the long answer has begun");
+    for round in 0..4 {
+        // The one that serves the long answer goes first, by command; the others by signal.
+        if round == 0 {
+            let id = cluster.routers[0].id.clone();
+            cluster.ctl_ok(&format!("stop router {id}"));
+        } else {
+            cluster.routers[0].signal(libc::SIGTERM);
+            cluster.routers[0].signal(libc::SIGTERM);
+        }
+        let (new, old) = (format!("seat-{round}"), format!("old-address-{round}"));
+        let booked = cluster.book(1, &new, 50);
+        let status = cluster.book(0, &old, 50);
+        let (booked, kept_address) = tokio::join!(booked, status);
+        assert_eq!((booked.status, kept_address.status), (200, 200));
+        let mut stopping = cluster.routers.remove(0);
+        assert_eq!(stopping.wait(), 0);
+        cluster.add_router(4 + round, 60_000);
+        cluster.wait_ready(4).await;
+        let again = cluster.book(2, &format!("seat-{round}"), 50).await;
+        assert_eq!((again.status, again.body), (200, booked.body));
+        assert_eq!(cluster.runs(&format!("seat-{round}")).await, 1);
+    }
+    let answer = long.await.unwrap().unwrap();
+    assert_eq!((answer.tokens.len(), answer.connections), (150, 1));
+}
