Let a planned stop wait for every caller with an open request

Cause: a stopping instance waited only for the runs that it owned. A caller that waited there for another instance's run of the same key was cut after 300 ms. Seen red in tests/leaving.rs (a_stop_waits_for_callers_that_wait_for_another_run): status 0 where 200 was due.

Ruled out: a longer grace period (any bound cuts somebody).

Change: open requests and streams are counted by guards; the stop ends when none is left.

Conclusion: the stop's end depends on callers only, not on who owns the run.

--- a/src/node.rs
+++ b/src/node.rs
@@ -1,5 +1,6 @@
 //! What the parts of a running instance share.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -66,9 +67,26 @@
     pub unpooled: reqwest::Client,
     /// Repeats that may still be made.
     pub budget: Mutex<Budget>,
+    /// Callers' requests whose answers are not complete.
+    pub open: Arc<AtomicUsize>,
+}
+
+/// Counts a caller's request as open for as long as it lives.
+pub struct Open(Arc<AtomicUsize>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 impl Node {
+    /// Counts one more open request; a planned stop waits for its end.
+    pub fn open(&self) -> Open {
+        self.open.fetch_add(1, Ordering::SeqCst);
+        Open(Arc::clone(&self.open))
+    }
+
     /// What the control thread last published.
     pub fn snapshot(&self) -> Arc<Snapshot> {
         self.snapshot.load_full()
--- a/src/reply.rs
+++ b/src/reply.rs
@@ -15,6 +15,7 @@
 use crate::error::{Body, Error};
 use crate::follow::{self, Line};
 use crate::generate::EventId;
+use crate::node;
 use crate::shared::{Failed, Progress, Shared, State};
 
 /// How often a caller without news is shown that the connection lives.
@@ -92,12 +93,14 @@
     progress: watch::Receiver<Progress>,
     next: u32,
     has_ended: bool,
+    /// Keeps a planned stop waiting; a peer that follows needs none, for its callers count there.
+    _open: Option<node::Open>,
 }
 
 impl Viewer {
-    fn new(shared: Arc<Shared>, next: u32) -> Viewer {
+    fn new(shared: Arc<Shared>, next: u32, open: Option<node::Open>) -> Viewer {
         let progress = shared.watch();
-        Viewer { shared, progress, next, has_ended: false }
+        Viewer { shared, progress, next, has_ended: false, _open: open }
     }
 
     /// Waits for news for at most `patience_ms`.
@@ -114,9 +117,9 @@
 }
 
 /// Streams a generation to a caller from the token `next` on.
-pub fn stream_events(res: &mut Response, shared: Arc<Shared>, next: u32) {
+pub fn stream_events(res: &mut Response, shared: Arc<Shared>, next: u32, open: node::Open) {
     set_event_stream(res);
-    let viewer = Viewer::new(shared, next);
+    let viewer = Viewer::new(shared, next, Some(open));
     let opening = format!("retry: {RECONNECT_MS}\n\n");
     let opening = stream::once(async move { Ok::<_, Infallible>(Bytes::from(opening)) });
     let events = stream::unfold(viewer, caller_events);
@@ -191,7 +194,7 @@
 /// Streams a generation to a peer that passes it on.
 pub fn stream_to_peer(res: &mut Response, shared: Arc<Shared>, next: u32) {
     set_event_stream(res);
-    res.stream(Box::pin(stream::unfold(Viewer::new(shared, next), peer_events)));
+    res.stream(Box::pin(stream::unfold(Viewer::new(shared, next, None), peer_events)));
 }
 
 async fn peer_events(mut viewer: Viewer) -> Option<(Result<Bytes, Infallible>, Viewer)> {
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,5 +1,6 @@
 //! Starting, running and stopping an instance.
 
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -106,7 +107,7 @@
         node.tell(control::Event::Stop);
         wait_until_left(&node).await;
         tokio::time::sleep(Duration::from_millis(node.settings.keep_ms)).await;
-        while node.registry.active().await > 0 {
+        while node.registry.active().await > 0 || node.open.load(Ordering::SeqCst) > 0 {
             tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
         }
         self.server.stop_graceful(None);
@@ -170,6 +171,7 @@
         pooled,
         unpooled: client(0)?,
         budget: Mutex::new(Budget::new(REPEATS)),
+        open: Arc::default(),
         me,
         settings,
     })
--- a/src/server.rs
+++ b/src/server.rs
@@ -107,6 +107,7 @@
 #[handler]
 async fn take_completion(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let node = node_of(depot);
+    let _open = node.open();
     if let Err(error) = complete(&node, req, res).await {
         reply::render_error(res, &error);
     }
@@ -146,7 +147,7 @@
     }
     if parsed.stream {
         let next = last_event.map_or(0, |event| event.index + 1);
-        reply::stream_events(res, shared, next);
+        reply::stream_events(res, shared, next, node.open());
     } else {
         reply::render_whole(res, &shared).await;
     }
@@ -156,6 +157,7 @@
 #[handler]
 async fn take_call(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let node = node_of(depot);
+    let _open = node.open();
     if let Err(error) = serve_call(&node, req, res).await {
         reply::render_error(res, &error);
     }
@@ -281,6 +283,7 @@
 #[handler]
 async fn take_command(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let node = node_of(depot);
+    let _open = node.open();
     let header = req.headers().get("authorization").and_then(|value| value.to_str().ok());
     let presented = auth::hash(auth::bearer(header).unwrap_or_default());
     if !auth::matches(&presented, &auth::hash(&node.settings.operator_key)) {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -125,3 +125,19 @@
     let answer = long.await.unwrap().unwrap();
     assert_eq!((answer.tokens.len(), answer.connections), (150, 1));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_waits_for_callers_that_wait_for_another_run() {
+    const WORK_MS: u64 = 3_000;
+    let mut cluster = Cluster::start(Shape::default()).await;
+    let addr = |router: usize| cluster.routers[router].addr.clone();
+    let first = support::book(cluster.http.clone(), addr(1), "seat".to_owned(), WORK_MS);
+    let first = tokio::spawn(first);
+    wait_for("the booking runs", || async { (cluster.runs("seat").await > 0).then_some(()) }).await;
+    let second = support::book(cluster.http.clone(), addr(0), "seat".to_owned(), WORK_MS);
+    let second = tokio::spawn(second);
+    cluster.routers[0].signal(libc::SIGTERM);
+    let (first, second) = (first.await.unwrap(), second.await.unwrap());
+    assert_eq!((second.status, second.body), (200, first.body));
+    assert_eq!(cluster.routers[0].wait(), 0);
+}
