--- a/src/follow.rs
+++ b/src/follow.rs
@@ -15,7 +15,7 @@
 use crate::record::{Identity, Op, Outcome, Record};
 use crate::registry::Note;
 use crate::shared::{Shared, State};
-use crate::vote::{Grant, Verdict};
+use crate::vote::{self, Grant, Verdict};
 
 /// How long an owner may be silent; it sends something far more often.
 const SILENCE_MS: u64 = 1_200;
@@ -153,12 +153,7 @@
     }
 
     fn go_on(&self, identity: Identity, term: u64, grants: Vec<Grant>) -> Next {
-        let progress = |grant: &&Grant| {
-            let record = &grant.record;
-            (record.outcome.is_some(), record.journal_term, record.journal.len())
-        };
-        let Some(best) = grants.iter().max_by_key(progress) else { return Next::Wait };
-        let best = &best.record;
+        let Some(best) = vote::best(&grants) else { return Next::Wait };
         match &best.outcome {
             Some(Outcome::Finished { tokens, reason }) => {
                 self.shared.release(&best.journal, *tokens);
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -303,8 +303,7 @@
             mine.contested || record.contested || mine.identity.nonce != record.identity.nonce;
         mine.contested = contested;
         let newer_term = record.term > mine.term;
-        let theirs = progress(&record);
-        let is_better = theirs > progress(mine);
+        let is_better = record.progress() > mine.progress();
         if !is_better && !newer_term {
             return;
         }
@@ -532,11 +531,6 @@
     }
 }
 
-/// Orders the records of one key by how much they say.
-fn progress(record: &Record) -> (bool, u64, u32) {
-    (record.outcome.is_some(), record.journal_term, record.journal.len())
-}
-
 fn is_holder(roster: &Roster, member: &Member, key: &str) -> bool {
     roster.holders(key).iter().any(|holder| holder.is_same(member))
 }
--- a/src/record.rs
+++ b/src/record.rs
@@ -106,6 +106,15 @@
         self.identity.key.split('/').next().unwrap_or_default()
     }
 
+    /// How much it says.
+    pub fn progress(&self) -> Progress {
+        Progress {
+            has_outcome: self.outcome.is_some(),
+            journal_term: self.journal_term,
+            tokens: self.journal.len(),
+        }
+    }
+
     /// The bytes that the answer takes, for budgets.
     pub fn answer_bytes(&self) -> usize {
         let body = match &self.outcome {
@@ -116,6 +125,14 @@
     }
 }
 
+/// How much a record says; the larger one wins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Progress {
+    has_outcome: bool,
+    journal_term: u64,
+    tokens: u32,
+}
+
 /// A change to a record, or a question about it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Op {
--- a/src/vote.rs
+++ b/src/vote.rs
@@ -47,6 +47,14 @@
     pub record: Record,
 }
 
+/// The record that says most: an outcome first, then the newest term, then the most tokens.
+///
+/// Whatever was released stands in it, since a majority held that and any two majorities meet.
+pub fn best(grants: &[Grant]) -> Option<&Record> {
+    let records = grants.iter().map(|grant| &grant.record);
+    records.max_by_key(|record| record.progress())
+}
+
 /// The answers so far.
 #[derive(Debug)]
 pub struct Vote {
@@ -104,10 +112,7 @@
     }
 
     fn note_held(&mut self, record: Box<Record>) {
-        let says_more = |held: &Record| {
-            let theirs = (record.outcome.is_some(), record.term, record.journal.len());
-            theirs > (held.outcome.is_some(), held.term, held.journal.len())
-        };
+        let says_more = |held: &Record| record.progress() > held.progress();
         if self.held.as_deref().is_none_or(says_more) {
             self.held = Some(record);
         }
