--- a/src/engine.rs
+++ b/src/engine.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::blackboard::Load;
+use crate::peer;
 
 /// How long a poll or a cancellation may take.
 const SHORT_MS: u64 = 1_000;
@@ -107,6 +108,7 @@
 #[derive(Debug, Clone)]
 pub struct HttpEngine {
     client: reqwest::Client,
+    traffic: Arc<peer::Traffic>,
 }
 
 #[derive(Deserialize)]
@@ -124,7 +126,12 @@
 impl HttpEngine {
     /// Engines that are reached through `client`.
     pub fn new(client: reqwest::Client) -> HttpEngine {
-        HttpEngine { client }
+        HttpEngine::counted(client, Arc::default())
+    }
+
+    /// Engines whose polls are counted in `traffic`.
+    pub fn counted(client: reqwest::Client, traffic: Arc<peer::Traffic>) -> HttpEngine {
+        HttpEngine { client, traffic }
     }
 
     async fn open(&self, request: reqwest::RequestBuilder) -> Result<Events, Failure> {
@@ -191,7 +198,9 @@
         let request = request.timeout(Duration::from_millis(SHORT_MS));
         Box::pin(async move {
             let response = request.send().await.ok()?.error_for_status().ok()?;
-            response.json().await.ok()
+            let body = response.bytes().await.ok()?;
+            self.traffic.count(0, body.len());
+            serde_json::from_slice(&body).ok()
         })
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -60,6 +60,8 @@
     pub registry: Registry,
     /// Calls to peers.
     pub peers: peer::Client,
+    /// The bytes that the control thread sends, and that it gets from peers.
+    pub control_traffic: Arc<peer::Traffic>,
     /// Calls that may be repeated, over kept connections.
     pub pooled: reqwest::Client,
     /// Calls that may not: each has its own connection, so that a connection which closed while
--- a/src/operate.rs
+++ b/src/operate.rs
@@ -5,6 +5,7 @@
 //! ([docs/DESIGN.md](../docs/DESIGN.md#configuration)).
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -241,12 +242,17 @@
 pub async fn status(node: &Node) -> Status {
     let snapshot = node.snapshot();
     let ledger = node.ledger.status().await;
+    let copies = node.peers.traffic();
     Status {
         id: Arc::clone(&node.me.id),
         incarnation: node.me.incarnation,
         revision: snapshot.document.revision,
         epoch: snapshot.table.epoch(),
         is_ready: ledger.is_some_and(|ledger| ledger.is_ready),
+        control_sent_bytes: node.control_traffic.sent_bytes.load(Ordering::Relaxed),
+        control_received_bytes: node.control_traffic.received_bytes.load(Ordering::Relaxed),
+        copy_bytes: copies.sent_bytes.load(Ordering::Relaxed)
+            + copies.received_bytes.load(Ordering::Relaxed),
     }
 }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,6 +1,7 @@
 //! Calls from one instance to another, and the seam through which holders are asked.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -27,17 +28,43 @@
     fn ask<'a>(&'a self, holder: &'a Member, request: Request) -> BoxFuture<'a, Option<Reply>>;
 }
 
+/// What HTTP adds to a message, roughly: the request or status line and its headers.
+pub const HEADER_BYTES: u64 = 200;
+
+/// Bytes that went over the network, with an estimate of headers.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    /// Sent from here.
+    pub sent_bytes: AtomicU64,
+    /// Received here.
+    pub received_bytes: AtomicU64,
+}
+
+impl Traffic {
+    /// Counts a request and its answer, from the view of the one who asks.
+    pub fn count(&self, sent: usize, received: usize) {
+        self.sent_bytes.fetch_add(sent as u64 + HEADER_BYTES, Ordering::Relaxed);
+        self.received_bytes.fetch_add(received as u64 + HEADER_BYTES, Ordering::Relaxed);
+    }
+}
+
 /// Calls to other instances.
 #[derive(Debug, Clone)]
 pub struct Client {
     http: reqwest::Client,
     key: Arc<str>,
+    traffic: Arc<Traffic>,
 }
 
 impl Client {
     /// Calls that carry `key`.
     pub fn new(http: reqwest::Client, key: &str) -> Client {
-        Client { http, key: Arc::from(key) }
+        Client { http, key: Arc::from(key), traffic: Arc::default() }
+    }
+
+    /// The bytes of all calls.
+    pub fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
     }
 
     /// Sends a message and decodes the answer; `None` if there was none in time.
@@ -49,10 +76,14 @@
         timeout_ms: u64,
     ) -> Option<A> {
         let request = self.http.post(format!("http://{addr}{path}"));
-        let request = request.header(wire::PEER_KEY, &*self.key).body(wire::encode(message));
+        let body = wire::encode(message);
+        let sent_len = body.len();
+        let request = request.header(wire::PEER_KEY, &*self.key).body(body);
         let sent = request.timeout(Duration::from_millis(timeout_ms)).send().await;
         let response = sent.ok()?.error_for_status().ok()?;
-        wire::decode(&response.bytes().await.ok()?).ok()
+        let answer = response.bytes().await.ok()?;
+        self.traffic.count(sent_len, answer.len());
+        wire::decode(&answer).ok()
     }
 
     /// Opens a stream of a generation that a peer serves.
--- a/src/router.rs
+++ b/src/router.rs
@@ -73,8 +73,12 @@
         };
         let log = log.new(slog::o!("instance" => me.id.to_string()));
         let (control, inbox) = mpsc::unbounded_channel();
-        let node = Arc::new(build_node(settings, clock, &log, me, control)?);
-        start_control(&node, inbox)?;
+        // The control thread has connections of its own, so that traffic can't hold them up.
+        let own = client(usize::MAX)?;
+        let control_peers = peer::Client::new(own.clone(), &settings.peer_key);
+        let traffic = Arc::clone(control_peers.traffic());
+        let node = Arc::new(build_node(settings, clock, &log, me, control, traffic)?);
+        start_control(&node, inbox, own, control_peers)?;
         tokio::spawn(follow_load(Arc::clone(&node)));
         let server = salvo::Server::new(acceptor(listener)?);
         let handle = server.handle();
@@ -145,6 +149,7 @@
     log: &slog::Logger,
     me: Member,
     control: mpsc::UnboundedSender<control_loop::Message>,
+    control_traffic: Arc<peer::Traffic>,
 ) -> Result<Node> {
     let pooled = client(usize::MAX)?;
     let peers = peer::Client::new(pooled.clone(), &settings.peer_key);
@@ -168,6 +173,7 @@
         door: Door::spawn(clock),
         registry: Registry::spawn(clock, metrics),
         peers,
+        control_traffic,
         pooled,
         unpooled: client(0)?,
         budget: Mutex::new(Budget::new(REPEATS)),
@@ -180,9 +186,9 @@
 fn start_control(
     node: &Arc<Node>,
     inbox: mpsc::UnboundedReceiver<control_loop::Message>,
+    own: reqwest::Client,
+    peers: peer::Client,
 ) -> Result<()> {
-    // The thread has connections of its own, so that traffic can't hold them up.
-    let own = client(usize::MAX)?;
     let published = Arc::downgrade(node);
     let adopted = Arc::downgrade(node);
     let parts = Parts {
@@ -193,8 +199,8 @@
         tick_ms: node.settings.tick_ms,
         seeds: node.settings.seeds.clone(),
         store: Arc::new(HttpStore::new(own.clone(), node.settings.store.clone())),
-        engine: Arc::new(HttpEngine::new(own.clone())),
-        peers: peer::Client::new(own, &node.settings.peer_key),
+        engine: Arc::new(HttpEngine::counted(own, Arc::clone(&node.control_traffic))),
+        peers,
         publish: Box::new(move |snapshot| {
             if let Some(node) = published.upgrade() {
                 node.snapshot.store(snapshot);
--- a/src/server.rs
+++ b/src/server.rs
@@ -341,12 +341,17 @@
 #[handler]
 async fn take_exchange(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let Some(exchange) = message::<Exchange>(req, res).await else { return };
+    let node = node_of(depot);
+    let received = req.payload_with_max_size(PEER_LIMIT_BYTES).await.map_or(0, |body| body.len());
     let (reply, answered) = oneshot::channel();
-    let _ = node_of(depot).control.send(control_loop::Message::Exchange(exchange, reply));
-    match answered.await {
-        Ok(answer) => send(res, &answer),
-        Err(_) => drop(res.status_code(StatusCode::SERVICE_UNAVAILABLE)),
-    }
+    let _ = node.control.send(control_loop::Message::Exchange(exchange, reply));
+    let Ok(answer) = answered.await else {
+        res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        return;
+    };
+    let body = wire::encode(&answer);
+    node.control_traffic.count(body.len(), received);
+    res.body(body);
 }
 
 #[handler]
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -84,6 +84,12 @@
     pub epoch: u64,
     /// Whether it answers claims in that epoch.
     pub is_ready: bool,
+    /// Bytes that it has sent for control.
+    pub control_sent_bytes: u64,
+    /// Bytes that it has received for control.
+    pub control_received_bytes: u64,
+    /// Bytes that it has sent and received to copy records.
+    pub copy_bytes: u64,
 }
 
 /// Encodes a message.
