Wait for an unknown step, and tell peers only what matters of a load

After the first token no gap is known, and the floor of 250 ms took its place, so a healthy stream was given up and its prompt computed anew. Seen red in tests/regression/slow_first_gap.rs.

Change: the ceiling holds until a gap is known. A report spreads when its load moved by a tenth of the slots, when anything else in it changed, or after 10 s; a peer that has the rest gets five numbers.

Conclusion: a false loss costs a whole prompt, so an unknown step gets the benefit of the doubt.

--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -46,6 +46,44 @@
     pub load: Load,
 }
 
+/// A report without what seldom changes, for a peer that has the rest.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Brief {
+    /// The upstream's address.
+    pub addr: Arc<str>,
+    /// The observation's version.
+    pub version: u64,
+    /// The incarnation that was observed.
+    pub incarnation: u64,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+impl Report {
+    /// The brief form.
+    pub fn brief(&self) -> Brief {
+        Brief {
+            addr: Arc::clone(&self.addr),
+            version: self.version,
+            incarnation: self.load.incarnation,
+            running: self.load.running,
+            waiting: self.load.waiting,
+        }
+    }
+
+    /// Whether all but the numbers of requests is the same.
+    pub fn is_described_by(&self, other: &Report) -> bool {
+        let numbers = |report: &Report| Report {
+            version: 0,
+            load: Load { running: 0, waiting: 0, ..report.load.clone() },
+            ..report.clone()
+        };
+        numbers(self) == numbers(other)
+    }
+}
+
 /// An upstream on the blackboard.
 #[derive(Debug, Clone)]
 pub struct Upstream {
@@ -59,8 +97,14 @@
     pub suspect_until_ms: u64,
     /// The most that ran from here at once in each of the last reports' times.
     pub peaks: VecDeque<u32>,
-    /// The number of the change that brought the report, for exchanges.
+    /// The number of the change that peers should hear of last, for exchanges.
     pub changed: u64,
+    /// The number of the last change of more than the numbers of requests.
+    pub described: u64,
+    /// The busyness that peers heard of last.
+    pub told_busy: u32,
+    /// When peers were given news last.
+    pub told_ms: u64,
     /// What traffic counts.
     pub counters: Arc<Counters>,
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -293,6 +293,7 @@
             table: None,
             document: None,
             reports: Vec::new(),
+            briefs: Vec::new(),
             route: None,
         }
     }
@@ -418,6 +419,7 @@
     fn hear_exchange(&mut self, exchange: &Exchange, now_ms: u64, out: &mut Vec<Action>) {
         let leaving = self.leaving();
         self.health.hear_reports(&mut self.board, exchange.reports.clone(), now_ms);
+        self.health.hear_briefs(&mut self.board, exchange.briefs.clone(), now_ms);
         let table = exchange.table.clone();
         let document = exchange.document.clone();
         self.adopt(table, document, exchange.route.clone(), now_ms, out);
--- a/src/generation.rs
+++ b/src/generation.rs
@@ -383,9 +383,14 @@
     fn patience_ms(&self, live: &Live, suspect_ourselves: bool) -> u64 {
         let patience_ms = match (live.has_token, live.is_resumed) {
             (true, _) => {
-                let usual_ms = self.usual_gap_ms.saturating_mul(SUSPICIOUS_GAPS);
-                let patience_ms =
-                    usual_ms.clamp(self.policy.gap_floor_ms, self.policy.gap_ceiling_ms);
+                let (floor_ms, ceiling_ms) = (self.policy.gap_floor_ms, self.policy.gap_ceiling_ms);
+                let patience_ms = match self.usual_gap_ms {
+                    // Before the second token nothing is known of the engine's step.
+                    0 => ceiling_ms,
+                    usual_ms => {
+                        usual_ms.saturating_mul(SUSPICIOUS_GAPS).clamp(floor_ms, ceiling_ms)
+                    }
+                };
                 // A hedge gives nothing up, so that it may start sooner.
                 if self.policy.hedge { patience_ms / HEDGE_PART } else { patience_ms }
             }
--- a/src/health.rs
+++ b/src/health.rs
@@ -11,13 +11,17 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::blackboard::{Board, Load, Report, Upstream};
+use crate::blackboard::{Board, Brief, Load, Report, Upstream};
 use crate::decide::Random;
 
 /// How long a refused connection or a silence keeps work away, so that a poll under way can confirm it.
 const SUSPECT_MS: u64 = 2_000;
 /// A report this old may be renewed by any instance: its poller may be lost.
-const STALE_MS: u64 = 3_000;
+const STALE_MS: u64 = 3 * RENEW_MS;
+/// Peers hear of an upstream at least this often, also when nothing has changed.
+const RENEW_MS: u64 = 10_000;
+/// A change of load by more than one part in this many of the slots is news.
+const NEWS_PART: u32 = 10;
 /// How long an upstream that is neither listed nor alive is remembered.
 const FORGET_MS: u64 = 30_000;
 /// A report may show the load as it was this many reports ago.
@@ -72,8 +76,7 @@
             if leaves || !upstream.report.is_listed {
                 upstream.report.is_listed = true;
                 upstream.report.load.leaving |= leaves;
-                let version = upstream.report.version + 1;
-                mark_changed(board, &line.addr, version, now_ms);
+                mark_changed(board, &line.addr, now_ms);
             }
         }
     }
@@ -136,6 +139,22 @@
         }
     }
 
+    /// Takes in another instance's brief reports on upstreams that are known here.
+    pub fn hear_briefs(&mut self, board: &mut Board, briefs: Vec<Brief>, now_ms: u64) {
+        for brief in briefs {
+            let Some(mine) = board.upstreams.get(&brief.addr) else { continue };
+            let is_same = mine.report.load.incarnation == brief.incarnation;
+            if !is_same || brief.version <= mine.report.version {
+                continue;
+            }
+            let mut report = mine.report.clone();
+            report.version = brief.version;
+            report.load.running = brief.running;
+            report.load.waiting = brief.waiting;
+            replace(board, report, now_ms);
+        }
+    }
+
     /// Takes in what traffic noticed.
     pub fn hear_sign(&mut self, board: &mut Board, addr: &str, sign: Sign, now_ms: u64) {
         let Some(upstream) = board.upstreams.get_mut(addr) else {
@@ -152,8 +171,7 @@
         let Some(upstream) = board.upstreams.get_mut(addr) else { return };
         if !upstream.report.load.leaving {
             upstream.report.load.leaving = true;
-            let version = upstream.report.version + 1;
-            mark_changed(board, addr, version, now_ms);
+            mark_changed(board, addr, now_ms);
         }
     }
 
@@ -213,6 +231,9 @@
         suspect_until_ms: 0,
         peaks: VecDeque::new(),
         changed: board.changes,
+        described: board.changes,
+        told_busy: 0,
+        told_ms: now_ms,
         counters: Arc::default(),
         report,
     };
@@ -225,10 +246,28 @@
     if report.is_alive {
         upstream.alive_ms = now_ms;
     }
-    let version = report.version;
-    let addr = Arc::clone(&report.addr);
+    upstream.heard_ms = now_ms;
+    let is_described = report.is_described_by(&upstream.report);
     upstream.report = report;
-    mark_changed(board, &addr, version, now_ms);
+    let busy = upstream.report.load.running + upstream.report.load.waiting;
+    let differs = busy.abs_diff(upstream.told_busy) * NEWS_PART > upstream.report.load.slots;
+    let is_due = now_ms.saturating_sub(upstream.told_ms) >= RENEW_MS;
+    if !is_described || differs || is_due {
+        let addr = Arc::clone(&upstream.report.addr);
+        tell_peers(board, &addr, is_described, now_ms);
+    }
+}
+
+/// Has the next exchanges carry an upstream's report.
+fn tell_peers(board: &mut Board, addr: &str, is_described: bool, now_ms: u64) {
+    board.changes += 1;
+    let Some(upstream) = board.upstreams.get_mut(addr) else { return };
+    upstream.changed = board.changes;
+    upstream.told_ms = now_ms;
+    upstream.told_busy = upstream.report.load.running + upstream.report.load.waiting;
+    if !is_described {
+        upstream.described = board.changes;
+    }
 }
 
 /// Takes what ran from here out of the reported load.
@@ -244,11 +283,11 @@
     counters.others.store(reported.saturating_sub(mine), Ordering::Relaxed);
 }
 
-fn mark_changed(board: &mut Board, addr: &str, version: u64, now_ms: u64) {
-    board.changes += 1;
+/// Raises the version of a report that was changed here, and has peers told.
+fn mark_changed(board: &mut Board, addr: &str, now_ms: u64) {
     if let Some(upstream) = board.upstreams.get_mut(addr) {
-        upstream.report.version = version;
-        upstream.changed = board.changes;
+        upstream.report.version += 1;
         upstream.heard_ms = now_ms;
     }
+    tell_peers(board, addr, false, now_ms);
 }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::blackboard::{Board, Report};
+use crate::blackboard::{Board, Brief, Report};
 use crate::decide::Random;
 use crate::document::Document;
 use crate::membership::{Member, Table};
@@ -37,8 +37,10 @@
     pub table: Option<Arc<Table>>,
     /// The sender's configuration, when the receiver is known to have an older one.
     pub document: Option<Arc<Document>>,
-    /// Reports that are news to the receiver.
+    /// Reports of which more than the numbers of requests is news to the receiver.
     pub reports: Vec<Report>,
+    /// Reports of which only the numbers of requests are.
+    pub briefs: Vec<Brief>,
     /// How a change is passed on, when this is part of that.
     pub route: Option<Route>,
 }
@@ -152,8 +154,9 @@
     fn exchange_for(&self, board: &Board, to: &str) -> Exchange {
         let peer = self.known.get(to);
         let sent = peer.map_or(0, |peer| peer.sent_changes);
-        let is_news = |report: &&Report| *report.addr != *to;
         let changed = board.upstreams.values().filter(|upstream| upstream.changed > sent);
+        let (described, numbers): (Vec<_>, Vec<_>) =
+            changed.partition(|upstream| upstream.described > sent);
         let is_behind = |theirs: u64, mine: u64| theirs > 0 && theirs < mine;
         let epoch = board.table.epoch();
         let revision = board.document.revision;
@@ -165,7 +168,8 @@
             revision,
             table: sends_table.then(|| Arc::clone(&board.table)),
             document: sends_document.then(|| Arc::clone(&board.document)),
-            reports: changed.map(|u| &u.report).filter(is_news).cloned().collect(),
+            reports: described.into_iter().map(|upstream| upstream.report.clone()).collect(),
+            briefs: numbers.into_iter().map(|upstream| upstream.report.brief()).collect(),
             route: None,
         }
     }
@@ -202,6 +206,7 @@
             table: None,
             document: None,
             reports: Vec::new(),
+            briefs: Vec::new(),
             route: None,
         };
         if theirs.epoch < mine.epoch {
--- /dev/null
+++ b/tests/regression/main.rs
@@ -0,0 +1,4 @@
+//! One small file a fault that was found, each seen red before it was mended.
+
+mod repeated_answer;
+mod slow_first_gap;
