Wait through a change of the table, and read long bodies before refusing them

Cause: two tests were red in the whole suite. (1) leaving::a_stop_waits_for_callers_that_wait_for_another_run: a caller that waits for another run asks again and again; while the table changed, holders were syncing and the wait ended with claim_unavailable. (2) overload::bad_input_gets_a_typed_error: the answer to a body of 2 MB came while the caller still wrote, which then saw a broken pipe.

Change: a claim is tried for 2 s while epochs change or holders sync, and refused at once only if the key is quarantined. A body that is too long is read (64 MB at most) before it is refused.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -8,8 +8,10 @@
 use crate::record::{Identity, Kind as RecordKind, Op, Record};
 use crate::vote::Verdict;
 
-/// How often a claim is tried anew when epochs changed or runs collided.
-const TRIES: u32 = 60;
+/// How long a claim is tried anew while epochs change, runs collide or holders sync.
+const PATIENCE_MS: u64 = 2_000;
+/// When to come back if the holders can't be reached.
+const RETRY_MS: u64 = 1_000;
 /// The longest wait between two tries.
 const WAIT_MS: u64 = 40;
 
@@ -39,7 +41,8 @@
 ///
 /// `key_reused`, or `claim_unavailable`: then nothing was run and nothing will be.
 pub async fn take(node: &Node, ask: &Ask) -> Result<Claimed> {
-    for _ in 0..TRIES {
+    let give_up_ms = node.clock.now_ms() + PATIENCE_MS;
+    loop {
         let identity = Identity {
             key: Arc::clone(&ask.key),
             kind: ask.kind,
@@ -52,16 +55,18 @@
             return Ok(Claimed::Granted(identity));
         }
         give_back(node, identity).await;
-        match verdict {
+        let retry_after_ms = match verdict {
             Verdict::Conflict => return Err(Kind::KeyReused.into()),
             Verdict::Held(record) => return Ok(Claimed::Held(record)),
-            Verdict::Unavailable { retry_after_ms } => {
-                return Err(Kind::ClaimUnavailable { retry_after_ms }.into());
+            Verdict::Quarantined { left_ms } => left_ms,
+            _ if node.clock.now_ms() > give_up_ms => RETRY_MS,
+            _ => {
+                pause().await;
+                continue;
             }
-            _ => pause().await,
-        }
+        };
+        return Err(Kind::ClaimUnavailable { retry_after_ms }.into());
     }
-    Err(Kind::ClaimUnavailable { retry_after_ms: 1_000 }.into())
 }
 
 /// Gives a run's claim back; the run must never have been acted on, and never will be.
--- a/src/node.rs
+++ b/src/node.rs
@@ -153,7 +153,7 @@
             // The others are asked to the end, also when a majority has decided by then.
             tokio::spawn(async move { while answers.next().await.is_some() {} });
         }
-        verdict.unwrap_or(Verdict::Unavailable { retry_after_ms: CATCH_UP_MS })
+        verdict.unwrap_or(Verdict::Unavailable)
     }
 }
 
--- a/src/server.rs
+++ b/src/server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
 use salvo::http::{HeaderValue, Method};
 use salvo::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,8 @@
 
 /// The longest body of a caller.
 const BODY_LIMIT_BYTES: usize = 1 << 20;
+/// How much of a body that is too long is read before the answer.
+const DISCARD_LIMIT_BYTES: usize = 64 << 20;
 /// The longest message of a peer.
 const PEER_LIMIT_BYTES: usize = 256 << 20;
 /// How long a body may take to arrive.
@@ -248,11 +251,13 @@
 
 async fn read_body(req: &mut Request) -> Result<bytes::Bytes> {
     let too_large = || Error::from(Kind::TooLarge { limit_bytes: BODY_LIMIT_BYTES });
+    let patience = Duration::from_millis(BODY_TIMEOUT_MS);
     let announced = req.header::<usize>("content-length").unwrap_or(0);
     if announced > BODY_LIMIT_BYTES {
+        // A caller that still writes would see a broken connection instead of the answer.
+        let _ = tokio::time::timeout(patience, discard(req.take_body())).await;
         return Err(too_large());
     }
-    let patience = Duration::from_millis(BODY_TIMEOUT_MS);
     let read = tokio::time::timeout(patience, req.payload_with_max_size(BODY_LIMIT_BYTES)).await;
     match read {
         Ok(Ok(body)) => Ok(body.clone()),
@@ -261,6 +266,18 @@
     }
 }
 
+/// Reads a body of bearable length to its end and drops it.
+async fn discard(mut body: salvo::http::ReqBody) {
+    let mut left = DISCARD_LIMIT_BYTES;
+    while let Some(Ok(frame)) = body.next().await {
+        let len = frame.data_ref().map_or(0, bytes::Bytes::len);
+        match left.checked_sub(len) {
+            Some(rest) => left = rest,
+            None => return,
+        }
+    }
+}
+
 fn malformed(error: serde_json::Error) -> Error {
     Kind::Malformed { detail: error.to_string() }.into()
 }
--- a/src/vote.rs
+++ b/src/vote.rs
@@ -5,9 +5,6 @@
 use crate::membership;
 use crate::record::{Record, Reply};
 
-/// When to come back if the holders can't be reached or are not ready.
-const UNREACHABLE_RETRY_MS: u64 = 1_000;
-
 /// What the answers amount to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Verdict {
@@ -31,11 +28,13 @@
         /// That epoch.
         epoch: u64,
     },
-    /// Too few holders could answer; nothing was run.
-    Unavailable {
-        /// When to come back.
-        retry_after_ms: u64,
+    /// Holders can't know the key's past, and refuse it for a while.
+    Quarantined {
+        /// For how long.
+        left_ms: u64,
     },
+    /// Too few holders could answer.
+    Unavailable,
 }
 
 /// One holder's yes.
@@ -66,7 +65,7 @@
     accepted: usize,
     absent: usize,
     fenced: u64,
-    retry_after_ms: u64,
+    quarantined_ms: u64,
 }
 
 impl Vote {
@@ -81,7 +80,7 @@
             accepted: 0,
             absent: 0,
             fenced: 0,
-            retry_after_ms: UNREACHABLE_RETRY_MS,
+            quarantined_ms: 0,
         }
     }
 
@@ -104,7 +103,7 @@
             Some(Reply::Absent) => self.absent += 1,
             Some(Reply::Fenced { term }) => self.fenced = self.fenced.max(term),
             Some(Reply::Quarantined { left_ms }) => {
-                self.retry_after_ms = self.retry_after_ms.max(left_ms);
+                self.quarantined_ms = self.quarantined_ms.max(left_ms);
             }
             _ => {}
         }
@@ -141,6 +140,9 @@
         if self.outstanding > 0 {
             return None;
         }
-        Some(Verdict::Unavailable { retry_after_ms: self.retry_after_ms })
+        Some(match self.quarantined_ms {
+            0 => Verdict::Unavailable,
+            left_ms => Verdict::Quarantined { left_ms },
+        })
     }
 }
