--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -22,13 +22,15 @@
   path     streams and quick calls against a direct connection and a bare relay
   resume   the wait and the extra work after an engine is lost, hedge off and on
   slopes   what control and copying cost as routers, upstreams, organisations, changes and
-           streams are added; writes the points as JSON, and a plot as SVG
+           streams are added; writes the points as JSON, and a plot as SVG;
+           --only routers|upstreams|organisations|changes|streams measures one series
 ";
 
 fn main() -> ExitCode {
     let mut arguments = pico_args::Arguments::from_env();
     let json = arguments.opt_value_from_str::<_, String>("--json").ok().flatten();
     let svg = arguments.opt_value_from_str::<_, String>("--svg").ok().flatten();
+    let only = arguments.opt_value_from_str::<_, String>("--only").ok().flatten();
     let experiment = arguments.subcommand().ok().flatten().unwrap_or_default();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(3)
@@ -38,7 +40,7 @@
     let report = match experiment.as_str() {
         "path" => runtime.block_on(path::run()),
         "resume" => runtime.block_on(resume::run()),
-        "slopes" => runtime.block_on(slopes::run(svg.as_deref())),
+        "slopes" => runtime.block_on(slopes::run(svg.as_deref(), only.as_deref())),
         _ => {
             eprint!("{HELP}");
             return ExitCode::from(2);
--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -14,7 +14,9 @@
 use crate::plot::{self, Series};
 use crate::usage;
 
-const WINDOW: Duration = Duration::from_secs(8);
+/// First exchanges carry everything; the window begins after most of them.
+const SETTLE: Duration = Duration::from_secs(10);
+const WINDOW: Duration = Duration::from_secs(10);
 const ROUTERS: [usize; 4] = [3, 9, 18, 36];
 const UPSTREAMS: [usize; 4] = [10, 60, 120, 240];
 const ORGANISATIONS: [usize; 3] = [10, 150, 570];
@@ -55,49 +57,67 @@
     takeover_ms: Vec<Point>,
 }
 
-pub async fn run(svg: Option<&str>) -> serde_json::Value {
+pub async fn run(svg: Option<&str>, only: Option<&str>) -> serde_json::Value {
     let mut report =
         Report { series: Vec::new(), in_force_ms: Vec::new(), takeover_ms: Vec::new() };
+    let is_wanted = |name: &str| only.is_none_or(|only| only == name);
+    if is_wanted("routers") {
+        against_routers(&mut report).await;
+    }
+    if is_wanted("upstreams") {
+        let shapes = UPSTREAMS.map(|upstreams| shape(9, upstreams, 10));
+        report.series.push(measured("upstreams", &UPSTREAMS, idle(&shapes).await));
+    }
+    if is_wanted("organisations") {
+        let shapes = ORGANISATIONS.map(|organisations| shape(9, 30, organisations));
+        report.series.push(measured("organisations", &ORGANISATIONS, idle(&shapes).await));
+    }
+    if is_wanted("changes") {
+        let fleet = Fleet::start(&shape(9, 30, 570)).await;
+        let mut costs = Vec::new();
+        for changes in CHANGES {
+            costs.push(window(&fleet, change(&fleet, changes)).await);
+        }
+        report.series.push(measured("changes in the window", &CHANGES, costs));
+    }
+    if is_wanted("streams") {
+        let mut streaming = shape(3, 8, 10);
+        streaming.engine = engine::Settings { slots: 64, ..engine::Settings::default() };
+        let fleet = Fleet::start(&streaming).await;
+        let mut costs = Vec::new();
+        for streams in STREAMS {
+            costs.push(stream_window(&fleet, streams).await);
+        }
+        report.series.push(measured("streams at 50 tokens/s", &STREAMS, costs));
+    }
+    print(&report);
+    if let Some(file) = svg {
+        draw(file, &report);
+    }
+    serde_json::to_value(report).expect("a report is plain data")
+}
+
+async fn against_routers(report: &mut Report) {
     let mut costs = Vec::new();
     for routers in ROUTERS {
         let mut fleet = Fleet::start(&shape(routers, 30, 10)).await;
+        tokio::time::sleep(SETTLE).await;
         costs.push(window(&fleet, no_work()).await);
         report.in_force_ms.push(in_force(&fleet).await);
         report.takeover_ms.push(takeover(&mut fleet).await);
     }
     report.series.push(measured("routers", &ROUTERS, costs));
+}
+
+/// The costs of fleets without callers.
+async fn idle(shapes: &[Shape]) -> Vec<Cost> {
     let mut costs = Vec::new();
-    for upstreams in UPSTREAMS {
-        let fleet = Fleet::start(&shape(9, upstreams, 10)).await;
-        costs.push(window(&fleet, no_work()).await);
-    }
-    report.series.push(measured("upstreams", &UPSTREAMS, costs));
-    let mut costs = Vec::new();
-    for organisations in ORGANISATIONS {
-        let fleet = Fleet::start(&shape(9, 30, organisations)).await;
+    for shape in shapes {
+        let fleet = Fleet::start(shape).await;
+        tokio::time::sleep(SETTLE).await;
         costs.push(window(&fleet, no_work()).await);
     }
-    report.series.push(measured("organisations", &ORGANISATIONS, costs));
-    let fleet = Fleet::start(&shape(9, 30, 570)).await;
-    let mut costs = Vec::new();
-    for changes in CHANGES {
-        costs.push(window(&fleet, change(&fleet, changes)).await);
-    }
-    report.series.push(measured("changes in the window", &CHANGES, costs));
-    drop(fleet);
-    let mut streaming = shape(3, 8, 10);
-    streaming.engine = engine::Settings { slots: 64, ..engine::Settings::default() };
-    let fleet = Fleet::start(&streaming).await;
-    let mut costs = Vec::new();
-    for streams in STREAMS {
-        costs.push(stream_window(&fleet, streams).await);
-    }
-    report.series.push(measured("streams at 50 tokens/s", &STREAMS, costs));
-    print(&report);
-    if let Some(file) = svg {
-        draw(file, &report);
-    }
-    serde_json::to_value(report).expect("a report is plain data")
+    costs
 }
 
 fn shape(routers: usize, engines: usize, organisations: usize) -> Shape {
--- a/src/control.rs
+++ b/src/control.rs
@@ -9,7 +9,7 @@
 use crate::health::{Health, Listed, Sign};
 use crate::membership::{Member, Table};
 use crate::orders::{self, Lease, Orders};
-use crate::peers::{self, Exchange, News, Peers, Route};
+use crate::peers::{self, Exchange, Peers, Route, Spread};
 
 /// Instances that watch nothing read the store this often, as a safety net.
 const SAFETY_READ_MS: u64 = 30_000;
@@ -222,7 +222,7 @@
         self.health.follow_document(&mut self.board, now_ms);
         self.follow_store(now_ms, out);
         let mut wishes = Vec::new();
-        self.peers.tick(&self.board, random, &mut wishes);
+        self.peers.tick(&self.board, now_ms, random, &mut wishes);
         fulfil(wishes, out);
         let due = self.health.due_polls(&self.board, now_ms, random);
         out.extend(due.into_iter().map(Action::Poll));
@@ -391,8 +391,8 @@
         let board = &mut self.board;
         let newer_table = table.filter(|table| table.epoch() > board.table.epoch());
         let newer_document = document.filter(|d| d.revision > board.document.revision);
-        let news = News { table: newer_table.is_some(), document: newer_document.is_some() };
-        if news == News::default() {
+        let news = Spread { table: newer_table.is_some(), document: newer_document.is_some() };
+        if news == Spread::default() {
             return;
         }
         if let Some(table) = newer_table {
@@ -405,14 +405,14 @@
             board.is_stopping |= board.document.stopping.contains(&*mine);
             self.health.follow_document(board, now_ms);
         }
-        self.spread(route, news, out);
+        self.spread(route, news, now_ms, out);
         self.publish(now_ms, out);
     }
 
-    fn spread(&mut self, route: Option<Route>, news: News, out: &mut Vec<Action>) {
+    fn spread(&mut self, route: Option<Route>, news: Spread, now_ms: u64, out: &mut Vec<Action>) {
         let Some(route) = route else { return };
         let mut wishes = Vec::new();
-        self.peers.spread(&self.board, &route, news, &mut wishes);
+        self.peers.spread(&self.board, &route, news, now_ms, &mut wishes);
         fulfil(wishes, out);
     }
 
@@ -424,7 +424,7 @@
         let document = exchange.document.clone();
         self.adopt(table, document, exchange.route.clone(), now_ms, out);
         if self.leaving() > leaving {
-            self.spread(exchange.route.clone(), News::default(), out);
+            self.spread(exchange.route.clone(), Spread::default(), now_ms, out);
             self.publish(now_ms, out);
         }
     }
@@ -444,7 +444,7 @@
         if self.leaving() > leaving {
             // Peers have to know at once that an upstream takes no more work.
             let route = self.route_from_here();
-            self.spread(Some(route), News::default(), out);
+            self.spread(Some(route), Spread::default(), now_ms, out);
         }
         self.publish(now_ms, out);
     }
--- a/src/health.rs
+++ b/src/health.rs
@@ -19,9 +19,9 @@
 /// A report this old may be renewed by any instance: its poller may be lost.
 const STALE_MS: u64 = 3 * RENEW_MS;
 /// Peers hear of an upstream at least this often, also when nothing has changed.
-const RENEW_MS: u64 = 10_000;
+const RENEW_MS: u64 = 15_000;
 /// A change of load by more than one part in this many of the slots is news.
-const NEWS_PART: u32 = 10;
+const NEWS_PART: u32 = 5;
 /// How long an upstream that is neither listed nor alive is remembered.
 const FORGET_MS: u64 = 30_000;
 /// A report may show the load as it was this many reports ago.
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::blackboard::{Board, Brief, Report};
+use crate::blackboard::{Board, Brief, Report, Upstream};
 use crate::decide::Random;
 use crate::document::Document;
 use crate::membership::{Member, Table};
@@ -21,6 +21,8 @@
 const WITNESSES: usize = 2;
 /// How many peers each instance passes a change on to.
 const FAN_OUT: usize = 4;
+/// What became news this long ago is passed on to peers drawn at random.
+const RECENT_MS: u64 = 1_000;
 /// A suspect that some witness reaches is left alone for so long.
 const CLEARED_MS: u64 = 10_000;
 
@@ -54,9 +56,33 @@
     pub domain: Option<Arc<str>>,
 }
 
-/// What is worth passing on at once, beside changed reports.
+/// Which reports an exchange carries.
+///
+/// Only the next on the ring gets all that it has not heard: it is asked at every tick. To ask the
+/// same of a peer drawn at random would send it nearly everything, since the last time was long ago.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum News {
+    /// All that the peer has not heard from here.
+    Everything,
+    /// Only what has become news since then.
+    SinceMs(u64),
+    /// Nothing.
+    None,
+}
+
+impl Upstream {
+    /// Whether a peer needs the whole report.
+    fn is_described_since(&self, sent: u64, news: News) -> bool {
+        match news {
+            News::Everything => self.described > sent,
+            _ => self.described == self.changed,
+        }
+    }
+}
+
+/// What is worth passing on at once, beside recent reports.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct News {
+pub struct Spread {
     /// A newer table.
     pub table: bool,
     /// A newer configuration.
@@ -107,7 +133,13 @@
 
 impl Peers {
     /// The exchanges of one tick.
-    pub fn tick(&mut self, board: &Board, random: &mut dyn Random, out: &mut Vec<Wish>) {
+    pub fn tick(
+        &mut self,
+        board: &Board,
+        now_ms: u64,
+        random: &mut dyn Random,
+        out: &mut Vec<Wish>,
+    ) {
         let roster = &board.table.roster;
         self.known.retain(|id, peer| {
             roster.member(id).is_some_and(|member| member.incarnation == peer.incarnation)
@@ -123,40 +155,47 @@
         }
         let others: Vec<_> = roster.members.iter().filter(|m| m.id != board.me.id).collect();
         if !others.is_empty() {
-            let drawn = others[random.below(others.len() as u64) as usize];
-            if !targets.contains(drawn) {
-                targets.push(drawn.clone());
+            let drawn = others[random.below(others.len() as u64) as usize].clone();
+            if !targets.contains(&drawn) {
+                self.send(board, &drawn, News::SinceMs(now_ms.saturating_sub(RECENT_MS)), out);
             }
         }
         for member in targets {
-            self.send(board, &member, out);
+            self.send(board, &member, News::Everything, out);
         }
     }
 
-    fn send(&mut self, board: &Board, to: &Member, out: &mut Vec<Wish>) {
+    fn send(&mut self, board: &Board, to: &Member, news: News, out: &mut Vec<Wish>) {
         let peer = self.known.entry(Arc::clone(&to.id)).or_default();
         peer.incarnation = to.incarnation;
         if peer.in_flight {
             return;
         }
         peer.in_flight = true;
-        peer.sending_changes = board.changes;
-        out.push(Wish::Send(to.clone(), self.exchange_for(board, &to.id)));
+        if news == News::Everything {
+            peer.sending_changes = board.changes;
+        }
+        out.push(Wish::Send(to.clone(), self.exchange_for(board, &to.id, news)));
     }
 
     /// Exchanges tables with a peer that goes by another epoch.
     pub fn catch_up(&mut self, board: &Board, to: &Member, out: &mut Vec<Wish>) {
-        let mut exchange = self.exchange_for(board, &to.id);
+        let mut exchange = self.exchange_for(board, &to.id, News::None);
         exchange.table = Some(Arc::clone(&board.table));
         out.push(Wish::Send(to.clone(), exchange));
     }
 
-    fn exchange_for(&self, board: &Board, to: &str) -> Exchange {
+    fn exchange_for(&self, board: &Board, to: &str, news: News) -> Exchange {
         let peer = self.known.get(to);
         let sent = peer.map_or(0, |peer| peer.sent_changes);
-        let changed = board.upstreams.values().filter(|upstream| upstream.changed > sent);
+        let is_news = |upstream: &&Upstream| match news {
+            News::Everything => upstream.changed > sent,
+            News::SinceMs(since_ms) => upstream.changed > sent && upstream.told_ms >= since_ms,
+            News::None => false,
+        };
+        let changed = board.upstreams.values().filter(is_news);
         let (described, numbers): (Vec<_>, Vec<_>) =
-            changed.partition(|upstream| upstream.described > sent);
+            changed.partition(|upstream| upstream.is_described_since(sent, news));
         let is_behind = |theirs: u64, mine: u64| theirs > 0 && theirs < mine;
         let epoch = board.table.epoch();
         let revision = board.document.revision;
@@ -175,7 +214,14 @@
     }
 
     /// Passes a change on to this instance's children in the tree that `route` describes.
-    pub fn spread(&mut self, board: &Board, route: &Route, news: News, out: &mut Vec<Wish>) {
+    pub fn spread(
+        &mut self,
+        board: &Board,
+        route: &Route,
+        spread: Spread,
+        now_ms: u64,
+        out: &mut Vec<Wish>,
+    ) {
         let is_on_route =
             |member: &&Member| route.domain.as_ref().is_none_or(|domain| member.domain == *domain);
         let members: Vec<_> = board.table.roster.members.iter().filter(is_on_route).collect();
@@ -186,9 +232,10 @@
         let first = (mine + count - root) % count * FAN_OUT + 1;
         for child in first..(first + FAN_OUT).min(count) {
             let member = members[(root + child) % count];
-            let mut exchange = self.exchange_for(board, &member.id);
-            exchange.table = news.table.then(|| Arc::clone(&board.table));
-            exchange.document = news.document.then(|| Arc::clone(&board.document));
+            let news = News::SinceMs(now_ms.saturating_sub(RECENT_MS));
+            let mut exchange = self.exchange_for(board, &member.id, news);
+            exchange.table = spread.table.then(|| Arc::clone(&board.table));
+            exchange.document = spread.document.then(|| Arc::clone(&board.document));
             exchange.route = Some(route.clone());
             let peer = self.known.entry(Arc::clone(&member.id)).or_default();
             peer.incarnation = member.incarnation;
--- a/src/router.rs
+++ b/src/router.rs
@@ -39,6 +39,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// How long an unused connection is kept.
 const IDLE_MS: u64 = 30_000;
+/// The same for connections to peers: most peers are drawn at random and not soon asked again.
+const PEER_IDLE_MS: u64 = 3_000;
 /// How long an unused connection to a plain service is kept: far shorter than services keep
 /// theirs, so that the two ends rarely close and use it at the same moment.
 const CALL_IDLE_MS: u64 = 1_000;
@@ -85,7 +87,7 @@
         let log = log.new(slog::o!("instance" => me.id.to_string()));
         let (control, inbox) = mpsc::unbounded_channel();
         // The control thread has connections of its own, so that traffic can't hold them up.
-        let own = client(IDLE_MS)?;
+        let own = client(PEER_IDLE_MS)?;
         let control_peers = peer::Client::new(own.clone(), &settings.peer_key);
         let traffic = Arc::clone(control_peers.traffic());
         let streams = stream_threads(settings.threads)?;
@@ -174,7 +176,7 @@
     streams: Handle,
 ) -> Result<Node> {
     let calls = client(CALL_IDLE_MS)?;
-    let peers = peer::Client::new(client(IDLE_MS)?, &settings.peer_key);
+    let peers = peer::Client::new(client(PEER_IDLE_MS)?, &settings.peer_key);
     let limits =
         Limits { horizon_ms: settings.horizon_ms, organisation_bytes: settings.organisation_bytes };
     let ledger = LedgerTask::spawn(Ledger::new(me.clone(), limits), clock, peers.clone());
@@ -183,7 +185,7 @@
         ledger: ledger.clone(),
         remote: peer::RemoteHolders::new(client),
     };
-    let copiers = Arc::new(holders(peers.over(client(IDLE_MS)?)));
+    let copiers = Arc::new(holders(peers.over(client(PEER_IDLE_MS)?)));
     let holders = Arc::new(holders(peers.clone()));
     let metrics = Metrics::new(settings.statsd);
     let first = Board::new(me.clone()).snapshot(0);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -268,7 +268,7 @@
         let mut wishes = Vec::new();
         for _ in 0..3 {
             wishes.clear();
-            peers.tick(&board, &mut random(), &mut wishes);
+            peers.tick(&board, 1, &mut random(), &mut wishes);
             wishes.clear();
             peers.hear_answer(&board, &suspect, None, 1, &mut random(), &mut wishes);
         }
