--- a/src/call.rs
+++ b/src/call.rs
@@ -7,11 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::admission::Arrival;
 use crate::blackboard::Entry;
 use crate::claim::{self, Ask, Claimed};
-use crate::clock;
-use crate::door::Permit;
 use crate::error::{Error, Kind, Result};
 use crate::generate::InFlight;
 use crate::health::Sign;
@@ -118,7 +115,7 @@
 }
 
 async fn serve_repeatable(node: &Node, call: &Call) -> Result<Served> {
-    let _permit = enter(node, call).await?;
+    let _permit = node.enter(&call.service, &call.organisation, call.deadline_ms).await?;
     let mut avoid = Vec::new();
     for _ in 0..TRIES {
         let Some(addr) = choose(node, call, &avoid) else { break };
@@ -239,18 +236,8 @@
 }
 
 fn register(node: &Node, call: &Call, nonce: u64) {
-    let row = Row {
-        key: call.key.clone().unwrap_or_default(),
-        nonce,
-        organisation: Arc::clone(&call.organisation),
-        service: Arc::clone(&call.service),
-        state: Arc::from("claimed"),
-        upstream: Arc::from(""),
-        attempts: 0,
-        tokens: 0,
-        since_ms: clock::wall_ms(),
-        events: Vec::new(),
-    };
+    let key = call.key.clone().unwrap_or_default();
+    let row = Row::new(&key, nonce, &call.organisation, &call.service);
     node.registry.begin(row, None);
 }
 
@@ -265,7 +252,7 @@
     identity: &Identity,
     claimed_ms: u64,
 ) -> Result<Outcome> {
-    let _permit = enter(node, call).await?;
+    let _permit = node.enter(&call.service, &call.organisation, call.deadline_ms).await?;
     let mut avoid = Vec::new();
     for _ in 0..TRIES {
         let Some(addr) = choose(node, call, &avoid) else { break };
@@ -294,20 +281,6 @@
     }
 }
 
-async fn enter(node: &Node, call: &Call) -> Result<Permit> {
-    let snapshot = node.snapshot();
-    let organisation = snapshot.document.organisations.get(&call.organisation);
-    let arrival = Arrival {
-        id: 0,
-        service: Arc::clone(&call.service),
-        organisation: Arc::clone(&call.organisation),
-        weight: organisation.map_or(1, |organisation| organisation.weight),
-        organisation_queue: organisation.map_or(1, |organisation| organisation.queue as usize),
-        deadline_ms: call.deadline_ms,
-    };
-    node.door.enter(arrival).await
-}
-
 fn choose(node: &Node, call: &Call, avoid: &[Arc<str>]) -> Option<Arc<str>> {
     let snapshot = node.snapshot();
     let live = snapshot.live(&call.service, None);
--- a/src/control.rs
+++ b/src/control.rs
@@ -397,6 +397,7 @@
         }
         if let Some(table) = newer_table {
             board.table = Arc::clone(&table);
+            self.peers.forget_removed(board);
             out.push(Action::Adopted(table));
         }
         if let Some(document) = newer_document {
--- a/src/copies.rs
+++ b/src/copies.rs
@@ -7,6 +7,17 @@
 use crate::membership::{self, Member, Roster};
 use crate::record::Reply;
 
+/// A holder's answer.
+#[derive(Debug, Clone)]
+pub struct Copied {
+    /// The epoch under which it was asked.
+    pub epoch: u64,
+    /// The holder.
+    pub member: Member,
+    /// Its reply; `None` if none came in time.
+    pub reply: Option<Reply>,
+}
+
 /// After this long without a reply from a holder, the spared holder is put to work.
 const LATE_MS: u64 = 100;
 /// How long a holder that failed is left alone.
@@ -120,45 +131,25 @@
         }
     }
 
-    /// Takes in a holder's reply; `false` if the sender was fenced off.
-    pub fn take_reply(
-        &mut self,
-        epoch: u64,
-        from: &Member,
-        reply: Option<&Reply>,
-        now_ms: u64,
-    ) -> bool {
-        let known = self.holders.iter_mut().find(|holder| holder.member.is_same(from));
-        let Some(holder) = known.filter(|_| epoch == self.epoch) else { return true };
+    /// Takes in a holder's answer to an append or to the end; `false` if the sender was fenced off.
+    pub fn take(&mut self, copied: &Copied, is_end: bool, now_ms: u64) -> bool {
+        let is_from = |holder: &&mut Holder| holder.member.is_same(&copied.member);
+        let known = self.holders.iter_mut().find(is_from);
+        let Some(holder) = known.filter(|_| copied.epoch == self.epoch) else { return true };
         if holder.sent_ms.take().is_none() {
             return true;
         }
-        match reply {
-            Some(Reply::Accepted { have }) => holder.accept(*have),
+        match copied.reply {
+            Some(Reply::Accepted { have }) => {
+                holder.accept(have);
+                holder.settled |= is_end;
+            }
             Some(Reply::Gap { .. }) => holder.have = 0,
             Some(Reply::Fenced { .. }) => return false,
             _ => holder.retry_ms = now_ms + BACK_OFF_MS,
         }
         true
     }
-
-    /// Notes that a holder accepted the end.
-    pub fn take_settled(
-        &mut self,
-        epoch: u64,
-        from: &Member,
-        reply: Option<&Reply>,
-        now_ms: u64,
-    ) -> bool {
-        let is_accepted = matches!(reply, Some(Reply::Accepted { .. }));
-        let is_open = self.take_reply(epoch, from, reply, now_ms);
-        if is_accepted && epoch == self.epoch {
-            for holder in self.holders.iter_mut().filter(|holder| holder.member.is_same(from)) {
-                holder.settled = true;
-            }
-        }
-        is_open
-    }
 }
 
 impl Holder {
--- a/src/generate.rs
+++ b/src/generate.rs
@@ -9,16 +9,15 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::mpsc;
 
-use crate::admission::Arrival;
 use crate::blackboard::{Counters, Snapshot};
 use crate::claim::{self, Ask, Claimed};
-use crate::clock;
+use crate::copies::Copied;
 use crate::decide::Decide;
 use crate::door::Permit;
 use crate::engine::{self, Failure, Start};
 use crate::error::{Error, Kind, Result};
 use crate::follow;
-use crate::generation::{Action, Attempt, Copied, Event, Generation, Policy};
+use crate::generation::{Action, Attempt, Event, Generation, Policy};
 use crate::health::Sign;
 use crate::membership::Member;
 use crate::metrics::Sample;
@@ -138,25 +137,15 @@
 
 /// Makes the generation known to peers, operators and further callers with the same key.
 fn register(node: &Node, wanted: &Wanted, shared: &Arc<Shared>) {
-    let row = Row {
-        key: Arc::clone(&wanted.ask.key),
-        nonce: shared.nonce,
-        organisation: Arc::clone(&wanted.organisation),
-        service: Arc::clone(&wanted.service),
-        state: Arc::from("waiting"),
-        upstream: Arc::from(""),
-        attempts: 0,
-        tokens: 0,
-        since_ms: clock::wall_ms(),
-        events: Vec::new(),
-    };
+    let Wanted { ask, organisation, service, .. } = wanted;
+    let row = Row::new(&ask.key, shared.nonce, organisation, service);
     node.registry.begin(row, Some(Arc::clone(shared)));
 }
 
 async fn wait_and_run(node: Arc<Node>, wanted: Wanted, identity: Identity, shared: Arc<Shared>) {
     let since_ms = node.clock.now_ms();
     let policy = policy_of(&node, &wanted.service);
-    match enter(&node, &wanted, policy.deadline_ms).await {
+    match node.enter(&wanted.service, &wanted.organisation, policy.deadline_ms).await {
         Ok(permit) => {
             let generation = Generation::new(identity, node.owner(), policy);
             Runner::new(node, wanted, shared, generation, since_ms).run(Some(permit)).await;
@@ -170,25 +159,6 @@
     }
 }
 
-/// Waits for the right to run a request.
-///
-/// # Errors
-///
-/// `queue_full` and `too_late`; the request has not run.
-async fn enter(node: &Node, wanted: &Wanted, deadline_ms: u64) -> Result<Permit> {
-    let snapshot = node.snapshot();
-    let organisation = snapshot.document.organisations.get(&wanted.organisation);
-    let arrival = Arrival {
-        id: 0,
-        service: Arc::clone(&wanted.service),
-        organisation: Arc::clone(&wanted.organisation),
-        weight: organisation.map_or(1, |organisation| organisation.weight),
-        organisation_queue: organisation.map_or(1, |organisation| organisation.queue as usize),
-        deadline_ms,
-    };
-    node.door.enter(arrival).await
-}
-
 /// How a service wants its generations treated from now on.
 pub fn policy_of(node: &Node, service: &str) -> Policy {
     let snapshot = node.snapshot();
--- a/src/generation.rs
+++ b/src/generation.rs
@@ -7,11 +7,11 @@
 
 use std::sync::Arc;
 
-use crate::copies::{Copies, Due};
+use crate::copies::{Copied, Copies, Due};
 use crate::decide::{Decide, Random};
 use crate::journal::Journal;
 use crate::membership::{Member, Roster};
-use crate::record::{Identity, Op, Outcome, Owner, Reply, Stream};
+use crate::record::{Identity, Op, Outcome, Owner, Stream};
 
 /// Two ticks further apart than this mean that this process itself stood still.
 const OWN_PAUSE_MS: u64 = 400;
@@ -91,17 +91,6 @@
     },
 }
 
-/// A holder's answer.
-#[derive(Debug, Clone)]
-pub struct Copied {
-    /// The epoch under which it was asked.
-    pub epoch: u64,
-    /// The holder.
-    pub member: Member,
-    /// Its reply; `None` if none came in time.
-    pub reply: Option<Reply>,
-}
-
 /// What a generation wants done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -550,12 +539,12 @@
                 self.take_end(attempt, tokens, reason, now_ms, out);
             }
             Event::Lost { attempt, was_placed } => self.lose(attempt, was_placed, now_ms, out),
-            Event::Appended(Copied { epoch, member, reply }) => {
-                let is_open = self.copies.take_reply(epoch, &member, reply.as_ref(), now_ms);
+            Event::Appended(copied) => {
+                let is_open = self.copies.take(&copied, false, now_ms);
                 self.take_copied(is_open, now_ms, out);
             }
-            Event::Settled(Copied { epoch, member, reply }) => {
-                let is_open = self.copies.take_settled(epoch, &member, reply.as_ref(), now_ms);
+            Event::Settled(copied) => {
+                let is_open = self.copies.take(&copied, true, now_ms);
                 self.take_copied(is_open, now_ms, out);
             }
             Event::Tick { suspect_ourselves } => self.tick(suspect_ourselves, now_ms, out),
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,13 +11,15 @@
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 
+use crate::admission::Arrival;
 use crate::blackboard::Snapshot;
 use crate::budget::Budget;
 use crate::clock::Clock;
 use crate::control;
 use crate::control_loop;
-use crate::door::Door;
+use crate::door::{Door, Permit};
 use crate::engine::Engine;
+use crate::error::Result;
 use crate::health::Sign;
 use crate::ledger_task::LedgerTask;
 use crate::membership::{Member, Table};
@@ -116,6 +118,30 @@
         let _ = self.control.send(control_loop::Message::Event(event));
     }
 
+    /// Waits until a request may run.
+    ///
+    /// # Errors
+    ///
+    /// `queue_full` and `too_late`, with the time to come back; the request has not run.
+    pub async fn enter(
+        &self,
+        service: &Arc<str>,
+        organisation: &Arc<str>,
+        deadline_ms: u64,
+    ) -> Result<Permit> {
+        let snapshot = self.snapshot();
+        let known = snapshot.document.organisations.get(organisation);
+        let arrival = Arrival {
+            id: 0,
+            service: Arc::clone(service),
+            organisation: Arc::clone(organisation),
+            weight: known.map_or(1, |known| known.weight),
+            organisation_queue: known.map_or(1, |known| known.queue as usize),
+            deadline_ms,
+        };
+        self.door.enter(arrival).await
+    }
+
     /// Puts one operation to the holders of its key, until a verdict stands or epochs agree.
     pub async fn vote(&self, op: &Op) -> Verdict {
         let give_up_ms = self.clock.now_ms() + CATCH_UP_MS;
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -132,6 +132,13 @@
 }
 
 impl Peers {
+    /// Drops the wish to remove whoever is not in the table. This must happen at once when a table
+    /// is taken on: a live instance that was removed joins again, and must not be removed for the
+    /// same silence twice.
+    pub fn forget_removed(&mut self, board: &Board) {
+        self.removals.retain(|member| board.table.roster.contains(member));
+    }
+
     /// The exchanges of one tick.
     pub fn tick(
         &mut self,
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -41,6 +41,24 @@
     pub events: Vec<Arc<str>>,
 }
 
+impl Row {
+    /// A request that has just come.
+    pub fn new(key: &Arc<str>, nonce: u64, organisation: &Arc<str>, service: &Arc<str>) -> Row {
+        Row {
+            key: Arc::clone(key),
+            nonce,
+            organisation: Arc::clone(organisation),
+            service: Arc::clone(service),
+            state: Arc::from("waiting"),
+            upstream: Arc::from(""),
+            attempts: 0,
+            tokens: 0,
+            since_ms: clock::wall_ms(),
+            events: Vec::new(),
+        }
+    }
+}
+
 enum Message {
     Begin(Box<Row>, Option<Arc<Shared>>),
     Note(u64, Note),
--- a/tests/generations.rs
+++ b/tests/generations.rs
@@ -7,8 +7,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use siskinrock::copies::Copied;
 use siskinrock::decide::Decide;
-use siskinrock::generation::{Action, Attempt, Copied, Event, Generation, Policy, Prefix};
+use siskinrock::generation::{Action, Attempt, Event, Generation, Policy, Prefix};
 use siskinrock::ledger::{self, Ledger, Limits};
 use siskinrock::membership::{Member, Roster, Table};
 use siskinrock::record::{Identity, Kind, Op, Owner, Reply, Request, Stream};
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -7,7 +7,9 @@
 /// The names of all test functions, as `file::function`.
 fn tests() -> BTreeSet<String> {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests");
-    let files = fs::read_dir(folder).expect("the tests' folder").flatten();
+    let folders = [folder.join("regression"), folder];
+    let read = |folder| fs::read_dir(folder).expect("the tests' folder").flatten();
+    let files = folders.into_iter().flat_map(read);
     let mut names = BTreeSet::new();
     for file in files.map(|entry| entry.path()).filter(|path| path.extension().is_some()) {
         let text = fs::read_to_string(&file).unwrap_or_default();
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -1,4 +1,5 @@
 //! One small file a fault that was found, each seen red before it was mended.
 
+mod removed_twice;
 mod repeated_answer;
 mod slow_first_gap;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -168,11 +168,16 @@
     }
 
     pub async fn wait_ready(&self, routers: usize) {
-        let up = |cluster: &Cluster| {
-            let shown = cluster.ctl("show routers where claims = ready");
-            String::from_utf8_lossy(&shown.stdout).matches("serving").count() == routers
-        };
-        wait_for_blocking("every router is ready", || up(self));
+        let start = Instant::now();
+        loop {
+            let shown = self.ctl("show routers");
+            let shown = String::from_utf8_lossy(&shown.stdout).into_owned();
+            if shown.matches(" ready").count() == routers {
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "not all of {routers} are ready:\n{shown}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
     }
 
     /// Every router sees every upstream alive.
