Never take a run for lost while its claim is counted, or its owner is slow

Two ways led there: the owner's registry did not know a run until its claim was granted, so that another instance that saw the claim was told 'unknown'; and an owner that took over 300 ms to answer counted as lost at once.

Ruled out: a second run (the count stayed 1; the test checks the status first).

Change: a run is known from before its claim is sent; an owner is lost only if it has not answered for a second.

Conclusion: 'outcome unknown' is no lie, but it was said too early.

--- a/src/call.rs
+++ b/src/call.rs
@@ -31,6 +31,8 @@
 const RUNNING_RETRY_MS: u64 = 1_000;
 /// How long an owner may take to say what it knows of a run.
 const INQUIRY_MS: u64 = 300;
+/// An owner that has not answered for so long counts as lost.
+const OWNER_LOST_MS: u64 = 1_000;
 /// When to come back if no upstream takes work.
 const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
 /// The longest answer that is passed on.
@@ -138,6 +140,7 @@
 async fn serve_once(node: &Arc<Node>, call: &Call) -> Result<Served> {
     let key = call.key.clone().ok_or_else(|| no_key(call))?;
     let ask = Ask { key, kind: RecordKind::Call, body_hash: call.body_hash };
+    let mut silent_since_ms = None;
     loop {
         let claimed_ms = node.clock.now_ms();
         match claim::take(node, &ask).await? {
@@ -148,7 +151,7 @@
                 return ran.unwrap_or_else(|_| Err(Kind::OutcomeUnknown.into()));
             }
             Claimed::Held(record) => {
-                if let Some(ended) = answer_held(node, call, *record).await {
+                if let Some(ended) = answer_held(node, call, *record, &mut silent_since_ms).await {
                     return ended;
                 }
             }
@@ -157,14 +160,30 @@
 }
 
 /// What another run's record tells the caller; `None` to look again.
-async fn answer_held(node: &Node, call: &Call, record: Record) -> Option<Result<Served>> {
+async fn answer_held(
+    node: &Node,
+    call: &Call,
+    record: Record,
+    silent_since_ms: &mut Option<u64>,
+) -> Option<Result<Served>> {
     match record.outcome {
         Some(Outcome::Answered(answer)) => return Some(Ok(Served { answer, is_replayed: true })),
         Some(Outcome::Evicted) => return Some(Err(Kind::AnswerExpired.into())),
         Some(_) => return Some(Err(Kind::OutcomeUnknown.into())),
         None => {}
     }
-    let state = inquire(node, &record).await;
+    let state = match inquire(node, &record).await {
+        Some(state) => {
+            *silent_since_ms = None;
+            state
+        }
+        None => {
+            let since_ms = *silent_since_ms.get_or_insert(node.clock.now_ms());
+            let is_lost = node.clock.now_ms().saturating_sub(since_ms) >= OWNER_LOST_MS;
+            // A slow owner is not a lost one.
+            if is_lost { RunState::Unknown } else { RunState::Active }
+        }
+    };
     if state == RunState::Abandoned {
         node.vote(&Op::Release { identity: record.identity }).await;
     }
@@ -198,16 +217,17 @@
     }
 }
 
-async fn inquire(node: &Node, record: &Record) -> RunState {
+/// Asks the owner of a run about it; `None` if it does not answer.
+async fn inquire(node: &Node, record: &Record) -> Option<RunState> {
     let nonce = record.identity.nonce;
     if record.owner.id == node.me.id {
-        return node.registry.state(nonce).await;
+        return Some(node.registry.state(nonce).await);
     }
     let question = Inquiry { nonce, state: RunState::Unknown };
     let addr = &record.owner.addr;
     let answer: Option<Inquiry> =
         node.peers.post(addr, "/peer/inquire", &question, INQUIRY_MS).await;
-    answer.map_or(RunState::Unknown, |answer| answer.state)
+    answer.map(|answer| answer.state)
 }
 
 async fn run_claimed(
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -49,6 +49,7 @@
             body_hash: ask.body_hash,
             nonce: fastrand::u64(1..),
         };
+        node.registry.claiming(identity.nonce);
         let op = Op::Claim { identity: identity.clone(), owner: node.owner() };
         let verdict = node.vote(&op).await;
         if let Verdict::Granted(_) = verdict {
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -1,6 +1,6 @@
 //! The task that knows every request of this instance, for peers and operators.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -64,6 +64,7 @@
     Note(u64, Note),
     Record(Sample),
     Close(u64, Arc<str>, u32),
+    Claiming(u64),
     Abandon(u64),
     Find(Arc<str>, oneshot::Sender<Option<Arc<Shared>>>),
     State(u64, oneshot::Sender<RunState>),
@@ -134,6 +135,11 @@
         self.tell(Message::Close(nonce, Arc::from(outcome), tokens));
     }
 
+    /// Notes that a run is being claimed: others that see its claim must not take it for lost.
+    pub fn claiming(&self, nonce: u64) {
+        self.tell(Message::Claiming(nonce));
+    }
+
     /// Notes that a run was given up before anything was sent.
     pub fn abandon(&self, nonce: u64) {
         self.tell(Message::Abandon(nonce));
@@ -178,6 +184,7 @@
 struct Task {
     metrics: Metrics,
     active: BTreeMap<u64, Row>,
+    claiming: HashSet<u64>,
     ended: VecDeque<Row>,
     abandoned: VecDeque<u64>,
     generations: HashMap<Arc<str>, Arc<Shared>>,
@@ -188,6 +195,7 @@
         Task {
             metrics,
             active: BTreeMap::new(),
+            claiming: HashSet::new(),
             ended: VecDeque::new(),
             abandoned: VecDeque::new(),
             generations: HashMap::new(),
@@ -206,12 +214,15 @@
                 if let Some(shared) = shared {
                     self.generations.insert(Arc::clone(&row.key), shared);
                 }
+                self.claiming.remove(&row.nonce);
                 self.active.insert(row.nonce, *row);
             }
             Message::Note(nonce, note) => self.note(nonce, note),
             Message::Record(sample) => self.metrics.record(&sample),
             Message::Close(nonce, outcome, tokens) => self.close(nonce, &outcome, tokens),
+            Message::Claiming(nonce) => drop(self.claiming.insert(nonce)),
             Message::Abandon(nonce) => {
+                self.claiming.remove(&nonce);
                 self.abandoned.push_back(nonce);
                 let surplus = self.abandoned.len().saturating_sub(ABANDONED);
                 self.abandoned.drain(..surplus);
@@ -230,7 +241,7 @@
     fn state(&self, nonce: u64) -> RunState {
         if self.abandoned.contains(&nonce) {
             RunState::Abandoned
-        } else if self.active.contains_key(&nonce) {
+        } else if self.active.contains_key(&nonce) || self.claiming.contains(&nonce) {
             RunState::Active
         } else {
             RunState::Unknown
