Say once what stood twice, and drop what nothing uses

Cause: a read of the whole change. Twice: how a recorded outcome is told to a further caller (call::replay now), a fresh record (Record::new), the form of an event id (its Display, beside its parse), the pause in the middle of an answer in two tests. Unused: Peers::revision_of, the registry's clock, a constant of 1, an engine that the bench started and dropped.

Ruled out: dropping the tick's check of wished removals, tried and reverted: a witness's late answer can name a peer that has left, and the store would then be read at each join period for nothing. It calls forget_removed now, which stood twice as well.

Conclusion: behaviour and assertions are as before.

--- a/bench/src/path.rs
+++ b/bench/src/path.rs
@@ -201,9 +201,6 @@
 async fn idle_streams(fleet: &Fleet) -> f64 {
     let pid = fleet.routers[0].pid();
     let before = usage::of(pid).memory_kb;
-    let engine = engine::Settings { slots: 0, ..engine::Settings::default() };
-    let idle = engine::start("127.0.0.1:0", engine);
-    drop(idle);
     let url = format!("http://{}/v1/completions", fleet.routers[0].addr);
     let body = serde_json::json!({
         "model": "plan-1", "prompt": "idle", "max_tokens": 100_000, "stream": true
--- a/src/call.rs
+++ b/src/call.rs
@@ -166,11 +166,8 @@
     record: Record,
     silent_since_ms: &mut Option<u64>,
 ) -> Option<Result<Served>> {
-    match record.outcome {
-        Some(Outcome::Answered(answer)) => return Some(Ok(Served { answer, is_replayed: true })),
-        Some(Outcome::Evicted) => return Some(Err(Kind::AnswerExpired.into())),
-        Some(_) => return Some(Err(Kind::OutcomeUnknown.into())),
-        None => {}
+    if let Some(outcome) = record.outcome {
+        return Some(replay(outcome));
     }
     let state = match inquire(node, &record).await {
         Some(state) => {
@@ -199,16 +196,21 @@
     Some(Err(error.into()))
 }
 
+/// Tells a further caller how the run of its key ended.
+fn replay(outcome: Outcome) -> Result<Served> {
+    match outcome {
+        Outcome::Answered(answer) => Ok(Served { answer, is_replayed: true }),
+        Outcome::Evicted => Err(Kind::AnswerExpired.into()),
+        _ => Err(Kind::OutcomeUnknown.into()),
+    }
+}
+
 /// Looks once more at a run whose owner knows nothing of it: it may have ended just now.
 async fn settled_after_all(node: &Node, call: &Call) -> Option<Result<Served>> {
     let key = call.key.clone()?;
     let ask = Ask { key, kind: RecordKind::Call, body_hash: call.body_hash };
     match claim::take(node, &ask).await {
-        Ok(Claimed::Held(record)) => Some(match record.outcome {
-            Some(Outcome::Answered(answer)) => Ok(Served { answer, is_replayed: true }),
-            Some(Outcome::Evicted) => Err(Kind::AnswerExpired.into()),
-            _ => Err(Kind::OutcomeUnknown.into()),
-        }),
+        Ok(Claimed::Held(record)) => Some(replay(record.outcome.unwrap_or(Outcome::Unknown))),
         Ok(Claimed::Granted(identity)) => {
             claim::give_back(node, identity).await;
             None
--- a/src/generate.rs
+++ b/src/generate.rs
@@ -1,6 +1,7 @@
 //! Serving a generation: the shell around the owner's decision.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -35,8 +36,6 @@
 const PRIORITY_NEW: u8 = 1;
 /// What an engine is told of resumed work.
 const PRIORITY_RESUMED: u8 = 9;
-/// A silence this many times the policy's floor counts an upstream as late.
-const LATE_FLOORS: u64 = 1;
 /// Events that wait for the decision, after which an upstream is slowed down.
 const EVENT_BUFFER: usize = 256;
 
@@ -68,6 +67,12 @@
     pub index: u32,
 }
 
+impl fmt::Display for EventId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}.{}", self.nonce, self.index)
+    }
+}
+
 impl EventId {
     /// Reads `RUN.INDEX`.
     pub fn parse(text: &str) -> Option<EventId> {
@@ -294,7 +299,7 @@
     }
 
     fn mark_late(&mut self, snapshot: &Snapshot) {
-        let limit_ms = policy_of(&self.node, &self.wanted.service).gap_floor_ms * LATE_FLOORS;
+        let limit_ms = policy_of(&self.node, &self.wanted.service).gap_floor_ms;
         let silence = self.generation.silence(self.node.clock.now_ms());
         let silent = silence.filter(|silence| silence.since_ms >= limit_ms);
         self.late = silent.and_then(|silence| {
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -423,17 +423,8 @@
 
     fn upsert(&mut self, identity: Identity, owner: Owner, term: u64, now_ms: u64) {
         let key = Arc::clone(&identity.key);
-        let record = self.records.entry(key).or_insert_with(|| Record {
-            identity,
-            owner: owner.clone(),
-            term,
-            journal_term: term,
-            journal: Journal::default(),
-            stream: None,
-            outcome: None,
-            contested: false,
-            claimed_ms: now_ms,
-        });
+        let new = || Record::new(identity, owner.clone(), term, now_ms);
+        let record = self.records.entry(key).or_insert_with(new);
         if term > record.term {
             record.term = term;
             record.owner = owner;
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -151,7 +151,7 @@
         self.known.retain(|id, peer| {
             roster.member(id).is_some_and(|member| member.incarnation == peer.incarnation)
         });
-        self.removals.retain(|member| roster.contains(member));
+        self.forget_removed(board);
         let mut targets: Vec<Member> = Vec::new();
         for member in roster.successors(&board.me.id) {
             targets.push(member.clone());
@@ -361,9 +361,4 @@
             peer.witnesses = None;
         }
     }
-
-    /// The revision that a peer last showed.
-    pub fn revision_of(&self, id: &str) -> Option<u64> {
-        self.known.get(id).map(|peer| peer.revision)
-    }
 }
--- a/src/record.rs
+++ b/src/record.rs
@@ -106,6 +106,21 @@
         self.identity.key.split('/').next().unwrap_or_default()
     }
 
+    /// The record of a run that was claimed at `claimed_ms`.
+    pub fn new(identity: Identity, owner: Owner, term: u64, claimed_ms: u64) -> Record {
+        Record {
+            identity,
+            owner,
+            term,
+            journal_term: term,
+            journal: Journal::default(),
+            stream: None,
+            outcome: None,
+            contested: false,
+            claimed_ms,
+        }
+    }
+
     /// How much it says.
     pub fn progress(&self) -> Progress {
         Progress {
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::clock::{self, Clock};
+use crate::clock;
 use crate::metrics::{Metrics, Points, Sample};
 use crate::shared::Shared;
 use crate::wire::RunState;
@@ -93,20 +93,14 @@
 #[derive(Clone)]
 pub struct Registry {
     messages: mpsc::UnboundedSender<Message>,
-    clock: Clock,
 }
 
 impl Registry {
     /// Starts the task on the current runtime.
-    pub fn spawn(clock: Clock, metrics: Metrics) -> Registry {
+    pub fn spawn(metrics: Metrics) -> Registry {
         let (messages, inbox) = mpsc::unbounded_channel();
         tokio::spawn(Task::new(metrics).run(inbox));
-        Registry { messages, clock }
-    }
-
-    /// The clock that samples are measured by.
-    pub fn clock(&self) -> Clock {
-        self.clock
+        Registry { messages }
     }
 
     /// Notes a request that begins; its generation can be found by its key.
--- a/src/reply.rs
+++ b/src/reply.rs
@@ -147,9 +147,9 @@
     let choices = [Choice { index: 0, text: token, finish_reason: None }];
     let chunk = Chunk { object: "text_completion", token_index: index, choices };
     let data = serde_json::to_string(&chunk).unwrap_or_default();
-    let EventId { nonce, index } = EventId { nonce, index };
+    let id = EventId { nonce, index };
     // Writing to a string can't fail.
-    let _ = write!(text, "id: {nonce:016x}.{index}\ndata: {data}\n\n");
+    let _ = write!(text, "id: {id}\ndata: {data}\n\n");
 }
 
 fn write_end(text: &mut String, viewer: &Viewer, state: &State) -> bool {
--- a/src/router.rs
+++ b/src/router.rs
@@ -202,7 +202,7 @@
         engine: Arc::new(HttpEngine::new(client(IDLE_MS)?)),
         store: Arc::new(HttpStore::new(client(IDLE_MS)?, settings.store.clone())),
         door: Door::spawn(clock),
-        registry: Registry::spawn(clock, metrics),
+        registry: Registry::spawn(metrics),
         peers,
         control_traffic,
         calls,
--- a/tests/engine_loss.rs
+++ b/tests/engine_loss.rs
@@ -48,16 +48,21 @@
     assert_eq!((answer.connections, chain::samplers(&answer.tokens)), (1, 3));
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn paused_and_back_with_late_tokens() {
-    let cluster = Cluster::start(Shape::default()).await;
+/// An answer of 100 tokens whose engine stands still after 20, and comes back once it goes on.
+async fn pause_mid_stream(cluster: &Cluster) -> caller::Answer {
     let mut running = Running::start(cluster.plan("voyage", 100));
     running.reach(20).await;
     let busy = cluster.busy_engine().await;
     cluster.engines[busy].fault(&Order::Pause);
     running.reach(25).await;
     cluster.engines[busy].fault(&Order::Resume);
-    let answer = running.whole(100).await;
+    running.whole(100).await
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn paused_and_back_with_late_tokens() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let answer = pause_mid_stream(&cluster).await;
     assert_eq!((answer.connections, chain::samplers(&answer.tokens)), (1, 2));
 }
 
@@ -65,13 +70,7 @@
 async fn hedged_answers_stay_one_chain() {
     let cluster = Cluster::start(Shape::default()).await;
     cluster.ctl_ok("set service planning hedge = on");
-    let mut running = Running::start(cluster.plan("voyage", 100));
-    running.reach(20).await;
-    let busy = cluster.busy_engine().await;
-    cluster.engines[busy].fault(&Order::Pause);
-    running.reach(25).await;
-    cluster.engines[busy].fault(&Order::Resume);
-    running.whole(100).await;
+    pause_mid_stream(&cluster).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use siskinrock::decide::Decide;
-use siskinrock::journal::Journal;
 use siskinrock::ledger::{Action, Event, Handover, Ledger, Limits, SlotWord};
 use siskinrock::membership::{self, Member, Table};
 use siskinrock::record::{Identity, Kind, Op, Owner, Record, Reply, Request};
@@ -29,17 +28,7 @@
 }
 
 fn record(nonce: u64) -> Record {
-    Record {
-        identity: identity(nonce),
-        owner: owner(),
-        term: 1,
-        journal_term: 1,
-        journal: Journal::default(),
-        stream: None,
-        outcome: None,
-        contested: false,
-        claimed_ms: 0,
-    }
+    Record::new(identity(nonce), owner(), 1, 0)
 }
 
 /// Three instances, and a fourth that has just joined.
--- a/tests/regression/repeated_answer.rs
+++ b/tests/regression/repeated_answer.rs
@@ -2,23 +2,14 @@
 
 use std::sync::Arc;
 
-use siskinrock::journal::Journal;
 use siskinrock::record::{Identity, Kind, Owner, Record, Reply};
 use siskinrock::vote::Vote;
 
 #[test]
 fn a_holder_counts_once() {
-    let record = Record {
-        identity: Identity { key: Arc::from("o/k"), kind: Kind::Call, body_hash: 0, nonce: 1 },
-        owner: Owner { id: Arc::from("r"), addr: Arc::from("") },
-        term: 1,
-        journal_term: 1,
-        journal: Journal::default(),
-        stream: None,
-        outcome: None,
-        contested: false,
-        claimed_ms: 0,
-    };
+    let identity = Identity { key: Arc::from("o/k"), kind: Kind::Call, body_hash: 0, nonce: 1 };
+    let owner = Owner { id: Arc::from("r"), addr: Arc::from("") };
+    let record = Record::new(identity, owner, 1, 0);
     let mut vote = Vote::new(3);
     let granted = || Some(Reply::Granted(Box::new(record.clone())));
     assert_eq!(vote.take(&Arc::from("one"), granted()), None);
