--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,251 @@
+//! A call whose answer comes whole: one attempt after the other, within its bounds.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{HeaderMap, Request};
+
+use super::answer::{self, Answer};
+use super::channel::Fault;
+use super::dialect::{Dispatch, Marks};
+use super::failure::Failure;
+use super::front::Job;
+use super::placement::Wish;
+use super::route::Repeat;
+use super::traffic::Traffic;
+use super::worker::{Lease, What, Worker};
+
+/// The longest answer that is held in memory until it is whole.
+const LONGEST_ANSWER_BYTES: usize = 8 << 20;
+/// How often a call looks for another upstream when no byte could be sent: a whole failure domain
+/// of a service may refuse.
+const UNSENT_TRIES: u32 = 6;
+
+/// How one attempt ended.
+#[derive(Debug)]
+enum Outcome {
+    /// The upstream's whole answer.
+    Answered(Whole),
+    /// It certainly did not run.
+    NotRun { answered: Option<Whole>, retry_after_ms: Option<u64>, was_sent: bool },
+    /// It may have run.
+    Unknown { detail: String },
+    /// The time was over.
+    TimeOver,
+}
+
+/// A whole answer of an upstream.
+#[derive(Debug)]
+struct Whole {
+    status: u16,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Serves a call that isn't a stream.
+pub async fn serve(traffic: &Rc<Traffic>, job: &Job) -> Answer {
+    let mut wish = Wish { near: Some(Arc::clone(&traffic.settings.domain)), ..Wish::default() };
+    let mut sent = 0;
+    let mut unsent = 0;
+    let mut last = Failure::NoUpstream;
+    let mut may_have_run = false;
+    let mut retry_after_ms = None;
+    loop {
+        if traffic.now_ms() >= job.until_ms {
+            let failure = if sent == 0 { Failure::TimeOverUnsent } else { last };
+            return finish(job, traffic, failure, may_have_run, retry_after_ms);
+        }
+        let is_first = sent == 0;
+        if !is_first && !traffic.may_repeat(&job.service) {
+            return finish(job, traffic, last, may_have_run, retry_after_ms);
+        }
+        let Some(worker) = traffic.choose(&job.service, &wish) else {
+            return finish(job, traffic, last, may_have_run, retry_after_ms);
+        };
+        wish.not.push(Arc::clone(&worker.upstream.id));
+        match attempt(traffic, job, &worker).await {
+            Outcome::Answered(whole) => {
+                sent += 1;
+                let is_failure = whole.status >= 500;
+                let may_repeat = is_failure && job.route.repeat == Repeat::Idempotent;
+                if may_repeat && sent < job.route.max_attempts && traffic.may_repeat(&job.service) {
+                    log_attempt(traffic, job, &worker, "answered with an error; tried elsewhere");
+                    if let Some(better) = second_opinion(traffic, job, &mut wish).await {
+                        return deliver(traffic, job, &worker, better);
+                    }
+                }
+                return deliver(traffic, job, &worker, whole);
+            }
+            Outcome::NotRun { answered, retry_after_ms: after, was_sent } => {
+                retry_after_ms = after.or(retry_after_ms);
+                if was_sent {
+                    sent += 1;
+                    last = Failure::Full;
+                } else {
+                    unsent += 1;
+                }
+                log_attempt(traffic, job, &worker, "did not run");
+                // What was refused for good isn't worth another try.
+                if let Some(whole) = answered.filter(|whole| whole.status == 400) {
+                    return deliver(traffic, job, &worker, whole);
+                }
+                if sent >= job.route.max_attempts || unsent >= UNSENT_TRIES {
+                    return finish(job, traffic, last, may_have_run, retry_after_ms);
+                }
+            }
+            Outcome::Unknown { detail } => {
+                sent += 1;
+                slog::warn!(traffic.log, "outcome unknown"; "request" => job.id(),
+                    "upstream" => &*worker.upstream.id, "detail" => detail);
+                may_have_run = true;
+                let may_repeat = job.route.repeat == Repeat::Idempotent;
+                if !may_repeat || sent >= job.route.max_attempts {
+                    return finish(job, traffic, last, may_have_run, None);
+                }
+            }
+            Outcome::TimeOver => return finish(job, traffic, Failure::TimeOver, false, None),
+        }
+    }
+}
+
+/// One more attempt after an upstream's own error, whose answer counts only if it is better.
+async fn second_opinion(traffic: &Rc<Traffic>, job: &Job, wish: &mut Wish) -> Option<Whole> {
+    let worker = traffic.choose(&job.service, wish)?;
+    wish.not.push(Arc::clone(&worker.upstream.id));
+    match attempt(traffic, job, &worker).await {
+        Outcome::Answered(whole) if whole.status < 500 => Some(whole),
+        _ => None,
+    }
+}
+
+async fn attempt(traffic: &Rc<Traffic>, job: &Job, worker: &Rc<Worker>) -> Outcome {
+    let most = traffic.channel_share(&job.service);
+    let mut lease = match worker.lease(most, traffic.now_ms()).await {
+        Ok(lease) => lease,
+        Err(fault) => {
+            worker.refused(traffic.now_ms());
+            worker.ended(true, traffic.now_ms());
+            slog::info!(traffic.log, "no channel"; "request" => job.id(),
+                "upstream" => &*worker.upstream.id, "detail" => %fault);
+            return unsent();
+        }
+    };
+    let now_ms = traffic.now_ms();
+    let left_ms = job.until_ms.saturating_sub(now_ms);
+    if left_ms == 0 || !traffic.takes_work(&worker.upstream.id) {
+        return unsent();
+    }
+    let _run = worker.count(What::Run);
+    let dispatch = Dispatch {
+        upstream: Arc::clone(&worker.upstream.id),
+        deadline_ms: job.left_ms(now_ms),
+        organisation: job.organisation.clone(),
+        last_event: job.demand.last_event,
+        ..Dispatch::default()
+    };
+    let request = job.request(traffic, &dispatch);
+    let limit = Duration::from_millis(left_ms);
+    let exchange = exchange(traffic, &mut lease, request);
+    let Ok(result) = tokio::time::timeout(limit, exchange).await else {
+        worker.ended(true, traffic.now_ms());
+        return if lease.channel.written() == 0 { unsent() } else { Outcome::TimeOver };
+    };
+    judge(traffic, job, worker, lease, result)
+}
+
+fn unsent() -> Outcome {
+    Outcome::NotRun { answered: None, retry_after_ms: None, was_sent: false }
+}
+
+type Exchanged = Result<(Whole, Marks), Fault>;
+
+async fn exchange(
+    traffic: &Traffic,
+    lease: &mut Lease,
+    request: Request<Full<Bytes>>,
+) -> Exchanged {
+    let response = lease.channel.send(request).await?;
+    let (head, body) = response.into_parts();
+    let marks = traffic.dialect.marks(&head.headers);
+    let body = Limited::new(body, LONGEST_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|error| Fault::Broken { detail: error.to_string() })?.to_bytes();
+    Ok((Whole { status: head.status.as_u16(), headers: head.headers, body }, marks))
+}
+
+/// Says what an exchange means, and keeps the channel if it is clean.
+fn judge(
+    traffic: &Rc<Traffic>,
+    job: &Job,
+    worker: &Rc<Worker>,
+    lease: Lease,
+    result: Exchanged,
+) -> Outcome {
+    let now_ms = traffic.now_ms();
+    let (whole, marks) = match result {
+        Ok(answered) => answered,
+        Err(Fault::NotSent { .. }) => return unsent(),
+        Err(Fault::Broken { detail }) => {
+            worker.ended(true, now_ms);
+            return Outcome::Unknown { detail };
+        }
+    };
+    if marks.id.is_some() && marks.id != job.demand.id {
+        worker.ended(true, now_ms);
+        traffic.metrics.count("answers_of_other_requests");
+        return Outcome::Unknown { detail: "the answer belongs to another request".to_owned() };
+    }
+    worker.answered();
+    if let Some(load) = marks.load {
+        worker.tell(load, now_ms);
+    }
+    let is_success = (200..300).contains(&whole.status);
+    // After an early refusal the upstream may still expect the rest of the body.
+    if is_success || job.body.is_empty() {
+        worker.give_back(lease, marks.keep_ms, now_ms);
+    }
+    if marks.not_run || whole.status == 421 {
+        let retry_after_ms = marks.retry_after_ms;
+        worker.ended(true, now_ms);
+        return Outcome::NotRun { answered: Some(whole), retry_after_ms, was_sent: true };
+    }
+    if is_success && !marks.is_signed {
+        worker.ended(true, now_ms);
+        return Outcome::Unknown { detail: "the answer is not signed".to_owned() };
+    }
+    worker.ended(whole.status >= 500, now_ms);
+    // These statuses promise that nothing ran, which only the upstream's own mark can tell.
+    if matches!(whole.status, 408 | 429 | 503) {
+        return Outcome::Unknown { detail: format!("status {} without a mark", whole.status) };
+    }
+    Outcome::Answered(whole)
+}
+
+fn deliver(traffic: &Traffic, job: &Job, worker: &Worker, whole: Whole) -> Answer {
+    let now_ms = traffic.now_ms();
+    job.record(traffic, now_ms - job.since_ms, None);
+    slog::info!(traffic.log, "answered"; "request" => job.id(), "route" => &*job.route.name,
+        "upstream" => &*worker.upstream.id, "status" => whole.status,
+        "ms" => now_ms - job.since_ms);
+    let headers = super::front::end_to_end(whole.headers);
+    answer::whole(whole.status, headers, whole.body)
+}
+
+/// A refusal that promises 'not run' is kept from a request that may have run earlier.
+fn finish(
+    job: &Job,
+    traffic: &Traffic,
+    failure: Failure,
+    may_have_run: bool,
+    retry_after_ms: Option<u64>,
+) -> Answer {
+    let failure = if may_have_run { Failure::Unknown } else { failure };
+    job.refuse(traffic, &failure, retry_after_ms)
+}
+
+fn log_attempt(traffic: &Traffic, job: &Job, worker: &Worker, what: &'static str) {
+    slog::info!(traffic.log, "attempt failed"; "request" => job.id(),
+        "upstream" => &*worker.upstream.id, "what" => what);
+}
--- /dev/null
+++ b/src/gateway/channel.rs
@@ -0,0 +1,199 @@
+//! One HTTP connection to an upstream, the directory or a peer, over hyper's connection interface.
+//!
+//! The usual pooled clients hide what has to be known here: whether a single byte of a request
+//! was written, and that a connection with stray bytes must not be used again.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// How long bytes may stay unacknowledged: four retransmissions on a link that loses packets, and
+/// well under the shortest deadline of a call.
+const UNACKNOWLEDGED_MS: u64 = 800;
+/// The pause of probes on a silent connection, the shortest that the kernel takes.
+const KEEPALIVE_S: u64 = 1;
+/// Answers to a head are short; the default of hyper is over 400 KB a connection.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+
+/// Why a request on a channel brought no answer.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum Fault {
+    /// No byte of the request was written.
+    #[display("no byte was sent ({detail}); the request may go elsewhere")]
+    NotSent {
+        /// What was seen.
+        detail: String,
+    },
+    /// Some of it was written, so it may run.
+    #[display("the connection broke after the request was sent ({detail}); whether it ran is unknown")]
+    Broken {
+        /// What was seen.
+        detail: String,
+    },
+}
+
+/// A connection that carries one request at a time; dropping it closes it at once.
+#[derive(Debug)]
+pub struct Channel {
+    sender: http1::SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+    written: Rc<Cell<u64>>,
+}
+
+impl Drop for Channel {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Channel {
+    /// Opens a connection within `timeout_ms`.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::NotSent`] if it can't be had.
+    pub async fn open(addr: SocketAddr, timeout_ms: u64) -> Result<Channel, Fault> {
+        let not_sent = |detail: String| Fault::NotSent { detail };
+        let limit = Duration::from_millis(timeout_ms);
+        let stream = match tokio::time::timeout(limit, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(not_sent(error.to_string())),
+            Err(_) => return Err(not_sent("timeout".to_owned())),
+        };
+        tune(&stream).map_err(|error| not_sent(error.to_string()))?;
+        let written = Rc::new(Cell::new(0));
+        let io = TokioIo::new(Counted { stream, written: Rc::clone(&written) });
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(io)
+            .await
+            .map_err(|error| not_sent(error.to_string()))?;
+        let task = tokio::task::spawn_local(async move {
+            // How a connection ended is seen by the request on it; an idle one is just dropped.
+            let _ = connection.await;
+        });
+        Ok(Channel { sender, task, written })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::NotSent`] only if no byte was written.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Fault> {
+        let before = self.written.get();
+        if let Err(error) = self.sender.ready().await {
+            return Err(Fault::NotSent { detail: error.to_string() });
+        }
+        match self.sender.send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(error) => {
+                let detail = describe(&error);
+                if self.written.get() == before {
+                    return Err(Fault::NotSent { detail });
+                }
+                Err(Fault::Broken { detail })
+            }
+        }
+    }
+
+    /// Whether any byte was ever written.
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
+    /// Whether it can carry another request.
+    pub fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && !self.task.is_finished() && self.sender.is_ready()
+    }
+}
+
+/// An error of hyper with its cause, which names the socket's own error.
+pub fn describe(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
+
+/// Has the kernel notice a peer that fell silent, and send small writes at once.
+fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let pause = Duration::from_secs(KEEPALIVE_S);
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(pause).with_interval(pause))?;
+    socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_MS)))
+}
+
+/// A socket that counts what was written to it.
+struct Counted {
+    stream: TcpStream,
+    written: Rc<Cell<u64>>,
+}
+
+impl Counted {
+    fn count(&self, result: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = result {
+            self.written.set(self.written.get() + *bytes as u64);
+        }
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.count(&result);
+        result
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.count(&result);
+        result
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/src/gateway/control.rs
@@ -0,0 +1,509 @@
+//! The control thread: it keeps the configuration, the list of upstreams and the peers new, and
+//! publishes what traffic reads.
+//!
+//! Its controllers share one blackboard: one follows the directory, one exchanges beats with
+//! peers, one fetches from a peer what the directory did not tell, one keeps the registration.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::header::HOST;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use super::channel::Channel;
+use super::directory::{Changes, Directory, Fault, Listing, Record, Removed};
+use super::fleet::{Change, Fleet, Upstream};
+use super::instance::Registration;
+use super::metrics::Metrics;
+use super::peers::{BEAT_MS, Beat, Held, Peers, Phase};
+use super::route::Config;
+use super::settings::Settings;
+use super::view::{Front, Shared, View};
+use crate::clock::Clock;
+
+/// How long a watch waits: each call is counted and paid for, and changes end it at once.
+const WATCH_MS: u64 = 20_000;
+/// How long changes gather before the next watch: an engine's crash brings a burst of them, each
+/// call costs, and the bounds for taking on a change are seconds.
+const GATHER_MS: u64 = 150;
+/// The wait after a call that failed; doubled up to the longest.
+const RETRY_MS: u64 = 150;
+/// The longest wait after calls that failed: the directory's return should be noticed within
+/// half a second.
+const RETRY_MOST_MS: u64 = 500;
+/// How long a registration outlives its last renewal.
+const LEASE_MS: u64 = 9_000;
+/// The pause between renewals, a third of the lease.
+const RENEW_MS: u64 = 3_000;
+/// How long a peer may know a newer version before it is fetched from there: the directory's own
+/// answer is usually under way.
+const BEHIND_MS: u64 = 300;
+/// How long fetching from a peer may take.
+const FETCH_TIMEOUT_MS: u64 = 500;
+/// The longest datagram.
+const DATAGRAM_BYTES: usize = 32 << 10;
+/// The path at which peers fetch what an instance knows.
+pub const KNOWLEDGE_PATH: &str = "/peer/knowledge";
+
+/// What an instance knows, as a peer fetches it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Knowledge {
+    /// The configuration in force there.
+    pub config: Option<Arc<Config>>,
+    /// The revision of its list.
+    pub fleet_revision: u64,
+    /// Its list of upstreams.
+    pub upstreams: Vec<Upstream>,
+}
+
+/// What all controllers read and write.
+struct Board {
+    config: Option<Arc<Config>>,
+    fleet: Fleet,
+    has_fleet: bool,
+    peers: Peers,
+    phase: Phase,
+    is_directory_lost: bool,
+    answered_ms: u64,
+    lease: Option<u64>,
+    beats: u64,
+    behind_since_ms: Option<u64>,
+}
+
+/// The control thread's state.
+pub struct Control {
+    settings: Settings,
+    me: Registration,
+    directory: Box<dyn Directory>,
+    shared: Arc<Shared>,
+    metrics: Arc<Metrics>,
+    clock: Clock,
+    log: slog::Logger,
+    board: RefCell<Board>,
+}
+
+impl Control {
+    /// A thread that knows nothing yet.
+    pub fn new(
+        settings: Settings,
+        directory: Box<dyn Directory>,
+        shared: Arc<Shared>,
+        metrics: Arc<Metrics>,
+        clock: Clock,
+        log: slog::Logger,
+    ) -> Rc<Control> {
+        let me = Registration {
+            id: Arc::clone(&settings.id),
+            incarnation: fastrand::u64(1..1 << 53),
+            peer_addr: settings.peer,
+            front_addr: settings.front,
+            domain: Arc::clone(&settings.domain),
+        };
+        let board = Board {
+            config: None,
+            fleet: Fleet::default(),
+            has_fleet: false,
+            peers: Peers::default(),
+            phase: Phase::Starting,
+            is_directory_lost: false,
+            answered_ms: 0,
+            lease: None,
+            beats: 0,
+            behind_since_ms: None,
+        };
+        let board = RefCell::new(board);
+        Rc::new(Control { settings, me, directory, shared, metrics, clock, log, board })
+    }
+
+    /// Starts all controllers on the current local set.
+    pub fn start(self: &Rc<Control>, socket: UdpSocket) {
+        let socket = Rc::new(socket);
+        tokio::task::spawn_local(Rc::clone(self).follow_directory());
+        tokio::task::spawn_local(Rc::clone(self).keep_registration());
+        tokio::task::spawn_local(Rc::clone(self).hear_beats(Rc::clone(&socket)));
+        tokio::task::spawn_local(Rc::clone(self).send_beats(socket));
+    }
+
+    /// Begins a planned stop: peers leave this instance out of their answers at once.
+    pub async fn stop(self: &Rc<Control>) {
+        self.board.borrow_mut().phase = Phase::Stopping;
+        self.publish();
+        let lease = self.board.borrow_mut().lease.take();
+        if let Some(lease) = lease
+            && let Err(fault) = self.directory.release(lease).await
+        {
+            slog::info!(self.log, "registration not removed; it ends with its lease";
+                "detail" => %fault);
+        }
+    }
+
+    /// What peers may fetch.
+    pub fn knowledge(&self) -> Knowledge {
+        let board = self.board.borrow();
+        Knowledge {
+            config: board.config.clone(),
+            fleet_revision: board.fleet.revision,
+            upstreams: board.fleet.upstreams.values().cloned().collect(),
+        }
+    }
+
+    async fn follow_directory(self: Rc<Control>) {
+        let mut retry_ms = RETRY_MS;
+        loop {
+            let listed = self.directory.list().await;
+            match listed {
+                Ok(listing) => {
+                    retry_ms = RETRY_MS;
+                    let revision = listing.revision;
+                    self.directory_answered();
+                    self.take_listing(listing);
+                    self.watch(revision).await;
+                }
+                Err(fault) => {
+                    self.directory_failed(&fault);
+                    tokio::time::sleep(Duration::from_millis(retry_ms)).await;
+                    retry_ms = (retry_ms * 2).min(RETRY_MOST_MS);
+                }
+            }
+        }
+    }
+
+    /// Follows the changes until they are no longer kept.
+    async fn watch(&self, mut revision: u64) {
+        let mut retry_ms = RETRY_MS;
+        loop {
+            match self.directory.watch(revision, WATCH_MS).await {
+                Ok(changes) => {
+                    retry_ms = RETRY_MS;
+                    self.directory_answered();
+                    revision = revision.max(changes.revision);
+                    let has_any = !changes.records.is_empty() || !changes.removed.is_empty();
+                    self.take_changes(changes);
+                    if has_any {
+                        tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
+                    }
+                }
+                Err(fault @ Fault::HistoryGone) => {
+                    slog::info!(self.log, "directory read anew"; "why" => %fault);
+                    return;
+                }
+                Err(fault) => {
+                    self.directory_failed(&fault);
+                    tokio::time::sleep(Duration::from_millis(retry_ms)).await;
+                    retry_ms = (retry_ms * 2).min(RETRY_MOST_MS);
+                }
+            }
+        }
+    }
+
+    fn directory_answered(&self) {
+        let now_ms = self.clock.now_ms();
+        let mut board = self.board.borrow_mut();
+        board.answered_ms = now_ms;
+        if board.is_directory_lost {
+            board.is_directory_lost = false;
+            board.fleet.regained(now_ms);
+            slog::info!(self.log, "directory answers again");
+        }
+    }
+
+    fn directory_failed(&self, fault: &Fault) {
+        self.metrics.count("directory_faults");
+        let mut board = self.board.borrow_mut();
+        if !board.is_directory_lost {
+            board.is_directory_lost = true;
+            slog::warn!(self.log, "directory lost"; "why" => %fault,
+                "config_version" => board.config.as_ref().map_or(0, |config| config.version),
+                "fleet_revision" => board.fleet.revision);
+        }
+    }
+
+    fn take_listing(&self, listing: Listing) {
+        let now_ms = self.clock.now_ms();
+        let mut upstreams = Vec::new();
+        for record in listing.records {
+            match record {
+                Record::Upstream(upstream) => upstreams.push(upstream),
+                record => self.take_record(record, now_ms),
+            }
+        }
+        let mut board = self.board.borrow_mut();
+        slog::info!(self.log, "directory listed"; "revision" => listing.revision,
+            "upstreams" => upstreams.len());
+        if board.fleet.replace(listing.revision, upstreams, now_ms) {
+            board.has_fleet = true;
+        }
+        drop(board);
+        self.publish();
+    }
+
+    fn take_changes(&self, changes: Changes) {
+        let now_ms = self.clock.now_ms();
+        let mut of_upstreams = Vec::new();
+        for record in changes.records {
+            match record {
+                Record::Upstream(upstream) => of_upstreams.push(Change::Put(upstream)),
+                record => self.take_record(record, now_ms),
+            }
+        }
+        for removed in changes.removed {
+            match removed {
+                Removed::Upstream(id) => of_upstreams.push(Change::Gone(id)),
+                // Peers tell by their beats whether an instance lives.
+                Removed::Instance(_) => {}
+            }
+        }
+        for change in &of_upstreams {
+            self.log_change(change);
+        }
+        self.board.borrow_mut().fleet.apply(changes.revision, of_upstreams, now_ms);
+        self.publish();
+    }
+
+    fn log_change(&self, change: &Change) {
+        match change {
+            Change::Put(upstream) => slog::info!(self.log, "upstream listed";
+                "upstream" => &*upstream.id, "service" => &*upstream.service,
+                "address" => %upstream.addr, "leaving" => upstream.is_leaving),
+            Change::Gone(id) => slog::info!(self.log, "upstream gone"; "upstream" => &**id),
+        }
+    }
+
+    fn take_record(&self, record: Record, now_ms: u64) {
+        match record {
+            Record::Config(config) => self.take_config(config, "directory"),
+            Record::Instance(registration) => {
+                if registration.id != self.me.id {
+                    self.board.borrow_mut().peers.list(registration, now_ms);
+                }
+            }
+            Record::Unreadable { key, detail } => {
+                slog::warn!(self.log, "record refused; what is in force stays";
+                    "key" => key, "detail" => detail);
+            }
+            Record::Upstream(_) => {}
+        }
+    }
+
+    /// Takes on a configuration that is newer than the one in force; it never goes back.
+    fn take_config(&self, config: Arc<Config>, from: &str) {
+        let mut board = self.board.borrow_mut();
+        let known = board.config.as_ref().map_or(0, |known| known.version);
+        if config.version <= known {
+            return;
+        }
+        slog::info!(self.log, "configuration in force"; "version" => config.version,
+            "before" => known, "from" => from, "routes" => config.routes.len());
+        board.config = Some(config);
+    }
+
+    fn publish(&self) {
+        let now_ms = self.clock.now_ms();
+        let mut board = self.board.borrow_mut();
+        let is_complete = board.config.is_some() && board.has_fleet;
+        if board.phase == Phase::Starting && is_complete {
+            board.phase = Phase::Ready;
+            slog::info!(self.log, "ready"; "since_start_ms" => now_ms);
+        }
+        let mut fronts = Vec::new();
+        if board.phase == Phase::Ready {
+            fronts.push(Front {
+                addr: self.me.front_addr,
+                domain: Arc::clone(&self.me.domain),
+            });
+        }
+        let mut instances = 1;
+        let mut others: BTreeMap<Arc<str>, Held> = BTreeMap::new();
+        let mut silent = Vec::new();
+        for beat in board.peers.alive(now_ms) {
+            instances += 1;
+            if beat.phase == Phase::Ready {
+                let domain = Arc::clone(&beat.from.domain);
+                fronts.push(Front { addr: beat.from.front_addr, domain });
+            }
+            for held in &beat.held {
+                let sum = others.entry(Arc::clone(&held.upstream)).or_insert_with(|| Held {
+                    upstream: Arc::clone(&held.upstream),
+                    runs: 0,
+                    copies: 0,
+                });
+                sum.runs += held.runs;
+                sum.copies += held.copies;
+            }
+            silent.extend(beat.silent.iter().cloned());
+        }
+        let before = self.shared.view.load();
+        let is_same_fleet = before.fleet.upstreams == board.fleet.upstreams;
+        let fleet =
+            if is_same_fleet { Arc::clone(&before.fleet) } else { Arc::new(board.fleet.clone()) };
+        let view = View {
+            config: board.config.clone(),
+            fleet,
+            phase: board.phase,
+            fronts,
+            instances,
+            others: Arc::new(others),
+            silent: Arc::new(silent),
+        };
+        drop(before);
+        self.shared.view.store(Arc::new(view));
+        self.shared.changed.notify_waiters();
+    }
+
+    async fn send_beats(self: Rc<Control>, socket: Rc<UdpSocket>) {
+        let mut pace = tokio::time::interval(Duration::from_millis(BEAT_MS));
+        pace.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            pace.tick().await;
+            let now_ms = self.clock.now_ms();
+            let beat = self.beat();
+            let Ok(message) = rmp_serde::to_vec(&beat) else { continue };
+            let due = {
+                let mut board = self.board.borrow_mut();
+                board.fleet.expire(now_ms);
+                board.peers.due(&self.settings.seeds, self.me.peer_addr, now_ms)
+            };
+            for addr in due {
+                // A datagram may be lost; the next one says the same.
+                let _ = socket.try_send_to(&message, addr);
+            }
+            self.publish();
+            self.fetch_if_behind(now_ms);
+        }
+    }
+
+    fn beat(&self) -> Beat {
+        let own = self.shared.own();
+        let mut board = self.board.borrow_mut();
+        board.beats += 1;
+        Beat {
+            from: self.me.clone(),
+            count: board.beats,
+            phase: board.phase,
+            config_version: board.config.as_ref().map_or(0, |config| config.version),
+            fleet_revision: if board.has_fleet { board.fleet.revision } else { 0 },
+            held: own.held,
+            silent: own.silent,
+        }
+    }
+
+    async fn hear_beats(self: Rc<Control>, socket: Rc<UdpSocket>) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+                tokio::time::sleep(Duration::from_millis(BEAT_MS)).await;
+                continue;
+            };
+            let Ok(beat) = rmp_serde::from_slice::<Beat>(&buffer[..length]) else {
+                self.metrics.count("beats_unreadable");
+                continue;
+            };
+            if beat.from.id == self.me.id {
+                continue;
+            }
+            let id = Arc::clone(&beat.from.id);
+            let phase = beat.phase;
+            let has_silent = !beat.silent.is_empty();
+            let is_back = self.board.borrow_mut().peers.hear(beat, self.clock.now_ms());
+            if is_back {
+                slog::info!(self.log, "peer heard"; "peer" => &*id);
+            }
+            if is_back || phase == Phase::Stopping || has_silent {
+                self.publish();
+            }
+        }
+    }
+
+    /// Fetches from a peer what it has known for a moment longer, such as a configuration that the
+    /// directory doesn't tell this instance.
+    fn fetch_if_behind(self: &Rc<Control>, now_ms: u64) {
+        let mut board = self.board.borrow_mut();
+        let config_version = board.config.as_ref().map_or(0, |config| config.version);
+        let fleet_revision = if board.has_fleet { board.fleet.revision } else { 0 };
+        let newer = |beat: &Beat| {
+            beat.config_version > config_version || beat.fleet_revision > fleet_revision
+        };
+        let Some(addr) = board.peers.ahead(now_ms, &mut fastrand::Rng::new(), newer) else {
+            board.behind_since_ms = None;
+            return;
+        };
+        let since_ms = *board.behind_since_ms.get_or_insert(now_ms);
+        if now_ms.saturating_sub(since_ms) < BEHIND_MS && board.has_fleet {
+            return;
+        }
+        board.behind_since_ms = None;
+        drop(board);
+        let control = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let limit = Duration::from_millis(FETCH_TIMEOUT_MS);
+            match tokio::time::timeout(limit, fetch(addr)).await {
+                Ok(Some(knowledge)) => control.take_knowledge(knowledge, addr),
+                _ => control.metrics.count("peer_fetches_failed"),
+            }
+        });
+    }
+
+    fn take_knowledge(&self, knowledge: Knowledge, from: SocketAddr) {
+        if let Some(config) = knowledge.config {
+            self.take_config(config, "peer");
+        }
+        let now_ms = self.clock.now_ms();
+        let mut board = self.board.borrow_mut();
+        let is_newer = knowledge.fleet_revision > board.fleet.revision || !board.has_fleet;
+        if is_newer && knowledge.fleet_revision > 0 {
+            board.has_fleet = true;
+            slog::info!(self.log, "upstreams taken from a peer"; "peer" => %from,
+                "revision" => knowledge.fleet_revision, "before" => board.fleet.revision);
+            board.fleet.replace(knowledge.fleet_revision, knowledge.upstreams, now_ms);
+        }
+        drop(board);
+        self.publish();
+    }
+
+    async fn keep_registration(self: Rc<Control>) {
+        loop {
+            let lease = self.board.borrow().lease;
+            let is_stopping = self.board.borrow().phase == Phase::Stopping;
+            if is_stopping {
+                return;
+            }
+            let kept = match lease {
+                Some(lease) => self.directory.renew(lease).await,
+                None => self.register().await,
+            };
+            match kept {
+                Ok(()) => tokio::time::sleep(Duration::from_millis(RENEW_MS)).await,
+                Err(Fault::LeaseEnded) => self.board.borrow_mut().lease = None,
+                Err(fault) => {
+                    slog::info!(self.log, "registration not renewed"; "why" => %fault);
+                    tokio::time::sleep(Duration::from_millis(RETRY_MOST_MS)).await;
+                }
+            }
+        }
+    }
+
+    async fn register(&self) -> Result<(), Fault> {
+        let lease = self.directory.register(&self.me, LEASE_MS).await?;
+        self.board.borrow_mut().lease = Some(lease);
+        Ok(())
+    }
+}
+
+async fn fetch(addr: SocketAddr) -> Option<Knowledge> {
+    let mut channel = Channel::open(addr, FETCH_TIMEOUT_MS).await.ok()?;
+    let request = Request::get(KNOWLEDGE_PATH)
+        .header(HOST, addr.to_string())
+        .body(Full::<Bytes>::default())
+        .ok()?;
+    let response = channel.send(request).await.ok()?;
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    rmp_serde::from_slice(&body).ok()
+}
--- /dev/null
+++ b/src/gateway/dialect.rs
@@ -0,0 +1,131 @@
+//! How requests and answers look on the wire: one small trait for the names and formats.
+//!
+//! A dialect translates and decides nothing. What it reads are types whose fields say what they
+//! hold; what it writes are headers of a request to an upstream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+
+/// What a caller says of its request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// The caller's name for this request.
+    pub id: Option<Arc<str>>,
+    /// How long the caller will wait.
+    pub deadline_ms: Option<u64>,
+    /// The caller's key.
+    pub key: Option<Arc<str>>,
+    /// The last event that the caller has; the answer goes on after it.
+    pub last_event: Option<u64>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// The most tokens that the answer may have.
+    pub output_tokens: u64,
+    /// The prompt's last part, which is the request's own.
+    pub prompt_part: Option<Arc<str>>,
+}
+
+/// What the system adds to a request on its way to an upstream.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Dispatch {
+    /// The upstream that is meant; another one at its address refuses.
+    pub upstream: Arc<str>,
+    /// The time left.
+    pub deadline_ms: u64,
+    /// The organisation, where the caller showed a key.
+    pub organisation: Option<Arc<str>>,
+    /// 0 to 9; lower goes first.
+    pub priority: Option<u8>,
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+    /// The engine that gets a growing copy of the run's memory.
+    pub copy_to: Option<SocketAddr>,
+    /// The copy of the run's memory to go on from.
+    pub go_on_from: Option<Copy>,
+}
+
+/// A copy of a run's memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Copy {
+    /// The engine that it is named by.
+    pub addr: SocketAddr,
+    /// Its name there.
+    pub name: Arc<str>,
+}
+
+/// What an upstream's answer says of itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Marks {
+    /// The request that it answers.
+    pub id: Option<Arc<str>>,
+    /// Whether the upstream says that the request was not run.
+    pub not_run: bool,
+    /// Whether it proves that the upstream made it.
+    pub is_signed: bool,
+    /// The upstream's load.
+    pub load: Option<Load>,
+    /// The upstream that answered, if it says so.
+    pub upstream: Option<Arc<str>>,
+    /// How long the upstream keeps the channel without a request.
+    pub keep_ms: Option<u64>,
+    /// How long to wait before the next try.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// An upstream's load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// A question from a caller that isn't a request to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Question {
+    /// Which addresses to use, asked from a failure domain.
+    Addresses {
+        /// The caller's failure domain.
+        domain: Option<Arc<str>>,
+    },
+    /// Whether this instance is ready.
+    Ready,
+    /// Nothing that is known.
+    Unknown,
+}
+
+/// The names and formats of one wire.
+pub trait Dialect: Send + Sync {
+    /// Reads a caller's headers.
+    fn demand(&self, headers: &HeaderMap) -> Demand;
+
+    /// Takes out what only the system may set, and the caller's key.
+    fn strip(&self, headers: &mut HeaderMap);
+
+    /// Writes what the system adds.
+    fn dispatch(&self, headers: &mut HeaderMap, dispatch: &Dispatch);
+
+    /// Reads an upstream's answer.
+    fn marks(&self, headers: &HeaderMap) -> Marks;
+
+    /// Reads a question.
+    fn question(&self, path: &str, query: Option<&str>) -> Question;
+
+    /// The answer to a question for addresses.
+    fn addresses(&self, addresses: &[SocketAddr], keep_ms: u64) -> Bytes;
+
+    /// The path of an engine's state, for a check whether it lives.
+    fn state_path(&self) -> &'static str;
+
+    /// The call that copies a run's memory to another engine: path and body.
+    fn copy_call(&self, id: &str, to: SocketAddr) -> (&'static str, Bytes);
+
+    /// The name of the copy, from the answer to that call.
+    fn copy_name(&self, body: &[u8]) -> Option<Arc<str>>;
+}
--- /dev/null
+++ b/src/gateway/directory.rs
@@ -0,0 +1,107 @@
+//! Where the configuration, the list of upstreams and the other instances are found.
+
+use std::sync::Arc;
+
+use futures_util::future::LocalBoxFuture;
+
+use super::fleet::Upstream;
+use super::instance::Registration;
+use super::route::Config;
+
+/// Why a call to the directory brought nothing.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum Fault {
+    /// No answer: it may be down, slow or cut off, and a write may have been done.
+    #[display("the directory did not answer ({detail}); what is known stays in force meanwhile")]
+    Silent {
+        /// What was seen.
+        detail: String,
+    },
+    /// It refused; nothing was done.
+    #[display("the directory refused the call with status {status}; it is tried again later")]
+    Refused {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The changes since the given revision are no longer kept; everything must be read anew.
+    #[display("the directory no longer keeps the changes asked for; everything is read anew")]
+    HistoryGone,
+    /// A lease has ended.
+    #[display("the lease has ended; the instance registers again")]
+    LeaseEnded,
+    /// It sent something that can't be read.
+    #[display("the directory's answer can't be read ({detail}); check that versions agree")]
+    Unreadable {
+        /// What is wrong with it.
+        detail: String,
+    },
+}
+
+/// One record of the directory.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Record {
+    /// The configuration.
+    Config(Arc<Config>),
+    /// An upstream.
+    Upstream(Upstream),
+    /// An instance of ours.
+    Instance(Registration),
+    /// A record that can't be read, with its key and the fault.
+    Unreadable {
+        /// The record's key.
+        key: String,
+        /// What is wrong with it.
+        detail: String,
+    },
+}
+
+/// A record that is gone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Removed {
+    /// An upstream, by id.
+    Upstream(Arc<str>),
+    /// An instance of ours, by id.
+    Instance(Arc<str>),
+}
+
+/// Everything in the directory at one revision.
+#[derive(Debug, Clone, Default)]
+pub struct Listing {
+    /// The revision before which all changes are in it.
+    pub revision: u64,
+    /// All records.
+    pub records: Vec<Record>,
+}
+
+/// The changes after a revision.
+#[derive(Debug, Clone, Default)]
+pub struct Changes {
+    /// The revision up to which the changes go.
+    pub revision: u64,
+    /// Records as they were written.
+    pub records: Vec<Record>,
+    /// Records that are gone.
+    pub removed: Vec<Removed>,
+}
+
+/// The calls that an instance makes; each is counted and priced by whoever runs the directory.
+pub trait Directory {
+    /// Reads everything, as new as it was when the call arrived.
+    fn list(&self) -> LocalBoxFuture<'_, Result<Listing, Fault>>;
+
+    /// Waits up to `wait_ms` for changes after `revision`.
+    fn watch(&self, revision: u64, wait_ms: u64) -> LocalBoxFuture<'_, Result<Changes, Fault>>;
+
+    /// Writes this instance's registration under a new lease of `ttl_ms`; returns the lease.
+    fn register<'a>(
+        &'a self,
+        registration: &'a Registration,
+        ttl_ms: u64,
+    ) -> LocalBoxFuture<'a, Result<u64, Fault>>;
+
+    /// Renews a lease.
+    fn renew(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), Fault>>;
+
+    /// Ends a lease, which removes the registration under it.
+    fn release(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), Fault>>;
+}
--- /dev/null
+++ b/src/gateway/failure.rs
@@ -0,0 +1,102 @@
+//! What a caller is told when its request can't be served, and whether it ran.
+
+use bytes::Bytes;
+use serde::Serialize;
+
+/// When to come back after a refusal that passes by itself: upstreams that crashed are back
+/// within about a second, and a caller waits a third of its time at most.
+const SOON_MS: u64 = 300;
+/// When to come back to an instance that has no configuration yet: reading one takes a few calls.
+const STARTING_MS: u64 = 500;
+
+/// Why a request wasn't served; the status tells whether it may have run.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum Failure {
+    /// This instance knows no configuration yet.
+    #[display("this instance has no configuration yet; send the request again after Retry-After")]
+    Starting,
+    /// No route fits.
+    #[display("no route takes this host and path; check both, or add a route")]
+    NoRoute,
+    /// No organisation has the key.
+    #[display("no organisation has this key; send a key that your operator gave you")]
+    WrongKey,
+    /// The request can't be read.
+    #[display("the request can't be read ({detail}); send it as HTTP/1.1 with one length")]
+    Malformed {
+        /// What is wrong with it.
+        detail: String,
+    },
+    /// The body is too long.
+    #[display("the body is over {limit_bytes} bytes; send a shorter one")]
+    TooLarge {
+        /// The bound.
+        limit_bytes: usize,
+    },
+    /// The request arrived too slowly.
+    #[display("the request did not arrive within {timeout_ms} ms; send it faster")]
+    TooSlow {
+        /// The bound.
+        timeout_ms: u64,
+    },
+    /// No upstream takes work; the request has not run.
+    #[display("no upstream of the service takes work now; send the request again after Retry-After")]
+    NoUpstream,
+    /// All upstreams that were asked said that they did not run it.
+    #[display("the upstreams are full; the request has not run, send it again after Retry-After")]
+    Full,
+    /// The request was sent and its outcome is unknown.
+    #[display("the upstream did not answer after the request was sent; check its effect first")]
+    Unknown,
+    /// The time was over and the request may have run.
+    #[display("no answer came within the time; check the request's effect before a new one")]
+    TimeOver,
+    /// The time was over before the request was sent anywhere.
+    #[display("the time was over before an upstream was free; the request has not run")]
+    TimeOverUnsent,
+}
+
+#[derive(Serialize)]
+struct Body {
+    error: String,
+    ran: &'static str,
+}
+
+impl Failure {
+    /// The HTTP status. 408, 429 and 503 promise that the request has not run and never will.
+    pub fn status(&self) -> u16 {
+        match self {
+            Failure::Malformed { .. } => 400,
+            Failure::WrongKey => 401,
+            Failure::NoRoute => 404,
+            Failure::TooSlow { .. } => 408,
+            Failure::TooLarge { .. } => 413,
+            Failure::Unknown => 502,
+            Failure::Starting
+            | Failure::NoUpstream
+            | Failure::Full
+            | Failure::TimeOverUnsent => 503,
+            Failure::TimeOver => 504,
+        }
+    }
+
+    /// When to come back, where that helps.
+    pub fn retry_after_ms(&self) -> Option<u64> {
+        match self {
+            Failure::Starting => Some(STARTING_MS),
+            Failure::NoUpstream | Failure::Full | Failure::TimeOverUnsent => Some(SOON_MS),
+            _ => None,
+        }
+    }
+
+    /// What the caller reads.
+    pub fn body(&self) -> Bytes {
+        let ran = match self {
+            Failure::Unknown | Failure::TimeOver => "unknown",
+            _ => "no",
+        };
+        let body = Body { error: self.to_string(), ran };
+        // A struct of two strings always serializes.
+        Bytes::from(serde_json::to_vec(&body).unwrap_or_default())
+    }
+}
--- /dev/null
+++ b/src/gateway/front.rs
@@ -0,0 +1,357 @@
+//! Callers' connections: reading requests within the limits, and passing each to its service.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING,
+    UPGRADE,
+};
+use hyper::{HeaderMap, Method, Request};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::answer::{self, Answer};
+use super::dialect::{Demand, Dispatch};
+use super::failure::Failure;
+use super::metrics::Time;
+use super::peers::Phase;
+use super::route::{Config, Limits, Route};
+use super::traffic::Traffic;
+use super::{call, stream};
+
+/// The time that a caller has if it names none and the route has no bound either.
+const DEFAULT_DEADLINE_MS: u64 = 30_000;
+/// The least buffer that hyper accepts for a head.
+const LEAST_BUFFER_BYTES: usize = 8 << 10;
+/// The most of a refused body that is read, so that the caller sees the answer and not a reset.
+const DISCARD_BYTES: usize = 8 << 20;
+
+/// A request on its way through this instance.
+#[derive(Debug)]
+pub struct Job {
+    /// What the caller says of it.
+    pub demand: Demand,
+    /// Where it goes.
+    pub route: Arc<Route>,
+    /// The service that takes it.
+    pub service: Arc<str>,
+    /// Whose it is, where the caller showed a key.
+    pub organisation: Option<Arc<str>>,
+    /// The rank of the organisation or the route.
+    pub priority: u8,
+    /// When it arrived.
+    pub since_ms: u64,
+    /// When the caller stops waiting.
+    pub deadline_ms: u64,
+    /// When the caller must have its answer: its deadline or the route's bound.
+    pub until_ms: u64,
+    method: Method,
+    target: String,
+    headers: HeaderMap,
+    /// Its whole body.
+    pub body: Bytes,
+}
+
+impl Job {
+    /// The caller's name for it, for logs.
+    pub fn id(&self) -> &str {
+        self.demand.id.as_deref().unwrap_or("-")
+    }
+
+    /// How much time an upstream has from now on.
+    pub fn left_ms(&self, now_ms: u64) -> u64 {
+        self.until_ms.saturating_sub(now_ms).max(1)
+    }
+
+    /// The request as an upstream gets it.
+    pub fn request(&self, traffic: &Traffic, dispatch: &Dispatch) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        // The target was read as one, so it can be read again.
+        *request.uri_mut() = self.target.parse().unwrap_or_default();
+        *request.headers_mut() = self.headers.clone();
+        traffic.dialect.dispatch(request.headers_mut(), dispatch);
+        request
+    }
+
+    /// Records how long it took.
+    pub fn record(&self, traffic: &Traffic, whole_ms: u64, first_ms: Option<u64>) {
+        let nobody: Arc<str> = Arc::from("-");
+        let organisation = self.organisation.as_ref().unwrap_or(&nobody);
+        traffic.metrics.record(Time::Whole, organisation, &self.route.name, whole_ms);
+        if let Some(first_ms) = first_ms {
+            traffic.metrics.record(Time::First, organisation, &self.route.name, first_ms);
+        }
+        traffic.metrics.count("answered");
+    }
+
+    /// Ends it with a failure.
+    pub fn refuse(&self, traffic: &Traffic, failure: &Failure, after_ms: Option<u64>) -> Answer {
+        slog::warn!(traffic.log, "refused"; "request" => self.id(), "route" => &*self.route.name,
+            "status" => failure.status(), "why" => %failure,
+            "ms" => traffic.now_ms() - self.since_ms);
+        traffic.metrics.count("refused");
+        answer::failed(failure, after_ms)
+    }
+}
+
+/// Accepts callers until the listener is dropped.
+pub async fn accept(traffic: Rc<Traffic>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let traffic = Rc::clone(&traffic);
+                tokio::task::spawn_local(serve_connection(traffic, stream, stop.clone()));
+            }
+            Err(error) => {
+                // Out of descriptors: connections that end free some.
+                slog::warn!(traffic.log, "can't accept"; "detail" => %error);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Where a connection stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// It waits for a request, since then.
+    Idle(u64),
+    /// A request is served.
+    Serving,
+}
+
+async fn serve_connection(traffic: Rc<Traffic>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+    let _ = stream.set_nodelay(true);
+    let limits = limits(&traffic);
+    let stage = Rc::new(Cell::new(Stage::Idle(traffic.now_ms())));
+    let service = {
+        let traffic = Rc::clone(&traffic);
+        let stage = Rc::clone(&stage);
+        service_fn(move |request| {
+            let traffic = Rc::clone(&traffic);
+            let stage = Rc::clone(&stage);
+            async move {
+                stage.set(Stage::Serving);
+                let open = OpenGuard::new(&traffic);
+                let answer = serve(&traffic, request).await;
+                drop(open);
+                stage.set(Stage::Idle(traffic.now_ms()));
+                Ok::<_, Infallible>(answer)
+            }
+        })
+    };
+    let connection = http1::Builder::new()
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let mut is_stopping = false;
+    loop {
+        let patience = tokio::time::sleep(Duration::from_millis(limits.idle_timeout_ms));
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(error) = ended {
+                    slog::debug!(traffic.log, "connection ended"; "detail" => %error);
+                }
+                return;
+            }
+            _ = stop.wait_for(|stop| *stop), if !is_stopping => {
+                is_stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = patience => {
+                let is_idle = matches!(stage.get(), Stage::Idle(since_ms)
+                    if traffic.now_ms() >= since_ms + limits.idle_timeout_ms);
+                if is_idle && !is_stopping {
+                    is_stopping = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
+
+fn limits(traffic: &Traffic) -> Limits {
+    let view = traffic.shared.view.load();
+    view.config.as_ref().map(|config| config.limits).unwrap_or_default()
+}
+
+/// Counts a request as open for as long as it lives.
+pub struct OpenGuard(Rc<Traffic>);
+
+impl OpenGuard {
+    /// Counts one more.
+    pub fn new(traffic: &Rc<Traffic>) -> OpenGuard {
+        traffic.open.set(traffic.open.get() + 1);
+        OpenGuard(Rc::clone(traffic))
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+async fn serve(traffic: &Rc<Traffic>, request: Request<Incoming>) -> Answer {
+    let is_stopping = traffic.shared.view.load().phase == Phase::Stopping;
+    let mut answer = match read(traffic, request).await {
+        Ok(job) if job.route.repeat.is_stream() => stream::serve(traffic, job).await,
+        Ok(job) => call::serve(traffic, &job).await,
+        Err(failure) => {
+            traffic.metrics.count("rejected");
+            slog::warn!(traffic.log, "rejected"; "status" => failure.status(), "why" => %failure);
+            answer::failed(&failure, None)
+        }
+    };
+    if is_stopping {
+        // Callers open their next connection elsewhere.
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+/// Reads a request to its end, finds its route and checks its key.
+async fn read(traffic: &Traffic, request: Request<Incoming>) -> Result<Job, Failure> {
+    let since_ms = traffic.now_ms();
+    let view = traffic.view();
+    let Some(config) = view.config.as_ref() else { return Err(Failure::Starting) };
+    let (head, body) = request.into_parts();
+    let demand = traffic.dialect.demand(&head.headers);
+    let admitted = admit(config, &demand, &head.headers, &head.uri);
+    let (route, organisation) = match admitted {
+        Ok(admitted) => admitted,
+        Err(failure) => {
+            discard(body, config.limits).await;
+            return Err(failure);
+        }
+    };
+    let body = read_body(body, &head.headers, config.limits).await?;
+    let service = route.target(fastrand::u64(..)).ok_or(Failure::NoUpstream)?;
+    traffic.note_request(service);
+    let priority = organisation.as_ref().and_then(|known| known.priority);
+    let patience_ms = demand.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let bound_ms = if route.timeout_ms > 0 { route.timeout_ms } else { DEFAULT_DEADLINE_MS };
+    let mut headers = end_to_end(head.headers);
+    traffic.dialect.strip(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    Ok(Job {
+        target: head.uri.path_and_query().map_or("/".to_owned(), ToString::to_string),
+        method: head.method,
+        headers,
+        service: Arc::clone(service),
+        organisation: organisation.map(|known| known.name),
+        priority: priority.unwrap_or(route.priority),
+        since_ms,
+        deadline_ms: since_ms + patience_ms,
+        until_ms: since_ms + patience_ms.min(bound_ms),
+        route,
+        demand,
+        body,
+    })
+}
+
+type Admitted = (Arc<Route>, Option<super::route::Organisation>);
+
+fn admit(
+    config: &Config,
+    demand: &Demand,
+    headers: &HeaderMap,
+    uri: &hyper::Uri,
+) -> Result<Admitted, Failure> {
+    if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
+        let detail = "it has a length and is chunked".to_owned();
+        return Err(Failure::Malformed { detail });
+    }
+    let named = headers.get(HOST).and_then(|host| host.to_str().ok()).or(uri.host());
+    let host = named.unwrap_or_default();
+    let route = config.route(host, uri.path()).ok_or(Failure::NoRoute)?;
+    let Some(keys) = &config.keys else { return Ok((Arc::clone(route), None)) };
+    let organisation = demand.key.as_ref().and_then(|key| keys.get(key)).cloned();
+    if organisation.is_none() && !route.is_open {
+        return Err(Failure::WrongKey);
+    }
+    Ok((Arc::clone(route), organisation))
+}
+
+async fn read_body(body: Incoming, headers: &HeaderMap, limits: Limits) -> Result<Bytes, Failure> {
+    let too_large = Failure::TooLarge { limit_bytes: limits.body_bytes };
+    let announced = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let announced = announced.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0);
+    if announced > limits.body_bytes as u64 {
+        discard(body, limits).await;
+        return Err(too_large);
+    }
+    let timeout_ms = limits.idle_timeout_ms;
+    let read = Limited::new(body, limits.body_bytes).collect();
+    match tokio::time::timeout(Duration::from_millis(timeout_ms), read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large),
+        Ok(Err(error)) => Err(Failure::Malformed { detail: error.to_string() }),
+        Err(_) => Err(Failure::TooSlow { timeout_ms }),
+    }
+}
+
+/// Reads a body and drops it, since a connection closed with unread bytes is reset, and the caller
+/// would not see the answer.
+async fn discard(body: Incoming, limits: Limits) {
+    let read = Limited::new(body, DISCARD_BYTES).collect();
+    let _ = tokio::time::timeout(Duration::from_millis(limits.head_timeout_ms), read).await;
+}
+
+/// The headers without those that concern one connection only.
+pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let mut named: Vec<HeaderName> = Vec::new();
+    for value in headers.get_all(CONNECTION) {
+        let words = value.to_str().unwrap_or_default().split(',');
+        named.extend(words.filter_map(|word| word.trim().parse().ok()));
+    }
+    let kept_alive = HeaderName::from_static("keep-alive");
+    let of_proxies = HeaderName::from_static("proxy-connection");
+    for name in [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE, kept_alive, of_proxies] {
+        headers.remove(name);
+    }
+    for name in named {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// Serves small questions on a listener of their own, each answered by `reply`.
+pub async fn serve_questions<F, R>(listener: TcpListener, reply: F)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + 'static,
+    R: Future<Output = Answer> + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let reply = reply.clone();
+        tokio::task::spawn_local(async move {
+            let _ = stream.set_nodelay(true);
+            let service = service_fn(move |request| {
+                let answer = reply(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            // A broken connection concerns its asker only.
+            let _ = http1::Builder::new()
+                .max_buf_size(LEAST_BUFFER_BYTES)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,34 @@
+//! Forwarding by routes: an instance that stands before model engines and plain services.
+//!
+//! Callers bring any method, path and body; the configuration's routes say which service takes
+//! them, how often they may be tried and for how long. A stream outlives its engine inside one
+//! answer, a call that may not be repeated is sent again only if it certainly did not run.
+//!
+//! The parts, in the order of a request: [`front`] reads it, [`route`] finds where it goes,
+//! [`placement`] picks the upstream, [`call`] or [`stream`] carries it over a channel of
+//! [`channel`]. Beside them [`control`] keeps the configuration and the list of upstreams new,
+//! over a [`directory`] and with its [`peers`]. How requests look on the wire is the business of a
+//! [`dialect`]. See [docs/PLATFORM.md](../../docs/PLATFORM.md).
+
+pub mod answer;
+pub mod budget;
+pub mod call;
+pub mod channel;
+pub mod control;
+pub mod dialect;
+pub mod directory;
+pub mod events;
+pub mod failure;
+pub mod fleet;
+pub mod front;
+pub mod instance;
+pub mod metrics;
+pub mod peers;
+pub mod placement;
+pub mod route;
+pub mod server;
+pub mod settings;
+pub mod stream;
+pub mod traffic;
+pub mod view;
+pub mod worker;
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,154 @@
+//! What instances tell each other a few times a second: pure bookkeeping over datagrams.
+//!
+//! A beat says that its sender lives, whether it takes callers, which versions it knows and what
+//! it has running at model engines. Each instance sends its beat to a bounded number of peers a
+//! round, so that the cost of one instance does not grow with the fleet.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::instance::Registration;
+use crate::decide::Random;
+
+/// The time between two beats of an instance: three lost in a row are noticed within a second.
+pub const BEAT_MS: u64 = 250;
+/// Peers that get a beat each round; all of them up to this many.
+const FANOUT: usize = 12;
+/// Beats that may be lost before a peer counts as gone; single datagrams do get lost.
+const MISSED_BEATS: u64 = 4;
+/// How long a silent peer is still sent beats, so that a healed link is noticed.
+const FORGET_MS: u64 = 60_000;
+
+/// Whether an instance takes callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// It doesn't know enough yet.
+    Starting,
+    /// It does.
+    Ready,
+    /// A planned stop is under way.
+    Stopping,
+}
+
+/// What an instance has running at one upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// Requests that run there.
+    pub runs: u32,
+    /// Copies of runs that lie there.
+    pub copies: u32,
+}
+
+/// One message of an instance to its peers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Who sends it.
+    pub from: Registration,
+    /// Grows with each beat of one incarnation.
+    pub count: u64,
+    /// Whether it takes callers.
+    pub phase: Phase,
+    /// The version of the configuration that is in force there.
+    pub config_version: u64,
+    /// The revision of its list of upstreams.
+    pub fleet_revision: u64,
+    /// What it has running at model engines.
+    pub held: Vec<Held>,
+    /// Upstreams that it found silent in the last moments.
+    pub silent: Vec<Arc<str>>,
+}
+
+/// A peer as it was last heard.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Its last beat; `None` if only the directory knows it.
+    pub beat: Option<Beat>,
+    /// Where to reach it.
+    pub registration: Registration,
+    /// When it was last heard.
+    pub heard_ms: u64,
+}
+
+/// All peers.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: BTreeMap<Arc<str>, Peer>,
+    next: usize,
+}
+
+impl Peers {
+    /// Notes a peer that the directory lists.
+    pub fn list(&mut self, registration: Registration, now_ms: u64) {
+        let known = self.known.get(&registration.id);
+        if known.is_some_and(|peer| peer.registration == registration) {
+            return;
+        }
+        let id = Arc::clone(&registration.id);
+        self.known.insert(id, Peer { beat: None, registration, heard_ms: now_ms });
+    }
+
+    /// Takes in a beat; an older one of the same incarnation changes nothing. Returns whether the
+    /// sender was not heard lately.
+    pub fn hear(&mut self, beat: Beat, now_ms: u64) -> bool {
+        let known = self.known.get(&beat.from.id);
+        let was_alive = known.is_some_and(|peer| self.is_alive(peer, now_ms));
+        let is_old = known.and_then(|peer| peer.beat.as_ref()).is_some_and(|last| {
+            last.from.incarnation == beat.from.incarnation && last.count >= beat.count
+        });
+        if is_old {
+            return false;
+        }
+        let registration = beat.from.clone();
+        let id = Arc::clone(&registration.id);
+        self.known.insert(id, Peer { beat: Some(beat), registration, heard_ms: now_ms });
+        !was_alive
+    }
+
+    /// The peers that get this round's beat.
+    pub fn due(&mut self, seeds: &[SocketAddr], me: SocketAddr, now_ms: u64) -> Vec<SocketAddr> {
+        self.known.retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) < FORGET_MS);
+        let mut all: Vec<SocketAddr> =
+            self.known.values().map(|peer| peer.registration.peer_addr).collect();
+        all.extend(seeds);
+        all.sort_unstable();
+        all.dedup();
+        all.retain(|addr| *addr != me);
+        if all.len() <= FANOUT {
+            return all;
+        }
+        let start = self.next % all.len();
+        self.next = start + FANOUT;
+        all.iter().cycle().skip(start).take(FANOUT).copied().collect()
+    }
+
+    /// The peers that live, as far as their beats tell.
+    pub fn alive(&self, now_ms: u64) -> impl Iterator<Item = &Beat> {
+        let alive = self.known.values().filter(move |peer| self.is_alive(peer, now_ms));
+        alive.filter_map(|peer| peer.beat.as_ref())
+    }
+
+    /// A living peer that knows more, by what `newer` finds in its beat.
+    pub fn ahead(
+        &self,
+        now_ms: u64,
+        random: &mut dyn Random,
+        newer: impl Fn(&Beat) -> bool,
+    ) -> Option<SocketAddr> {
+        let ahead: Vec<_> = self.alive(now_ms).filter(|beat| newer(beat)).collect();
+        if ahead.is_empty() {
+            return None;
+        }
+        Some(ahead[random.below(ahead.len() as u64) as usize].from.peer_addr)
+    }
+
+    fn is_alive(&self, peer: &Peer, now_ms: u64) -> bool {
+        let rounds = self.known.len().div_ceil(FANOUT).max(1) as u64;
+        peer.beat.is_some()
+            && now_ms.saturating_sub(peer.heard_ms) <= rounds * BEAT_MS * MISSED_BEATS
+    }
+}
--- /dev/null
+++ b/src/gateway/server.rs
@@ -0,0 +1,317 @@
+//! Starting and stopping a gateway: one thread for control, one for traffic.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{HeaderMap, Request};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::LocalSet;
+
+use super::answer::{self, Answer};
+use super::control::{Control, KNOWLEDGE_PATH};
+use super::dialect::{Dialect, Question};
+use super::directory::Directory;
+use super::front;
+use super::metrics::Metrics;
+use super::peers::Phase;
+use super::settings::Settings;
+use super::traffic::Traffic;
+use super::view::{Shared, View};
+use crate::clock::Clock;
+use crate::error::{Error, Kind, Result};
+
+/// How often idle channels are closed and peers are told what runs here.
+const SWEEP_MS: u64 = 100;
+/// The part of the grace of a planned stop after which what still runs is cut, so that the end of
+/// the process is its own.
+const GRACE_PART: f64 = 0.93;
+/// How long a stopping instance still takes callers that hold its address: answers may be kept
+/// three times as long as they say.
+const KEEP_FACTOR: u64 = 1;
+/// How often a planned stop looks whether all requests have ended.
+const STOP_STEP_MS: u64 = 25;
+/// The stack of a thread; its futures live on the heap.
+const STACK_BYTES: usize = 512 << 10;
+
+/// Makes the directory on the thread that uses it.
+pub type MakeDirectory = Box<dyn FnOnce() -> Box<dyn Directory> + Send>;
+
+/// A running gateway.
+pub struct Gateway {
+    stop: mpsc::UnboundedSender<()>,
+    ended: oneshot::Receiver<Result<()>>,
+    /// What its threads share.
+    pub shared: Arc<Shared>,
+    /// Its counters.
+    pub metrics: Arc<Metrics>,
+}
+
+impl Gateway {
+    /// Starts both threads.
+    ///
+    /// # Errors
+    ///
+    /// If a thread can't be started.
+    pub fn start(
+        settings: Settings,
+        dialect: Arc<dyn Dialect>,
+        make_directory: MakeDirectory,
+        log: slog::Logger,
+    ) -> Result<Gateway> {
+        let shared = Shared::new();
+        let metrics = Arc::new(Metrics::default());
+        let (stop, stopping) = mpsc::unbounded_channel();
+        let (tell_end, ended) = oneshot::channel();
+        let parts = Parts {
+            settings,
+            dialect,
+            shared: Arc::clone(&shared),
+            metrics: Arc::clone(&metrics),
+            clock: Clock::start(),
+            log,
+        };
+        spawn("control", move || {
+            let result = run_control(parts, make_directory, stopping);
+            // Whoever started the gateway may have stopped waiting.
+            let _ = tell_end.send(result);
+        })?;
+        Ok(Gateway { stop, ended, shared, metrics })
+    }
+
+    /// Begins a planned stop; a second call changes nothing.
+    pub fn stop(&self) {
+        // A gateway that has ended needs no order.
+        let _ = self.stop.send(());
+    }
+
+    /// Waits until it has stopped.
+    ///
+    /// # Errors
+    ///
+    /// If an address can't be listened on, or a thread ended in a panic.
+    pub async fn ended(&mut self) -> Result<()> {
+        (&mut self.ended).await.unwrap_or_else(|_| Err(panicked("control")))
+    }
+}
+
+fn panicked(thread: &str) -> Error {
+    Kind::Internal { detail: format!("the {thread} thread panicked; see its message above") }.into()
+}
+
+#[derive(Clone)]
+struct Parts {
+    settings: Settings,
+    dialect: Arc<dyn Dialect>,
+    shared: Arc<Shared>,
+    metrics: Arc<Metrics>,
+    clock: Clock,
+    log: slog::Logger,
+}
+
+fn spawn<T: Send + 'static>(
+    name: &str,
+    run: impl FnOnce() -> T + Send + 'static,
+) -> Result<thread::JoinHandle<T>> {
+    let thread = thread::Builder::new().name(name.to_owned()).stack_size(STACK_BYTES);
+    thread.spawn(run).map_err(Error::internal)
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(Error::internal)
+}
+
+fn run_control(
+    parts: Parts,
+    make_directory: MakeDirectory,
+    mut stop: mpsc::UnboundedReceiver<()>,
+) -> Result<()> {
+    let runtime = runtime()?;
+    let (stop_traffic, stopping) = watch::channel(false);
+    let traffic_parts = parts.clone();
+    let traffic = spawn("traffic", move || run_traffic(traffic_parts, stopping))?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async move {
+        let control = Control::new(
+            parts.settings.clone(),
+            make_directory(),
+            Arc::clone(&parts.shared),
+            Arc::clone(&parts.metrics),
+            parts.clock,
+            parts.log.clone(),
+        );
+        let socket = UdpSocket::bind(parts.settings.peer).await;
+        let socket = socket.map_err(|error| cannot_listen(parts.settings.peer, &error))?;
+        serve_peers(&control, parts.settings.peer).await?;
+        serve_questions(&parts).await?;
+        control.start(socket);
+        slog::info!(parts.log, "started"; "instance" => &*parts.settings.id,
+            "domain" => &*parts.settings.domain, "front" => %parts.settings.front);
+        stop.recv().await;
+        slog::info!(parts.log, "stopping: no new callers are sent here");
+        control.stop().await;
+        // The send fails only if the traffic thread has ended, which is noticed below.
+        let _ = stop_traffic.send(true);
+        while !traffic.is_finished() {
+            tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
+        }
+        slog::info!(parts.log, "stopped");
+        traffic.join().unwrap_or_else(|_| Err(panicked("traffic")))
+    })
+}
+
+fn run_traffic(parts: Parts, stopping: watch::Receiver<bool>) -> Result<()> {
+    let runtime = runtime()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async move {
+        let listener = listen(parts.settings.front).await?;
+        let grace_ms = parts.settings.grace_ms;
+        let keep_ms = parts.settings.keep_ms;
+        let traffic = Traffic::new(
+            parts.settings,
+            parts.dialect,
+            parts.shared,
+            parts.clock,
+            parts.log,
+            parts.metrics,
+        );
+        let (close, closing) = watch::channel(false);
+        tokio::task::spawn_local(front::accept(Rc::clone(&traffic), listener, closing));
+        tokio::task::spawn_local(sweep(Rc::clone(&traffic)));
+        drain(&traffic, stopping, keep_ms, grace_ms).await;
+        // Connections without a request are closed now; an error means that there are none.
+        let _ = close.send(true);
+        tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
+        Ok(())
+    })
+}
+
+/// Serves on after the order to stop, until all requests have ended or the grace is nearly over.
+async fn drain(
+    traffic: &Rc<Traffic>,
+    mut stopping: watch::Receiver<bool>,
+    keep_ms: u64,
+    grace_ms: u64,
+) {
+    // The control thread keeps the sender for as long as it lives.
+    let _ = stopping.wait_for(|stop| *stop).await;
+    let since_ms = traffic.now_ms();
+    let least_ms = since_ms + keep_ms * KEEP_FACTOR;
+    let most_ms = since_ms + (grace_ms as f64 * GRACE_PART) as u64;
+    loop {
+        let now_ms = traffic.now_ms();
+        let is_idle = traffic.open.get() == 0;
+        if (is_idle && now_ms >= least_ms) || now_ms >= most_ms {
+            slog::info!(traffic.log, "requests ended"; "cut" => traffic.open.get(),
+                "after_ms" => now_ms - since_ms);
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
+    }
+}
+
+async fn sweep(traffic: Rc<Traffic>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(SWEEP_MS)).await;
+        traffic.sweep();
+        traffic.metrics.gauge("open_requests", traffic.open.get() as u64);
+    }
+}
+
+async fn listen(addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr).await.map_err(|error| cannot_listen(addr, &error))
+}
+
+fn cannot_listen(addr: SocketAddr, error: &std::io::Error) -> Error {
+    Kind::Listen { address: addr.to_string(), detail: error.to_string() }.into()
+}
+
+async fn serve_peers(control: &Rc<Control>, addr: SocketAddr) -> Result<()> {
+    let listener = listen(addr).await?;
+    let control = Rc::clone(control);
+    let reply = move |request: Request<Incoming>| {
+        let control = Rc::clone(&control);
+        async move {
+            if request.uri().path() != KNOWLEDGE_PATH {
+                return answer::whole(404, HeaderMap::new(), Bytes::new());
+            }
+            match rmp_serde::to_vec(&control.knowledge()) {
+                Ok(body) => answer::whole(200, HeaderMap::new(), Bytes::from(body)),
+                Err(_) => answer::whole(500, HeaderMap::new(), Bytes::new()),
+            }
+        }
+    };
+    tokio::task::spawn_local(front::serve_questions(listener, reply));
+    Ok(())
+}
+
+/// Serves callers' questions, the readiness and the metrics, each on its own address.
+async fn serve_questions(parts: &Parts) -> Result<()> {
+    let mut addrs = vec![parts.settings.readiness, parts.settings.directory];
+    addrs.push(parts.settings.metrics);
+    addrs.sort_unstable();
+    addrs.dedup();
+    for addr in addrs.into_iter().flatten() {
+        let listener = listen(addr).await?;
+        let is_metrics = Some(addr) == parts.settings.metrics;
+        let parts = parts.clone();
+        let reply = move |request: Request<Incoming>| {
+            let answer = if is_metrics {
+                metrics(&parts)
+            } else {
+                question(&parts, request.uri().path(), request.uri().query())
+            };
+            std::future::ready(answer)
+        };
+        tokio::task::spawn_local(front::serve_questions(listener, reply));
+    }
+    Ok(())
+}
+
+fn metrics(parts: &Parts) -> Answer {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; version=0.0.4"));
+    answer::whole(200, headers, Bytes::from(parts.metrics.render()))
+}
+
+fn question(parts: &Parts, path: &str, query: Option<&str>) -> Answer {
+    let view = parts.shared.view.load();
+    let nothing = |status| answer::whole(status, HeaderMap::new(), Bytes::new());
+    match parts.dialect.question(path, query) {
+        Question::Ready if view.phase == Phase::Ready => nothing(200),
+        Question::Ready => nothing(503),
+        Question::Addresses { domain } => {
+            let addrs = addresses(&view, domain.as_deref());
+            if addrs.is_empty() {
+                return nothing(503);
+            }
+            let mut headers = HeaderMap::new();
+            headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            answer::whole(200, headers, parts.dialect.addresses(&addrs, parts.settings.keep_ms))
+        }
+        Question::Unknown => nothing(404),
+    }
+}
+
+/// The addresses for a caller: those of its failure domain, where at least two take callers.
+fn addresses(view: &View, domain: Option<&str>) -> Vec<SocketAddr> {
+    /// With fewer, the loss of one would leave callers without any for as long as they keep these.
+    const ENOUGH_NEAR: usize = 2;
+    let near: Vec<SocketAddr> = view
+        .fronts
+        .iter()
+        .filter(|front| Some(&*front.domain) == domain)
+        .map(|front| front.addr)
+        .collect();
+    if near.len() >= ENOUGH_NEAR {
+        return near;
+    }
+    view.fronts.iter().map(|front| front.addr).collect()
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,37 @@
+//! The settings of a gateway, checked, whoever they come from.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// What one gateway needs to know to start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Its unique name.
+    pub id: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Where callers send requests.
+    pub front: SocketAddr,
+    /// Where it says whether it is ready.
+    pub readiness: Option<SocketAddr>,
+    /// Where callers ask for addresses.
+    pub directory: Option<SocketAddr>,
+    /// Where peers talk to it, over TCP and UDP.
+    pub peer: SocketAddr,
+    /// Where its metrics are served.
+    pub metrics: Option<SocketAddr>,
+    /// Peers to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// How long callers may keep an address.
+    pub keep_ms: u64,
+    /// How long a planned stop may take.
+    pub grace_ms: u64,
+    /// Repeats for each request of a service, over all instances.
+    pub repeat_ratio: f64,
+    /// Repeats beyond the ratio, over all instances.
+    pub repeat_slack: f64,
+    /// The window in which repeats are counted.
+    pub repeat_window_ms: u64,
+    /// The least severe log records that are written.
+    pub log: slog::Level,
+}
--- /dev/null
+++ b/src/gateway/stream.rs
@@ -0,0 +1,585 @@
+//! A stream of events that outlives its engine inside one answer.
+//!
+//! While an engine runs it, a copy of the run's memory grows at an engine of another failure
+//! domain. When the first one breaks off or falls silent, the run goes on from that copy after the
+//! last whole event that the caller has, and a new copy is started at once.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::{HeaderMap, Response};
+use tokio::sync::{mpsc, oneshot};
+
+use super::answer::{self, Answer, Cut, Part};
+use super::channel::Fault;
+use super::dialect::{Copy, Dispatch, Marks};
+use super::events::{Event, Splitter};
+use super::failure::Failure;
+use super::front::{self, Job, OpenGuard};
+use super::metrics::Time;
+use super::placement::Wish;
+use super::route::Repeat;
+use super::traffic::Traffic;
+use super::worker::{Count, Lease, What, Worker};
+
+/// Events that may wait for a slow caller before its engine is slowed.
+const WAITING_EVENTS: usize = 16;
+/// A pause between events after which an engine is asked whether it lives: usual pauses are 30 to
+/// 250 ms, the allowed one is several hundred, of which a resumption takes about 100.
+const QUIET_MS: u64 = 250;
+/// A pause after which a run with a copy elsewhere goes on there, although its engine answers.
+const STUCK_MS: u64 = 450;
+/// How long the first event may take before the engine is asked whether it lives.
+const FIRST_QUIET_MS: u64 = 1_000;
+/// How late a timer may fire before this process suspects itself of having stood still.
+const OWN_LAG_MS: u64 = 60;
+/// How often a run may leave an engine that lives but makes no events.
+const MOST_STUCK_MOVES: u32 = 2;
+/// The wait before another look when no engine takes work in the middle of an answer.
+const LOOK_AGAIN_MS: u64 = 50;
+/// The priority of a run that goes on, before all new ones.
+const RESUMED_PRIORITY: u8 = 0;
+/// The lowest priority that engines know.
+const LOWEST_PRIORITY: u8 = 9;
+
+/// Serves a stream: returns the head of the answer, whose body then grows.
+pub async fn serve(traffic: &Rc<Traffic>, job: Job) -> Answer {
+    let (head, answered) = oneshot::channel();
+    let traffic = Rc::clone(traffic);
+    tokio::task::spawn_local(async move {
+        let _open = OpenGuard::new(&traffic);
+        Run::new(&traffic, job, head).drive().await;
+    });
+    // The run always answers, unless its caller has left.
+    answered.await.unwrap_or_else(|_| answer::failed(&Failure::Unknown, None))
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+enum Outcome {
+    /// The answer is complete, or was given otherwise.
+    Done,
+    /// The caller has left.
+    CallerLeft,
+    /// It certainly did not run there.
+    NotRun { was_sent: bool },
+    /// The engine broke off, or fell silent.
+    Lost { why: String, engine_gone: bool },
+    /// The engine lives but makes no events.
+    Stuck,
+    /// The time is over.
+    TimeOver,
+}
+
+struct Run {
+    traffic: Rc<Traffic>,
+    job: Job,
+    head: Option<oneshot::Sender<Answer>>,
+    body: Option<mpsc::Sender<Part>>,
+    last_event: Option<u64>,
+    last_event_ms: u64,
+    first_ms: Option<u64>,
+    longest_gap_ms: u64,
+    lost_ms: Option<u64>,
+    may_have_run: bool,
+    sent: u32,
+    stuck_moves: u32,
+    left: Vec<Arc<str>>,
+    lost_domains: Vec<Arc<str>>,
+    copy: Option<Rc<Worker>>,
+    copy_count: Option<Count>,
+}
+
+impl Run {
+    fn new(traffic: &Rc<Traffic>, job: Job, head: oneshot::Sender<Answer>) -> Run {
+        Run {
+            last_event: job.demand.last_event,
+            last_event_ms: traffic.now_ms(),
+            traffic: Rc::clone(traffic),
+            job,
+            head: Some(head),
+            body: None,
+            first_ms: None,
+            longest_gap_ms: 0,
+            lost_ms: None,
+            may_have_run: false,
+            sent: 0,
+            stuck_moves: 0,
+            left: Vec::new(),
+            lost_domains: Vec::new(),
+            copy: None,
+            copy_count: None,
+        }
+    }
+
+    async fn drive(mut self) {
+        loop {
+            if self.traffic.now_ms() >= self.job.until_ms {
+                return self.give_up(Failure::TimeOver);
+            }
+            if self.sent > 0 && !self.traffic.may_repeat(&self.job.service) {
+                return self.give_up(Failure::Full);
+            }
+            let Some((worker, copy)) = self.place() else {
+                if self.sent == 0 || !self.wait(LOOK_AGAIN_MS).await {
+                    return self.give_up(Failure::NoUpstream);
+                }
+                self.left.clear();
+                continue;
+            };
+            let outcome = self.attempt(&worker, copy).await;
+            if !self.goes_on(&worker, outcome).await {
+                return;
+            }
+        }
+    }
+
+    /// What follows from an attempt; whether there is another one.
+    async fn goes_on(&mut self, worker: &Rc<Worker>, outcome: Outcome) -> bool {
+        let now_ms = self.traffic.now_ms();
+        let id = &worker.upstream.id;
+        match outcome {
+            Outcome::Done | Outcome::CallerLeft => return false,
+            Outcome::TimeOver => {
+                self.give_up(Failure::TimeOver);
+                return false;
+            }
+            Outcome::NotRun { was_sent } => {
+                slog::info!(self.traffic.log, "engine did not run it"; "request" => self.job.id(),
+                    "upstream" => &**id, "was_sent" => was_sent);
+                self.left.push(Arc::clone(id));
+                if was_sent && self.sent >= self.job.route.max_attempts {
+                    self.give_up(Failure::Full);
+                    return false;
+                }
+                return true;
+            }
+            Outcome::Stuck => {
+                slog::warn!(self.traffic.log, "engine makes no events; the run goes on elsewhere";
+                    "request" => self.job.id(), "upstream" => &**id,
+                    "quiet_ms" => now_ms - self.last_event_ms);
+                self.stuck_moves += 1;
+                self.may_have_run = true;
+            }
+            Outcome::Lost { why, engine_gone } => {
+                slog::warn!(self.traffic.log, "engine lost"; "request" => self.job.id(),
+                    "upstream" => &**id, "domain" => &*worker.upstream.domain, "why" => why,
+                    "last_event" => self.last_event, "quiet_ms" => now_ms - self.last_event_ms);
+                self.may_have_run = true;
+                if engine_gone {
+                    self.lost_domains.push(Arc::clone(&worker.upstream.domain));
+                    // What ended by itself doesn't count among the attempts.
+                    self.sent = self.sent.saturating_sub(1).max(1);
+                }
+            }
+        }
+        self.left.push(Arc::clone(id));
+        self.lost_ms.get_or_insert(now_ms);
+        self.traffic.metrics.count("engines_lost");
+        let is_over = self.sent >= self.job.route.max_attempts;
+        if is_over || self.job.route.repeat != Repeat::Resumable {
+            self.give_up(Failure::Unknown);
+            return false;
+        }
+        true
+    }
+
+    /// The engine for the next attempt: the one with the copy, or the best one.
+    fn place(&mut self) -> Option<(Rc<Worker>, Option<Copy>)> {
+        self.copy_count = None;
+        if let Some(worker) = self.copy.take() {
+            let now_ms = self.traffic.now_ms();
+            let is_fit = self.traffic.takes_work(&worker.upstream.id) && !worker.is_silent(now_ms);
+            if is_fit {
+                let name = Arc::from(self.job.id());
+                let copy = Copy { addr: worker.upstream.addr, name };
+                return Some((worker, Some(copy)));
+            }
+        }
+        let wish = Wish {
+            not: self.left.clone(),
+            not_domains: self.lost_domains.clone(),
+            near: Some(Arc::clone(&self.traffic.settings.domain)),
+        };
+        self.traffic.choose(&self.job.service, &wish).map(|worker| (worker, None))
+    }
+
+    /// The engine for a new copy: not where the run is, nor where it was lost.
+    fn place_copy(&self, worker: &Worker) -> Option<Rc<Worker>> {
+        let view = self.traffic.view();
+        let service = view.config.as_ref()?.services.get(&self.job.service)?;
+        let can_copy = service.engine.as_ref().is_some_and(|engine| engine.can_copy);
+        if !can_copy || self.job.route.repeat != Repeat::Resumable {
+            return None;
+        }
+        let mut not = self.left.clone();
+        not.push(Arc::clone(&worker.upstream.id));
+        let mut not_domains = self.lost_domains.clone();
+        not_domains.push(Arc::clone(&worker.upstream.domain));
+        let wish = Wish { not, not_domains, near: None };
+        let chosen = self.traffic.choose(&self.job.service, &wish)?;
+        (!chosen.is_suspect(self.traffic.now_ms())).then_some(chosen)
+    }
+
+    async fn attempt(&mut self, worker: &Rc<Worker>, from: Option<Copy>) -> Outcome {
+        let traffic = Rc::clone(&self.traffic);
+        let mut silences = worker.silences.subscribe();
+        silences.mark_unchanged();
+        let most = traffic.channel_share(&self.job.service);
+        let mut lease = match worker.lease(most, traffic.now_ms()).await {
+            Ok(lease) => lease,
+            Err(fault) => {
+                worker.refused(traffic.now_ms());
+                slog::info!(traffic.log, "no channel"; "request" => self.job.id(),
+                    "upstream" => &*worker.upstream.id, "detail" => %fault);
+                return Outcome::NotRun { was_sent: false };
+            }
+        };
+        if !traffic.takes_work(&worker.upstream.id) {
+            return Outcome::NotRun { was_sent: false };
+        }
+        let copy = self.place_copy(worker);
+        let _run = worker.count(What::Run);
+        let reading = from.is_none().then(|| worker.count(What::Reading));
+        let request = self.job.request(&traffic, &self.dispatch(worker, copy.as_ref(), from.as_ref()));
+        slog::info!(traffic.log, "sent"; "request" => self.job.id(),
+            "upstream" => &*worker.upstream.id, "domain" => &*worker.upstream.domain,
+            "copy" => copy.as_ref().map(|copy| copy.upstream.id.to_string()),
+            "from_copy" => from.is_some(), "after" => self.last_event,
+            "runs" => worker.runs.get());
+        let response = {
+            let sending = lease.channel.send(request);
+            tokio::select! {
+                response = sending => response,
+                () = caller_left(&mut self.head, &self.body) => return Outcome::CallerLeft,
+                _ = silences.changed() => {
+                    self.sent += 1;
+                    return lost("silent before its answer", true);
+                }
+                () = until(&traffic, self.job.until_ms) => {
+                    self.sent += 1;
+                    return Outcome::TimeOver;
+                }
+            }
+        };
+        let response = match response {
+            Ok(response) => response,
+            Err(Fault::NotSent { .. }) => return Outcome::NotRun { was_sent: false },
+            Err(Fault::Broken { detail }) => {
+                self.sent += 1;
+                worker.refused(traffic.now_ms());
+                worker.ended(true, traffic.now_ms());
+                return lost(detail, true);
+            }
+        };
+        self.sent += 1;
+        let marks = traffic.dialect.marks(response.headers());
+        if let Some(outcome) = self.check_head(worker, &response, &marks) {
+            return outcome;
+        }
+        let status = response.status().as_u16();
+        if status != 200 {
+            return self.pass_on_failure(worker, lease, response, &marks).await;
+        }
+        self.copy_count = copy.as_ref().map(|copy| copy.count(What::Copy));
+        self.copy = copy;
+        let body = self.open_body(response);
+        self.relay(worker, lease, body, marks, silences, reading).await
+    }
+
+    fn dispatch(
+        &self,
+        worker: &Worker,
+        copy: Option<&Rc<Worker>>,
+        from: Option<&Copy>,
+    ) -> Dispatch {
+        let is_resumed = self.may_have_run || self.job.demand.last_event.is_some();
+        let new = (self.job.priority + 1).min(LOWEST_PRIORITY);
+        Dispatch {
+            upstream: Arc::clone(&worker.upstream.id),
+            deadline_ms: self.job.left_ms(self.traffic.now_ms()),
+            organisation: self.job.organisation.clone(),
+            priority: Some(if is_resumed { RESUMED_PRIORITY } else { new }),
+            last_event: self.last_event,
+            copy_to: copy.map(|copy| copy.upstream.addr),
+            go_on_from: from.cloned(),
+        }
+    }
+
+    /// Looks at the head of an answer; an outcome if it can't be used.
+    fn check_head(
+        &mut self,
+        worker: &Rc<Worker>,
+        response: &Response<Incoming>,
+        marks: &Marks,
+    ) -> Option<Outcome> {
+        let now_ms = self.traffic.now_ms();
+        if marks.id.is_some() && marks.id != self.job.demand.id {
+            self.traffic.metrics.count("answers_of_other_requests");
+            return Some(lost("the answer belongs to another request", false));
+        }
+        worker.answered();
+        if let Some(load) = marks.load {
+            worker.tell(load, now_ms);
+        }
+        let status = response.status().as_u16();
+        if marks.not_run || status == 421 {
+            return Some(Outcome::NotRun { was_sent: true });
+        }
+        if status == 200 && !marks.is_signed {
+            return Some(lost("the answer is not signed", false));
+        }
+        None
+    }
+
+    /// An upstream's own error: it goes to the caller, unless the run may go on elsewhere.
+    async fn pass_on_failure(
+        &mut self,
+        worker: &Rc<Worker>,
+        lease: Lease,
+        response: Response<Incoming>,
+        marks: &Marks,
+    ) -> Outcome {
+        let status = response.status().as_u16();
+        worker.ended(true, self.traffic.now_ms());
+        let can_repeat = status >= 500 && self.job.route.repeat == Repeat::Resumable;
+        let is_last = self.sent >= self.job.route.max_attempts;
+        if self.body.is_some() || (can_repeat && !is_last) || matches!(status, 408 | 429 | 503) {
+            return lost(format!("status {status}"), false);
+        }
+        let headers = front::end_to_end(response.headers().clone());
+        let Ok(body) = response.into_body().collect().await else {
+            return lost(format!("status {status} with a broken body"), false);
+        };
+        if self.job.body.is_empty() {
+            worker.give_back(lease, marks.keep_ms, self.traffic.now_ms());
+        }
+        self.answer(answer::whole(status, headers, body.to_bytes()));
+        Outcome::Done
+    }
+
+    /// Gives the caller the head of the first answer; later ones only bring events.
+    fn open_body(&mut self, response: Response<Incoming>) -> Incoming {
+        let (head, body) = response.into_parts();
+        if self.body.is_none() {
+            let (parts, growing) = mpsc::channel(WAITING_EVENTS);
+            let mut headers: HeaderMap = front::end_to_end(head.headers);
+            headers.remove(CONTENT_LENGTH);
+            self.body = Some(parts);
+            self.answer(answer::growing(head.status.as_u16(), headers, growing));
+        }
+        body
+    }
+
+    /// Passes whole events on until the stream ends, one way or the other.
+    async fn relay(
+        &mut self,
+        worker: &Rc<Worker>,
+        lease: Lease,
+        mut body: Incoming,
+        marks: Marks,
+        mut silences: tokio::sync::watch::Receiver<u64>,
+        reading: Option<Count>,
+    ) -> Outcome {
+        let traffic = Rc::clone(&self.traffic);
+        let mut splitter = Splitter::default();
+        let mut events = Vec::new();
+        let mut reading = reading;
+        let mut heard_ms = traffic.now_ms();
+        loop {
+            let quiet_ms = if reading.is_some() { FIRST_QUIET_MS } else { QUIET_MS };
+            let wake_ms = traffic.now_ms() + quiet_ms;
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = caller_left(&mut self.head, &self.body) => return Outcome::CallerLeft,
+                _ = silences.changed() => return lost("silent", true),
+                () = until(&traffic, wake_ms.min(self.job.until_ms)) => {
+                    let now_ms = traffic.now_ms();
+                    if now_ms >= self.job.until_ms {
+                        return Outcome::TimeOver;
+                    }
+                    if now_ms > wake_ms + OWN_LAG_MS {
+                        continue;
+                    }
+                    match self.check_quiet(worker, &mut body, heard_ms, reading.is_some()).await {
+                        Quiet::Frame(frame) => frame,
+                        Quiet::Wait => continue,
+                        Quiet::Leave(outcome) => return outcome,
+                    }
+                }
+            };
+            heard_ms = traffic.now_ms();
+            let data = match frame {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(error)) => {
+                    worker.refused(heard_ms);
+                    return lost(super::channel::describe(&error), true);
+                }
+                None if splitter.is_empty() => {
+                    worker.ended(false, heard_ms);
+                    worker.give_back(lease, marks.keep_ms, heard_ms);
+                    self.complete(worker);
+                    return Outcome::Done;
+                }
+                None => return lost("it ended in the middle of an event", false),
+            };
+            if !splitter.push(&data, &mut events) {
+                return lost("an event has no end", false);
+            }
+            for event in events.drain(..) {
+                reading = None;
+                if let Some(outcome) = self.pass_on(event).await {
+                    return outcome;
+                }
+            }
+        }
+    }
+
+    /// What to do about an engine that has been quiet.
+    async fn check_quiet(
+        &mut self,
+        worker: &Rc<Worker>,
+        body: &mut Incoming,
+        heard_ms: u64,
+        is_reading: bool,
+    ) -> Quiet {
+        let traffic = Rc::clone(&self.traffic);
+        let lives = tokio::select! {
+            frame = body.frame() => return Quiet::Frame(frame),
+            () = caller_left(&mut self.head, &self.body) => return Quiet::Leave(Outcome::CallerLeft),
+            lives = traffic.lives(worker) => lives,
+        };
+        if !lives {
+            return Quiet::Leave(lost("silent, and its state can't be read", true));
+        }
+        if is_reading || self.copy.is_none() || self.stuck_moves >= MOST_STUCK_MOVES {
+            return Quiet::Wait;
+        }
+        let stuck_ms = heard_ms + STUCK_MS;
+        tokio::select! {
+            frame = body.frame() => Quiet::Frame(frame),
+            () = caller_left(&mut self.head, &self.body) => Quiet::Leave(Outcome::CallerLeft),
+            () = until(&traffic, stuck_ms) => Quiet::Leave(Outcome::Stuck),
+        }
+    }
+
+    /// Passes one event on, if it is the next one.
+    async fn pass_on(&mut self, event: Event) -> Option<Outcome> {
+        let now_ms = self.traffic.now_ms();
+        if let (Some(id), Some(last)) = (event.id, self.last_event)
+            && id != last + 1
+        {
+            return Some(lost(format!("event {id} came after {last}"), false));
+        }
+        if event.id.is_some() {
+            self.last_event = event.id;
+        }
+        self.note_times(now_ms);
+        let Some(body) = &self.body else { return Some(Outcome::CallerLeft) };
+        if body.send(Ok(event.bytes)).await.is_err() {
+            return Some(Outcome::CallerLeft);
+        }
+        None
+    }
+
+    fn note_times(&mut self, now_ms: u64) {
+        if self.first_ms.is_none() {
+            self.first_ms = Some(now_ms - self.job.since_ms);
+        } else {
+            self.longest_gap_ms = self.longest_gap_ms.max(now_ms - self.last_event_ms);
+        }
+        if let Some(lost_ms) = self.lost_ms.take() {
+            let resume_ms = now_ms - lost_ms;
+            slog::info!(self.traffic.log, "went on"; "request" => self.job.id(),
+                "resume_ms" => resume_ms, "pause_ms" => now_ms - self.last_event_ms);
+            self.record(Time::Resume, resume_ms);
+        }
+        self.last_event_ms = now_ms;
+    }
+
+    fn record(&self, time: Time, value_ms: u64) {
+        let nobody: Arc<str> = Arc::from("-");
+        let organisation = self.job.organisation.as_ref().unwrap_or(&nobody);
+        self.traffic.metrics.record(time, organisation, &self.job.route.name, value_ms);
+    }
+
+    fn complete(&mut self, worker: &Worker) {
+        let whole_ms = self.traffic.now_ms() - self.job.since_ms;
+        self.job.record(&self.traffic, whole_ms, self.first_ms);
+        self.record(Time::Gap, self.longest_gap_ms);
+        slog::info!(self.traffic.log, "complete"; "request" => self.job.id(),
+            "route" => &*self.job.route.name, "upstream" => &*worker.upstream.id,
+            "first_ms" => self.first_ms, "gap_ms" => self.longest_gap_ms, "ms" => whole_ms,
+            "sent" => self.sent);
+        self.body = None;
+    }
+
+    /// Ends the run without a complete answer.
+    fn give_up(&mut self, failure: Failure) {
+        let failure = match failure {
+            Failure::Full | Failure::NoUpstream if self.may_have_run => Failure::Unknown,
+            Failure::TimeOver if self.sent == 0 => Failure::TimeOverUnsent,
+            failure => failure,
+        };
+        let answer = self.job.refuse(&self.traffic, &failure, None);
+        if let Some(body) = self.body.take() {
+            // Without its last chunk, the answer can't be taken for a complete one.
+            tokio::task::spawn_local(async move {
+                let _ = body.send(Err(Cut)).await;
+            });
+        }
+        self.answer(answer);
+    }
+
+    fn answer(&mut self, answer: Answer) {
+        if let Some(head) = self.head.take() {
+            // A caller that has left needs no answer.
+            let _ = head.send(answer);
+        }
+    }
+
+    /// Waits a moment; false if the caller has left or the time is over.
+    async fn wait(&mut self, wait_ms: u64) -> bool {
+        let now_ms = self.traffic.now_ms();
+        if now_ms + wait_ms >= self.job.until_ms {
+            return false;
+        }
+        tokio::select! {
+            () = caller_left(&mut self.head, &self.body) => false,
+            () = tokio::time::sleep(Duration::from_millis(wait_ms)) => true,
+        }
+    }
+}
+
+/// What a look at a quiet engine brought.
+enum Quiet {
+    /// Something came after all.
+    Frame(Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>),
+    /// It lives; wait on.
+    Wait,
+    /// The run leaves it.
+    Leave(Outcome),
+}
+
+fn lost(why: impl Into<String>, engine_gone: bool) -> Outcome {
+    Outcome::Lost { why: why.into(), engine_gone }
+}
+
+/// Ends when the caller has closed its connection.
+async fn caller_left(head: &mut Option<oneshot::Sender<Answer>>, body: &Option<mpsc::Sender<Part>>) {
+    match (head, body) {
+        (Some(head), _) => head.closed().await,
+        (None, Some(body)) => body.closed().await,
+        (None, None) => std::future::pending().await,
+    }
+}
+
+async fn until(traffic: &Traffic, at_ms: u64) {
+    let left_ms = at_ms.saturating_sub(traffic.now_ms());
+    tokio::time::sleep(Duration::from_millis(left_ms)).await;
+}
--- /dev/null
+++ b/src/gateway/view.rs
@@ -0,0 +1,87 @@
+//! What the control thread publishes for the others to read.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use arc_swap::ArcSwap;
+use tokio::sync::Notify;
+
+use super::fleet::Fleet;
+use super::peers::{Held, Phase};
+use super::route::Config;
+
+/// An immutable picture of what is known.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// The configuration in force; without one, nothing can be routed.
+    pub config: Option<Arc<Config>>,
+    /// The upstreams.
+    pub fleet: Arc<Fleet>,
+    /// Whether this instance takes callers.
+    pub phase: Phase,
+    /// Instances that take callers.
+    pub fronts: Vec<Front>,
+    /// Instances that live, with this one.
+    pub instances: u32,
+    /// What the others have running at upstreams.
+    pub others: Arc<BTreeMap<Arc<str>, Held>>,
+    /// Upstreams that others found silent in the last moments.
+    pub silent: Arc<Vec<Arc<str>>>,
+}
+
+/// An instance that takes callers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Front {
+    /// Where callers reach it.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+}
+
+/// What both threads share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The newest picture.
+    pub view: ArcSwap<View>,
+    /// Wakes those who wait for a newer picture.
+    pub changed: Notify,
+    /// What traffic here has running, and whom it found silent.
+    own: Mutex<Own>,
+}
+
+/// What this instance's traffic tells its peers.
+#[derive(Debug, Clone, Default)]
+pub struct Own {
+    /// What it has running at model engines.
+    pub held: Vec<Held>,
+    /// Upstreams that it found silent in the last moments.
+    pub silent: Vec<Arc<str>>,
+}
+
+impl Shared {
+    /// Nothing known yet.
+    pub fn new() -> Arc<Shared> {
+        let view = View {
+            config: None,
+            fleet: Arc::default(),
+            phase: Phase::Starting,
+            fronts: Vec::new(),
+            instances: 1,
+            others: Arc::default(),
+            silent: Arc::default(),
+        };
+        let view = ArcSwap::from_pointee(view);
+        Arc::new(Shared { view, changed: Notify::new(), own: Mutex::default() })
+    }
+
+    /// Replaces what is told to peers.
+    pub fn set_own(&self, own: Own) {
+        *self.own.lock().unwrap_or_else(PoisonError::into_inner) = own;
+    }
+
+    /// What is told to peers.
+    pub fn own(&self) -> Own {
+        self.own.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
--- /dev/null
+++ b/src/gateway/worker.rs
@@ -0,0 +1,245 @@
+//! One upstream as this instance's traffic sees it: its channels, what runs there, its failures.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use tokio::sync::watch;
+
+use super::channel::{self, Channel};
+use super::dialect::Load;
+use super::fleet::Upstream;
+
+/// How long an upstream that refused a connection is kept out of placement: about what a restart
+/// takes.
+const REFUSED_MS: u64 = 300;
+/// How long an upstream that fell silent is kept out, unless it answers: a crash takes over a
+/// second, and the list of upstreams drops it after a few more.
+const SILENT_MS: u64 = 1_500;
+/// The weight of the newest outcome in the part of failures.
+const OUTCOME_WEIGHT: f64 = 0.1;
+/// In what time the part of failures halves when nothing is sent.
+const FORGIVE_MS: f64 = 2_000.0;
+/// How old a load may be that the upstream itself told.
+const LOAD_FRESH_MS: u64 = 400;
+/// How long a channel is kept where the upstream says nothing: under the shortest usual timeout.
+const KEEP_DEFAULT_MS: u64 = 1_500;
+/// The part of the upstream's own timeout after which a channel isn't used any more, so that it is
+/// not closed while a request is on its way.
+const KEEP_PART: f64 = 0.6;
+/// How long a connection may take: a round trip is a few milliseconds, and a lost first packet is
+/// sent again only after a second.
+const CONNECT_TIMEOUT_MS: u64 = 250;
+
+/// An upstream and what this instance has with it.
+#[derive(Debug)]
+pub struct Worker {
+    /// What the list says of it.
+    pub upstream: Upstream,
+    /// Requests of ours that run or wait there.
+    pub runs: Cell<u32>,
+    /// Copies of our runs that lie there.
+    pub copies: Cell<u32>,
+    /// Prompts of ours that it is reading.
+    pub reading: Cell<u32>,
+    /// Grows each time it is found silent; those who wait for it then leave.
+    pub silences: watch::Sender<u64>,
+    open: Cell<u32>,
+    idle: RefCell<VecDeque<Idle>>,
+    suspect_until_ms: Cell<u64>,
+    silent_until_ms: Cell<u64>,
+    failing: Cell<f64>,
+    failing_ms: Cell<u64>,
+    told: Cell<Option<Told>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    channel: Channel,
+    until_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    others: u32,
+    at_ms: u64,
+}
+
+/// A channel in use; it is closed unless it is given back.
+#[derive(Debug)]
+pub struct Lease {
+    /// The channel.
+    pub channel: Channel,
+    /// Whether it was opened for this request.
+    pub is_new: bool,
+    _open: OpenGuard,
+}
+
+#[derive(Debug)]
+struct OpenGuard(Rc<Worker>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Counts one more of something for as long as it lives.
+#[derive(Debug)]
+pub struct Count {
+    worker: Rc<Worker>,
+    what: What,
+}
+
+/// What is counted at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum What {
+    /// A request that runs or waits.
+    Run,
+    /// A copy of a run.
+    Copy,
+    /// A prompt that is being read.
+    Reading,
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        let cell = self.worker.cell(self.what);
+        cell.set(cell.get() - 1);
+    }
+}
+
+impl Worker {
+    /// An upstream that nothing has been sent to.
+    pub fn new(upstream: Upstream) -> Rc<Worker> {
+        Rc::new(Worker {
+            upstream,
+            runs: Cell::new(0),
+            copies: Cell::new(0),
+            reading: Cell::new(0),
+            silences: watch::Sender::new(0),
+            open: Cell::new(0),
+            idle: RefCell::default(),
+            suspect_until_ms: Cell::new(0),
+            silent_until_ms: Cell::new(0),
+            failing: Cell::new(0.0),
+            failing_ms: Cell::new(0),
+            told: Cell::new(None),
+        })
+    }
+
+    fn cell(&self, what: What) -> &Cell<u32> {
+        match what {
+            What::Run => &self.runs,
+            What::Copy => &self.copies,
+            What::Reading => &self.reading,
+        }
+    }
+
+    /// Counts one more.
+    pub fn count(self: &Rc<Worker>, what: What) -> Count {
+        let cell = self.cell(what);
+        cell.set(cell.get() + 1);
+        Count { worker: Rc::clone(self), what }
+    }
+
+    /// A kept channel, the one that was idle longest, so that stray bytes had time to show; or a
+    /// new one, if fewer than `most` are open.
+    ///
+    /// # Errors
+    ///
+    /// `NotSent` if there is none to be had.
+    pub async fn lease(self: &Rc<Worker>, most: u32, now_ms: u64) -> Result<Lease, channel::Fault> {
+        while let Some(idle) = self.take_idle() {
+            if idle.until_ms > now_ms && idle.channel.is_usable() {
+                return Ok(self.hold(idle.channel, false));
+            }
+        }
+        if self.open.get() >= most {
+            return Err(channel::Fault::NotSent { detail: "all channels are in use".to_owned() });
+        }
+        self.open.set(self.open.get() + 1);
+        let open = OpenGuard(Rc::clone(self));
+        let channel = Channel::open(self.upstream.addr, CONNECT_TIMEOUT_MS).await?;
+        Ok(Lease { channel, is_new: true, _open: open })
+    }
+
+    fn take_idle(&self) -> Option<Idle> {
+        self.idle.borrow_mut().pop_front()
+    }
+
+    fn hold(self: &Rc<Worker>, channel: Channel, is_new: bool) -> Lease {
+        self.open.set(self.open.get() + 1);
+        Lease { channel, is_new, _open: OpenGuard(Rc::clone(self)) }
+    }
+
+    /// Keeps a channel for later requests; `keep_ms` is the upstream's own timeout for it.
+    pub fn give_back(self: &Rc<Worker>, lease: Lease, keep_ms: Option<u64>, now_ms: u64) {
+        let keep_ms = keep_ms.map_or(KEEP_DEFAULT_MS, |keep| (keep as f64 * KEEP_PART) as u64);
+        if keep_ms == 0 || self.is_suspect(now_ms) {
+            return;
+        }
+        let idle = Idle { channel: lease.channel, until_ms: now_ms + keep_ms };
+        self.idle.borrow_mut().push_back(idle);
+    }
+
+    /// Closes channels that were idle too long or broke.
+    pub fn sweep(&self, now_ms: u64) {
+        self.idle.borrow_mut().retain(|idle| idle.until_ms > now_ms && idle.channel.is_usable());
+    }
+
+    /// Notes that it refused a connection.
+    pub fn refused(&self, now_ms: u64) {
+        self.suspect_until_ms.set(self.suspect_until_ms.get().max(now_ms + REFUSED_MS));
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Notes that it is silent; all who wait for it leave.
+    pub fn fell_silent(&self, now_ms: u64) {
+        self.suspect_until_ms.set(self.suspect_until_ms.get().max(now_ms + SILENT_MS));
+        self.silent_until_ms.set(now_ms + SILENT_MS);
+        self.idle.borrow_mut().clear();
+        self.silences.send_modify(|count| *count += 1);
+    }
+
+    /// Notes that it answered.
+    pub fn answered(&self) {
+        self.suspect_until_ms.set(0);
+        self.silent_until_ms.set(0);
+    }
+
+    /// Whether it refused or fell silent a moment ago.
+    pub fn is_suspect(&self, now_ms: u64) -> bool {
+        self.suspect_until_ms.get() > now_ms
+    }
+
+    /// Whether it fell silent a moment ago.
+    pub fn is_silent(&self, now_ms: u64) -> bool {
+        self.silent_until_ms.get() > now_ms
+    }
+
+    /// Notes how a request ended there.
+    pub fn ended(&self, is_failure: bool, now_ms: u64) {
+        let newest = if is_failure { OUTCOME_WEIGHT } else { 0.0 };
+        self.failing.set(self.failing(now_ms) * (1.0 - OUTCOME_WEIGHT) + newest);
+        self.failing_ms.set(now_ms);
+    }
+
+    /// The part of the last requests that failed.
+    pub fn failing(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.failing_ms.get()) as f64;
+        self.failing.get() * (-age_ms / FORGIVE_MS).exp2()
+    }
+
+    /// Takes in the load that it told with an answer.
+    pub fn tell(&self, load: Load, now_ms: u64) {
+        let others = (load.running + load.waiting).saturating_sub(self.runs.get());
+        self.told.set(Some(Told { others, at_ms: now_ms }));
+    }
+
+    /// What others have running there, as it told itself a moment ago.
+    pub fn told_others(&self, now_ms: u64) -> Option<u32> {
+        let told = self.told.get()?;
+        (told.at_ms + LOAD_FRESH_MS > now_ms).then_some(told.others)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod evidence;
 pub mod follow;
 pub mod generate;
+pub mod gateway;
 pub mod generation;
 pub mod health;
 pub mod journal;
@@ -91,6 +92,9 @@
 pub mod peer;
 pub mod peers;
 pub mod placement;
+/// The users' platform, in a folder of its own beside the sources.
+#[path = "../platform/mod.rs"]
+pub mod platform;
 pub mod query;
 pub mod record;
 pub mod registry;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,8 @@
 
 use siskinrock::error::Error;
 use siskinrock::settings::{self, Settings};
-use siskinrock::{ctl, log, router};
+use siskinrock::gateway::server;
+use siskinrock::{ctl, log, platform, router};
 
 /// A request was refused, or something can't be reached.
 const EXIT_FAILED: u8 = 1;
@@ -20,6 +21,7 @@
 USAGE: siskinrock COMMAND [FLAGS]
 
   router   serve callers, operators and peers
+  gateway  forward by routes on the users' platform
   check    check the settings of a router without serving
   ctl      ask and command a running system
   help     this page; also --help after each command
@@ -33,6 +35,7 @@
         Some("router" | "check") if wants_help => print(settings::HELP),
         Some("ctl") if wants_help || arguments.is_empty() => print(ctl::HELP),
         Some("router") => serve(arguments),
+        Some("gateway") => forward(),
         Some("check") => check(arguments),
         Some("ctl") => operate(arguments),
         Some("help" | "--help" | "-h") => print(HELP),
@@ -81,6 +84,39 @@
     }
 }
 
+/// Runs a gateway until the platform stops it.
+fn forward() -> ExitCode {
+    let (gateway, logger) = match platform::start() {
+        Ok(started) => started,
+        Err(error) => return fail(&error, EXIT_USAGE),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let Ok(runtime) = runtime else { return ExitCode::from(EXIT_FAILED) };
+    match runtime.block_on(run_gateway(gateway, logger)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error, EXIT_FAILED),
+    }
+}
+
+async fn run_gateway(mut gateway: server::Gateway, logger: slog::Logger) -> Result<(), Error> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate()).map_err(cannot_listen)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(cannot_listen)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(cannot_listen)?;
+    loop {
+        tokio::select! {
+            ended = gateway.ended() => return ended,
+            _ = terminate.recv() => gateway.stop(),
+            _ = interrupt.recv() => gateway.stop(),
+            _ = reload.recv() => match platform::reload() {
+                Ok(()) => slog::info!(logger, "settings read again; all of them need a restart"),
+                Err(error) => slog::warn!(logger, "settings refused; the old ones stay in force";
+                    "why" => %error),
+            }
+        }
+    }
+}
+
 async fn run_router(settings: Settings, logger: slog::Logger) -> Result<(), Error> {
     use tokio::signal::unix::{SignalKind, signal};
     let mut terminate = signal(SignalKind::terminate()).map_err(cannot_listen)?;
