Mark lost failure domains, renew copies, and check waiting runs

Cause: copies were placed at engines that were gone but still listed, runs that waited for their first event were never checked, and all instances sent what they lost to the same engine.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -126,8 +126,8 @@
     let mut lease = match worker.lease(most, traffic.now_ms()).await {
         Ok(lease) => lease,
         Err(fault) => {
-            worker.refused(traffic.now_ms());
             worker.ended(true, traffic.now_ms());
+            traffic.no_channel(worker, &fault);
             slog::info!(traffic.log, "no channel"; "request" => job.id(),
                 "upstream" => &*worker.upstream.id, "detail" => %fault);
             return unsent();
@@ -186,18 +186,22 @@
     let now_ms = traffic.now_ms();
     let (whole, marks) = match result {
         Ok(answered) => answered,
-        Err(Fault::NotSent { .. }) => return unsent(),
         Err(Fault::Broken { detail }) => {
             worker.ended(true, now_ms);
             return Outcome::Unknown { detail };
         }
+        Err(_) => return unsent(),
     };
     if marks.id.is_some() && marks.id != job.demand.id {
         worker.ended(true, now_ms);
         traffic.metrics.count("answers_of_other_requests");
         return Outcome::Unknown { detail: "the answer belongs to another request".to_owned() };
     }
-    worker.answered();
+    if whole.status == 421 {
+        traffic.lost(worker, "another one has its address");
+    } else {
+        worker.answered(now_ms);
+    }
     if let Some(load) = marks.load {
         worker.tell(load, now_ms);
     }
--- a/src/gateway/channel.rs
+++ b/src/gateway/channel.rs
@@ -39,6 +39,15 @@
         /// What was seen.
         detail: String,
     },
+    /// Nothing listens at the address any more.
+    #[display("nothing listens there; the request may go elsewhere")]
+    Refused,
+    /// No connection came about in time.
+    #[display("no connection within {timeout_ms} ms; the request may go elsewhere")]
+    Unreachable {
+        /// How long it was tried.
+        timeout_ms: u64,
+    },
     /// Some of it was written, so it may run.
     #[display("the connection broke after the request was sent ({detail}); whether it ran is unknown")]
     Broken {
@@ -66,14 +75,17 @@
     ///
     /// # Errors
     ///
-    /// [`Fault::NotSent`] if it can't be had.
+    /// Any but [`Fault::Broken`], if it can't be had.
     pub async fn open(addr: SocketAddr, timeout_ms: u64) -> Result<Channel, Fault> {
         let not_sent = |detail: String| Fault::NotSent { detail };
         let limit = Duration::from_millis(timeout_ms);
         let stream = match tokio::time::timeout(limit, TcpStream::connect(addr)).await {
             Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(Fault::Refused);
+            }
             Ok(Err(error)) => return Err(not_sent(error.to_string())),
-            Err(_) => return Err(not_sent("timeout".to_owned())),
+            Err(_) => return Err(Fault::Unreachable { timeout_ms }),
         };
         tune(&stream).map_err(|error| not_sent(error.to_string()))?;
         let written = Rc::new(Cell::new(0));
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -33,7 +33,7 @@
 const WATCH_MS: u64 = 20_000;
 /// How long changes gather before the next watch: an engine's crash brings a burst of them, each
 /// call costs, and the bounds for taking on a change are seconds.
-const GATHER_MS: u64 = 150;
+const GATHER_MS: u64 = 400;
 /// The wait after a call that failed; doubled up to the longest.
 const RETRY_MS: u64 = 150;
 /// The longest wait after calls that failed: the directory's return should be noticed within
@@ -43,6 +43,9 @@
 const LEASE_MS: u64 = 9_000;
 /// The pause between renewals, a third of the lease.
 const RENEW_MS: u64 = 3_000;
+/// How long news of traffic gather before peers hear of them: a burst of placements or losses
+/// comes within a few milliseconds.
+const NEWS_MS: u64 = 15;
 /// How long a peer may know a newer version before it is fetched from there: the directory's own
 /// answer is usually under way.
 const BEHIND_MS: u64 = 300;
@@ -322,7 +325,7 @@
         }
         let mut instances = 1;
         let mut others: BTreeMap<Arc<str>, Held> = BTreeMap::new();
-        let mut silent = Vec::new();
+        let mut lost = Vec::new();
         for beat in board.peers.alive(now_ms) {
             instances += 1;
             if beat.phase == Phase::Ready {
@@ -334,11 +337,13 @@
                     upstream: Arc::clone(&held.upstream),
                     runs: 0,
                     copies: 0,
+                    reading: 0,
                 });
                 sum.runs += held.runs;
                 sum.copies += held.copies;
+                sum.reading += held.reading;
             }
-            silent.extend(beat.silent.iter().cloned());
+            lost.extend(beat.lost.iter().cloned());
         }
         let before = self.shared.view.load();
         let is_same_fleet = before.fleet.upstreams == board.fleet.upstreams;
@@ -351,7 +356,7 @@
             fronts,
             instances,
             others: Arc::new(others),
-            silent: Arc::new(silent),
+            lost: Arc::new(lost),
         };
         drop(before);
         self.shared.view.store(Arc::new(view));
@@ -359,10 +364,13 @@
     }
 
     async fn send_beats(self: Rc<Control>, socket: Rc<UdpSocket>) {
-        let mut pace = tokio::time::interval(Duration::from_millis(BEAT_MS));
-        pace.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            pace.tick().await;
+            let news = self.shared.news.notified();
+            let round = Duration::from_millis(BEAT_MS);
+            if tokio::time::timeout(round, news).await.is_ok() {
+                // What follows at once goes with it.
+                tokio::time::sleep(Duration::from_millis(NEWS_MS)).await;
+            }
             let now_ms = self.clock.now_ms();
             let beat = self.beat();
             let Ok(message) = rmp_serde::to_vec(&beat) else { continue };
@@ -391,7 +399,7 @@
             config_version: board.config.as_ref().map_or(0, |config| config.version),
             fleet_revision: if board.has_fleet { board.fleet.revision } else { 0 },
             held: own.held,
-            silent: own.silent,
+            lost: own.lost,
         }
     }
 
@@ -411,12 +419,12 @@
             }
             let id = Arc::clone(&beat.from.id);
             let phase = beat.phase;
-            let has_silent = !beat.silent.is_empty();
+            let has_lost = !beat.lost.is_empty();
             let is_back = self.board.borrow_mut().peers.hear(beat, self.clock.now_ms());
             if is_back {
                 slog::info!(self.log, "peer heard"; "peer" => &*id);
             }
-            if is_back || phase == Phase::Stopping || has_silent {
+            if is_back || phase == Phase::Stopping || has_lost {
                 self.publish();
             }
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -42,6 +42,8 @@
     pub runs: u32,
     /// Copies of runs that lie there.
     pub copies: u32,
+    /// Prompts that it is reading.
+    pub reading: u32,
 }
 
 /// One message of an instance to its peers.
@@ -59,8 +61,8 @@
     pub fleet_revision: u64,
     /// What it has running at model engines.
     pub held: Vec<Held>,
-    /// Upstreams that it found silent in the last moments.
-    pub silent: Vec<Arc<str>>,
+    /// Upstreams that it lost in the last moments.
+    pub lost: Vec<Arc<str>>,
 }
 
 /// A peer as it was last heard.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -10,7 +10,7 @@
 /// What a copy weighs against a run: it holds as much memory and no steps.
 const COPY_WEIGHT: f64 = 0.3;
 /// What a prompt being read weighs beside a run: it slows every run's tokens while it lasts.
-const READING_WEIGHT: f64 = 1.0;
+const READING_WEIGHT: f64 = 1.5;
 /// What an upstream that failed every request lately weighs, in requests.
 const FAILING_WEIGHT: f64 = 24.0;
 
@@ -44,32 +44,39 @@
     pub near: Option<Arc<str>>,
 }
 
-/// The index of the best candidate; suspects only if nothing else is left.
+/// The index of a good candidate; suspects only if nothing else is left.
+///
+/// The best one is likely and not certain: all instances see nearly the same loads, and after a
+/// crash they would all send what they lost to the one that is least loaded.
 pub fn choose(candidates: &[Candidate], wish: &Wish, random: &mut dyn Random) -> Option<usize> {
-    let mut best: Option<(usize, f64)> = None;
-    let mut ties = 0;
-    for (index, candidate) in candidates.iter().enumerate() {
-        if wish.not.contains(&candidate.id) {
-            continue;
-        }
-        let cost = cost(candidate, wish);
-        match best {
-            Some((_, least)) if cost > least => {}
-            Some((_, least)) if cost == least => {
-                ties += 1;
-                if random.below(ties) == 0 {
-                    best = Some((index, cost));
-                }
-            }
-            _ => {
-                ties = 1;
-                best = Some((index, cost));
-            }
+    let fits = |candidate: &Candidate| !wish.not.contains(&candidate.id);
+    let costs: Vec<Option<f64>> = candidates
+        .iter()
+        .map(|candidate| fits(candidate).then(|| cost(candidate, wish)))
+        .collect();
+    let least = costs.iter().flatten().copied().min_by(f64::total_cmp)?;
+    let weight = |cost: &Option<f64>| match cost {
+        Some(cost) => (WEIGHT_UNIT * (-(cost - least) / SPREAD).exp()) as u64,
+        None => 0,
+    };
+    let total: u64 = costs.iter().map(weight).sum();
+    let mut left = random.below(total.max(1));
+    for (index, cost) in costs.iter().enumerate() {
+        let weight = weight(cost);
+        if left < weight {
+            return Some(index);
         }
+        left -= weight;
     }
-    best.map(|(index, _)| index)
+    None
 }
 
+/// The weight of the best candidate, as a whole number.
+const WEIGHT_UNIT: f64 = 1e6;
+/// By how many requests a candidate must be worse to be chosen 2.7 times less often: small enough
+/// to keep loads even, large enough that nine instances with one stale picture don't meet.
+const SPREAD: f64 = 0.4;
+
 /// Over any real load, so that such candidates are a last resort.
 const LAST_RESORT: f64 = 1e6;
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
-use hyper::{HeaderMap, Response};
-use tokio::sync::{mpsc, oneshot};
+use hyper::{HeaderMap, Method, Request, Response};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::answer::{self, Answer, Cut, Part};
 use super::channel::Fault;
@@ -23,7 +23,7 @@
 use super::front::{self, Job, OpenGuard};
 use super::metrics::Time;
 use super::placement::Wish;
-use super::route::Repeat;
+use super::route::{Engine, Repeat};
 use super::traffic::Traffic;
 use super::worker::{Count, Lease, What, Worker};
 
@@ -35,13 +35,17 @@
 /// A pause after which a run with a copy elsewhere goes on there, although its engine answers.
 const STUCK_MS: u64 = 450;
 /// How long the first event may take before the engine is asked whether it lives.
-const FIRST_QUIET_MS: u64 = 1_000;
+const FIRST_QUIET_MS: u64 = 900;
 /// How late a timer may fire before this process suspects itself of having stood still.
 const OWN_LAG_MS: u64 = 60;
 /// How often a run may leave an engine that lives but makes no events.
 const MOST_STUCK_MOVES: u32 = 2;
 /// The wait before another look when no engine takes work in the middle of an answer.
 const LOOK_AGAIN_MS: u64 = 50;
+/// The pause between tries to copy a run: each is a call to its engine.
+const COPY_PAUSE_MS: u64 = 500;
+/// How long a copy may take: its memory passes in milliseconds, behind others on the link.
+const COPY_TIMEOUT_MS: u64 = 1_500;
 /// The priority of a run that goes on, before all new ones.
 const RESUMED_PRIORITY: u8 = 0;
 /// The lowest priority that engines know.
@@ -91,8 +95,19 @@
     stuck_moves: u32,
     left: Vec<Arc<str>>,
     lost_domains: Vec<Arc<str>>,
-    copy: Option<Rc<Worker>>,
-    copy_count: Option<Count>,
+    copy: Option<CopyAt>,
+    copying: Option<oneshot::Receiver<Option<(Rc<Worker>, Copy)>>>,
+    copy_again_ms: u64,
+}
+
+/// Where the copy of the run's memory lies.
+#[derive(Debug)]
+struct CopyAt {
+    worker: Rc<Worker>,
+    name: Copy,
+    /// When it has to be renewed, if it doesn't grow by itself.
+    renew_ms: Option<u64>,
+    _count: Count,
 }
 
 impl Run {
@@ -113,7 +128,8 @@
             left: Vec::new(),
             lost_domains: Vec::new(),
             copy: None,
-            copy_count: None,
+            copying: None,
+            copy_again_ms: 0,
         }
     }
 
@@ -191,15 +207,10 @@
 
     /// The engine for the next attempt: the one with the copy, or the best one.
     fn place(&mut self) -> Option<(Rc<Worker>, Option<Copy>)> {
-        self.copy_count = None;
-        if let Some(worker) = self.copy.take() {
-            let now_ms = self.traffic.now_ms();
-            let is_fit = self.traffic.takes_work(&worker.upstream.id) && !worker.is_silent(now_ms);
-            if is_fit {
-                let name = Arc::from(self.job.id());
-                let copy = Copy { addr: worker.upstream.addr, name };
-                return Some((worker, Some(copy)));
-            }
+        if let Some(copy) = self.copy.take()
+            && self.is_fit(&copy.worker)
+        {
+            return Some((copy.worker, Some(copy.name)));
         }
         let wish = Wish {
             not: self.left.clone(),
@@ -209,11 +220,15 @@
         self.traffic.choose(&self.job.service, &wish).map(|worker| (worker, None))
     }
 
+    /// Whether a copy at an engine can still be used.
+    fn is_fit(&self, worker: &Worker) -> bool {
+        let now_ms = self.traffic.now_ms();
+        self.traffic.takes_work(&worker.upstream.id) && !self.traffic.is_doubtful(worker, now_ms)
+    }
+
     /// The engine for a new copy: not where the run is, nor where it was lost.
     fn place_copy(&self, worker: &Worker) -> Option<Rc<Worker>> {
-        let view = self.traffic.view();
-        let service = view.config.as_ref()?.services.get(&self.job.service)?;
-        let can_copy = service.engine.as_ref().is_some_and(|engine| engine.can_copy);
+        let can_copy = self.engine().is_some_and(|engine| engine.can_copy);
         if !can_copy || self.job.route.repeat != Repeat::Resumable {
             return None;
         }
@@ -223,7 +238,7 @@
         not_domains.push(Arc::clone(&worker.upstream.domain));
         let wish = Wish { not, not_domains, near: None };
         let chosen = self.traffic.choose(&self.job.service, &wish)?;
-        (!chosen.is_suspect(self.traffic.now_ms())).then_some(chosen)
+        self.is_fit(&chosen).then_some(chosen)
     }
 
     async fn attempt(&mut self, worker: &Rc<Worker>, from: Option<Copy>) -> Outcome {
@@ -234,7 +249,7 @@
         let mut lease = match worker.lease(most, traffic.now_ms()).await {
             Ok(lease) => lease,
             Err(fault) => {
-                worker.refused(traffic.now_ms());
+                traffic.no_channel(worker, &fault);
                 slog::info!(traffic.log, "no channel"; "request" => self.job.id(),
                     "upstream" => &*worker.upstream.id, "detail" => %fault);
                 return Outcome::NotRun { was_sent: false };
@@ -252,30 +267,10 @@
             "copy" => copy.as_ref().map(|copy| copy.upstream.id.to_string()),
             "from_copy" => from.is_some(), "after" => self.last_event,
             "runs" => worker.runs.get());
-        let response = {
-            let sending = lease.channel.send(request);
-            tokio::select! {
-                response = sending => response,
-                () = caller_left(&mut self.head, &self.body) => return Outcome::CallerLeft,
-                _ = silences.changed() => {
-                    self.sent += 1;
-                    return lost("silent before its answer", true);
-                }
-                () = until(&traffic, self.job.until_ms) => {
-                    self.sent += 1;
-                    return Outcome::TimeOver;
-                }
-            }
-        };
-        let response = match response {
+        traffic.tell_peers();
+        let response = match self.wait_for_head(worker, &mut lease, request, &mut silences).await {
             Ok(response) => response,
-            Err(Fault::NotSent { .. }) => return Outcome::NotRun { was_sent: false },
-            Err(Fault::Broken { detail }) => {
-                self.sent += 1;
-                worker.refused(traffic.now_ms());
-                worker.ended(true, traffic.now_ms());
-                return lost(detail, true);
-            }
+            Err(outcome) => return outcome,
         };
         self.sent += 1;
         let marks = traffic.dialect.marks(response.headers());
@@ -286,12 +281,56 @@
         if status != 200 {
             return self.pass_on_failure(worker, lease, response, &marks).await;
         }
-        self.copy_count = copy.as_ref().map(|copy| copy.count(What::Copy));
-        self.copy = copy;
+        self.copy = copy.map(|worker| CopyAt {
+            name: Copy { addr: worker.upstream.addr, name: Arc::from(self.job.id()) },
+            renew_ms: None,
+            _count: worker.count(What::Copy),
+            worker,
+        });
         let body = self.open_body(response);
         self.relay(worker, lease, body, marks, silences, reading).await
     }
 
+    /// Sends the request and waits until the engine answers, which it does with the first event.
+    async fn wait_for_head(
+        &mut self,
+        worker: &Rc<Worker>,
+        lease: &mut Lease,
+        request: Request<Full<Bytes>>,
+        silences: &mut watch::Receiver<u64>,
+    ) -> Result<Response<Incoming>, Outcome> {
+        let traffic = Rc::clone(&self.traffic);
+        let mut sending = std::pin::pin!(lease.channel.send(request));
+        let response = loop {
+            let wake_ms = (traffic.now_ms() + FIRST_QUIET_MS).min(self.job.until_ms);
+            tokio::select! {
+                response = sending.as_mut() => break response,
+                () = caller_left(&mut self.head, &self.body) => return Err(Outcome::CallerLeft),
+                _ = silences.changed() => {
+                    self.sent += 1;
+                    return Err(lost("silent before its answer", true));
+                }
+                () = until(&traffic, wake_ms) => {}
+            }
+            if traffic.now_ms() >= self.job.until_ms {
+                self.sent += 1;
+                return Err(Outcome::TimeOver);
+            }
+            // An answer to the question, or none, is noticed above.
+            traffic.ask_whether_lives(worker);
+        };
+        match response {
+            Ok(response) => Ok(response),
+            Err(Fault::Broken { detail }) => {
+                self.sent += 1;
+                worker.broke(traffic.now_ms());
+                worker.ended(true, traffic.now_ms());
+                Err(lost(detail, true))
+            }
+            Err(_) => Err(Outcome::NotRun { was_sent: false }),
+        }
+    }
+
     fn dispatch(
         &self,
         worker: &Worker,
@@ -323,7 +362,11 @@
             self.traffic.metrics.count("answers_of_other_requests");
             return Some(lost("the answer belongs to another request", false));
         }
-        worker.answered();
+        if response.status().as_u16() == 421 {
+            self.traffic.lost(worker, "another one has its address");
+        } else {
+            worker.answered(now_ms);
+        }
         if let Some(load) = marks.load {
             worker.tell(load, now_ms);
         }
@@ -383,7 +426,7 @@
         lease: Lease,
         mut body: Incoming,
         marks: Marks,
-        mut silences: tokio::sync::watch::Receiver<u64>,
+        mut silences: watch::Receiver<u64>,
         reading: Option<Count>,
     ) -> Outcome {
         let traffic = Rc::clone(&self.traffic);
@@ -417,7 +460,7 @@
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(error)) => {
-                    worker.refused(heard_ms);
+                    worker.broke(heard_ms);
                     return lost(super::channel::describe(&error), true);
                 }
                 None if splitter.is_empty() => {
@@ -431,8 +474,11 @@
             if !splitter.push(&data, &mut events) {
                 return lost("an event has no end", false);
             }
+            if reading.take().is_some() {
+                traffic.tell_peers();
+            }
+            self.keep_copy(worker);
             for event in events.drain(..) {
-                reading = None;
                 if let Some(outcome) = self.pass_on(event).await {
                     return outcome;
                 }
@@ -468,6 +514,69 @@
         }
     }
 
+    /// Has the run's memory copied to another engine if the copy's engine is lost or leaves, or if
+    /// such a copy, which doesn't grow by itself, gets old.
+    fn keep_copy(&mut self, worker: &Rc<Worker>) {
+        let now_ms = self.traffic.now_ms();
+        if let Some(copying) = &mut self.copying {
+            match copying.try_recv() {
+                Ok(copied) => {
+                    self.copying = None;
+                    self.take_copy(copied, now_ms);
+                }
+                Err(oneshot::error::TryRecvError::Empty) => return,
+                Err(oneshot::error::TryRecvError::Closed) => self.copying = None,
+            }
+        }
+        let target = match &self.copy {
+            Some(copy) if !self.is_fit(&copy.worker) => {
+                slog::info!(self.traffic.log, "copy lost"; "request" => self.job.id(),
+                    "upstream" => &*copy.worker.upstream.id);
+                self.copy = None;
+                None
+            }
+            Some(copy) if copy.renew_ms.is_some_and(|renew_ms| renew_ms <= now_ms) => {
+                Some(Rc::clone(&copy.worker))
+            }
+            Some(_) => return,
+            None => None,
+        };
+        if now_ms < self.copy_again_ms || !self.can_move() {
+            return;
+        }
+        self.copy_again_ms = now_ms + COPY_PAUSE_MS;
+        let Some(target) = target.or_else(|| self.place_copy(worker)) else { return };
+        let (tell, copied) = oneshot::channel();
+        self.copying = Some(copied);
+        let id: Arc<str> = Arc::from(self.job.id());
+        let copying = copy_run(Rc::clone(&self.traffic), Rc::clone(worker), target, id);
+        tokio::task::spawn_local(async move {
+            // The run may have ended meanwhile.
+            let _ = tell.send(copying.await);
+        });
+    }
+
+    fn take_copy(&mut self, copied: Option<(Rc<Worker>, Copy)>, now_ms: u64) {
+        let Some((worker, name)) = copied else { return };
+        let kept_ms = self.engine().map_or(0, |engine| engine.copy_kept_ms);
+        self.copy = Some(CopyAt {
+            name,
+            renew_ms: Some(now_ms + kept_ms / 2),
+            _count: worker.count(What::Copy),
+            worker,
+        });
+    }
+
+    fn engine(&self) -> Option<Engine> {
+        let view = self.traffic.view();
+        view.config.as_ref()?.services.get(&self.job.service)?.engine.clone()
+    }
+
+    fn can_move(&self) -> bool {
+        let can_move = self.engine().is_some_and(|engine| engine.can_move);
+        can_move && self.job.route.repeat == Repeat::Resumable
+    }
+
     /// Passes one event on, if it is the next one.
     async fn pass_on(&mut self, event: Event) -> Option<Outcome> {
         let now_ms = self.traffic.now_ms();
@@ -583,3 +692,22 @@
     let left_ms = at_ms.saturating_sub(traffic.now_ms());
     tokio::time::sleep(Duration::from_millis(left_ms)).await;
 }
+
+/// Copies a run's memory as it is now; the source keeps the run.
+async fn copy_run(
+    traffic: Rc<Traffic>,
+    source: Rc<Worker>,
+    target: Rc<Worker>,
+    id: Arc<str>,
+) -> Option<(Rc<Worker>, Copy)> {
+    let (path, body) = traffic.dialect.copy_call(&id, target.upstream.addr);
+    let limit = Duration::from_millis(COPY_TIMEOUT_MS);
+    let asked = traffic.ask(&source, Method::POST, path, body);
+    let answered = tokio::time::timeout(limit, asked).await.ok().flatten();
+    let name = answered.filter(|(status, _)| *status == 200);
+    let name = name.and_then(|(_, body)| traffic.dialect.copy_name(&body));
+    slog::info!(traffic.log, "run copied"; "request" => &*id, "from" => &*source.upstream.id,
+        "to" => &*target.upstream.id, "done" => name.is_some());
+    let copy = Copy { addr: source.upstream.addr, name: name? };
+    Some((target, copy))
+}
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -5,15 +5,18 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use http_body_util::Full;
-use hyper::Request;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request};
 use hyper::header::HOST;
 use tokio::sync::watch;
 
+use super::channel;
 use super::budget::{Bound, Budget};
 use super::dialect::Dialect;
 use super::fleet::Fleet;
 use super::metrics::Metrics;
+use super::peers::Held;
 use super::placement::{self, Candidate, Wish};
 use super::settings::Settings;
 use super::view::{Own, Shared, View};
@@ -25,8 +28,20 @@
 /// How long an engine's state may take to arrive: it needs no slot, so it comes in a round trip,
 /// and a resumption has to fit into the rest of the allowed pause.
 const STATE_TIMEOUT_MS: u64 = 130;
-/// How long peers are told of an upstream that was found silent.
-const TELL_SILENT_MS: u64 = 1_000;
+/// How long a loss counts as a sign for its failure domain, and peers are told of it: the list of
+/// upstreams drops what is gone within this time.
+const LOSS_COUNTS_MS: u64 = 4_000;
+/// So many upstreams of a service lost in one failure domain make the others there suspect.
+const DOMAIN_LOSSES: usize = 3;
+
+/// An upstream that was lost.
+#[derive(Debug, Clone)]
+struct Loss {
+    service: Arc<str>,
+    domain: Arc<str>,
+    at_ms: u64,
+    is_own: bool,
+}
 
 /// The state of the traffic thread.
 pub struct Traffic {
@@ -48,7 +63,7 @@
     workers: RefCell<BTreeMap<Arc<str>, Rc<Worker>>>,
     budgets: RefCell<BTreeMap<Arc<str>, Budget>>,
     probes: RefCell<BTreeMap<Arc<str>, watch::Receiver<Option<bool>>>>,
-    silent: RefCell<BTreeMap<Arc<str>, u64>>,
+    losses: RefCell<BTreeMap<Arc<str>, Loss>>,
 }
 
 impl Traffic {
@@ -73,7 +88,7 @@
             workers: RefCell::default(),
             budgets: RefCell::default(),
             probes: RefCell::default(),
-            silent: RefCell::default(),
+            losses: RefCell::default(),
         })
     }
 
@@ -94,13 +109,13 @@
     fn follow(&self, fleet: &Arc<Fleet>) {
         let mut workers = self.workers.borrow_mut();
         workers.retain(|id, _| fleet.upstreams.contains_key(id));
+        let now_ms = self.now_ms();
         for (id, upstream) in &fleet.upstreams {
-            let is_same = workers.get(id).is_some_and(|worker| {
-                worker.upstream.addr == upstream.addr
-                    && worker.upstream.is_leaving == upstream.is_leaving
-            });
-            if !is_same {
-                workers.insert(Arc::clone(id), Worker::new(upstream.clone()));
+            match workers.get(id) {
+                Some(known) if known.upstream.addr == upstream.addr => known.relist(upstream),
+                _ => {
+                    workers.insert(Arc::clone(id), Worker::new(upstream.clone(), now_ms));
+                }
             }
         }
         *self.fleet.borrow_mut() = Arc::clone(fleet);
@@ -114,7 +129,7 @@
     /// Whether an upstream may get work.
     pub fn takes_work(&self, id: &str) -> bool {
         self.view();
-        self.worker(id).is_some_and(|worker| !worker.upstream.is_leaving)
+        self.worker(id).is_some_and(|worker| !worker.is_leaving())
     }
 
     /// The best upstream of a service for a request.
@@ -124,10 +139,11 @@
         let workers = self.workers.borrow();
         let fitting: Vec<&Rc<Worker>> = workers
             .values()
-            .filter(|worker| *worker.upstream.service == *service && !worker.upstream.is_leaving)
+            .filter(|worker| *worker.upstream.service == *service && !worker.is_leaving())
             .collect();
+        self.hear_losses(&view, &workers, now_ms);
         let candidates: Vec<Candidate> =
-            fitting.iter().map(|worker| candidate(worker, &view, now_ms)).collect();
+            fitting.iter().map(|worker| self.candidate(worker, &view, now_ms)).collect();
         let index = placement::choose(&candidates, wish, &mut fastrand::Rng::new())?;
         Some(Rc::clone(fitting[index]))
     }
@@ -186,86 +202,172 @@
             let asked = tokio::time::timeout(limit, traffic.ask_state(&worker)).await;
             let lives = asked.unwrap_or(false);
             traffic.probes.borrow_mut().remove(&id);
-            if !lives {
-                traffic.fell_silent(&worker);
+            slog::info!(traffic.log, "engine asked whether it lives";
+                "upstream" => &*id, "lives" => lives);
+            if lives {
+                worker.answered(traffic.now_ms());
+            } else {
+                traffic.lost(&worker, "its state can't be read");
             }
-            slog::info!(traffic.log, "engine asked whether it lives"; "upstream" => &*id, "lives" => lives);
             tell.send_replace(Some(lives));
         });
         answer
     }
 
     async fn ask_state(&self, worker: &Rc<Worker>) -> bool {
+        let path = self.dialect.state_path();
+        self.ask(worker, Method::GET, path, Bytes::new()).await.is_some()
+    }
+
+    /// Makes a call of this system's own to an engine; its status and body, if it answers.
+    pub async fn ask(
+        &self,
+        worker: &Rc<Worker>,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Option<(u16, Bytes)> {
         let most = self.channel_share(&worker.upstream.service);
-        let Ok(mut lease) = worker.lease(most, self.now_ms()).await else { return false };
-        let request = Request::get(self.dialect.state_path())
+        let mut lease = worker.lease(most, self.now_ms()).await.ok()?;
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
             .header(HOST, worker.upstream.addr.to_string())
-            .body(Full::default());
-        let Ok(request) = request else { return false };
-        let Ok(response) = lease.channel.send(request).await else { return false };
+            .body(Full::new(body))
+            .ok()?;
+        let response = lease.channel.send(request).await.ok()?;
+        let status = response.status().as_u16();
         let keep_ms = self.dialect.marks(response.headers()).keep_ms;
-        let is_whole = http_body_util::BodyExt::collect(response.into_body()).await.is_ok();
-        if is_whole {
-            worker.give_back(lease, keep_ms, self.now_ms());
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        worker.give_back(lease, keep_ms, self.now_ms());
+        Some((status, body))
+    }
+
+    /// Starts asking an engine whether it lives; those who wait for it hear if it doesn't.
+    pub fn ask_whether_lives(self: &Rc<Traffic>, worker: &Rc<Worker>) {
+        if !self.probes.borrow().contains_key(&worker.upstream.id) {
+            self.start_probe(worker);
         }
-        true
     }
 
-    /// Notes that an upstream is silent, and tells peers.
-    pub fn fell_silent(&self, worker: &Worker) {
+    /// Notes that an upstream is gone or silent, and tells peers at once.
+    pub fn lost(&self, worker: &Worker, why: &str) {
         let now_ms = self.now_ms();
-        worker.fell_silent(now_ms);
-        let id = Arc::clone(&worker.upstream.id);
-        self.silent.borrow_mut().insert(id, now_ms + TELL_SILENT_MS);
-        slog::warn!(self.log, "upstream is silent";
-            "upstream" => &*worker.upstream.id, "domain" => &*worker.upstream.domain);
+        let is_new = !worker.is_lost(now_ms);
+        worker.lost(now_ms);
+        if !is_new {
+            return;
+        }
+        let loss = Loss {
+            service: Arc::clone(&worker.upstream.service),
+            domain: Arc::clone(&worker.upstream.domain),
+            at_ms: now_ms,
+            is_own: true,
+        };
+        self.losses.borrow_mut().insert(Arc::clone(&worker.upstream.id), loss);
+        self.tell_peers();
+        self.metrics.count("upstreams_lost");
+        slog::warn!(self.log, "upstream lost"; "upstream" => &*worker.upstream.id,
+            "domain" => &*worker.upstream.domain, "why" => why);
     }
 
-    /// Closes what was idle too long and tells the control thread what runs where.
-    pub fn sweep(self: &Rc<Traffic>) {
-        let view = self.view();
-        let now_ms = self.now_ms();
+    /// Notes that no connection to an upstream came about.
+    pub fn no_channel(&self, worker: &Worker, fault: &channel::Fault) {
+        match fault {
+            channel::Fault::Refused => self.lost(worker, "nothing listens there"),
+            channel::Fault::Unreachable { .. } => self.lost(worker, "no connection in time"),
+            _ => worker.broke(self.now_ms()),
+        }
+    }
+
+    /// Takes in the losses that others told, as signs for the failure domains.
+    fn hear_losses(&self, view: &View, workers: &BTreeMap<Arc<str>, Rc<Worker>>, now_ms: u64) {
+        let mut losses = self.losses.borrow_mut();
+        losses.retain(|_, loss| loss.at_ms + LOSS_COUNTS_MS > now_ms);
+        for id in view.lost.iter() {
+            let Some(worker) = workers.get(id) else { continue };
+            losses.entry(Arc::clone(id)).or_insert_with(|| Loss {
+                service: Arc::clone(&worker.upstream.service),
+                domain: Arc::clone(&worker.upstream.domain),
+                at_ms: now_ms,
+                is_own: false,
+            });
+        }
+    }
+
+    /// Whether an upstream, or so much of its failure domain that it is likely, was lost since it
+    /// last showed that it lives.
+    pub fn is_doubtful(&self, worker: &Worker, now_ms: u64) -> bool {
+        if worker.is_suspect(now_ms) {
+            return true;
+        }
+        let losses = self.losses.borrow();
+        let alive_ms = worker.alive_ms();
+        if losses.get(&worker.upstream.id).is_some_and(|loss| loss.at_ms >= alive_ms) {
+            return true;
+        }
+        let beside = |loss: &&Loss| {
+            loss.domain == worker.upstream.domain
+                && loss.service == worker.upstream.service
+                && loss.at_ms >= alive_ms
+        };
+        losses.values().filter(beside).count() >= DOMAIN_LOSSES
+    }
+
+    /// Has peers hear at once what runs here and what was lost.
+    pub fn tell_peers(&self) {
         let mut own = Own::default();
-        self.silent.borrow_mut().retain(|_, until_ms| *until_ms > now_ms);
-        own.silent.extend(self.silent.borrow().keys().cloned());
+        let losses = self.losses.borrow();
+        let own_losses = losses.iter().filter(|(_, loss)| loss.is_own);
+        own.lost.extend(own_losses.map(|(id, _)| Arc::clone(id)));
         for worker in self.workers.borrow().values() {
-            worker.sweep(now_ms);
-            let (runs, copies) = (worker.runs.get(), worker.copies.get());
-            if runs + copies > 0 {
-                let upstream = Arc::clone(&worker.upstream.id);
-                own.held.push(super::peers::Held { upstream, runs, copies });
+            let held = Held {
+                upstream: Arc::clone(&worker.upstream.id),
+                runs: worker.runs.get(),
+                copies: worker.copies.get(),
+                reading: worker.reading.get(),
+            };
+            if held.runs + held.copies > 0 {
+                own.held.push(held);
             }
         }
         self.shared.set_own(own);
-        self.check_what_others_suspect(&view, now_ms);
+        self.shared.news.notify_one();
     }
 
-    /// Asks upstreams that others found silent and that have work of ours.
-    fn check_what_others_suspect(self: &Rc<Traffic>, view: &View, now_ms: u64) {
-        for id in view.silent.iter() {
-            let Some(worker) = self.worker(id) else { continue };
-            let is_new = !worker.is_silent(now_ms) && worker.runs.get() > 0;
-            if is_new && !self.probes.borrow().contains_key(id) {
-                self.start_probe(&worker);
-            }
+    fn candidate(&self, worker: &Worker, view: &View, now_ms: u64) -> Candidate {
+        let others = view.others.get(&worker.upstream.id);
+        let others_run = match worker.told_others(now_ms) {
+            Some(told) => told,
+            None => others.map_or(0, |held| held.runs),
+        };
+        let copies = worker.copies.get() + others.map_or(0, |held| held.copies);
+        let reading = worker.reading.get() + others.map_or(0, |held| held.reading);
+        Candidate {
+            id: Arc::clone(&worker.upstream.id),
+            domain: Arc::clone(&worker.upstream.domain),
+            runs: f64::from(worker.runs.get() + others_run),
+            copies: f64::from(copies),
+            reading: f64::from(reading),
+            failing: worker.failing(now_ms),
+            is_suspect: self.is_doubtful(worker, now_ms),
         }
     }
-}
 
-fn candidate(worker: &Worker, view: &View, now_ms: u64) -> Candidate {
-    let others = view.others.get(&worker.upstream.id);
-    let others_run = match worker.told_others(now_ms) {
-        Some(told) => told,
-        None => others.map_or(0, |held| held.runs),
-    };
-    let copies = worker.copies.get() + others.map_or(0, |held| held.copies);
-    Candidate {
-        id: Arc::clone(&worker.upstream.id),
-        domain: Arc::clone(&worker.upstream.domain),
-        runs: f64::from(worker.runs.get() + others_run),
-        copies: f64::from(copies),
-        reading: f64::from(worker.reading.get()),
-        failing: worker.failing(now_ms),
-        is_suspect: worker.is_suspect(now_ms) || view.silent.contains(&worker.upstream.id),
+    /// Closes what was idle too long, and asks upstreams that others lost and that have work of
+    /// ours.
+    pub fn sweep(self: &Rc<Traffic>) {
+        let view = self.view();
+        let now_ms = self.now_ms();
+        let workers: Vec<Rc<Worker>> = self.workers.borrow().values().map(Rc::clone).collect();
+        self.hear_losses(&view, &self.workers.borrow(), now_ms);
+        for worker in workers {
+            worker.sweep(now_ms);
+            let is_asked = self.probes.borrow().contains_key(&worker.upstream.id);
+            let has_work = worker.runs.get() > 0 && !worker.is_lost(now_ms);
+            if has_work && !is_asked && self.is_doubtful(&worker, now_ms) {
+                self.start_probe(&worker);
+            }
+        }
     }
 }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -26,8 +26,8 @@
     pub instances: u32,
     /// What the others have running at upstreams.
     pub others: Arc<BTreeMap<Arc<str>, Held>>,
-    /// Upstreams that others found silent in the last moments.
-    pub silent: Arc<Vec<Arc<str>>>,
+    /// Upstreams that others lost in the last moments.
+    pub lost: Arc<Vec<Arc<str>>>,
 }
 
 /// An instance that takes callers.
@@ -46,7 +46,9 @@
     pub view: ArcSwap<View>,
     /// Wakes those who wait for a newer picture.
     pub changed: Notify,
-    /// What traffic here has running, and whom it found silent.
+    /// Wakes the control thread when peers should hear of traffic at once.
+    pub news: Notify,
+    /// What traffic here has running, and whom it lost.
     own: Mutex<Own>,
 }
 
@@ -55,8 +57,8 @@
 pub struct Own {
     /// What it has running at model engines.
     pub held: Vec<Held>,
-    /// Upstreams that it found silent in the last moments.
-    pub silent: Vec<Arc<str>>,
+    /// Upstreams that it lost in the last moments.
+    pub lost: Vec<Arc<str>>,
 }
 
 impl Shared {
@@ -69,10 +71,10 @@
             fronts: Vec::new(),
             instances: 1,
             others: Arc::default(),
-            silent: Arc::default(),
+            lost: Arc::default(),
         };
         let view = ArcSwap::from_pointee(view);
-        Arc::new(Shared { view, changed: Notify::new(), own: Mutex::default() })
+        Arc::new(Shared { view, changed: Notify::new(), news: Notify::new(), own: Mutex::default() })
     }
 
     /// Replaces what is told to peers.
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -10,12 +10,12 @@
 use super::dialect::Load;
 use super::fleet::Upstream;
 
-/// How long an upstream that refused a connection is kept out of placement: about what a restart
-/// takes.
-const REFUSED_MS: u64 = 300;
-/// How long an upstream that fell silent is kept out, unless it answers: a crash takes over a
-/// second, and the list of upstreams drops it after a few more.
-const SILENT_MS: u64 = 1_500;
+/// How long an upstream that broke off is kept out of placement, unless it answers: a check takes
+/// a few milliseconds, and the next request makes one.
+const BROKE_MS: u64 = 300;
+/// How long an upstream that fell silent, or whose address another one has, is kept out unless it
+/// answers: the list of upstreams drops those that are gone within this time.
+const LOST_MS: u64 = 5_000;
 /// The weight of the newest outcome in the part of failures.
 const OUTCOME_WEIGHT: f64 = 0.1;
 /// In what time the part of failures halves when nothing is sent.
@@ -46,8 +46,11 @@
     pub silences: watch::Sender<u64>,
     open: Cell<u32>,
     idle: RefCell<VecDeque<Idle>>,
+    listed_ms: u64,
+    leaving: Cell<bool>,
     suspect_until_ms: Cell<u64>,
-    silent_until_ms: Cell<u64>,
+    lost_until_ms: Cell<u64>,
+    answered_ms: Cell<u64>,
     failing: Cell<f64>,
     failing_ms: Cell<u64>,
     told: Cell<Option<Told>>,
@@ -111,20 +114,23 @@
 
 impl Worker {
     /// An upstream that nothing has been sent to.
-    pub fn new(upstream: Upstream) -> Rc<Worker> {
+    pub fn new(upstream: Upstream, now_ms: u64) -> Rc<Worker> {
         Rc::new(Worker {
-            upstream,
             runs: Cell::new(0),
             copies: Cell::new(0),
             reading: Cell::new(0),
             silences: watch::Sender::new(0),
             open: Cell::new(0),
             idle: RefCell::default(),
+            listed_ms: now_ms,
+            leaving: Cell::new(upstream.is_leaving),
             suspect_until_ms: Cell::new(0),
-            silent_until_ms: Cell::new(0),
+            lost_until_ms: Cell::new(0),
+            answered_ms: Cell::new(0),
             failing: Cell::new(0.0),
             failing_ms: Cell::new(0),
             told: Cell::new(None),
+            upstream,
         })
     }
 
@@ -188,34 +194,50 @@
         self.idle.borrow_mut().retain(|idle| idle.until_ms > now_ms && idle.channel.is_usable());
     }
 
-    /// Notes that it refused a connection.
-    pub fn refused(&self, now_ms: u64) {
-        self.suspect_until_ms.set(self.suspect_until_ms.get().max(now_ms + REFUSED_MS));
+    /// Whether it said that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Takes in what the list says now of the same life.
+    pub fn relist(&self, upstream: &Upstream) {
+        self.leaving.set(upstream.is_leaving);
+    }
+
+    /// Notes that it broke off a connection.
+    pub fn broke(&self, now_ms: u64) {
+        self.suspect_until_ms.set(self.suspect_until_ms.get().max(now_ms + BROKE_MS));
         self.idle.borrow_mut().clear();
     }
 
-    /// Notes that it is silent; all who wait for it leave.
-    pub fn fell_silent(&self, now_ms: u64) {
-        self.suspect_until_ms.set(self.suspect_until_ms.get().max(now_ms + SILENT_MS));
-        self.silent_until_ms.set(now_ms + SILENT_MS);
+    /// Notes that it is gone or silent; all who wait for it leave.
+    pub fn lost(&self, now_ms: u64) {
+        self.suspect_until_ms.set(now_ms + LOST_MS);
+        self.lost_until_ms.set(now_ms + LOST_MS);
         self.idle.borrow_mut().clear();
         self.silences.send_modify(|count| *count += 1);
     }
 
     /// Notes that it answered.
-    pub fn answered(&self) {
+    pub fn answered(&self, now_ms: u64) {
+        self.answered_ms.set(now_ms);
         self.suspect_until_ms.set(0);
-        self.silent_until_ms.set(0);
+        self.lost_until_ms.set(0);
+    }
+
+    /// When it last showed that it lives: by an answer, or by its listing.
+    pub fn alive_ms(&self) -> u64 {
+        self.answered_ms.get().max(self.listed_ms)
     }
 
-    /// Whether it refused or fell silent a moment ago.
+    /// Whether it broke off or was lost a moment ago.
     pub fn is_suspect(&self, now_ms: u64) -> bool {
         self.suspect_until_ms.get() > now_ms
     }
 
-    /// Whether it fell silent a moment ago.
-    pub fn is_silent(&self, now_ms: u64) -> bool {
-        self.silent_until_ms.get() > now_ms
+    /// Whether it was lost a moment ago.
+    pub fn is_lost(&self, now_ms: u64) -> bool {
+        self.lost_until_ms.get() > now_ms
     }
 
     /// Notes how a request ended there.
