Send a caller that comes back to the engine that still holds its prompt

Cause: after the loss of an instance its callers came back elsewhere and their prompts were read anew, over a second each; streams taken late in a planned stop were cut. Beats now say which engine read which prompt (hash of its last part), and a stopping instance refuses streams after 0.3 of its grace.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -51,6 +51,8 @@
 const BEHIND_MS: u64 = 300;
 /// How long fetching from a peer may take.
 const FETCH_TIMEOUT_MS: u64 = 500;
+/// How long what a peer told last is remembered after its death: callers come within seconds.
+const REMEMBER_MS: u64 = 10_000;
 /// The longest datagram.
 const DATAGRAM_BYTES: usize = 32 << 10;
 /// The path at which peers fetch what an instance knows.
@@ -345,6 +347,10 @@
             }
             lost.extend(beat.lost.iter().cloned());
         }
+        let mut places = BTreeMap::new();
+        for beat in board.peers.remembered(REMEMBER_MS, now_ms) {
+            places.extend(beat.places.iter().cloned());
+        }
         let before = self.shared.view.load();
         let is_same_fleet = before.fleet.upstreams == board.fleet.upstreams;
         let fleet =
@@ -357,6 +363,7 @@
             instances,
             others: Arc::new(others),
             lost: Arc::new(lost),
+            places: Arc::new(places),
         };
         drop(before);
         self.shared.view.store(Arc::new(view));
@@ -400,6 +407,7 @@
             fleet_revision: if board.has_fleet { board.fleet.revision } else { 0 },
             held: own.held,
             lost: own.lost,
+            places: own.places,
         }
     }
 
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -6,6 +6,8 @@
 /// When to come back after a refusal that passes by itself: upstreams that crashed are back
 /// within about a second, and a caller waits a third of its time at most.
 const SOON_MS: u64 = 300;
+/// When to go to another address: at once, but for a caller that has none yet.
+const ELSEWHERE_MS: u64 = 20;
 /// When to come back to an instance that has no configuration yet: reading one takes a few calls.
 const STARTING_MS: u64 = 500;
 
@@ -15,6 +17,9 @@
     /// This instance knows no configuration yet.
     #[display("this instance has no configuration yet; send the request again after Retry-After")]
     Starting,
+    /// A planned stop is under way and the request would not end before it.
+    #[display("this instance is stopping; send the request to another address")]
+    Stopping,
     /// No route fits.
     #[display("no route takes this host and path; check both, or add a route")]
     NoRoute,
@@ -73,6 +78,7 @@
             Failure::TooLarge { .. } => 413,
             Failure::Unknown => 502,
             Failure::Starting
+            | Failure::Stopping
             | Failure::NoUpstream
             | Failure::Full
             | Failure::TimeOverUnsent => 503,
@@ -84,6 +90,7 @@
     pub fn retry_after_ms(&self) -> Option<u64> {
         match self {
             Failure::Starting => Some(STARTING_MS),
+            Failure::Stopping => Some(ELSEWHERE_MS),
             Failure::NoUpstream | Failure::Full | Failure::TimeOverUnsent => Some(SOON_MS),
             _ => None,
         }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -208,6 +208,9 @@
 async fn serve(traffic: &Rc<Traffic>, request: Request<Incoming>) -> Answer {
     let is_stopping = traffic.shared.view.load().phase == Phase::Stopping;
     let mut answer = match read(traffic, request).await {
+        Ok(job) if is_stopping && traffic.is_too_late(job.route.repeat) => {
+            job.refuse(traffic, &Failure::Stopping, None)
+        }
         Ok(job) if job.route.repeat.is_stream() => stream::serve(traffic, job).await,
         Ok(job) => call::serve(traffic, &job).await,
         Err(failure) => {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -63,6 +63,9 @@
     pub held: Vec<Held>,
     /// Upstreams that it lost in the last moments.
     pub lost: Vec<Arc<str>>,
+    /// Which engine read a prompt, by the hash of its last part: a caller whose instance died goes
+    /// on at another one, which sends it where the prompt is still in memory.
+    pub places: Vec<(u64, Arc<str>)>,
 }
 
 /// A peer as it was last heard.
@@ -134,6 +137,12 @@
         alive.filter_map(|peer| peer.beat.as_ref())
     }
 
+    /// The last beats of all peers heard within `within_ms`, also of those that died since.
+    pub fn remembered(&self, within_ms: u64, now_ms: u64) -> impl Iterator<Item = &Beat> {
+        let recent = move |peer: &&Peer| now_ms.saturating_sub(peer.heard_ms) <= within_ms;
+        self.known.values().filter(recent).filter_map(|peer| peer.beat.as_ref())
+    }
+
     /// A living peer that knows more, by what `newer` finds in its beat.
     pub fn ahead(
         &self,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -203,6 +203,7 @@
     // The control thread keeps the sender for as long as it lives.
     let _ = stopping.wait_for(|stop| *stop).await;
     let since_ms = traffic.now_ms();
+    traffic.stopping_ms.set(Some(since_ms));
     let least_ms = since_ms + keep_ms * KEEP_FACTOR;
     let most_ms = since_ms + (grace_ms as f64 * GRACE_PART) as u64;
     loop {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -15,6 +15,8 @@
 use hyper::{HeaderMap, Method, Request, Response};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::answer::{self, Answer, Cut, Part};
 use super::channel::Fault;
 use super::dialect::{Copy, Dispatch, Marks};
@@ -34,6 +36,9 @@
 const QUIET_MS: u64 = 250;
 /// A pause after which a run with a copy elsewhere goes on there, although its engine answers.
 const STUCK_MS: u64 = 450;
+/// How much longer an event takes for each prompt that is read beside it: eight steps, each with
+/// a chunk of the prompt.
+const READING_MS: u64 = 240;
 /// How long the first event may take before the engine is asked whether it lives.
 const FIRST_QUIET_MS: u64 = 900;
 /// How late a timer may fire before this process suspects itself of having stood still.
@@ -71,7 +76,7 @@
     /// The caller has left.
     CallerLeft,
     /// It certainly did not run there.
-    NotRun { was_sent: bool },
+    NotRun { was_sent: bool, why: String },
     /// The engine broke off, or fell silent.
     Lost { why: String, engine_gone: bool },
     /// The engine lives but makes no events.
@@ -165,9 +170,9 @@
                 self.give_up(Failure::TimeOver);
                 return false;
             }
-            Outcome::NotRun { was_sent } => {
+            Outcome::NotRun { was_sent, why } => {
                 slog::info!(self.traffic.log, "engine did not run it"; "request" => self.job.id(),
-                    "upstream" => &**id, "was_sent" => was_sent);
+                    "upstream" => &**id, "was_sent" => was_sent, "why" => why);
                 self.left.push(Arc::clone(id));
                 if was_sent && self.sent >= self.job.route.max_attempts {
                     self.give_up(Failure::Full);
@@ -212,6 +217,12 @@
         {
             return Some((copy.worker, Some(copy.name)));
         }
+        if let Some(worker) = self.part().and_then(|part| self.traffic.place_of(part))
+            && !self.left.contains(&worker.upstream.id)
+            && self.is_fit(&worker)
+        {
+            return Some((worker, None));
+        }
         let wish = Wish {
             not: self.left.clone(),
             not_domains: self.lost_domains.clone(),
@@ -220,6 +231,11 @@
         self.traffic.choose(&self.job.service, &wish).map(|worker| (worker, None))
     }
 
+    /// The prompt's last part, which is the request's own, as a number.
+    fn part(&self) -> Option<u64> {
+        self.job.demand.prompt_part.as_ref().map(|part| xxh3_64(part.as_bytes()))
+    }
+
     /// Whether a copy at an engine can still be used.
     fn is_fit(&self, worker: &Worker) -> bool {
         let now_ms = self.traffic.now_ms();
@@ -252,11 +268,11 @@
                 traffic.no_channel(worker, &fault);
                 slog::info!(traffic.log, "no channel"; "request" => self.job.id(),
                     "upstream" => &*worker.upstream.id, "detail" => %fault);
-                return Outcome::NotRun { was_sent: false };
+                return Outcome::NotRun { was_sent: false, why: fault.to_string() };
             }
         };
         if !traffic.takes_work(&worker.upstream.id) {
-            return Outcome::NotRun { was_sent: false };
+            return Outcome::NotRun { was_sent: false, why: "it is leaving".to_owned() };
         }
         let copy = self.place_copy(worker);
         let _run = worker.count(What::Run);
@@ -267,6 +283,9 @@
             "copy" => copy.as_ref().map(|copy| copy.upstream.id.to_string()),
             "from_copy" => from.is_some(), "after" => self.last_event,
             "runs" => worker.runs.get());
+        if let Some(part) = self.part() {
+            traffic.note_place(part, worker);
+        }
         traffic.tell_peers();
         let response = match self.wait_for_head(worker, &mut lease, request, &mut silences).await {
             Ok(response) => response,
@@ -327,7 +346,7 @@
                 worker.ended(true, traffic.now_ms());
                 Err(lost(detail, true))
             }
-            Err(_) => Err(Outcome::NotRun { was_sent: false }),
+            Err(fault) => Err(Outcome::NotRun { was_sent: false, why: fault.to_string() }),
         }
     }
 
@@ -372,7 +391,7 @@
         }
         let status = response.status().as_u16();
         if marks.not_run || status == 421 {
-            return Some(Outcome::NotRun { was_sent: true });
+            return Some(Outcome::NotRun { was_sent: true, why: format!("status {status}") });
         }
         if status == 200 && !marks.is_signed {
             return Some(lost("the answer is not signed", false));
@@ -506,7 +525,7 @@
         if is_reading || self.copy.is_none() || self.stuck_moves >= MOST_STUCK_MOVES {
             return Quiet::Wait;
         }
-        let stuck_ms = heard_ms + STUCK_MS;
+        let stuck_ms = heard_ms + STUCK_MS.max(READING_MS * self.traffic.reading_at(worker));
         tokio::select! {
             frame = body.frame() => Quiet::Frame(frame),
             () = caller_left(&mut self.head, &self.body) => Quiet::Leave(Outcome::CallerLeft),
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -18,6 +18,7 @@
 use super::metrics::Metrics;
 use super::peers::Held;
 use super::placement::{self, Candidate, Wish};
+use super::route::Repeat;
 use super::settings::Settings;
 use super::view::{Own, Shared, View};
 use super::worker::Worker;
@@ -34,6 +35,21 @@
 /// So many upstreams of a service lost in one failure domain make the others there suspect.
 const DOMAIN_LOSSES: usize = 3;
 
+/// The part of a planned stop's grace within which streams are still taken: one that comes later
+/// would be cut although its caller could have gone elsewhere.
+const STREAM_PART: f64 = 0.3;
+/// The same for calls, which take a fraction of a second.
+const CALL_PART: f64 = 0.8;
+/// How long it is known which engine read a prompt: its memory keeps the prompt for about as long.
+const PLACE_MS: u64 = 12_000;
+
+/// Where a prompt was read.
+#[derive(Debug, Clone)]
+struct Place {
+    upstream: Arc<str>,
+    until_ms: u64,
+}
+
 /// An upstream that was lost.
 #[derive(Debug, Clone)]
 struct Loss {
@@ -59,6 +75,9 @@
     pub metrics: Arc<Metrics>,
     /// Requests whose answers are not complete.
     pub open: Cell<usize>,
+    /// When a planned stop began.
+    pub stopping_ms: Cell<Option<u64>>,
+    places: RefCell<BTreeMap<u64, Place>>,
     fleet: RefCell<Arc<Fleet>>,
     workers: RefCell<BTreeMap<Arc<str>, Rc<Worker>>>,
     budgets: RefCell<BTreeMap<Arc<str>, Budget>>,
@@ -84,6 +103,8 @@
             log,
             metrics,
             open: Cell::new(0),
+            stopping_ms: Cell::new(None),
+            places: RefCell::default(),
             fleet: RefCell::default(),
             workers: RefCell::default(),
             budgets: RefCell::default(),
@@ -92,6 +113,28 @@
         })
     }
 
+    /// Whether a request that arrives now would not end before the process does.
+    pub fn is_too_late(&self, repeat: Repeat) -> bool {
+        let Some(since_ms) = self.stopping_ms.get() else { return false };
+        let grace_ms = self.settings.grace_ms as f64;
+        let part = if repeat.is_stream() { STREAM_PART } else { CALL_PART };
+        self.now_ms() > since_ms + (grace_ms * part) as u64
+    }
+
+    /// Notes that an engine reads or holds a prompt, by its last part.
+    pub fn note_place(&self, part: u64, worker: &Worker) {
+        let until_ms = self.now_ms() + PLACE_MS;
+        let upstream = Arc::clone(&worker.upstream.id);
+        self.places.borrow_mut().insert(part, Place { upstream, until_ms });
+    }
+
+    /// The engine that holds a prompt, as far as this instance or a peer knows.
+    pub fn place_of(&self, part: u64) -> Option<Rc<Worker>> {
+        let own = self.places.borrow().get(&part).map(|place| Arc::clone(&place.upstream));
+        let id = own.or_else(|| self.shared.view.load().places.get(&part).map(Arc::clone))?;
+        self.worker(&id)
+    }
+
     /// Milliseconds since the start.
     pub fn now_ms(&self) -> u64 {
         self.clock.now_ms()
@@ -317,6 +360,8 @@
     /// Has peers hear at once what runs here and what was lost.
     pub fn tell_peers(&self) {
         let mut own = Own::default();
+        let places = self.places.borrow();
+        own.places = places.iter().map(|(part, at)| (*part, Arc::clone(&at.upstream))).collect();
         let losses = self.losses.borrow();
         let own_losses = losses.iter().filter(|(_, loss)| loss.is_own);
         own.lost.extend(own_losses.map(|(id, _)| Arc::clone(id)));
@@ -335,6 +380,13 @@
         self.shared.news.notify_one();
     }
 
+    /// How many prompts an engine is reading, as far as known.
+    pub fn reading_at(&self, worker: &Worker) -> u64 {
+        let view = self.shared.view.load();
+        let others = view.others.get(&worker.upstream.id).map_or(0, |held| held.reading);
+        u64::from(worker.reading.get() + others)
+    }
+
     fn candidate(&self, worker: &Worker, view: &View, now_ms: u64) -> Candidate {
         let others = view.others.get(&worker.upstream.id);
         let others_run = match worker.told_others(now_ms) {
@@ -359,6 +411,7 @@
     pub fn sweep(self: &Rc<Traffic>) {
         let view = self.view();
         let now_ms = self.now_ms();
+        self.places.borrow_mut().retain(|_, place| place.until_ms > now_ms);
         let workers: Vec<Rc<Worker>> = self.workers.borrow().values().map(Rc::clone).collect();
         self.hear_losses(&view, &self.workers.borrow(), now_ms);
         for worker in workers {
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -28,6 +28,8 @@
     pub others: Arc<BTreeMap<Arc<str>, Held>>,
     /// Upstreams that others lost in the last moments.
     pub lost: Arc<Vec<Arc<str>>>,
+    /// Which engine read a prompt, by the hash of its last part, as others told.
+    pub places: Arc<BTreeMap<u64, Arc<str>>>,
 }
 
 /// An instance that takes callers.
@@ -59,6 +61,8 @@
     pub held: Vec<Held>,
     /// Upstreams that it lost in the last moments.
     pub lost: Vec<Arc<str>>,
+    /// Which engine read a prompt, by the hash of its last part.
+    pub places: Vec<(u64, Arc<str>)>,
 }
 
 impl Shared {
@@ -72,6 +76,7 @@
             instances: 1,
             others: Arc::default(),
             lost: Arc::default(),
+            places: Arc::default(),
         };
         let view = ArcSwap::from_pointee(view);
         Arc::new(Shared { view, changed: Notify::new(), news: Notify::new(), own: Mutex::default() })
