--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -1,7 +1,8 @@
-//! The bound on repeats of a service in a sliding window, one instance's part of it.
+//! The bound on repeats of a service in a sliding window, over all instances.
 //!
-//! All instances together may send a service so many times its requests, and a few more. Each
-//! takes its own requests times the ratio, and its part of the rest.
+//! All instances together may send a service so many repeats for its requests, and a few more.
+//! They tell each other what they sent. What others tell is late, and after a crash all repeat in
+//! the same moment, so each also keeps to a few times its own part.
 
 use std::collections::VecDeque;
 
@@ -32,10 +33,20 @@
     pub slack: f64,
     /// The window.
     pub window_ms: u64,
-    /// Among how many instances the rest is divided.
+    /// Among how many instances it is divided.
     pub instances: u32,
+    /// Requests that the others sent in the window.
+    pub others_requests: u64,
+    /// Repeats that the others sent in the window.
+    pub others_repeats: u64,
 }
 
+/// How many times its own part an instance may take: losses are uneven, and so many are still
+/// under the bound if a third of the instances took as much at once.
+const PARTS: f64 = 3.0;
+/// Repeats that each instance may always make while the sum allows it.
+const LEAST: f64 = 4.0;
+
 impl Budget {
     /// Counts a request.
     pub fn request(&mut self, bound: Bound, now_ms: u64) {
@@ -45,17 +56,26 @@
     /// Counts a repeat, if the bound allows one.
     pub fn repeat(&mut self, bound: Bound, now_ms: u64) -> bool {
         self.step(bound, now_ms);
-        let requests: u64 = self.steps.iter().map(|step| step.requests).sum();
-        let repeats: u64 = self.steps.iter().map(|step| step.repeats).sum();
-        let slack = bound.slack / f64::from(bound.instances.max(1));
-        let most = USED * (bound.ratio * requests as f64 + slack);
-        if (repeats + 1) as f64 > most {
+        let (requests, repeats) = self.sums();
+        let all_requests = requests + bound.others_requests;
+        let most = USED * (bound.ratio * all_requests as f64 + bound.slack);
+        let own_part = most / f64::from(bound.instances.max(1));
+        let is_within_all = (repeats + bound.others_repeats + 1) as f64 <= most;
+        let is_within_own = (repeats + 1) as f64 <= (own_part * PARTS).max(LEAST);
+        if !is_within_all || !is_within_own {
             return false;
         }
         self.step(bound, now_ms).repeats += 1;
         true
     }
 
+    /// Requests and repeats in the window.
+    pub fn sums(&self) -> (u64, u64) {
+        let requests = self.steps.iter().map(|step| step.requests).sum();
+        let repeats = self.steps.iter().map(|step| step.repeats).sum();
+        (requests, repeats)
+    }
+
     fn step(&mut self, bound: Bound, now_ms: u64) -> &mut Step {
         let number = now_ms / (bound.window_ms / STEPS).max(1);
         while self.steps.front().is_some_and(|step| step.number + STEPS <= number) {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -17,16 +17,17 @@
 use hyper::header::HOST;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use super::channel::Channel;
 use super::directory::{Changes, Directory, Fault, Listing, Record, Removed};
 use super::fleet::{Change, Fleet, Upstream};
 use super::instance::Registration;
 use super::metrics::Metrics;
-use super::peers::{BEAT_MS, Beat, Held, Peers, Phase};
+use super::peers::{BEAT_MS, Beat, Held, Message, Peers, Phase, Sent, Update, Versions};
 use super::route::Config;
 use super::settings::Settings;
-use super::view::{Front, Shared, View};
+use super::view::{Front, Own, Shared, View};
 use crate::clock::Clock;
 
 /// How long a watch waits: each call is counted and paid for, and changes end it at once.
@@ -40,15 +41,21 @@
 /// half a second.
 const RETRY_MOST_MS: u64 = 500;
 /// How long a registration outlives its last renewal.
-const LEASE_MS: u64 = 9_000;
+const LEASE_MS: u64 = 30_000;
 /// The pause between renewals, a third of the lease.
-const RENEW_MS: u64 = 3_000;
+const RENEW_MS: u64 = 10_000;
 /// How long news of traffic gather before peers hear of them: a burst of placements or losses
 /// comes within a few milliseconds.
 const NEWS_MS: u64 = 15;
-/// How long a peer may know a newer version before it is fetched from there: the directory's own
-/// answer is usually under way.
+/// How long a watching instance lets a peer know a newer version before it fetches it from there:
+/// the directory's own answer is usually under way.
 const BEHIND_MS: u64 = 300;
+/// How long a watch may be behind a peer before it is given up as broken.
+const BROKEN_WATCH_MS: u64 = 1_000;
+/// How often an instance looks whether it should watch the directory.
+const WATCH_LOOK_MS: u64 = 250;
+/// How often at the most traffic gets a new picture: peers' news come in bursts.
+const PUBLISH_MS: u64 = 20;
 /// How long fetching from a peer may take.
 const FETCH_TIMEOUT_MS: u64 = 500;
 /// How long what a peer told last is remembered after its death: callers come within seconds.
@@ -61,7 +68,7 @@
 /// What an instance knows, as a peer fetches it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Knowledge {
-    /// The configuration in force there.
+    /// The configuration in force there, if it is newer than what was asked with.
     pub config: Option<Arc<Config>>,
     /// The revision of its list.
     pub fleet_revision: u64,
@@ -69,6 +76,11 @@
     pub upstreams: Vec<Upstream>,
 }
 
+/// The path at which a peer's newer knowledge is fetched.
+fn knowledge_target(config_version: u64) -> String {
+    format!("{KNOWLEDGE_PATH}?config={config_version}")
+}
+
 /// What all controllers read and write.
 struct Board {
     config: Option<Arc<Config>>,
@@ -79,8 +91,15 @@
     is_directory_lost: bool,
     answered_ms: u64,
     lease: Option<u64>,
-    beats: u64,
+    is_watching: bool,
+    /// Peers heard of changes while this instance did not: the outage was its own.
+    is_outage_own: bool,
+    messages: u64,
+    told: Own,
+    told_versions: Versions,
+    told_phase: Phase,
     behind_since_ms: Option<u64>,
+    is_fetching: bool,
 }
 
 /// The control thread's state.
@@ -93,6 +112,10 @@
     clock: Clock,
     log: slog::Logger,
     board: RefCell<Board>,
+    /// Ends a watch that peers have overtaken.
+    broken_watch: Notify,
+    /// Asks for a new picture for traffic.
+    dirty: Notify,
 }
 
 impl Control {
@@ -121,11 +144,30 @@
             is_directory_lost: false,
             answered_ms: 0,
             lease: None,
-            beats: 0,
+            is_watching: false,
+            is_outage_own: false,
+            messages: 0,
+            told: Own::default(),
+            told_versions: Versions::default(),
+            told_phase: Phase::Starting,
             behind_since_ms: None,
+            is_fetching: false,
         };
         let board = RefCell::new(board);
-        Rc::new(Control { settings, me, directory, shared, metrics, clock, log, board })
+        let broken_watch = Notify::new();
+        let dirty = Notify::new();
+        Rc::new(Control {
+            settings,
+            me,
+            directory,
+            shared,
+            metrics,
+            clock,
+            log,
+            board,
+            broken_watch,
+            dirty,
+        })
     }
 
     /// Starts all controllers on the current local set.
@@ -134,7 +176,9 @@
         tokio::task::spawn_local(Rc::clone(self).follow_directory());
         tokio::task::spawn_local(Rc::clone(self).keep_registration());
         tokio::task::spawn_local(Rc::clone(self).hear_beats(Rc::clone(&socket)));
+        tokio::task::spawn_local(Rc::clone(self).send_updates(Rc::clone(&socket)));
         tokio::task::spawn_local(Rc::clone(self).send_beats(socket));
+        tokio::task::spawn_local(Rc::clone(self).publish_changes());
     }
 
     /// Begins a planned stop: peers leave this instance out of their answers at once.
@@ -151,10 +195,11 @@
     }
 
     /// What peers may fetch.
-    pub fn knowledge(&self) -> Knowledge {
+    pub fn knowledge(&self, config_version: u64) -> Knowledge {
         let board = self.board.borrow();
+        let is_newer = |config: &Arc<Config>| config.version > config_version;
         Knowledge {
-            config: board.config.clone(),
+            config: board.config.clone().filter(is_newer),
             fleet_revision: board.fleet.revision,
             upstreams: board.fleet.upstreams.values().cloned().collect(),
         }
@@ -163,6 +208,7 @@
     async fn follow_directory(self: Rc<Control>) {
         let mut retry_ms = RETRY_MS;
         loop {
+            self.wait_for_turn().await;
             let listed = self.directory.list().await;
             match listed {
                 Ok(listing) => {
@@ -185,7 +231,20 @@
     async fn watch(&self, mut revision: u64) {
         let mut retry_ms = RETRY_MS;
         loop {
-            match self.directory.watch(revision, WATCH_MS).await {
+            if !self.should_watch() {
+                self.board.borrow_mut().is_watching = false;
+                slog::info!(self.log, "directory left to others"; "revision" => revision);
+                return;
+            }
+            let watched = tokio::select! {
+                watched = self.directory.watch(revision, WATCH_MS) => watched,
+                () = self.broken_watch.notified() => {
+                    slog::info!(self.log, "watch is behind peers and given up";
+                        "revision" => revision);
+                    continue;
+                }
+            };
+            match watched {
                 Ok(changes) => {
                     retry_ms = RETRY_MS;
                     self.directory_answered();
@@ -209,13 +268,29 @@
         }
     }
 
+    fn should_watch(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        let board = self.board.borrow();
+        !board.has_fleet || board.peers.should_watch(&self.me, now_ms)
+    }
+
+    /// Waits until this instance should hear of changes from the directory itself.
+    async fn wait_for_turn(&self) {
+        while !self.should_watch() {
+            tokio::time::sleep(Duration::from_millis(WATCH_LOOK_MS)).await;
+        }
+    }
+
     fn directory_answered(&self) {
         let now_ms = self.clock.now_ms();
         let mut board = self.board.borrow_mut();
         board.answered_ms = now_ms;
+        board.is_watching = true;
         if board.is_directory_lost {
             board.is_directory_lost = false;
-            board.fleet.regained(now_ms);
+            if !std::mem::take(&mut board.is_outage_own) {
+                board.fleet.regained(now_ms);
+            }
             slog::info!(self.log, "directory answers again");
         }
     }
@@ -275,10 +350,10 @@
 
     fn log_change(&self, change: &Change) {
         match change {
-            Change::Put(upstream) => slog::info!(self.log, "upstream listed";
+            Change::Put(upstream) => slog::debug!(self.log, "upstream listed";
                 "upstream" => &*upstream.id, "service" => &*upstream.service,
                 "address" => %upstream.addr, "leaving" => upstream.is_leaving),
-            Change::Gone(id) => slog::info!(self.log, "upstream gone"; "upstream" => &**id),
+            Change::Gone(id) => slog::debug!(self.log, "upstream gone"; "upstream" => &**id),
         }
     }
 
@@ -325,28 +400,8 @@
                 domain: Arc::clone(&self.me.domain),
             });
         }
-        let mut instances = 1;
-        let mut others: BTreeMap<Arc<str>, Held> = BTreeMap::new();
-        let mut lost = Vec::new();
-        for beat in board.peers.alive(now_ms) {
-            instances += 1;
-            if beat.phase == Phase::Ready {
-                let domain = Arc::clone(&beat.from.domain);
-                fronts.push(Front { addr: beat.from.front_addr, domain });
-            }
-            for held in &beat.held {
-                let sum = others.entry(Arc::clone(&held.upstream)).or_insert_with(|| Held {
-                    upstream: Arc::clone(&held.upstream),
-                    runs: 0,
-                    copies: 0,
-                    reading: 0,
-                });
-                sum.runs += held.runs;
-                sum.copies += held.copies;
-                sum.reading += held.reading;
-            }
-            lost.extend(beat.lost.iter().cloned());
-        }
+        let others = Others::sum(board.peers.alive(now_ms));
+        fronts.extend(others.fronts);
         let mut places = BTreeMap::new();
         for beat in board.peers.remembered(REMEMBER_MS, now_ms) {
             places.extend(beat.places.iter().cloned());
@@ -360,57 +415,124 @@
             fleet,
             phase: board.phase,
             fronts,
-            instances,
-            others: Arc::new(others),
-            lost: Arc::new(lost),
+            instances: others.instances + 1,
+            others: Arc::new(others.held),
+            sent: Arc::new(others.sent),
+            lost: Arc::new(others.lost),
             places: Arc::new(places),
         };
         drop(before);
+        let has_news =
+            Control::versions(&board) != board.told_versions || board.phase != board.told_phase;
+        drop(board);
         self.shared.view.store(Arc::new(view));
         self.shared.changed.notify_waiters();
+        if has_news {
+            self.shared.news.notify_one();
+        }
+    }
+
+    /// Publishes what changed, after a moment in which more may come.
+    async fn publish_changes(self: Rc<Control>) {
+        loop {
+            self.dirty.notified().await;
+            self.publish();
+            tokio::time::sleep(Duration::from_millis(PUBLISH_MS)).await;
+        }
     }
 
     async fn send_beats(self: Rc<Control>, socket: Rc<UdpSocket>) {
         loop {
-            let news = self.shared.news.notified();
-            let round = Duration::from_millis(BEAT_MS);
-            if tokio::time::timeout(round, news).await.is_ok() {
-                // What follows at once goes with it.
-                tokio::time::sleep(Duration::from_millis(NEWS_MS)).await;
-            }
+            tokio::time::sleep(Duration::from_millis(BEAT_MS)).await;
             let now_ms = self.clock.now_ms();
-            let beat = self.beat();
-            let Ok(message) = rmp_serde::to_vec(&beat) else { continue };
+            let message = Message::Beat(self.beat());
             let due = {
                 let mut board = self.board.borrow_mut();
                 board.fleet.expire(now_ms);
                 board.peers.due(&self.settings.seeds, self.me.peer_addr, now_ms)
             };
-            for addr in due {
-                // A datagram may be lost; the next one says the same.
-                let _ = socket.try_send_to(&message, addr);
-            }
-            self.publish();
+            send(&socket, &message, &due);
+            self.dirty.notify_one();
             self.fetch_if_behind(now_ms);
         }
     }
 
+    async fn send_updates(self: Rc<Control>, socket: Rc<UdpSocket>) {
+        loop {
+            self.shared.news.notified().await;
+            // What follows at once goes with it.
+            tokio::time::sleep(Duration::from_millis(NEWS_MS)).await;
+            if let Some(update) = self.update() {
+                let all = self.board.borrow().peers.all(self.me.peer_addr);
+                send(&socket, &Message::Update(update), &all);
+            }
+        }
+    }
+
+    fn versions(board: &Board) -> Versions {
+        Versions {
+            config: board.config.as_ref().map_or(0, |config| config.version),
+            fleet: if board.has_fleet { board.fleet.revision } else { 0 },
+            is_first_hand: board.is_watching && !board.is_directory_lost,
+        }
+    }
+
     fn beat(&self) -> Beat {
         let own = self.shared.own();
         let mut board = self.board.borrow_mut();
-        board.beats += 1;
+        board.messages += 1;
+        board.told = own.clone();
+        board.told_versions = Control::versions(&board);
+        board.told_phase = board.phase;
         Beat {
             from: self.me.clone(),
-            count: board.beats,
+            count: board.messages,
             phase: board.phase,
-            config_version: board.config.as_ref().map_or(0, |config| config.version),
-            fleet_revision: if board.has_fleet { board.fleet.revision } else { 0 },
+            versions: board.told_versions,
+            sent: own.sent,
             held: own.held,
             lost: own.lost,
             places: own.places,
         }
     }
 
+    /// What changed since the last message, if anything did.
+    fn update(&self) -> Option<Update> {
+        let own = self.shared.own();
+        let mut board = self.board.borrow_mut();
+        let versions = Control::versions(&board);
+        let mut held: Vec<Held> =
+            own.held.iter().filter(|held| !board.told.held.contains(held)).cloned().collect();
+        for before in &board.told.held {
+            if own.held.iter().all(|held| held.upstream != before.upstream) {
+                let upstream = Arc::clone(&before.upstream);
+                held.push(Held { upstream, runs: 0, copies: 0, reading: 0 });
+            }
+        }
+        let is_new = |id: &&Arc<str>| !board.told.lost.contains(id);
+        let lost: Vec<Arc<str>> = own.lost.iter().filter(is_new).cloned().collect();
+        let is_new = |place: &&(u64, Arc<str>)| !board.told.places.contains(place);
+        let places: Vec<(u64, Arc<str>)> = own.places.iter().filter(is_new).cloned().collect();
+        let is_same = held.is_empty() && lost.is_empty() && places.is_empty();
+        if is_same && versions == board.told_versions && board.phase == board.told_phase {
+            return None;
+        }
+        board.messages += 1;
+        board.told = own;
+        board.told_versions = versions;
+        board.told_phase = board.phase;
+        Some(Update {
+            phase: board.phase,
+            id: Arc::clone(&self.me.id),
+            incarnation: self.me.incarnation,
+            count: board.messages,
+            versions,
+            held,
+            lost,
+            places,
+        })
+    }
+
     async fn hear_beats(self: Rc<Control>, socket: Rc<UdpSocket>) {
         let mut buffer = vec![0; DATAGRAM_BYTES];
         loop {
@@ -418,49 +540,71 @@
                 tokio::time::sleep(Duration::from_millis(BEAT_MS)).await;
                 continue;
             };
-            let Ok(beat) = rmp_serde::from_slice::<Beat>(&buffer[..length]) else {
-                self.metrics.count("beats_unreadable");
-                continue;
-            };
-            if beat.from.id == self.me.id {
-                continue;
-            }
-            let id = Arc::clone(&beat.from.id);
-            let phase = beat.phase;
-            let has_lost = !beat.lost.is_empty();
-            let is_back = self.board.borrow_mut().peers.hear(beat, self.clock.now_ms());
-            if is_back {
-                slog::info!(self.log, "peer heard"; "peer" => &*id);
-            }
-            if is_back || phase == Phase::Stopping || has_lost {
-                self.publish();
+            match rmp_serde::from_slice(&buffer[..length]) {
+                Ok(Message::Beat(beat)) if beat.from.id != self.me.id => self.hear_beat(beat),
+                Ok(Message::Update(update)) => self.hear_update(update),
+                Ok(Message::Beat(_)) => {}
+                Err(_) => self.metrics.count("messages_unreadable"),
             }
         }
     }
 
-    /// Fetches from a peer what it has known for a moment longer, such as a configuration that the
-    /// directory doesn't tell this instance.
+    fn hear_beat(self: &Rc<Control>, beat: Beat) {
+        let now_ms = self.clock.now_ms();
+        let id = Arc::clone(&beat.from.id);
+        let is_urgent = beat.phase == Phase::Stopping;
+        let is_back = self.board.borrow_mut().peers.hear(beat, now_ms);
+        if is_back {
+            slog::info!(self.log, "peer heard"; "peer" => &*id);
+        }
+        if is_back || is_urgent {
+            self.dirty.notify_one();
+        }
+        self.fetch_if_behind(now_ms);
+    }
+
+    fn hear_update(self: &Rc<Control>, update: Update) {
+        let now_ms = self.clock.now_ms();
+        if self.board.borrow_mut().peers.update(update, now_ms) {
+            self.dirty.notify_one();
+            self.fetch_if_behind(now_ms);
+        }
+    }
+
+    /// Fetches from a peer what this instance doesn't know yet: at once if it leaves the directory
+    /// to others, else after a moment in which the directory usually tells.
     fn fetch_if_behind(self: &Rc<Control>, now_ms: u64) {
         let mut board = self.board.borrow_mut();
-        let config_version = board.config.as_ref().map_or(0, |config| config.version);
-        let fleet_revision = if board.has_fleet { board.fleet.revision } else { 0 };
-        let newer = |beat: &Beat| {
-            beat.config_version > config_version || beat.fleet_revision > fleet_revision
-        };
-        let Some(addr) = board.peers.ahead(now_ms, &mut fastrand::Rng::new(), newer) else {
+        if board.is_fetching {
+            return;
+        }
+        let known = Control::versions(&board);
+        let newer =
+            |beat: &Beat| beat.versions.config > known.config || beat.versions.fleet > known.fleet;
+        let near = |beat: &Beat| newer(beat) && beat.from.domain == self.me.domain;
+        let mut random = fastrand::Rng::new();
+        let ahead = board.peers.ahead(now_ms, &mut random, near);
+        let Some(addr) = ahead.or_else(|| board.peers.ahead(now_ms, &mut random, newer)) else {
             board.behind_since_ms = None;
             return;
         };
         let since_ms = *board.behind_since_ms.get_or_insert(now_ms);
-        if now_ms.saturating_sub(since_ms) < BEHIND_MS && board.has_fleet {
+        let behind_ms = now_ms.saturating_sub(since_ms);
+        if board.is_watching && behind_ms < BEHIND_MS && board.has_fleet {
             return;
         }
-        board.behind_since_ms = None;
+        if board.is_watching && behind_ms >= BROKEN_WATCH_MS {
+            board.behind_since_ms = None;
+            self.broken_watch.notify_one();
+        }
+        board.is_fetching = true;
         drop(board);
         let control = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let limit = Duration::from_millis(FETCH_TIMEOUT_MS);
-            match tokio::time::timeout(limit, fetch(addr)).await {
+            let fetched = tokio::time::timeout(limit, fetch(addr, known.config)).await;
+            control.board.borrow_mut().is_fetching = false;
+            match fetched {
                 Ok(Some(knowledge)) => control.take_knowledge(knowledge, addr),
                 _ => control.metrics.count("peer_fetches_failed"),
             }
@@ -476,7 +620,8 @@
         let is_newer = knowledge.fleet_revision > board.fleet.revision || !board.has_fleet;
         if is_newer && knowledge.fleet_revision > 0 {
             board.has_fleet = true;
-            slog::info!(self.log, "upstreams taken from a peer"; "peer" => %from,
+            board.is_outage_own = board.is_directory_lost;
+            slog::debug!(self.log, "upstreams taken from a peer"; "peer" => %from,
                 "revision" => knowledge.fleet_revision, "before" => board.fleet.revision);
             board.fleet.replace(knowledge.fleet_revision, knowledge.upstreams, now_ms);
         }
@@ -513,9 +658,61 @@
     }
 }
 
-async fn fetch(addr: SocketAddr) -> Option<Knowledge> {
+/// What the other instances have, summed up.
+#[derive(Default)]
+struct Others {
+    instances: u32,
+    fronts: Vec<Front>,
+    held: BTreeMap<Arc<str>, Held>,
+    sent: BTreeMap<Arc<str>, Sent>,
+    lost: Vec<Arc<str>>,
+}
+
+impl Others {
+    fn sum<'a>(beats: impl Iterator<Item = &'a Beat>) -> Others {
+        let mut all = Others::default();
+        for beat in beats {
+            all.add(beat);
+        }
+        all
+    }
+
+    fn add(&mut self, beat: &Beat) {
+        self.instances += 1;
+        if beat.phase == Phase::Ready {
+            let domain = Arc::clone(&beat.from.domain);
+            self.fronts.push(Front { addr: beat.from.front_addr, domain });
+        }
+        for held in &beat.held {
+            let upstream = Arc::clone(&held.upstream);
+            let nothing = || Held { upstream, runs: 0, copies: 0, reading: 0 };
+            let sum = self.held.entry(Arc::clone(&held.upstream)).or_insert_with(nothing);
+            sum.runs += held.runs;
+            sum.copies += held.copies;
+            sum.reading += held.reading;
+        }
+        for sent in &beat.sent {
+            let service = Arc::clone(&sent.service);
+            let nothing = || Sent { service, requests: 0, repeats: 0 };
+            let sum = self.sent.entry(Arc::clone(&sent.service)).or_insert_with(nothing);
+            sum.requests += sent.requests;
+            sum.repeats += sent.repeats;
+        }
+        self.lost.extend(beat.lost.iter().cloned());
+    }
+}
+
+/// Sends a message to each address; one that is lost is followed by others that say as much.
+fn send(socket: &UdpSocket, message: &Message, addrs: &[SocketAddr]) {
+    let Ok(bytes) = rmp_serde::to_vec(message) else { return };
+    for addr in addrs {
+        let _ = socket.try_send_to(&bytes, *addr);
+    }
+}
+
+async fn fetch(addr: SocketAddr, config_version: u64) -> Option<Knowledge> {
     let mut channel = Channel::open(addr, FETCH_TIMEOUT_MS).await.ok()?;
-    let request = Request::get(KNOWLEDGE_PATH)
+    let request = Request::get(knowledge_target(config_version))
         .header(HOST, addr.to_string())
         .body(Full::<Bytes>::default())
         .ok()?;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,7 +2,8 @@
 //!
 //! A beat says that its sender lives, whether it takes callers, which versions it knows and what
 //! it has running at model engines. Each instance sends its beat to a bounded number of peers a
-//! round, so that the cost of one instance does not grow with the fleet.
+//! round, so that the cost of one instance does not grow with the fleet. What can't wait for a
+//! round, such as a lost engine or a newer configuration, goes to all peers as a short update.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -17,6 +18,9 @@
 pub const BEAT_MS: u64 = 250;
 /// Peers that get a beat each round; all of them up to this many.
 const FANOUT: usize = 12;
+/// Instances of a failure domain that watch the directory; the others hear from them. One may be
+/// lost without a gap, and each call is counted and paid for.
+const WATCHERS_PER_DOMAIN: usize = 2;
 /// Beats that may be lost before a peer counts as gone; single datagrams do get lost.
 const MISSED_BEATS: u64 = 4;
 /// How long a silent peer is still sent beats, so that a healed link is noticed.
@@ -46,7 +50,59 @@
     pub reading: u32,
 }
 
-/// One message of an instance to its peers.
+/// What an instance sent to a service in the window of the budget of repeats.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sent {
+    /// The service.
+    pub service: Arc<str>,
+    /// Requests of callers.
+    pub requests: u64,
+    /// Repeats.
+    pub repeats: u64,
+}
+
+/// What an instance knows, by versions that only grow.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    /// The version of the configuration in force.
+    pub config: u64,
+    /// The revision of the list of upstreams.
+    pub fleet: u64,
+    /// Whether the directory answers it, so that it hears of changes by itself.
+    pub is_first_hand: bool,
+}
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Everything, a few times a second to some peers.
+    Beat(Beat),
+    /// What changed, at once to all.
+    Update(Update),
+}
+
+/// What changed at an instance since its last message.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// Who sends it.
+    pub id: Arc<str>,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Grows with each message of one incarnation.
+    pub count: u64,
+    /// Whether it takes callers.
+    pub phase: Phase,
+    /// What it knows.
+    pub versions: Versions,
+    /// What it has running where that changed; nothing runs where all counts are 0.
+    pub held: Vec<Held>,
+    /// Upstreams that it lost.
+    pub lost: Vec<Arc<str>>,
+    /// Which engine read a prompt.
+    pub places: Vec<(u64, Arc<str>)>,
+}
+
+/// Everything that an instance tells its peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
     /// Who sends it.
@@ -55,10 +111,10 @@
     pub count: u64,
     /// Whether it takes callers.
     pub phase: Phase,
-    /// The version of the configuration that is in force there.
-    pub config_version: u64,
-    /// The revision of its list of upstreams.
-    pub fleet_revision: u64,
+    /// What it knows.
+    pub versions: Versions,
+    /// What it sent lately.
+    pub sent: Vec<Sent>,
     /// What it has running at model engines.
     pub held: Vec<Held>,
     /// Upstreams that it lost in the last moments.
@@ -114,6 +170,46 @@
         !was_alive
     }
 
+    /// Takes in an update of a peer whose beat is known. Returns whether it changed anything.
+    pub fn update(&mut self, update: Update, now_ms: u64) -> bool {
+        let Some(peer) = self.known.get_mut(&update.id) else { return false };
+        let Some(beat) = &mut peer.beat else { return false };
+        if beat.from.incarnation != update.incarnation || beat.count >= update.count {
+            return false;
+        }
+        peer.heard_ms = now_ms;
+        beat.count = update.count;
+        beat.versions = update.versions;
+        beat.phase = update.phase;
+        for held in update.held {
+            beat.held.retain(|known| known.upstream != held.upstream);
+            if held.runs + held.copies + held.reading > 0 {
+                beat.held.push(held);
+            }
+        }
+        beat.lost.extend(update.lost);
+        beat.places.extend(update.places);
+        true
+    }
+
+    /// All peers, for an update.
+    pub fn all(&self, me: SocketAddr) -> Vec<SocketAddr> {
+        let known = self.known.values().filter(|peer| peer.beat.is_some());
+        known.map(|peer| peer.registration.peer_addr).filter(|addr| *addr != me).collect()
+    }
+
+    /// Whether this instance should hear of changes from the directory itself: it is among the
+    /// first of its failure domain that do, or nobody else does.
+    pub fn should_watch(&self, me: &Registration, now_ms: u64) -> bool {
+        let mut before = 0;
+        let mut first_hand = 0;
+        for beat in self.alive(now_ms).filter(|beat| beat.versions.is_first_hand) {
+            first_hand += 1;
+            before += usize::from(beat.from.domain == me.domain && beat.from.id < me.id);
+        }
+        before < WATCHERS_PER_DOMAIN || first_hand == 0
+    }
+
     /// The peers that get this round's beat.
     pub fn due(&mut self, seeds: &[SocketAddr], me: SocketAddr, now_ms: u64) -> Vec<SocketAddr> {
         self.known.retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) < FORGET_MS);
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -8,7 +8,11 @@
 /// between domains are paid for, a busier engine slows every run on it.
 const DOMAIN_BONUS: f64 = 0.75;
 /// What a copy weighs against a run: it holds as much memory and no steps.
-const COPY_WEIGHT: f64 = 0.3;
+const COPY_WEIGHT: f64 = 0.4;
+/// Runs and copies that an engine's memory surely holds: they are a good tenth of it each.
+const MEMORY_ROOM: f64 = 6.0;
+/// What each one beyond that weighs, since the newest would be put out of memory.
+const CROWDED_WEIGHT: f64 = 3.0;
 /// What a prompt being read weighs beside a run: it slows every run's tokens while it lasts.
 const READING_WEIGHT: f64 = 1.5;
 /// What an upstream that failed every request lately weighs, in requests.
@@ -84,7 +88,8 @@
     let mut cost = candidate.runs
         + COPY_WEIGHT * candidate.copies
         + READING_WEIGHT * candidate.reading
-        + FAILING_WEIGHT * candidate.failing;
+        + FAILING_WEIGHT * candidate.failing
+        + CROWDED_WEIGHT * (candidate.runs + candidate.copies - MEMORY_ROOM).max(0.0);
     if wish.near.as_ref().is_some_and(|near| *near != candidate.domain) {
         cost += DOMAIN_BONUS;
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -243,7 +243,9 @@
             if request.uri().path() != KNOWLEDGE_PATH {
                 return answer::whole(404, HeaderMap::new(), Bytes::new());
             }
-            match rmp_serde::to_vec(&control.knowledge()) {
+            let known = request.uri().query().and_then(|query| query.strip_prefix("config="));
+            let known = known.and_then(|version| version.parse().ok()).unwrap_or(0);
+            match rmp_serde::to_vec(&control.knowledge(known)) {
                 Ok(body) => answer::whole(200, HeaderMap::new(), Bytes::from(body)),
                 Err(_) => answer::whole(500, HeaderMap::new(), Bytes::new()),
             }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -16,7 +16,7 @@
 use super::dialect::Dialect;
 use super::fleet::Fleet;
 use super::metrics::Metrics;
-use super::peers::Held;
+use super::peers::{Held, Sent};
 use super::placement::{self, Candidate, Wish};
 use super::route::Repeat;
 use super::settings::Settings;
@@ -202,7 +202,7 @@
 
     /// Counts a request to a service.
     pub fn note_request(&self, service: &Arc<str>) {
-        let bound = self.bound();
+        let bound = self.bound(service);
         let now_ms = self.now_ms();
         let mut budgets = self.budgets.borrow_mut();
         budgets.entry(Arc::clone(service)).or_default().request(bound, now_ms);
@@ -210,18 +210,22 @@
 
     /// Takes one repeat to a service, if the bound allows it.
     pub fn may_repeat(&self, service: &Arc<str>) -> bool {
-        let bound = self.bound();
+        let bound = self.bound(service);
         let now_ms = self.now_ms();
         let mut budgets = self.budgets.borrow_mut();
         budgets.entry(Arc::clone(service)).or_default().repeat(bound, now_ms)
     }
 
-    fn bound(&self) -> Bound {
+    fn bound(&self, service: &str) -> Bound {
+        let view = self.shared.view.load();
+        let others = view.sent.get(service);
         Bound {
             ratio: self.settings.repeat_ratio,
             slack: self.settings.repeat_slack,
             window_ms: self.settings.repeat_window_ms,
-            instances: self.shared.view.load().instances,
+            instances: view.instances,
+            others_requests: others.map_or(0, |sent| sent.requests),
+            others_repeats: others.map_or(0, |sent| sent.repeats),
         }
     }
 
@@ -362,6 +366,10 @@
         let mut own = Own::default();
         let places = self.places.borrow();
         own.places = places.iter().map(|(part, at)| (*part, Arc::clone(&at.upstream))).collect();
+        for (service, budget) in self.budgets.borrow().iter() {
+            let (requests, repeats) = budget.sums();
+            own.sent.push(Sent { service: Arc::clone(service), requests, repeats });
+        }
         let losses = self.losses.borrow();
         let own_losses = losses.iter().filter(|(_, loss)| loss.is_own);
         own.lost.extend(own_losses.map(|(id, _)| Arc::clone(id)));
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 
 use super::fleet::Fleet;
-use super::peers::{Held, Phase};
+use super::peers::{Held, Phase, Sent};
 use super::route::Config;
 
 /// An immutable picture of what is known.
@@ -28,6 +28,8 @@
     pub others: Arc<BTreeMap<Arc<str>, Held>>,
     /// Upstreams that others lost in the last moments.
     pub lost: Arc<Vec<Arc<str>>>,
+    /// What the others sent lately, by service.
+    pub sent: Arc<BTreeMap<Arc<str>, Sent>>,
     /// Which engine read a prompt, by the hash of its last part, as others told.
     pub places: Arc<BTreeMap<u64, Arc<str>>>,
 }
@@ -63,6 +65,8 @@
     pub lost: Vec<Arc<str>>,
     /// Which engine read a prompt, by the hash of its last part.
     pub places: Vec<(u64, Arc<str>)>,
+    /// What it sent lately.
+    pub sent: Vec<Sent>,
 }
 
 impl Shared {
@@ -76,6 +80,7 @@
             instances: 1,
             others: Arc::default(),
             lost: Arc::default(),
+            sent: Arc::default(),
             places: Arc::default(),
         };
         let view = ArcSwap::from_pointee(view);
