--- a/src/gateway/channel.rs
+++ b/src/gateway/channel.rs
@@ -49,7 +49,9 @@
         timeout_ms: u64,
     },
     /// Some of it was written, so it may run.
-    #[display("the connection broke after the request was sent ({detail}); whether it ran is unknown")]
+    #[display(
+        "the connection broke after the request was sent ({detail}); whether it ran is unknown"
+    )]
     Broken {
         /// What was seen.
         detail: String,
@@ -107,7 +109,10 @@
     /// # Errors
     ///
     /// [`Fault::NotSent`] only if no byte was written.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Fault> {
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Fault> {
         let before = self.written.get();
         if let Err(error) = self.sender.ready().await {
             return Err(Fault::NotSent { detail: error.to_string() });
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -30,8 +30,10 @@
 use super::view::{Front, Own, Shared, View};
 use crate::clock::Clock;
 
-/// How long a watch waits: each call is counted and paid for, and changes end it at once.
-const WATCH_MS: u64 = 20_000;
+/// How long a watch waits. A directory that was down may have forgotten a watch without a word,
+/// and an accepted change must be in force within two seconds of a calm directory, so a watch is
+/// soon asked anew; only a few instances ask.
+const WATCH_MS: u64 = 2_000;
 /// How long changes gather before the next watch: an engine's crash brings a burst of them, each
 /// call costs, and the bounds for taking on a change are seconds.
 const GATHER_MS: u64 = 400;
@@ -395,10 +397,7 @@
         }
         let mut fronts = Vec::new();
         if board.phase == Phase::Ready {
-            fronts.push(Front {
-                addr: self.me.front_addr,
-                domain: Arc::clone(&self.me.domain),
-            });
+            fronts.push(Front { addr: self.me.front_addr, domain: Arc::clone(&self.me.domain) });
         }
         let others = Others::sum(board.peers.alive(now_ms));
         fronts.extend(others.fronts);
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -48,7 +48,8 @@
         if *byte != b'\n' {
             continue;
         }
-        let line = bytes[line_start..index].strip_suffix(b"\r").unwrap_or(&bytes[line_start..index]);
+        let line =
+            bytes[line_start..index].strip_suffix(b"\r").unwrap_or(&bytes[line_start..index]);
         if line.is_empty() && line_start > 0 {
             return Some(index + 1);
         }
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -45,7 +45,9 @@
         timeout_ms: u64,
     },
     /// No upstream takes work; the request has not run.
-    #[display("no upstream of the service takes work now; send the request again after Retry-After")]
+    #[display(
+        "no upstream of the service takes work now; send the request again after Retry-After"
+    )]
     NoUpstream,
     /// All upstreams that were asked said that they did not run it.
     #[display("the upstreams are full; the request has not run, send it again after Retry-After")]
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -15,9 +15,9 @@
     CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING,
     UPGRADE,
 };
-use hyper::{HeaderMap, Method, Request};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{HeaderMap, Method, Request};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -133,7 +133,11 @@
     Serving,
 }
 
-async fn serve_connection(traffic: Rc<Traffic>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+async fn serve_connection(
+    traffic: Rc<Traffic>,
+    stream: TcpStream,
+    mut stop: watch::Receiver<bool>,
+) {
     let _ = stream.set_nodelay(true);
     let limits = limits(&traffic);
     let stage = Rc::new(Cell::new(Stage::Idle(traffic.now_ms())));
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -93,10 +93,8 @@
             let name = series.time.name();
             for quantile in [0.5, 0.95, 0.99, 1.0] {
                 let value = histogram.value_at_quantile(quantile);
-                let _ = writeln!(
-                    text,
-                    "siskinrock_{name}{{{labels},quantile=\"{quantile}\"}} {value}"
-                );
+                let _ =
+                    writeln!(text, "siskinrock_{name}{{{labels},quantile=\"{quantile}\"}} {value}");
             }
             let _ = writeln!(text, "siskinrock_{name}_count{{{labels}}} {}", histogram.len());
         }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -54,10 +54,8 @@
 /// crash they would all send what they lost to the one that is least loaded.
 pub fn choose(candidates: &[Candidate], wish: &Wish, random: &mut dyn Random) -> Option<usize> {
     let fits = |candidate: &Candidate| !wish.not.contains(&candidate.id);
-    let costs: Vec<Option<f64>> = candidates
-        .iter()
-        .map(|candidate| fits(candidate).then(|| cost(candidate, wish)))
-        .collect();
+    let costs: Vec<Option<f64>> =
+        candidates.iter().map(|candidate| fits(candidate).then(|| cost(candidate, wish))).collect();
     let least = costs.iter().flatten().copied().min_by(f64::total_cmp)?;
     let weight = |cost: &Option<f64>| match cost {
         Some(cost) => (WEIGHT_UNIT * (-(cost - least) / SPREAD).exp()) as u64,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -31,7 +31,7 @@
 const SWEEP_MS: u64 = 100;
 /// The part of the grace of a planned stop after which what still runs is cut, so that the end of
 /// the process is its own.
-const GRACE_PART: f64 = 0.93;
+const GRACE_PART: f64 = 0.88;
 /// How long a stopping instance still takes callers that hold its address: answers may be kept
 /// three times as long as they say.
 const KEEP_FACTOR: u64 = 1;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -101,10 +101,13 @@
     left: Vec<Arc<str>>,
     lost_domains: Vec<Arc<str>>,
     copy: Option<CopyAt>,
-    copying: Option<oneshot::Receiver<Option<(Rc<Worker>, Copy)>>>,
+    copying: Option<oneshot::Receiver<Option<NewCopy>>>,
     copy_again_ms: u64,
 }
 
+/// A copy that a call has made: where it lies, and its name.
+type NewCopy = (Rc<Worker>, Copy);
+
 /// Where the copy of the run's memory lies.
 #[derive(Debug)]
 struct CopyAt {
@@ -212,6 +215,7 @@
 
     /// The engine for the next attempt: the one with the copy, or the best one.
     fn place(&mut self) -> Option<(Rc<Worker>, Option<Copy>)> {
+        self.take_finished_copy(self.traffic.now_ms());
         if let Some(copy) = self.copy.take()
             && self.is_fit(&copy.worker)
         {
@@ -277,7 +281,8 @@
         let copy = self.place_copy(worker);
         let _run = worker.count(What::Run);
         let reading = from.is_none().then(|| worker.count(What::Reading));
-        let request = self.job.request(&traffic, &self.dispatch(worker, copy.as_ref(), from.as_ref()));
+        let request =
+            self.job.request(&traffic, &self.dispatch(worker, copy.as_ref(), from.as_ref()));
         slog::info!(traffic.log, "sent"; "request" => self.job.id(),
             "upstream" => &*worker.upstream.id, "domain" => &*worker.upstream.domain,
             "copy" => copy.as_ref().map(|copy| copy.upstream.id.to_string()),
@@ -537,15 +542,9 @@
     /// such a copy, which doesn't grow by itself, gets old.
     fn keep_copy(&mut self, worker: &Rc<Worker>) {
         let now_ms = self.traffic.now_ms();
-        if let Some(copying) = &mut self.copying {
-            match copying.try_recv() {
-                Ok(copied) => {
-                    self.copying = None;
-                    self.take_copy(copied, now_ms);
-                }
-                Err(oneshot::error::TryRecvError::Empty) => return,
-                Err(oneshot::error::TryRecvError::Closed) => self.copying = None,
-            }
+        self.take_finished_copy(now_ms);
+        if self.copying.is_some() {
+            return;
         }
         let target = match &self.copy {
             Some(copy) if !self.is_fit(&copy.worker) => {
@@ -575,7 +574,20 @@
         });
     }
 
-    fn take_copy(&mut self, copied: Option<(Rc<Worker>, Copy)>, now_ms: u64) {
+    /// Takes in a copy that was made by a call meanwhile.
+    fn take_finished_copy(&mut self, now_ms: u64) {
+        let Some(copying) = &mut self.copying else { return };
+        match copying.try_recv() {
+            Ok(copied) => {
+                self.copying = None;
+                self.take_copy(copied, now_ms);
+            }
+            Err(oneshot::error::TryRecvError::Empty) => {}
+            Err(oneshot::error::TryRecvError::Closed) => self.copying = None,
+        }
+    }
+
+    fn take_copy(&mut self, copied: Option<NewCopy>, now_ms: u64) {
         let Some((worker, name)) = copied else { return };
         let kept_ms = self.engine().map_or(0, |engine| engine.copy_kept_ms);
         self.copy = Some(CopyAt {
@@ -699,7 +711,10 @@
 }
 
 /// Ends when the caller has closed its connection.
-async fn caller_left(head: &mut Option<oneshot::Sender<Answer>>, body: &Option<mpsc::Sender<Part>>) {
+async fn caller_left(
+    head: &mut Option<oneshot::Sender<Answer>>,
+    body: &Option<mpsc::Sender<Part>>,
+) {
     match (head, body) {
         (Some(head), _) => head.closed().await,
         (None, Some(body)) => body.closed().await,
@@ -718,7 +733,7 @@
     source: Rc<Worker>,
     target: Rc<Worker>,
     id: Arc<str>,
-) -> Option<(Rc<Worker>, Copy)> {
+) -> Option<NewCopy> {
     let (path, body) = traffic.dialect.copy_call(&id, target.upstream.addr);
     let limit = Duration::from_millis(COPY_TIMEOUT_MS);
     let asked = traffic.ask(&source, Method::POST, path, body);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -7,12 +7,12 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request};
 use hyper::header::HOST;
+use hyper::{Method, Request};
 use tokio::sync::watch;
 
-use super::channel;
 use super::budget::{Bound, Budget};
+use super::channel;
 use super::dialect::Dialect;
 use super::fleet::Fleet;
 use super::metrics::Metrics;
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -84,7 +84,12 @@
             places: Arc::default(),
         };
         let view = ArcSwap::from_pointee(view);
-        Arc::new(Shared { view, changed: Notify::new(), news: Notify::new(), own: Mutex::default() })
+        Arc::new(Shared {
+            view,
+            changed: Notify::new(),
+            news: Notify::new(),
+            own: Mutex::default(),
+        })
     }
 
     /// Replaces what is told to peers.
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,6 +1,8 @@
 //! Logs as JSON lines on standard error.
 
-use std::sync::Mutex;
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
 
 use slog::Drain;
 
@@ -30,6 +32,70 @@
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build()
         .fuse();
-    let drain = slog::LevelFilter::new(drain, level).fuse();
+    let drain = slog::LevelFilter::new(PerMessage::new(drain), level).fuse();
     slog::Logger::root(drain, slog::o!())
 }
+
+/// Records of one message a second; an instance serves a few dozen requests a second, and a flood
+/// of one kind must not hide the others.
+const RECORDS_PER_SECOND: u64 = 200;
+
+/// Lets each message pass so often a second, and tells how many records of it were left out.
+struct PerMessage<D> {
+    inner: D,
+    start: Instant,
+    seen: Mutex<BTreeMap<String, Second>>,
+}
+
+#[derive(Default, Clone, Copy)]
+struct Second {
+    number: u64,
+    passed: u64,
+    left_out: u64,
+}
+
+impl<D> PerMessage<D> {
+    fn new(inner: D) -> PerMessage<D> {
+        PerMessage { inner, start: Instant::now(), seen: Mutex::default() }
+    }
+
+    /// Whether a record may pass, and how many before it were left out.
+    fn admit(&self, message: String) -> Option<u64> {
+        let number = self.start.elapsed().as_secs();
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let second = seen.entry(message).or_default();
+        if second.number != number {
+            let left_out = second.left_out;
+            *second = Second { number, passed: 1, left_out: 0 };
+            return Some(left_out);
+        }
+        if second.passed >= RECORDS_PER_SECOND {
+            second.left_out += 1;
+            return None;
+        }
+        second.passed += 1;
+        Some(0)
+    }
+}
+
+impl<D: Drain<Ok = (), Err = slog::Never>> Drain for PerMessage<D> {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(
+        &self,
+        record: &slog::Record<'_>,
+        values: &slog::OwnedKVList,
+    ) -> Result<(), slog::Never> {
+        let Some(left_out) = self.admit(record.msg().to_string()) else { return Ok(()) };
+        if left_out > 0 {
+            let message = record.msg().to_string();
+            let pair = slog::o!("of" => message, "count" => left_out);
+            let list = slog::OwnedKVList::from(pair);
+            let note = slog::record_static!(slog::Level::Warning, "");
+            let text = format_args!("records left out");
+            self.inner.log(&slog::Record::new(&note, &text, slog::b!()), &list)?;
+        }
+        self.inner.log(record, values)
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,8 +4,8 @@
 use std::process::ExitCode;
 
 use siskinrock::error::Error;
-use siskinrock::settings::{self, Settings};
 use siskinrock::gateway::server;
+use siskinrock::settings::{self, Settings};
 use siskinrock::{ctl, log, platform, router};
 
 /// A request was refused, or something can't be reached.
--- /dev/null
+++ b/tests/fakes/src/engine.rs
@@ -0,0 +1,291 @@
+//! A model engine: streams of events that can be resumed, copies of runs, and its faults.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use tokio::sync::watch;
+
+use crate::http::{self, Connection, Message};
+
+/// How an engine misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// It doesn't.
+    #[default]
+    None,
+    /// It says nothing more, on any channel.
+    Dark,
+    /// It answers its state, and makes no more events.
+    Stuck,
+    /// It closes every channel in the middle of an event.
+    Torn,
+    /// It refuses everything as full.
+    Full,
+    /// It ends streams early without their last chunk.
+    Cut,
+}
+
+/// What an engine was asked, for the checks of a test.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// The request.
+    pub request: Message,
+    /// When it came.
+    pub at: Instant,
+    /// Whether it ran.
+    pub ran: bool,
+    /// Whether it went on from a copy.
+    pub from_copy: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    fault: Fault,
+    seen: Vec<Seen>,
+    /// Runs of this engine and copies that lie here, by request, with the events made.
+    runs: BTreeMap<String, u64>,
+    copies: BTreeMap<String, u64>,
+    working: usize,
+}
+
+/// A running engine; cloning shares it.
+#[derive(Clone)]
+pub struct EngineFake {
+    /// Its id in the list of servers.
+    pub id: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<u64>>,
+    peers: Arc<Mutex<Vec<EngineFake>>>,
+    /// The time between two events.
+    pub step_ms: u64,
+}
+
+/// How many events a stream has.
+pub const EVENTS: u64 = 20;
+/// How long a prompt takes that isn't in memory.
+const READ_MS: u64 = 60;
+
+/// The text of one event of a request: whoever mixes requests up is found out.
+pub fn event(prompt_part: &str, id: u64) -> String {
+    format!("id: {id}\ndata: {prompt_part}.{id}\n\n")
+}
+
+impl EngineFake {
+    /// Starts one.
+    pub async fn start(id: &str, step_ms: u64) -> EngineFake {
+        let state: Arc<Mutex<State>> = Arc::default();
+        let changed = Arc::new(watch::Sender::new(0));
+        let peers: Arc<Mutex<Vec<EngineFake>>> = Arc::default();
+        let mut fake = EngineFake {
+            id: id.to_owned(),
+            addr: SocketAddr::from(([127, 0, 0, 1], 0)),
+            state,
+            changed,
+            peers,
+            step_ms,
+        };
+        let served = fake.clone();
+        let (addr, _) = http::listen("127.0.0.1:0", move |connection| {
+            let fake = served.clone();
+            async move { fake.serve(connection).await }
+        })
+        .await;
+        fake.addr = addr;
+        fake
+    }
+
+    /// Makes the others known, for copies.
+    pub fn meet(&self, others: &[EngineFake]) {
+        *self.peers.lock().expect("no holder panics") = others.to_vec();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// Misbehaves from now on.
+    pub fn fail(&self, fault: Fault) {
+        self.lock().fault = fault;
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// What it was asked.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.lock().seen.clone()
+    }
+
+    /// Requests that it works on.
+    pub fn working(&self) -> usize {
+        self.lock().working
+    }
+
+    /// The most events that a run here has made.
+    pub fn made(&self) -> u64 {
+        self.lock().runs.values().copied().max().unwrap_or(0)
+    }
+
+    /// Its entry in the list of servers.
+    pub fn entry(
+        &self,
+        service: &str,
+        zone: &str,
+        state: &str,
+        addr: SocketAddr,
+    ) -> serde_json::Value {
+        json!({"backend": service, "address": addr.to_string(), "zone": zone, "version": "v1",
+            "slots": 8, "state": state, "cold-remaining-ms": 0, "sequence": 1})
+    }
+
+    async fn serve(self, mut connection: Connection) {
+        while let Ok(Some(request)) = connection.read_request().await {
+            let fault = self.lock().fault;
+            let served = match (fault, request.path()) {
+                (Fault::Dark, _) => return std::future::pending().await,
+                (_, "/siskinrock/report") => {
+                    let body = json!({"stage": "both", "queued": 0, "active": self.working()});
+                    connection.answer(200, &[], body.to_string().as_bytes()).await
+                }
+                (_, "/siskinrock/kv-move") => self.copy(&mut connection, &request).await,
+                _ => self.stream(&mut connection, &request).await,
+            };
+            match served {
+                Ok(()) => {}
+                Err(error) if error.kind() == std::io::ErrorKind::ConnectionAborted => {
+                    return connection.reset();
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
+    async fn copy(&self, connection: &mut Connection, request: &Message) -> std::io::Result<()> {
+        let body: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let id = body["id"].as_str().unwrap_or_default().to_owned();
+        let target = body["target"].as_str().unwrap_or_default().to_owned();
+        let made = self.lock().runs.get(&id).copied();
+        let Some(made) = made else { return connection.answer(404, &[], b"{}").await };
+        for peer in self.peers.lock().expect("no holder panics").iter() {
+            if peer.addr.to_string() == target {
+                peer.lock().copies.insert(id.clone(), made);
+            }
+        }
+        let body = json!({"handle": id, "created": made}).to_string();
+        connection.answer(200, &[], body.as_bytes()).await
+    }
+
+    async fn stream(&self, connection: &mut Connection, request: &Message) -> std::io::Result<()> {
+        let id = request.header("x-request-id").unwrap_or_default().to_owned();
+        let expected = request.header("x-expect-instance").map(str::to_owned);
+        let copy = request.header("kv-from").map(str::to_owned);
+        let has_copy = copy.as_ref().is_some_and(|name| self.takes_copy(name));
+        let fault = self.lock().fault;
+        let refused = match (&expected, &copy) {
+            (Some(expected), _) if *expected != self.id => Some(421),
+            (_, Some(_)) if !has_copy => Some(503),
+            _ => (fault == Fault::Full).then_some(503),
+        };
+        let seen = Seen {
+            request: request.clone(),
+            at: Instant::now(),
+            ran: refused.is_none(),
+            from_copy: has_copy,
+        };
+        self.lock().seen.push(seen);
+        if let Some(status) = refused {
+            let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
+            return connection.answer(status, &headers, b"").await;
+        }
+        self.lock().working += 1;
+        let ended = self.run(connection, request, &id, has_copy).await;
+        let mut state = self.lock();
+        state.working -= 1;
+        state.runs.remove(&id);
+        ended
+    }
+
+    fn takes_copy(&self, name: &str) -> bool {
+        let id = name.rsplit('/').next().unwrap_or_default();
+        self.lock().copies.remove(id).is_some()
+    }
+
+    async fn run(
+        &self,
+        connection: &mut Connection,
+        request: &Message,
+        id: &str,
+        has_copy: bool,
+    ) -> std::io::Result<()> {
+        let last = request.header("last-event-id").and_then(|last| last.parse::<u64>().ok());
+        let part = part_of(request);
+        if !has_copy {
+            self.pause(READ_MS, connection).await?;
+        }
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\n\
+             X-Response-Signature: {}\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        connection.write(head.as_bytes()).await?;
+        for number in last.unwrap_or(0) + 1..=EVENTS {
+            self.pause(self.step_ms, connection).await?;
+            let text = event(&part, number);
+            let fault = self.lock().fault;
+            if fault == Fault::Torn {
+                connection.write(&chunk(&text[..text.len() / 2])).await?;
+                return Err(std::io::ErrorKind::ConnectionAborted.into());
+            }
+            if fault == Fault::Cut {
+                return Err(std::io::ErrorKind::BrokenPipe.into());
+            }
+            connection.write(&chunk(&text)).await?;
+            self.note_progress(request, id, number);
+        }
+        connection.write(b"0\r\n\r\n").await
+    }
+
+    /// Notes an event, here and where the copy grows.
+    fn note_progress(&self, request: &Message, id: &str, number: u64) {
+        self.lock().runs.insert(id.to_owned(), number);
+        let Some(target) = request.header("x-kv-backup") else { return };
+        for peer in self.peers.lock().expect("no holder panics").iter() {
+            if peer.addr.to_string() == target {
+                peer.lock().copies.insert(id.to_owned(), number);
+            }
+        }
+    }
+
+    /// Waits, for as long as it is dark or stuck; fails if the caller has left meanwhile.
+    async fn pause(&self, wait_ms: u64, connection: &Connection) -> std::io::Result<()> {
+        let mut changed = self.changed.subscribe();
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        while matches!(self.lock().fault, Fault::Dark | Fault::Stuck) {
+            tokio::select! {
+                _ = changed.changed() => {}
+                // Nothing more is sent by the caller: what becomes readable is its end.
+                _ = connection.stream.readable() => {
+                    return Err(std::io::ErrorKind::BrokenPipe.into());
+                }
+            }
+        }
+        let mut probe = [0; 1];
+        match connection.stream.try_read(&mut probe) {
+            Ok(0) => Err(std::io::ErrorKind::BrokenPipe.into()),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// The request's own part of its prompt.
+pub fn part_of(request: &Message) -> String {
+    let parts = request.header("x-prompt-prefix").unwrap_or_default();
+    parts.rsplit(',').next().and_then(|part| part.split(':').next()).unwrap_or_default().to_owned()
+}
+
+fn chunk(text: &str) -> Vec<u8> {
+    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
+}
--- /dev/null
+++ b/tests/fakes/src/lib.rs
@@ -0,0 +1,11 @@
+//! Small fakes that speak the platform's published protocol: its store, model engines, plain
+//! services, and a proxy that harms connections. Everything listens on loopback.
+
+pub mod caller;
+pub mod engine;
+pub mod http;
+pub mod process;
+pub mod proxy;
+pub mod service;
+pub mod site;
+pub mod store;
--- /dev/null
+++ b/tests/fakes/src/process.rs
@@ -0,0 +1,162 @@
+//! A gateway as a separate process, on a loopback address of its own.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use crate::caller::{self, Call};
+use crate::site;
+
+/// A condition that doesn't come true within this time fails its test.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// The pause between two looks.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// A gateway's process.
+pub struct Process {
+    /// Its number, which its address and zone follow from.
+    pub number: u8,
+    /// Where callers reach it.
+    pub front: SocketAddr,
+    /// Where callers ask for addresses.
+    pub directory: SocketAddr,
+    readiness: SocketAddr,
+    binary: PathBuf,
+    settings: PathBuf,
+    /// What it logs.
+    pub log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    /// Writes the settings file of a gateway and starts it.
+    pub fn start(
+        binary: &Path,
+        folder: &Path,
+        number: u8,
+        base_port: u16,
+        store: SocketAddr,
+        seeds: &[u8],
+    ) -> Process {
+        let settings = folder.join(format!("node-{number}.toml"));
+        let text = site::boot(number, base_port, store, seeds, 4.0);
+        std::fs::write(&settings, text).expect("the folder can be written");
+        let ip = [127, 0, (base_port % 200 + 10) as u8, number + 1];
+        let mut process = Process {
+            number,
+            front: SocketAddr::from((ip, base_port)),
+            directory: SocketAddr::from((ip, base_port + 6)),
+            readiness: SocketAddr::from((ip, base_port + 9)),
+            binary: binary.to_owned(),
+            settings,
+            log: folder.join(format!("node-{number}.log")),
+            child: None,
+        };
+        process.restart();
+        process
+    }
+
+    /// Starts it again, if it has ended.
+    pub fn restart(&mut self) {
+        let log = std::fs::File::options().create(true).append(true).open(&self.log);
+        let child = Command::new(&self.binary)
+            .arg("gateway")
+            .env("SISKINROCK_BOOT", &self.settings)
+            .stdout(log.expect("the folder can be written"))
+            .stdin(Stdio::null())
+            .spawn();
+        self.child = Some(child.expect("the binary was built"));
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: i32) {
+        if let Some(child) = &self.child {
+            // SAFETY: the process was started here and has not been waited for.
+            unsafe { libc::kill(child.id() as i32, signal) };
+        }
+    }
+
+    /// Kills it and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Whether it has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        let ended = match &mut self.child {
+            Some(child) => child.try_wait().ok().flatten().is_some(),
+            None => true,
+        };
+        if ended {
+            self.child = None;
+        }
+        ended
+    }
+
+    /// What it logged.
+    pub fn logged(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Whether it says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let call = question("/siskinrock/readyz".to_owned());
+        let asked = tokio::time::timeout(PATIENCE, caller::send(self.readiness, &call)).await;
+        asked.is_ok_and(|answer| answer.is_ok_and(|answer| answer.status() == 200))
+    }
+
+    /// The addresses that it tells callers of a zone.
+    pub async fn addresses(&self, zone: &str) -> Vec<SocketAddr> {
+        let target = format!("/siskinrock/resolve?name={}&region=r&zone={zone}", site::HOST);
+        let Ok(answer) = caller::send(self.directory, &question(target)).await else {
+            return Vec::new();
+        };
+        let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let addresses = body["addresses"].as_array().cloned().unwrap_or_default();
+        addresses.iter().filter_map(|addr| addr.as_str()?.parse().ok()).collect()
+    }
+
+    /// Its metrics as text.
+    pub async fn metrics(&self) -> String {
+        let addr = SocketAddr::new(self.front.ip(), 9_464);
+        let answer = caller::send(addr, &question("/metrics".to_owned())).await;
+        answer.map(|answer| String::from_utf8_lossy(&answer.body).into_owned()).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn question(target: String) -> Call {
+    Call {
+        method: "GET",
+        path: target,
+        host: site::HOST.to_owned(),
+        id: "question".to_owned(),
+        key: None,
+        deadline_ms: 1_000,
+        last_event: None,
+        part: None,
+        body: Vec::new(),
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// If it doesn't within the patience.
+pub async fn wait_for(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let since = Instant::now();
+    while !holds().await {
+        assert!(since.elapsed() < PATIENCE, "waited in vain until {what}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/tests/fakes/src/service.rs
@@ -0,0 +1,163 @@
+//! A plain service: calls that run once each time they arrive, and its faults.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::engine::Seen;
+use crate::http::{self, Connection, Message};
+
+/// How a service misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// It doesn't.
+    #[default]
+    None,
+    /// It runs the call and resets the channel.
+    LostAnswer,
+    /// It answers, and answers once more a moment later.
+    ExtraAnswer,
+    /// It sends half of its body and closes.
+    Truncated,
+    /// It refuses without running.
+    Full,
+    /// It runs the call and answers 500.
+    Error,
+    /// It runs the call and doesn't answer.
+    Mute,
+    /// It answers before it has read the body.
+    Early,
+    /// It answers for another request.
+    Crossed,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    fault: Fault,
+    seen: Vec<Seen>,
+}
+
+/// A running service; cloning shares it.
+#[derive(Clone)]
+pub struct ServiceFake {
+    /// Its id in the list of servers.
+    pub id: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+/// How long a call takes.
+const WORK_MS: u64 = 5;
+/// How long after an answer the extra one comes.
+const EXTRA_MS: u64 = 2;
+
+impl ServiceFake {
+    /// Starts one.
+    pub async fn start(id: &str) -> ServiceFake {
+        let state: Arc<Mutex<State>> = Arc::default();
+        let mut fake =
+            ServiceFake { id: id.to_owned(), addr: SocketAddr::from(([127, 0, 0, 1], 0)), state };
+        let served = fake.clone();
+        let (addr, _) = http::listen("127.0.0.1:0", move |connection| {
+            let fake = served.clone();
+            async move { fake.serve(connection).await }
+        })
+        .await;
+        fake.addr = addr;
+        fake
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// Misbehaves from now on.
+    pub fn fail(&self, fault: Fault) {
+        self.lock().fault = fault;
+    }
+
+    /// What it was asked.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.lock().seen.clone()
+    }
+
+    /// Its entry in the list of servers.
+    pub fn entry(
+        &self,
+        service: &str,
+        zone: &str,
+        state: &str,
+        addr: SocketAddr,
+    ) -> serde_json::Value {
+        json!({"backend": service, "address": addr.to_string(), "zone": zone, "version": "v1",
+            "slots": 8, "state": state, "cold-remaining-ms": 0, "sequence": 1})
+    }
+
+    async fn serve(self, mut connection: Connection) {
+        while let Ok(Some(request)) = connection.read_request().await {
+            let fault = self.lock().fault;
+            let id = request.header("x-request-id").unwrap_or_default().to_owned();
+            let expected = request.header("x-expect-instance");
+            let refused = match expected {
+                Some(expected) if expected != self.id => Some(421),
+                _ => (fault == Fault::Full).then_some(503),
+            };
+            self.note(&request, refused.is_none());
+            if let Some(status) = refused {
+                let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
+                if connection.answer(status, &headers, b"").await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            tokio::time::sleep(Duration::from_millis(WORK_MS)).await;
+            let answered = match fault {
+                Fault::LostAnswer => return connection.reset(),
+                Fault::Mute => return std::future::pending().await,
+                fault => self.reply(&mut connection, &id, fault).await,
+            };
+            if answered.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn note(&self, request: &Message, ran: bool) {
+        let seen = Seen { request: request.clone(), at: Instant::now(), ran, from_copy: false };
+        self.lock().seen.push(seen);
+    }
+
+    async fn reply(
+        &self,
+        connection: &mut Connection,
+        id: &str,
+        fault: Fault,
+    ) -> std::io::Result<()> {
+        let of = if fault == Fault::Crossed { "another" } else { id };
+        let body = format!("answer to {of} from {}", self.id);
+        let signature = self.id.clone();
+        let headers = [
+            ("X-Request-Id", of),
+            ("X-Response-Signature", signature.as_str()),
+            ("X-Server-Load", "1,0,8"),
+            ("Keep-Alive", "timeout=4"),
+        ];
+        let status = if fault == Fault::Error { 500 } else { 200 };
+        let bytes = http::encode(status, &headers, body.as_bytes());
+        match fault {
+            Fault::Truncated => {
+                connection.write(&bytes[..bytes.len() - body.len() / 2]).await?;
+                Err(std::io::ErrorKind::BrokenPipe.into())
+            }
+            Fault::ExtraAnswer => {
+                connection.write(&bytes).await?;
+                tokio::time::sleep(Duration::from_millis(EXTRA_MS)).await;
+                connection.write(&bytes).await
+            }
+            _ => connection.write(&bytes).await,
+        }
+    }
+}
--- /dev/null
+++ b/tests/fakes/src/store.rs
@@ -0,0 +1,271 @@
+//! The platform's store: items with revisions, watches, leases, and its faults.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::http::{self, Connection, Message};
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// It doesn't.
+    #[default]
+    None,
+    /// It answers 503.
+    Busy,
+    /// It doesn't answer.
+    Silent,
+    /// It resets channels.
+    Reset,
+    /// It does what it is asked and loses the answer.
+    LostAnswers,
+    /// It answers half a second late.
+    Slow,
+}
+
+#[derive(Debug, Default)]
+struct Items {
+    revision: u64,
+    items: BTreeMap<String, (Vec<u8>, u64, u64)>,
+    events: Vec<(u64, String, Option<Vec<u8>>)>,
+    kept_from: u64,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+    fault: Fault,
+    calls: u64,
+}
+
+/// A running store; cloning shares it.
+#[derive(Clone)]
+pub struct Store {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    items: Arc<Mutex<Items>>,
+    changed: Arc<watch::Sender<u64>>,
+}
+
+impl Store {
+    /// Starts an empty one.
+    pub async fn start(addr: &str) -> Store {
+        let items: Arc<Mutex<Items>> = Arc::default();
+        let changed = Arc::new(watch::Sender::new(0));
+        let (shared, told) = (Arc::clone(&items), Arc::clone(&changed));
+        let (addr, _) = http::listen(addr, move |connection| {
+            let store = Store {
+                addr: SocketAddr::from(([127, 0, 0, 1], 0)),
+                items: Arc::clone(&shared),
+                changed: Arc::clone(&told),
+            };
+            async move { store.serve(connection).await }
+        })
+        .await;
+        Store { addr, items, changed }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Items> {
+        self.items.lock().expect("no holder panics")
+    }
+
+    /// How many calls were made.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Misbehaves from now on; waiting watches are kept waiting if it is silent.
+    pub fn fail(&self, fault: Fault) {
+        self.lock().fault = fault;
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Forgets what changed so far.
+    pub fn forget_history(&self) {
+        let mut items = self.lock();
+        items.kept_from = items.revision;
+        items.events.clear();
+        drop(items);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Writes an item, as the operator or an upstream does.
+    pub fn put(&self, key: &str, value: &Value) -> u64 {
+        let mut items = self.lock();
+        let revision = items.put(key, value.to_string().into_bytes(), 0);
+        drop(items);
+        self.changed.send_modify(|count| *count += 1);
+        revision
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        self.lock().remove(key);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// The keys under a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.lock().items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
+    async fn serve(self, mut connection: Connection) {
+        while let Ok(Some(request)) = connection.read_request().await {
+            let fault = self.lock().fault;
+            self.lock().calls += 1;
+            match fault {
+                Fault::Busy => {
+                    if connection.answer(503, &[], b"").await.is_err() {
+                        return;
+                    }
+                    continue;
+                }
+                Fault::Silent => return std::future::pending().await,
+                Fault::Reset => return connection.reset(),
+                Fault::Slow => tokio::time::sleep(Duration::from_millis(500)).await,
+                Fault::None | Fault::LostAnswers => {}
+            }
+            let (status, body) = self.answer(&request).await;
+            if fault == Fault::LostAnswers || self.lock().fault == Fault::Silent {
+                return std::future::pending().await;
+            }
+            let body = body.to_string().into_bytes();
+            if connection.answer(status, &[], &body).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn answer(&self, request: &Message) -> (u16, Value) {
+        let number = |name| request.query(name).and_then(|value| value.parse::<u64>().ok());
+        let path = request.path();
+        let id = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        match path.strip_prefix("/siskinrock/").unwrap_or_default() {
+            "kv-range" => self.range(request),
+            "kv-watch" => {
+                self.watch(number("after").unwrap_or(0), number("wait-ms").unwrap_or(0)).await
+            }
+            "kv-lease" => self.grant(body["ttl-ms"].as_u64().unwrap_or(1_000)),
+            "kv-txn" => self.transact(&body),
+            rest if rest.starts_with("kv-keep/") => self.keep(id),
+            rest if rest.starts_with("kv-lease-end/") => self.end(id),
+            _ => (404, json!({})),
+        }
+    }
+
+    fn range(&self, request: &Message) -> (u16, Value) {
+        /// Small, so that listings have several pages.
+        const PAGE: usize = 5;
+        let prefix = request.query("path-prefix").unwrap_or_default();
+        let after = request.query("after").unwrap_or_default();
+        let items = self.lock();
+        let fits = |key: &&String| key.starts_with(prefix) && key.as_str() > after;
+        let keys: Vec<&String> = items.items.keys().filter(fits).collect();
+        let page: Vec<Value> = keys.iter().take(PAGE).map(|key| items.item(key)).collect();
+        (200, json!({"items": page, "has-more": keys.len() > PAGE, "at": items.revision}))
+    }
+
+    async fn watch(&self, after: u64, wait_ms: u64) -> (u16, Value) {
+        let mut changed = self.changed.subscribe();
+        let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            if let Some(answer) = self.lock().changes(after) {
+                return answer;
+            }
+            if tokio::time::timeout_at(until, changed.changed()).await.is_err() {
+                let at = self.lock().revision;
+                return (200, json!({"events": [], "at": at}));
+            }
+        }
+    }
+
+    fn grant(&self, ttl_ms: u64) -> (u16, Value) {
+        let mut items = self.lock();
+        let id = items.leases.len() as u64 + 1;
+        items.leases.insert(id, (Instant::now(), Duration::from_millis(ttl_ms)));
+        (200, json!({"lease": id, "ttl-ms": ttl_ms}))
+    }
+
+    fn keep(&self, id: u64) -> (u16, Value) {
+        match self.lock().leases.get_mut(&id) {
+            Some((since, ttl)) if since.elapsed() < *ttl => {
+                *since = Instant::now();
+                (200, json!({"ttl-ms": ttl.as_millis() as u64}))
+            }
+            _ => (404, json!({})),
+        }
+    }
+
+    fn end(&self, id: u64) -> (u16, Value) {
+        let mut items = self.lock();
+        items.leases.remove(&id);
+        let held = |(_, _, lease): &(Vec<u8>, u64, u64)| *lease == id;
+        let keys: Vec<String> =
+            items.items.iter().filter(|(_, item)| held(item)).map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            items.remove(&key);
+        }
+        drop(items);
+        self.changed.send_modify(|count| *count += 1);
+        (200, json!({}))
+    }
+
+    fn transact(&self, body: &Value) -> (u16, Value) {
+        let mut items = self.lock();
+        for write in body["writes"].as_array().into_iter().flatten() {
+            let key = write["key"].as_str().unwrap_or_default();
+            if key.starts_with("op/") || key.starts_with("servers/") {
+                return (403, json!({}));
+            }
+            let value = STANDARD.decode(write["value"].as_str().unwrap_or_default());
+            items.put(key, value.unwrap_or_default(), write["lease"].as_u64().unwrap_or(0));
+        }
+        let revision = items.revision;
+        drop(items);
+        self.changed.send_modify(|count| *count += 1);
+        (200, json!({"mod-revision": revision}))
+    }
+}
+
+impl Items {
+    fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) -> u64 {
+        self.revision += 1;
+        self.events.push((self.revision, key.to_owned(), Some(value.clone())));
+        self.items.insert(key.to_owned(), (value, self.revision, lease));
+        self.revision
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            self.events.push((self.revision, key.to_owned(), None));
+        }
+    }
+
+    fn item(&self, key: &str) -> Value {
+        let (value, revision, lease) = &self.items[key];
+        json!({"key": key, "value": STANDARD.encode(value), "mod-revision": revision,
+            "created": revision, "lease": lease})
+    }
+
+    fn changes(&self, after: u64) -> Option<(u16, Value)> {
+        if after < self.kept_from {
+            return Some((410, json!({})));
+        }
+        let newer: Vec<Value> = self
+            .events
+            .iter()
+            .filter(|(revision, _, _)| *revision > after)
+            .map(|(revision, key, value)| match value {
+                Some(value) => json!({"key": key, "value": STANDARD.encode(value),
+                    "mod-revision": revision, "created": revision, "lease": 0}),
+                None => json!({"key": key, "mod-revision": revision, "deleted": true}),
+            })
+            .collect();
+        (!newer.is_empty()).then(|| (200, json!({"events": newer, "at": self.revision})))
+    }
+}
--- /dev/null
+++ b/tests/gateway/calls.rs
@@ -0,0 +1,143 @@
+//! Calls whose answers come whole: at most once, whole, and nobody else's.
+
+use siskinrock_fakes::caller;
+use siskinrock_fakes::service::Fault;
+use siskinrock_fakes::site::KEY;
+use yare::parameterized;
+
+use crate::support::{self, call};
+
+#[tokio::test]
+async fn a_call_passes_unchanged_and_without_the_key() {
+    let running = support::start(1).await;
+    let sent = call("POST", "/book/berth?seat=4");
+    let answer = caller::send(running.front(0), &sent).await.unwrap();
+    assert_eq!(answer.status(), 200);
+    let seen: Vec<_> = running.site.services.iter().flat_map(|service| service.seen()).collect();
+    assert_eq!(seen.len(), 1);
+    let request = &seen[0].request;
+    assert_eq!(request.start, ("POST".to_owned(), "/book/berth?seat=4".to_owned()));
+    assert_eq!(request.body, sent.body);
+    assert_eq!(request.header("x-request-id"), Some(&*sent.id));
+    assert_eq!(request.header("x-tenant"), Some("huka270"));
+    assert!(request.headers.values().all(|value| !value.contains(KEY)));
+    let left: u64 = request.header("x-request-deadline").unwrap().parse().unwrap();
+    assert!(left <= 1_200, "the route's bound is shorter than the caller's: {left}");
+}
+
+/// Whatever an upstream does, a booking runs once at most, and its caller gets no wrong answer.
+#[parameterized(
+    lost_answer = { Fault::LostAnswer, 502 },
+    truncated = { Fault::Truncated, 502 },
+    crossed = { Fault::Crossed, 502 },
+    error = { Fault::Error, 500 },
+    mute = { Fault::Mute, 504 },
+)]
+#[test_macro(tokio::test)]
+async fn a_booking_runs_once_at_most(fault: Fault, status: u16) {
+    let running = support::start(1).await;
+    running.site.services.iter().for_each(|service| service.fail(fault));
+    let sent = call("POST", "/book/berth");
+    let answer = caller::send(running.front(0), &sent).await.unwrap();
+    assert_eq!(answer.status(), status);
+    assert_eq!(running.runs_of(&sent.id), 1);
+    assert_eq!(answer.header("x-response-signature").is_some(), status == 500);
+}
+
+#[tokio::test]
+async fn a_refusal_says_not_run_and_when_to_come_back() {
+    let running = support::start(1).await;
+    running.site.services.iter().for_each(|service| service.fail(Fault::Full));
+    let sent = call("POST", "/book/berth");
+    let answer = caller::send(running.front(0), &sent).await.unwrap();
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").unwrap().parse::<f64>().unwrap() > 0.0);
+    assert_eq!(running.runs_of(&sent.id), 0);
+}
+
+#[tokio::test]
+async fn a_look_up_goes_on_at_another_upstream() {
+    let running = support::start(1).await;
+    // Two of three lose their answers, so that a second attempt may help or not; none is wrong.
+    running.site.services[0].fail(Fault::LostAnswer);
+    let mut served = 0;
+    for _ in 0..20 {
+        let sent = call("GET", "/look/seat");
+        let answer = caller::send(running.front(0), &sent).await.unwrap();
+        assert!(running.runs_of(&sent.id) <= 2, "the route allows two attempts");
+        served += u32::from(answer.status() == 200);
+        assert!(answer.status() != 200 || answer.body.starts_with(b"answer to"));
+    }
+    assert_eq!(served, 20);
+}
+
+#[tokio::test]
+async fn an_extra_answer_reaches_nobody() {
+    let running = support::start(1).await;
+    running.site.services.iter().for_each(|service| service.fail(Fault::ExtraAnswer));
+    for _ in 0..40 {
+        let sent = call("POST", "/book/berth");
+        let answer = caller::send(running.front(0), &sent).await.unwrap();
+        assert!(running.runs_of(&sent.id) <= 1);
+        if answer.status() == 200 {
+            let body = String::from_utf8(answer.body).unwrap();
+            assert!(body.starts_with(&format!("answer to {} ", sent.id)), "{body}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_upstream_whose_address_another_one_has_is_left() {
+    let running = support::start(1).await;
+    // The list still names earlier lives at the addresses of two of the three.
+    for index in [0, 1] {
+        let service = &running.site.services[index];
+        let entry = service.entry("booking-app", "ranong-hall", "ready", service.addr);
+        running.site.store.remove(&format!("servers/{}", service.id));
+        running.site.store.put(&format!("servers/gone-{index}"), &entry);
+    }
+    siskinrock_fakes::process::wait_for("the earlier lives are listed", async || {
+        caller::send(running.front(0), &call("GET", "/look/seat")).await.unwrap();
+        let seen = running.site.services[0].seen();
+        seen.iter().any(|seen| !seen.ran)
+    })
+    .await;
+    for _ in 0..10 {
+        let answer = caller::send(running.front(0), &call("GET", "/look/seat")).await.unwrap();
+        assert_eq!(answer.status(), 200);
+    }
+}
+
+#[tokio::test]
+async fn a_leaving_upstream_gets_nothing_new() {
+    let running = support::start(2).await;
+    running.site.list_service(0, "draining");
+    running.site.store.remove(&format!("servers/{}", running.site.services[1].id));
+    let count = |index: usize| running.site.services[index].seen().len();
+    let fronts = [running.front(0), running.front(1)];
+    siskinrock_fakes::process::wait_for("both instances have taken it in", async || {
+        let before = (count(0), count(1));
+        for front in fronts.iter().cycle().take(20) {
+            let answer = caller::send(*front, &call("GET", "/look/seat")).await.unwrap();
+            assert_eq!(answer.status(), 200);
+        }
+        (count(0), count(1)) == before
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_work() {
+    let running = support::start(1).await;
+    let sent = support::plan();
+    let connection = caller::open(running.front(0), &sent).await.unwrap();
+    siskinrock_fakes::process::wait_for("an engine works on it", async || {
+        running.site.engines.iter().any(|engine| engine.working() > 0)
+    })
+    .await;
+    drop(connection);
+    siskinrock_fakes::process::wait_for("no engine works on it any more", async || {
+        running.site.engines.iter().all(|engine| engine.working() == 0)
+    })
+    .await;
+}
--- /dev/null
+++ b/tests/gateway/decisions.rs
@@ -0,0 +1,228 @@
+//! The gateway's pure steps: routes, the list of upstreams, placement, repeats, peers, events.
+
+use std::sync::Arc;
+
+use siskinrock::gateway::budget::{Bound, Budget};
+use siskinrock::gateway::events::Splitter;
+use siskinrock::gateway::fleet::{Change, Fleet, Upstream};
+use siskinrock::gateway::instance::Registration;
+use siskinrock::gateway::peers::{Beat, Peers, Phase, Update, Versions};
+use siskinrock::gateway::placement::{Candidate, Wish, choose};
+use siskinrock::platform::document;
+use yare::parameterized;
+
+fn upstream(id: &str, is_leaving: bool) -> Upstream {
+    Upstream {
+        id: id.into(),
+        service: "plan".into(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        domain: "hall".into(),
+        slots: 8,
+        is_leaving,
+    }
+}
+
+fn ids(fleet: &Fleet) -> Vec<&str> {
+    fleet.upstreams.keys().map(|id| &**id).collect()
+}
+
+#[parameterized(
+    longest = { "h", "/a/b/c", Some("deep") },
+    shorter = { "h:80", "/a/x", Some("shallow") },
+    case = { "H", "/a/x", Some("shallow") },
+    no_slash = { "h", "/a", None },
+    other_host = { "g", "/a/x", None },
+)]
+fn the_longest_prefix_of_the_host_wins(host: &str, path: &str, expected: Option<&str>) {
+    let route = |name: &str, prefix: &str| {
+        serde_json::json!({"name": name, "hostname": "h", "path-prefix": prefix,
+            "kind": "idempotent", "backend": "s"})
+    };
+    let document = serde_json::json!({"version": 1,
+        "routes": [route("shallow", "/a/"), route("deep", "/a/b/")], "backends": [],
+        "limits": {"max-header-bytes": 1, "max-body-bytes": 1, "header-timeout-ms": 1,
+            "idle-timeout-ms": 1}});
+    let config = document::decode_config(document.to_string().as_bytes()).unwrap();
+    assert_eq!(config.route(host, path).map(|route| &*route.name), expected);
+}
+
+#[test]
+fn an_older_listing_changes_nothing() {
+    let mut fleet = Fleet::default();
+    fleet.replace(5, vec![upstream("a", false)], 0);
+    assert!(!fleet.replace(4, vec![], 1));
+    fleet.apply(3, vec![Change::Gone("a".into())], 2);
+    assert_eq!(ids(&fleet), ["a"]);
+}
+
+#[test]
+fn what_lapsed_in_an_outage_has_time_to_come_back() {
+    let mut fleet = Fleet::default();
+    fleet.replace(5, vec![upstream("a", false), upstream("b", false)], 0);
+    fleet.regained(10_000);
+    fleet.apply(6, vec![Change::Gone("a".into()), Change::Gone("b".into())], 10_100);
+    assert_eq!(ids(&fleet), ["a", "b"]);
+    fleet.apply(7, vec![Change::Put(upstream("b", false))], 11_000);
+    assert!(fleet.expire(12_000));
+    assert_eq!(ids(&fleet), ["b"]);
+}
+
+#[test]
+fn an_empty_listing_after_an_outage_empties_nothing_at_once() {
+    let mut fleet = Fleet::default();
+    fleet.replace(5, vec![upstream("a", false), upstream("gone", true)], 0);
+    fleet.regained(1_000);
+    fleet.replace(6, vec![], 1_000);
+    assert_eq!(ids(&fleet), ["a"], "what was leaving gets no time");
+    fleet.replace(7, vec![], 2_000);
+    assert_eq!(ids(&fleet), ["a"], "a second reading doesn't end the time");
+    fleet.expire(2_900);
+    assert!(fleet.upstreams.is_empty());
+}
+
+#[test]
+fn outside_an_outage_a_removed_entry_is_gone_at_once() {
+    let mut fleet = Fleet::default();
+    fleet.replace(5, vec![upstream("a", false)], 0);
+    fleet.apply(6, vec![Change::Gone("a".into())], 100);
+    assert!(fleet.upstreams.is_empty());
+}
+
+fn candidate(id: &str, domain: &str, runs: f64) -> Candidate {
+    Candidate {
+        id: id.into(),
+        domain: domain.into(),
+        runs,
+        copies: 0.0,
+        reading: 0.0,
+        failing: 0.0,
+        is_suspect: false,
+    }
+}
+
+#[test]
+fn instances_with_one_stale_picture_do_not_meet() {
+    let candidates: Vec<Candidate> =
+        (0..16).map(|index| candidate(&format!("e{index}"), "hall", 0.0)).collect();
+    let mut taken = [0; 16];
+    for seed in 0..9 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        taken[choose(&candidates, &Wish::default(), &mut random).unwrap()] += 1;
+    }
+    assert!(taken.iter().all(|count| *count <= 3), "{taken:?}");
+}
+
+#[test]
+fn suspects_and_lost_domains_are_a_last_resort() {
+    let mut random = fastrand::Rng::with_seed(1);
+    let mut candidates = vec![candidate("near", "a", 0.0), candidate("far", "b", 20.0)];
+    let wish = Wish { not_domains: vec!["a".into()], ..Wish::default() };
+    for _ in 0..50 {
+        assert_eq!(choose(&candidates, &wish, &mut random), Some(1));
+    }
+    candidates[1].is_suspect = true;
+    assert_eq!(choose(&candidates, &wish, &mut random), Some(0));
+    let nobody = Wish { not: vec!["near".into(), "far".into()], ..Wish::default() };
+    assert_eq!(choose(&candidates, &nobody, &mut random), None);
+}
+
+#[test]
+fn repeats_keep_to_the_bound_over_all_instances() {
+    let mut bound = Bound {
+        ratio: 0.8,
+        slack: 150.0,
+        window_ms: 10_000,
+        instances: 9,
+        others_requests: 0,
+        others_repeats: 0,
+    };
+    let mut budget = Budget::default();
+    let allowed = (0..1_000).filter(|_| budget.repeat(bound, 0)).count();
+    assert!(allowed <= 40, "one instance takes a few parts at most: {allowed}");
+    bound.others_repeats = 120;
+    assert!(!Budget::default().repeat(bound, 0), "the others have taken all");
+    bound.others_requests = 1_000;
+    assert!(Budget::default().repeat(bound, 0));
+    let many = allowed;
+    let later = (0..1_000).filter(|_| budget.repeat(bound, 11_000)).count();
+    assert!(later >= many, "the window has passed");
+}
+
+fn registration(id: &str, port: u16) -> Registration {
+    Registration {
+        id: id.into(),
+        incarnation: 1,
+        peer_addr: ([127, 0, 0, 1], port).into(),
+        front_addr: ([127, 0, 0, 1], port).into(),
+        domain: "hall".into(),
+    }
+}
+
+fn beat(id: &str, port: u16, count: u64) -> Beat {
+    Beat {
+        from: registration(id, port),
+        count,
+        phase: Phase::Ready,
+        versions: Versions { config: count, fleet: 0, is_first_hand: true },
+        sent: Vec::new(),
+        held: Vec::new(),
+        lost: Vec::new(),
+        places: Vec::new(),
+    }
+}
+
+#[test]
+fn a_late_or_unknown_message_changes_nothing() {
+    let mut peers = Peers::default();
+    assert!(peers.hear(beat("a", 1, 5), 100));
+    assert!(!peers.hear(beat("a", 1, 4), 200));
+    let update = |id: &str, count| Update {
+        id: id.into(),
+        incarnation: 1,
+        count,
+        phase: Phase::Stopping,
+        versions: Versions::default(),
+        held: Vec::new(),
+        lost: vec!["e1".into()],
+        places: Vec::new(),
+    };
+    assert!(!peers.update(update("b", 9), 200));
+    assert!(!peers.update(update("a", 5), 200));
+    assert!(peers.update(update("a", 6), 200));
+    let known: Vec<&Beat> = peers.alive(300).collect();
+    assert_eq!(known[0].phase, Phase::Stopping);
+    assert_eq!(known[0].lost, [Arc::from("e1")]);
+    assert_eq!(peers.alive(5_000).count(), 0, "a silent peer is not alive");
+    assert_eq!(peers.remembered(10_000, 5_000).count(), 1, "what it told is remembered");
+}
+
+#[test]
+fn two_instances_a_domain_watch_and_one_is_always_left() {
+    let mut peers = Peers::default();
+    let me = registration("c", 3);
+    assert!(peers.should_watch(&me, 0), "nobody else does");
+    peers.hear(beat("a", 1, 1), 0);
+    assert!(peers.should_watch(&me, 0));
+    peers.hear(beat("b", 2, 1), 0);
+    assert!(!peers.should_watch(&me, 0));
+    assert!(peers.should_watch(&me, 60_000), "the others have fallen silent");
+    let mut turned_away = beat("b", 2, 2);
+    turned_away.versions.is_first_hand = false;
+    peers.hear(turned_away, 10);
+    assert!(peers.should_watch(&me, 10));
+}
+
+#[test]
+fn only_whole_events_come_out_wherever_the_bytes_are_cut() {
+    let text =
+        "x-weight-versions: 3\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\nda";
+    for cut in 0..text.len() {
+        let mut splitter = Splitter::default();
+        let mut events = Vec::new();
+        splitter.push(&text.as_bytes()[..cut], &mut events);
+        splitter.push(&text.as_bytes()[cut..], &mut events);
+        let ids: Vec<Option<u64>> = events.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [Some(1), Some(2), None], "cut at {cut}");
+        assert!(!splitter.is_empty());
+    }
+}
--- /dev/null
+++ b/tests/gateway/explain.rs
@@ -0,0 +1,107 @@
+//! From a request's id to its cause, by the log alone; and the log's bound under a flood.
+
+use siskinrock_fakes::caller;
+use siskinrock_fakes::engine;
+use siskinrock_fakes::process::wait_for;
+use siskinrock_fakes::service;
+
+use crate::support::{self, Running, call, plan};
+
+fn lines_of(running: &Running, id: &str) -> Vec<serde_json::Value> {
+    let log = running.gateways[0].logged();
+    let lines = log.lines().filter(|line| line.contains(id));
+    lines.map(|line| serde_json::from_str(line).unwrap()).collect()
+}
+
+fn messages(lines: &[serde_json::Value]) -> Vec<&str> {
+    lines.iter().filter_map(|line| line["msg"].as_str()).collect()
+}
+
+#[tokio::test]
+async fn a_stream_that_came_late_names_the_engine_that_was_lost() {
+    let running = support::start(1).await;
+    let sent = plan();
+    let front = running.front(0);
+    let reading = tokio::spawn({
+        let sent = sent.clone();
+        async move { caller::stream(front, &sent).await.unwrap() }
+    });
+    let engines = &running.site.engines;
+    wait_for("an engine works", async || engines.iter().any(|engine| engine.working() > 0)).await;
+    let first = engines.iter().position(|engine| engine.working() > 0).unwrap();
+    running.wait_for_events(first).await;
+    engines[first].fail(engine::Fault::Torn);
+    reading.await.unwrap();
+    let id = sent.id.clone();
+    wait_for("the end is logged", async || {
+        messages(&lines_of(&running, &id)).contains(&"complete")
+    })
+    .await;
+    let lines = lines_of(&running, &id);
+    assert_eq!(messages(&lines), ["sent", "engine lost", "sent", "went on", "complete"]);
+    assert_eq!(lines[1]["upstream"], *engines[first].id);
+    assert!(lines[1]["last_event"].is_u64() && lines[1]["why"].is_string());
+    assert!(lines[3]["resume_ms"].is_u64());
+}
+
+#[tokio::test]
+async fn a_call_answered_502_names_the_upstream_that_may_have_run_it() {
+    let running = support::start(1).await;
+    running.site.services.iter().for_each(|service| service.fail(service::Fault::LostAnswer));
+    let sent = call("POST", "/book/a");
+    assert_eq!(caller::send(running.front(0), &sent).await.unwrap().status(), 502);
+    wait_for("the end is logged", async || {
+        messages(&lines_of(&running, &sent.id)).contains(&"refused")
+    })
+    .await;
+    let lines = lines_of(&running, &sent.id);
+    assert_eq!(messages(&lines), ["outcome unknown", "refused"]);
+    assert!(lines[0]["upstream"].as_str().unwrap().starts_with("s-"));
+    assert_eq!(lines[1]["status"], 502);
+}
+
+#[tokio::test]
+async fn a_refused_call_names_what_refused_it() {
+    let running = support::start(1).await;
+    running.site.services.iter().for_each(|service| service.fail(service::Fault::Full));
+    let sent = call("POST", "/book/a");
+    assert_eq!(caller::send(running.front(0), &sent).await.unwrap().status(), 503);
+    wait_for("the end is logged", async || {
+        messages(&lines_of(&running, &sent.id)).contains(&"refused")
+    })
+    .await;
+    let lines = lines_of(&running, &sent.id);
+    assert_eq!(messages(&lines), ["attempt failed", "refused"]);
+    assert_eq!(lines[1]["status"], 503);
+}
+
+#[tokio::test]
+async fn metrics_tell_outcomes_and_times() {
+    let running = support::start(1).await;
+    let front = running.front(0);
+    caller::send(front, &call("GET", "/look/a")).await.unwrap();
+    caller::stream(front, &plan()).await.unwrap();
+    let gateway = &running.gateways[0];
+    wait_for("both are counted", async || {
+        gateway.metrics().await.contains("siskinrock_answered 2")
+    })
+    .await;
+    let text = gateway.metrics().await;
+    for name in ["whole_ms", "first_ms", "gap_ms", "open_requests"] {
+        assert!(text.contains(&format!("siskinrock_{name}")), "{name} is missing in {text}");
+    }
+}
+
+/// A flood of refused requests grows the log by its bound at most, and the last failures are
+/// still explained.
+#[tokio::test]
+async fn a_flood_neither_blocks_nor_grows_the_log() {
+    let running = support::start(1).await;
+    let front = running.front(0);
+    for _ in 0..3_000 {
+        caller::send(front, &call("GET", "/nowhere/a")).await.unwrap();
+    }
+    let lines = running.gateways[0].logged().lines().filter(|l| l.contains("rejected")).count();
+    assert!(lines < 2_000, "{lines} lines");
+    assert!(lines > 0);
+}
--- /dev/null
+++ b/tests/gateway/front.rs
@@ -0,0 +1,93 @@
+//! What callers may send, and what they get if it is too much, too slow or no request at all.
+
+use siskinrock_fakes::caller::{self, Call};
+use siskinrock_fakes::http::Connection;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use yare::parameterized;
+
+use crate::support::{self, call};
+
+#[parameterized(
+    no_route = { call("GET", "/nowhere/a"), 404 },
+    other_host = { Call { host: "other.example".to_owned(), ..call("GET", "/look/a") }, 404 },
+    no_key = { Call { key: None, ..call("GET", "/look/a") }, 401 },
+    wrong_key = { Call { key: Some("wrong".to_owned()), ..call("GET", "/look/a") }, 401 },
+    too_large = { Call { body: vec![b'x'; 200_000], ..call("POST", "/book/a") }, 413 },
+)]
+#[test_macro(tokio::test)]
+async fn what_is_not_allowed_reaches_no_upstream(sent: Call, status: u16) {
+    let running = support::start(1).await;
+    let answer = caller::send(running.front(0), &sent).await.unwrap();
+    assert_eq!(answer.status(), status);
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+    assert_eq!(body["ran"], "no");
+    assert_eq!(running.runs_of(&sent.id), 0);
+}
+
+/// A request inside another one, or bytes that are no request, are refused as a whole.
+#[parameterized(
+    two_lengths = { "Content-Length: 5\r\nContent-Length: 9\r\n\r\nhello" },
+    bad_chunk = { "Transfer-Encoding: chunked\r\n\r\nzz\r\n" },
+    long_head = { LONG },
+)]
+#[test_macro(tokio::test)]
+async fn a_malformed_request_is_refused(rest: &str) {
+    let running = support::start(1).await;
+    let mut stream = TcpStream::connect(running.front(0)).await.unwrap();
+    let rest = rest.replace("LONG", &"x".repeat(40_000));
+    let host = siskinrock_fakes::site::HOST;
+    let key = siskinrock_fakes::site::KEY;
+    let head =
+        format!("POST /book/a HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: m1\r\nX-Key: {key}\r\n");
+    stream.write_all(format!("{head}{rest}").as_bytes()).await.unwrap();
+    let status = Connection::new(stream).read_answer().await.map_or(0, |answer| answer.status());
+    assert!(matches!(status, 0 | 400 | 431), "status {status}");
+    assert_eq!(running.runs_of("m1"), 0);
+}
+
+/// Of two lengths the chunks count, as the standard says; what follows them is no request of its
+/// own that reaches an upstream with another body.
+#[tokio::test]
+async fn nothing_is_smuggled_inside_a_request() {
+    let running = support::start(1).await;
+    let mut stream = TcpStream::connect(running.front(0)).await.unwrap();
+    let inner = call("POST", "/book/inner");
+    let outer = call("POST", "/book/outer");
+    let inner_text = String::from_utf8(inner.encode()).unwrap();
+    let text = String::from_utf8(outer.encode())
+        .unwrap()
+        .replace("Content-Length: 6", "Content-Length: 300\r\nTransfer-Encoding: chunked");
+    let text =
+        text.replace("a body", &format!("{:x}\r\n{inner_text}\r\n0\r\n\r\n", inner_text.len()));
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let _ = Connection::new(stream).read_answer().await;
+    assert_eq!(running.runs_of(&inner.id), 0);
+    for service in &running.site.services {
+        assert!(service.seen().iter().all(|seen| seen.request.body == inner_text.as_bytes()));
+    }
+}
+
+const LONG: &str = "X-Long: LONG\r\nContent-Length: 0\r\n\r\n";
+
+#[tokio::test]
+async fn a_connection_serves_many_requests() {
+    let running = support::start(1).await;
+    let mut connection = Connection::new(TcpStream::connect(running.front(0)).await.unwrap());
+    for _ in 0..5 {
+        let sent = call("POST", "/book/a");
+        connection.write(&sent.encode()).await.unwrap();
+        let answer = connection.read_answer().await.unwrap();
+        assert!(String::from_utf8(answer.body).unwrap().contains(&sent.id));
+    }
+}
+
+#[test]
+fn a_broken_settings_file_names_every_fault() {
+    let store = "127.0.0.1:1".parse().unwrap();
+    let text = siskinrock_fakes::site::boot(0, 20_000, store, &[], 0.0);
+    let text = text.replace("seeds = []", "seeds = [\"nowhere\"]");
+    let error = siskinrock::platform::boot::parse(&text).unwrap_err().to_string();
+    assert!(error.contains("seeds"), "{error}");
+    assert!(error.contains("grace-s"), "{error}");
+}
--- /dev/null
+++ b/tests/gateway/lost_instances.rs
@@ -0,0 +1,70 @@
+//! Instances come, go, and are told apart.
+
+use siskinrock_fakes::caller;
+use siskinrock_fakes::http::Connection;
+use siskinrock_fakes::process::wait_for;
+use tokio::net::TcpStream;
+
+use crate::support::{self, call, plan, whole_text};
+
+#[tokio::test]
+async fn a_killed_instance_leaves_the_addresses_and_comes_back() {
+    let mut running = support::start(3).await;
+    running.gateways[1].kill();
+    let gone = running.front(1);
+    wait_for("its address is no longer told", async || {
+        !running.gateways[0].addresses("-").await.contains(&gone)
+    })
+    .await;
+    running.gateways[1].restart();
+    running.wait_until_ready().await;
+}
+
+/// A planned stop ends every request that was read, tells kept connections to close, and exits.
+#[tokio::test]
+async fn a_planned_stop_cuts_nothing() {
+    let mut running = support::start(2).await;
+    let front = running.front(0);
+    let sent = plan();
+    let reading = tokio::spawn({
+        let sent = sent.clone();
+        async move { caller::stream(front, &sent).await.unwrap() }
+    });
+    wait_for("an engine works on it", async || {
+        running.site.engines.iter().any(|engine| engine.working() > 0)
+    })
+    .await;
+    let mut kept = Connection::new(TcpStream::connect(front).await.unwrap());
+    running.gateways[0].signal(libc::SIGTERM);
+    wait_for("peers no longer tell its address", async || {
+        !running.gateways[1].addresses("-").await.contains(&front)
+    })
+    .await;
+    kept.write(&call("POST", "/book/a").encode()).await.unwrap();
+    let answer = kept.read_answer().await.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.header("connection"), Some("close"));
+    let stream = reading.await.unwrap();
+    assert!(stream.is_complete);
+    assert_eq!(stream.text, whole_text(&sent, 0));
+    wait_for("the process has ended", async || running.gateways[0].has_ended()).await;
+    assert!(running.gateways[0].logged().contains("\"cut\":0"));
+}
+
+#[tokio::test]
+async fn a_signal_to_reload_cuts_nothing() {
+    let running = support::start(1).await;
+    let sent = plan();
+    let front = running.front(0);
+    let reading = tokio::spawn({
+        let sent = sent.clone();
+        async move { caller::stream(front, &sent).await.unwrap() }
+    });
+    wait_for("an engine works on it", async || {
+        running.site.engines.iter().any(|engine| engine.working() > 0)
+    })
+    .await;
+    running.gateways[0].signal(libc::SIGHUP);
+    assert!(reading.await.unwrap().is_complete);
+    assert!(running.gateways[0].logged().contains("settings read again"));
+}
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,11 @@
+//! The gateway as real processes on loopback, before fakes that speak the platform's protocol.
+
+mod calls;
+mod configuration;
+mod decisions;
+mod explain;
+mod front;
+mod lost_instances;
+mod store;
+mod streams;
+mod support;
--- /dev/null
+++ b/tests/gateway/store.rs
@@ -0,0 +1,111 @@
+//! The adapter's client against a store that misbehaves as the published protocol says it may.
+
+use siskinrock::gateway::directory::{Directory, Fault, Record, Removed};
+use siskinrock::gateway::instance::Registration;
+use siskinrock::log;
+use siskinrock::platform::store::Store;
+use siskinrock_fakes::site::{KEY, Site, config};
+use siskinrock_fakes::store;
+use tokio::task::LocalSet;
+
+fn registration() -> Registration {
+    Registration {
+        id: "edge-1".into(),
+        incarnation: 7,
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        front_addr: "127.0.0.1:2".parse().unwrap(),
+        domain: "ranong-hall".into(),
+    }
+}
+
+async fn with_store<R>(check: impl AsyncFnOnce(Site, Store) -> R) -> R {
+    let site = Site::start(2, 15).await;
+    let client = Store::new(site.store.addr, log::discard());
+    LocalSet::new().run_until(check(site, client)).await
+}
+
+#[tokio::test]
+async fn a_listing_of_several_pages_is_whole() {
+    with_store(async |site, client| {
+        let listing = client.list().await.unwrap();
+        let upstreams =
+            listing.records.iter().filter(|record| matches!(record, Record::Upstream(_)));
+        assert_eq!(upstreams.count(), site.engines.len() + site.services.len());
+        let configs = listing.records.iter().filter(|record| matches!(record, Record::Config(_)));
+        assert_eq!(configs.count(), 1);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_watch_tells_the_last_change_of_each_record() {
+    with_store(async |site, client| {
+        let revision = client.list().await.unwrap().revision;
+        site.store.put("op/config", &config(3, &[KEY], &[]));
+        site.store.put("op/config", &config(9, &[KEY], &[]));
+        site.store.remove(&format!("servers/{}", site.engines[0].id));
+        let changes = client.watch(revision, 1_000).await.unwrap();
+        let versions: Vec<u64> = changes
+            .records
+            .iter()
+            .filter_map(|record| match record {
+                Record::Config(config) => Some(config.version),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(versions, [9]);
+        assert_eq!(changes.removed, [Removed::Upstream((*site.engines[0].id).into())]);
+        let quiet = client.watch(changes.revision, 50).await.unwrap();
+        assert!(quiet.records.is_empty());
+        assert_eq!(quiet.revision, changes.revision);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_history_that_is_gone_is_told() {
+    with_store(async |site, client| {
+        let revision = client.list().await.unwrap().revision;
+        site.store.put("op/config", &config(3, &[KEY], &[]));
+        site.store.forget_history();
+        assert_eq!(client.watch(revision, 1_000).await.unwrap_err(), Fault::HistoryGone);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_store_that_turns_away_has_done_nothing() {
+    with_store(async |site, client| {
+        site.store.fail(store::Fault::Busy);
+        let refused = client.register(&registration(), 5_000).await.unwrap_err();
+        assert_eq!(refused, Fault::Refused { status: 503 });
+        site.store.fail(store::Fault::None);
+        client.register(&registration(), 5_000).await.unwrap();
+        assert_eq!(site.store.keys("siskinrock/").len(), 1);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_lost_answer_spoils_its_connection_only() {
+    with_store(async |site, client| {
+        client.list().await.unwrap();
+        site.store.fail(store::Fault::LostAnswers);
+        assert!(matches!(client.list().await.unwrap_err(), Fault::Silent { .. }));
+        site.store.fail(store::Fault::None);
+        client.list().await.unwrap();
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_lease_that_ended_is_told() {
+    with_store(async |site, client| {
+        let lease = client.register(&registration(), 5_000).await.unwrap();
+        client.renew(lease).await.unwrap();
+        client.release(lease).await.unwrap();
+        assert_eq!(client.renew(lease).await.unwrap_err(), Fault::LeaseEnded);
+        assert!(site.store.keys("siskinrock/").is_empty());
+    })
+    .await;
+}
--- /dev/null
+++ b/tests/gateway/streams.rs
@@ -0,0 +1,189 @@
+//! Streams outlive their engines: every event once, in order, from one request alone.
+
+use std::time::Duration;
+
+use siskinrock_fakes::caller;
+use siskinrock_fakes::engine::{EVENTS, Fault};
+use siskinrock_fakes::process::wait_for;
+use yare::parameterized;
+
+use crate::support::{self, Running, plan, whole_text};
+
+/// The index of the engine that works on something.
+async fn working_engine(running: &Running) -> usize {
+    let engines = &running.site.engines;
+    wait_for("an engine works", async || engines.iter().any(|engine| engine.working() > 0)).await;
+    engines.iter().position(|engine| engine.working() > 0).unwrap()
+}
+
+#[tokio::test]
+async fn a_stream_passes_whole() {
+    let running = support::start(1).await;
+    let sent = plan();
+    let stream = caller::stream(running.front(0), &sent).await.unwrap();
+    assert!(stream.is_complete);
+    assert_eq!(stream.text, whole_text(&sent, 0));
+}
+
+/// The engine that runs it is lost in different ways; the caller sees one whole stream, from the
+/// first engine's head, and the run goes on from the copy.
+#[parameterized(
+    torn = { Fault::Torn },
+    dark = { Fault::Dark },
+    stuck = { Fault::Stuck },
+    cut = { Fault::Cut },
+)]
+#[test_macro(tokio::test)]
+async fn a_stream_outlives_its_engine(fault: Fault) {
+    let running = support::start(1).await;
+    let sent = plan();
+    let front = running.front(0);
+    let reading = tokio::spawn({
+        let sent = sent.clone();
+        async move { caller::stream(front, &sent).await.unwrap() }
+    });
+    let first = working_engine(&running).await;
+    wait_for("some events are made", async || running.logged_sent(&sent.id) > 0).await;
+    tokio::time::timeout(Duration::from_secs(5), running.wait_for_events(first)).await.unwrap();
+    running.site.engines[first].fail(fault);
+    let stream = reading.await.unwrap();
+    assert!(stream.is_complete);
+    assert_eq!(stream.text, whole_text(&sent, 0));
+    let signature = stream.head.header("x-response-signature").unwrap();
+    assert_eq!(signature, running.site.engines[first].id);
+    let from_copy = running.site.engines.iter().flat_map(|engine| engine.seen());
+    assert_eq!(from_copy.filter(|seen| seen.from_copy).count(), 1);
+}
+
+#[tokio::test]
+async fn a_copy_lies_in_another_failure_domain() {
+    let running = support::start(1).await;
+    for _ in 0..6 {
+        caller::stream(running.front(0), &plan()).await.unwrap();
+    }
+    for (index, engine) in running.site.engines.iter().enumerate() {
+        for seen in engine.seen() {
+            let copy = seen.request.header("x-kv-backup").unwrap();
+            let engines = &running.site.engines;
+            let at = engines.iter().position(|engine| engine.addr.to_string() == copy).unwrap();
+            assert_ne!(running.site.engine_zone(at), running.site.engine_zone(index));
+        }
+    }
+}
+
+/// A copy's engine that is lost is replaced by a copy elsewhere, so that the next loss costs
+/// nothing either.
+#[tokio::test]
+async fn a_lost_copy_is_replaced() {
+    let site = siskinrock_fakes::site::Site::start(2, 120).await;
+    let running = support::start_site(site, 1).await;
+    let sent = plan();
+    let front = running.front(0);
+    let reading = tokio::spawn({
+        let sent = sent.clone();
+        async move { caller::stream(front, &sent).await.unwrap() }
+    });
+    let first = working_engine(&running).await;
+    let seen = running.site.engines[first].seen();
+    let copy = seen[0].request.header("x-kv-backup").unwrap().to_owned();
+    let engines = &running.site.engines;
+    let at = engines.iter().position(|engine| engine.addr.to_string() == copy).unwrap();
+    running.site.store.remove(&format!("servers/{}", engines[at].id));
+    wait_for("the run is copied elsewhere", async || {
+        running.gateways[0].logged().contains("\"run copied\"")
+    })
+    .await;
+    running.site.engines[first].fail(Fault::Torn);
+    let stream = reading.await.unwrap();
+    assert!(stream.is_complete);
+    assert_eq!(stream.text, whole_text(&sent, 0));
+    assert!(
+        running.site.engines.iter().flat_map(|engine| engine.seen()).any(|seen| seen.from_copy)
+    );
+}
+
+#[tokio::test]
+async fn a_stream_without_resumption_is_cut_and_not_run_again() {
+    let running = support::start(1).await;
+    let sent = caller::Call { path: "/plan/once/a".to_owned(), ..plan() };
+    let front = running.front(0);
+    let reading = tokio::spawn({
+        let sent = sent.clone();
+        async move { caller::stream(front, &sent).await.unwrap() }
+    });
+    let first = working_engine(&running).await;
+    running.wait_for_events(first).await;
+    running.site.engines[first].fail(Fault::Torn);
+    let stream = reading.await.unwrap();
+    assert!(!stream.is_complete, "an answer that was cut must not look complete");
+    assert!(whole_text(&sent, 0).starts_with(&stream.text), "only whole events are passed on");
+    assert_eq!(running.runs_of(&sent.id), 1);
+}
+
+#[tokio::test]
+async fn a_caller_goes_on_after_its_last_event_where_its_prompt_lies() {
+    let running = support::start(3).await;
+    let sent = plan();
+    let front = running.front(0);
+    let reading = tokio::spawn({
+        let sent = sent.clone();
+        async move { caller::stream(front, &sent).await }
+    });
+    let first = working_engine(&running).await;
+    running.wait_for_events(first).await;
+    let mut running = running;
+    // Peers hear of a placement within milliseconds; the death comes later.
+    wait_for("a peer's beat has passed", async || {
+        running.gateways[1].metrics().await.contains("siskinrock_open_requests")
+    })
+    .await;
+    running.gateways[0].kill();
+    let _ = reading.await.unwrap();
+    let again = caller::Call { id: support::new_id(), last_event: Some(3), ..sent.clone() };
+    let stream = caller::stream(running.front(1), &again).await.unwrap();
+    assert!(stream.is_complete);
+    assert_eq!(stream.text, whole_text(&sent, 3));
+    let engine = &running.site.engines[first];
+    let is_same =
+        engine.seen().iter().any(|seen| seen.request.header("x-request-id") == Some(&*again.id));
+    assert!(is_same, "the engine that read the prompt still has it in memory");
+}
+
+#[tokio::test]
+async fn what_only_the_system_may_set_is_taken_out() {
+    let running = support::start(1).await;
+    let mut connection = tokio::net::TcpStream::connect(running.front(0)).await.unwrap();
+    let sent = plan();
+    let text = String::from_utf8(sent.encode()).unwrap();
+    let reserved = "X-Hold: 1\r\nX-Pin-Duration: 9\r\nX-Kv-Backup: 10.0.0.1:1\r\nKv-From: a/b\r\n\
+        X-Tenant: another\r\nX-Request-Priority: 0\r\nContent-Length:";
+    let text = text.replacen("Content-Length:", reserved, 1);
+    tokio::io::AsyncWriteExt::write_all(&mut connection, text.as_bytes()).await.unwrap();
+    working_engine(&running).await;
+    let seen = running.site.engines.iter().flat_map(|engine| engine.seen()).next().unwrap();
+    assert_eq!(seen.request.header("x-hold"), None);
+    assert_eq!(seen.request.header("x-pin-duration"), None);
+    assert_eq!(seen.request.header("kv-from"), None);
+    assert_ne!(seen.request.header("x-kv-backup"), Some("10.0.0.1:1"));
+    assert_eq!(seen.request.header("x-tenant"), Some("huka270"));
+    assert_eq!(seen.request.header("x-request-priority"), Some("2"));
+}
+
+impl Running {
+    /// How often the log says that a request was sent.
+    pub fn logged_sent(&self, id: &str) -> usize {
+        let logs = self.gateways.iter().map(|gateway| gateway.logged()).collect::<String>();
+        let is_sent = |line: &&str| line.contains("\"msg\":\"sent\"") && line.contains(id);
+        logs.lines().filter(is_sent).count()
+    }
+
+    /// Waits until an engine has made a few events of its run, but not all.
+    pub async fn wait_for_events(&self, engine: usize) {
+        wait_for("some events are made", async || {
+            let made = self.site.engines[engine].made();
+            assert!(made < EVENTS, "the run ended before it could be disturbed");
+            made >= 3
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/tests/gateway/support.rs
@@ -0,0 +1,118 @@
+//! A site with gateways for one test.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
+
+use siskinrock_fakes::caller::Call;
+use siskinrock_fakes::engine::{EVENTS, event};
+use siskinrock_fakes::process::{Process, wait_for};
+use siskinrock_fakes::site::{self, Site};
+
+/// Each test of the run has ports and addresses of its own.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+/// A running site, its gateways and the folder of their files.
+pub struct Running {
+    pub site: Site,
+    pub gateways: Vec<Process>,
+    pub folder: PathBuf,
+    pub base_port: u16,
+}
+
+/// Starts a site with so many gateways, and waits until all are ready.
+pub async fn start(gateways: u8) -> Running {
+    start_site(Site::start(2, 15).await, gateways).await
+}
+
+pub async fn start_site(site: Site, gateways: u8) -> Running {
+    let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    // Below the ephemeral ports; processes of this run differ by their addresses as well.
+    let base_port = 20_000 + (std::process::id() as u16 % 50) * 200 + number;
+    let folder = std::env::temp_dir().join(format!("siskinrock-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
+    let mut running = Running { site, gateways: Vec::new(), folder, base_port };
+    for gateway in 0..gateways {
+        running.add(gateway);
+    }
+    running.wait_until_ready().await;
+    running
+}
+
+impl Running {
+    /// Starts one more gateway.
+    pub fn add(&mut self, number: u8) {
+        let binary = Path::new(env!("CARGO_BIN_EXE_siskinrock"));
+        let seeds = [0, 1, 2];
+        let store = self.site.store.addr;
+        let process = Process::start(binary, &self.folder, number, self.base_port, store, &seeds);
+        self.gateways.push(process);
+    }
+
+    /// Waits until all are ready and know of each other.
+    pub async fn wait_until_ready(&self) {
+        let all = self.gateways.len();
+        for gateway in &self.gateways {
+            wait_for("a gateway is ready and knows the others", async || {
+                gateway.is_ready().await && gateway.addresses("-").await.len() == all
+            })
+            .await;
+        }
+    }
+
+    pub fn front(&self, index: usize) -> SocketAddr {
+        self.gateways[index].front
+    }
+
+    /// How often a request has run anywhere.
+    pub fn runs_of(&self, id: &str) -> usize {
+        let engines = self.site.engines.iter().flat_map(|engine| engine.seen());
+        let services = self.site.services.iter().flat_map(|service| service.seen());
+        let seen = engines.chain(services);
+        seen.filter(|seen| seen.ran && seen.request.header("x-request-id") == Some(id)).count()
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.gateways.clear();
+        if std::thread::panicking() {
+            eprintln!("the logs are kept in {}", self.folder.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// A name that no other request has.
+pub fn new_id() -> String {
+    format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed))
+}
+
+/// A call on one of the usual routes.
+pub fn call(method: &'static str, path: &str) -> Call {
+    Call {
+        method,
+        path: path.to_owned(),
+        host: site::HOST.to_owned(),
+        id: new_id(),
+        key: Some(site::KEY.to_owned()),
+        deadline_ms: 5_000,
+        last_event: None,
+        part: None,
+        body: if method == "POST" { b"a body".to_vec() } else { Vec::new() },
+    }
+}
+
+/// A stream on the route for plans.
+pub fn plan() -> Call {
+    let id = new_id();
+    Call { part: Some(id.clone()), deadline_ms: 20_000, ..call("POST", "/plan/voyage") }
+}
+
+/// The whole text of a stream from after an event on.
+pub fn whole_text(call: &Call, after: u64) -> String {
+    let part = call.part.as_deref().unwrap_or_default();
+    (after + 1..=EVENTS).map(|id| event(part, id)).collect()
+}
