Soak real gateways under random faults from outside

Separate processes behind loopback proxies; kills, planned stops, pauses, reloads, links delayed, silent, one way or reset, engines, services and the store that misbehave, configurations and leaving upstreams, in series and overlapping.

--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -99,6 +99,11 @@
         fake
     }
 
+    /// The same engine as it is known by another address.
+    pub fn at(&self, addr: SocketAddr) -> EngineFake {
+        EngineFake { addr, ..self.clone() }
+    }
+
     /// Makes the others known, for copies.
     pub fn meet(&self, others: &[EngineFake]) {
         *self.peers.lock().expect("no holder panics") = others.to_vec();
--- /dev/null
+++ b/tests/soak/src/faults.rs
@@ -0,0 +1,115 @@
+//! The faults of one seed, in series and overlapping, and their end.
+
+use std::time::Duration;
+
+use siskinrock_fakes::proxy::Harm;
+use siskinrock_fakes::{engine, service, store};
+
+/// Something that goes wrong for a while.
+#[derive(Debug, Clone, Copy)]
+pub enum Fault {
+    /// A gateway is killed, and started again at the end.
+    Kill(usize),
+    /// All gateways are killed at once.
+    KillAll,
+    /// A gateway is stopped as planned, and started again.
+    Stop(usize),
+    /// A gateway stands still.
+    Pause(usize),
+    /// A gateway is told to read its settings again.
+    Reload(usize),
+    /// Connections to an engine are harmed.
+    EngineLink(usize, Harm),
+    /// Connections to the store are harmed.
+    StoreLink(Harm),
+    /// An engine misbehaves.
+    Engine(usize, engine::Fault),
+    /// All engines of a zone misbehave.
+    Zone(usize, engine::Fault),
+    /// A service misbehaves.
+    Service(usize, service::Fault),
+    /// The store misbehaves.
+    Store(store::Fault),
+    /// The store forgets its history.
+    Forget,
+    /// A route is added, or a key taken away.
+    Configure,
+    /// An engine leaves as planned, and comes back.
+    Leave(usize),
+}
+
+/// A fault, when it begins, and how long it lasts.
+#[derive(Debug, Clone, Copy)]
+pub struct Timed {
+    /// From the start of traffic.
+    pub at: Duration,
+    /// How long.
+    pub lasts: Duration,
+    /// What.
+    pub fault: Fault,
+}
+
+/// How many things there are to harm.
+#[derive(Debug, Clone, Copy)]
+pub struct Sizes {
+    /// Gateways.
+    pub gateways: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Plain services.
+    pub services: usize,
+}
+
+/// Draws the faults of a seed.
+pub fn draw(random: &mut fastrand::Rng, sizes: Sizes, length: Duration) -> Vec<Timed> {
+    let count = random.usize(4..10);
+    let mut faults: Vec<Timed> = (0..count)
+        .map(|_| Timed {
+            at: Duration::from_millis(random.u64(200..length.as_millis() as u64 * 3 / 4)),
+            lasts: Duration::from_millis(random.u64(200..2_500)),
+            fault: draw_one(random, sizes),
+        })
+        .collect();
+    faults.sort_by_key(|timed| timed.at);
+    faults
+}
+
+fn draw_one(random: &mut fastrand::Rng, sizes: Sizes) -> Fault {
+    let gateway = random.usize(..sizes.gateways);
+    let engine = random.usize(..sizes.engines);
+    let service = random.usize(..sizes.services);
+    let delay_ms = random.u64(5..80);
+    let harms = [Harm::Delay(delay_ms), Harm::Silent, Harm::OneWay, Harm::Reset];
+    let harm = harms[random.usize(..harms.len())];
+    match random.u8(..16) {
+        0 | 1 => Fault::Kill(gateway),
+        2 => Fault::KillAll,
+        3 | 4 => Fault::Stop(gateway),
+        5 => Fault::Pause(gateway),
+        6 => Fault::Reload(gateway),
+        7 => Fault::EngineLink(engine, harm),
+        8 => Fault::StoreLink(harm),
+        9 => Fault::Engine(engine, engine_fault(random)),
+        10 => Fault::Zone(random.usize(..3), engine_fault(random)),
+        11 => Fault::Service(service, service_fault(random)),
+        12 => Fault::Store(store_fault(random)),
+        13 => Fault::Forget,
+        14 => Fault::Configure,
+        _ => Fault::Leave(engine),
+    }
+}
+
+fn engine_fault(random: &mut fastrand::Rng) -> engine::Fault {
+    use engine::Fault::{Cut, Dark, Full, Stuck, Torn};
+    [Dark, Stuck, Torn, Full, Cut][random.usize(..5)]
+}
+
+fn service_fault(random: &mut fastrand::Rng) -> service::Fault {
+    use service::Fault::{Crossed, Error, ExtraAnswer, Full, LostAnswer, Mute, Truncated};
+    [LostAnswer, ExtraAnswer, Truncated, Full, Error, Mute, Crossed][random.usize(..7)]
+}
+
+fn store_fault(random: &mut fastrand::Rng) -> store::Fault {
+    use store::Fault::{Busy, LostAnswers, Reset, Silent, Slow};
+    [Busy, Silent, Reset, LostAnswers, Slow][random.usize(..5)]
+}
