Ask engines what they keep after the loss of all instances

A fresh instance without any such knowledge asks the engines once. Test seen red with the question switched off.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -123,6 +123,12 @@
     /// The path of an engine's state, for a check whether it lives.
     fn state_path(&self) -> &'static str;
 
+    /// The path at which an engine lists the prompts that it keeps.
+    fn kept_path(&self) -> &'static str;
+
+    /// The last parts of prompts that an engine keeps, from the answer to that call.
+    fn kept_parts(&self, body: &[u8]) -> Vec<Arc<str>>;
+
     /// The call that copies a run's memory to another engine: path and body.
     fn copy_call(&self, id: &str, to: SocketAddr) -> (&'static str, Bytes);
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -142,6 +142,11 @@
     }
 
     async fn drive(mut self) {
+        if self.last_event.is_some()
+            && self.part().is_some_and(|part| self.traffic.place_of(part).is_none())
+        {
+            self.traffic.recall(&self.job.service).await;
+        }
         loop {
             if self.traffic.now_ms() >= self.job.until_ms {
                 return self.give_up(Failure::TimeOver);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -4,12 +4,16 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http_body_util::{BodyExt, Full};
 use hyper::header::HOST;
 use hyper::{Method, Request};
 use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::budget::{Bound, Budget};
 use super::channel;
@@ -43,6 +47,12 @@
 /// How long it is known which engine read a prompt: its memory keeps the prompt for about as long.
 const PLACE_MS: u64 = 12_000;
 
+/// How long after its start an instance may ask engines what they keep: callers that come back
+/// later than that have waited too long anyway.
+const RECALL_WITHIN_MS: u64 = 8_000;
+/// How long that may take: a list comes in a round trip, and reading a prompt anew takes a second.
+const RECALL_TIMEOUT_MS: u64 = 150;
+
 /// Where a prompt was read.
 #[derive(Debug, Clone)]
 struct Place {
@@ -81,6 +91,7 @@
     fleet: RefCell<Arc<Fleet>>,
     workers: RefCell<BTreeMap<Arc<str>, Rc<Worker>>>,
     budgets: RefCell<BTreeMap<Arc<str>, Budget>>,
+    recalled: RefCell<BTreeMap<Arc<str>, watch::Receiver<bool>>>,
     probes: RefCell<BTreeMap<Arc<str>, watch::Receiver<Option<bool>>>>,
     losses: RefCell<BTreeMap<Arc<str>, Loss>>,
 }
@@ -108,6 +119,7 @@
             fleet: RefCell::default(),
             workers: RefCell::default(),
             budgets: RefCell::default(),
+            recalled: RefCell::default(),
             probes: RefCell::default(),
             losses: RefCell::default(),
         })
@@ -135,6 +147,56 @@
         self.worker(&id)
     }
 
+    /// Asks the engines of a service which prompts they keep, if this instance and its peers have
+    /// forgotten: when all instances were lost at once, callers come back and nobody else knows.
+    pub async fn recall(self: &Rc<Traffic>, service: &str) {
+        let now_ms = self.now_ms();
+        let is_known = !self.shared.view.load().places.is_empty();
+        if is_known || now_ms > RECALL_WITHIN_MS {
+            return;
+        }
+        let mut recalled = self.recalled.borrow().get(service).cloned();
+        if recalled.is_none() {
+            let (tell, done) = watch::channel(false);
+            self.recalled.borrow_mut().insert(Arc::from(service), done.clone());
+            tokio::task::spawn_local(Rc::clone(self).ask_kept(Arc::from(service), tell));
+            recalled = Some(done);
+        }
+        if let Some(mut done) = recalled {
+            let limit = Duration::from_millis(RECALL_TIMEOUT_MS);
+            // Without an answer in time, the prompt is read anew.
+            let _ = tokio::time::timeout(limit, done.wait_for(|done| *done)).await;
+        }
+    }
+
+    async fn ask_kept(self: Rc<Traffic>, service: Arc<str>, tell: watch::Sender<bool>) {
+        let workers = self.workers.borrow().values().map(Rc::clone).collect::<Vec<_>>();
+        let fitting = workers.into_iter().filter(|worker| worker.upstream.service == service);
+        let path = self.dialect.kept_path();
+        let mut asked: FuturesUnordered<_> = fitting
+            .map(|worker| {
+                let traffic = Rc::clone(&self);
+                async move {
+                    let asked = traffic.ask(&worker, Method::GET, path, Bytes::new());
+                    let limit = Duration::from_millis(RECALL_TIMEOUT_MS);
+                    let answered = tokio::time::timeout(limit, asked).await.ok().flatten();
+                    (worker, answered)
+                }
+            })
+            .collect();
+        let mut parts = 0;
+        while let Some((worker, answered)) = asked.next().await {
+            let Some((200, body)) = answered else { continue };
+            for part in self.dialect.kept_parts(&body) {
+                parts += 1;
+                self.note_place(xxh3_64(part.as_bytes()), &worker);
+            }
+        }
+        slog::info!(self.log, "asked engines what they keep"; "service" => &*service,
+            "parts" => parts);
+        tell.send_replace(true);
+    }
+
     /// Milliseconds since the start.
     pub fn now_ms(&self) -> u64 {
         self.clock.now_ms()
@@ -245,7 +307,7 @@
         let traffic = Rc::clone(self);
         let worker = Rc::clone(worker);
         tokio::task::spawn_local(async move {
-            let limit = std::time::Duration::from_millis(STATE_TIMEOUT_MS);
+            let limit = Duration::from_millis(STATE_TIMEOUT_MS);
             let asked = tokio::time::timeout(limit, traffic.ask_state(&worker)).await;
             let lives = asked.unwrap_or(false);
             traffic.probes.borrow_mut().remove(&id);
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -1,6 +1,6 @@
 //! A model engine: streams of events that can be resumed, copies of runs, and its faults.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -48,6 +48,8 @@
     /// Runs of this engine and copies that lie here, by request, with the events made.
     runs: BTreeMap<String, u64>,
     copies: BTreeMap<String, u64>,
+    /// Parts of prompts that lie in memory.
+    kept: BTreeSet<String>,
     working: usize,
 }
 
@@ -155,6 +157,12 @@
                     let body = json!({"stage": "both", "queued": 0, "active": self.working()});
                     connection.answer(200, &[], body.to_string().as_bytes()).await
                 }
+                (_, "/siskinrock/kv-list") => {
+                    let held: Vec<_> =
+                        self.lock().kept.iter().map(|part| json!(["", part, 80, "m"])).collect();
+                    let body = json!({"epoch": 1, "next": 1, "held": held}).to_string();
+                    connection.answer(200, &[], body.as_bytes()).await
+                }
                 (_, "/siskinrock/kv-move") => self.copy(&mut connection, &request).await,
                 _ => self.stream(&mut connection, &request).await,
             };
@@ -227,6 +235,7 @@
     ) -> std::io::Result<()> {
         let last = request.header("last-event-id").and_then(|last| last.parse::<u64>().ok());
         let part = part_of(request);
+        self.lock().kept.insert(part.clone());
         if !has_copy {
             self.pause(READ_MS, connection).await?;
         }
--- a/tests/gateway/lost_instances.rs
+++ b/tests/gateway/lost_instances.rs
@@ -68,3 +68,31 @@
     assert!(reading.await.unwrap().is_complete);
     assert!(running.gateways[0].logged().contains("settings read again"));
 }
+
+/// After the loss of all instances nobody knows where a prompt was read, so engines are asked.
+#[tokio::test]
+async fn a_caller_goes_on_where_its_prompt_lies_after_the_loss_of_all() {
+    let mut running = support::start(2).await;
+    let sent = plan();
+    let front = running.front(0);
+    let reading = tokio::spawn({
+        let sent = sent.clone();
+        async move { caller::stream(front, &sent).await }
+    });
+    let engines = running.site.engines.clone();
+    wait_for("an engine works", async || engines.iter().any(|engine| engine.working() > 0)).await;
+    let first = engines.iter().position(|engine| engine.working() > 0).unwrap();
+    running.wait_for_events(first).await;
+    running.gateways.iter_mut().for_each(siskinrock_fakes::process::Process::kill);
+    let _ = reading.await.unwrap();
+    running.gateways.iter_mut().for_each(siskinrock_fakes::process::Process::restart);
+    running.wait_until_ready().await;
+    let again = caller::Call { id: support::new_id(), last_event: Some(3), ..sent.clone() };
+    let stream = caller::stream(running.front(1), &again).await.unwrap();
+    assert!(stream.is_complete);
+    assert_eq!(stream.text, whole_text(&sent, 3));
+    let is_same = |seen: &siskinrock_fakes::engine::Seen| {
+        seen.request.header("x-request-id") == Some(&*again.id)
+    };
+    assert!(engines[first].seen().iter().any(is_same));
+}
