--- /dev/null
+++ b/src/gateway/control/directory.rs
@@ -0,0 +1,226 @@
+//! The controller that follows the directory and keeps the registration there.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::super::directory::{Changes, Fault, Listing, Record, Removed};
+use super::super::fleet::Change;
+use super::super::peers::Phase;
+use super::Control;
+
+/// How long a watch waits. A directory that was down may have forgotten a watch without a word,
+/// and an accepted change must be in force within two seconds of a calm directory, so a watch is
+/// soon asked anew; only a few instances ask.
+const WATCH_MS: u64 = 2_000;
+/// How long changes gather before the next watch: an engine's crash brings a burst of them, each
+/// call costs, and the bounds for taking on a change are seconds.
+const GATHER_MS: u64 = 400;
+/// The wait after a call that failed; doubled up to the longest.
+const RETRY_MS: u64 = 150;
+/// The longest wait after calls that failed: the directory's return should be noticed within
+/// half a second.
+const RETRY_MOST_MS: u64 = 500;
+/// How long a registration outlives its last renewal.
+const LEASE_MS: u64 = 30_000;
+/// The pause between renewals, a third of the lease.
+const RENEW_MS: u64 = 10_000;
+/// How often an instance looks whether it should watch the directory.
+const WATCH_LOOK_MS: u64 = 250;
+
+impl Control {
+    pub(super) async fn follow_directory(self: Rc<Control>) {
+        let mut retry_ms = RETRY_MS;
+        loop {
+            self.wait_for_turn().await;
+            let listed = self.directory.list().await;
+            match listed {
+                Ok(listing) => {
+                    retry_ms = RETRY_MS;
+                    let revision = listing.revision;
+                    self.directory_answered();
+                    self.take_listing(listing);
+                    self.watch(revision).await;
+                }
+                Err(fault) => {
+                    self.directory_failed(&fault);
+                    tokio::time::sleep(Duration::from_millis(retry_ms)).await;
+                    retry_ms = (retry_ms * 2).min(RETRY_MOST_MS);
+                }
+            }
+        }
+    }
+
+    /// Follows the changes until they are no longer kept.
+    pub(super) async fn watch(&self, mut revision: u64) {
+        let mut retry_ms = RETRY_MS;
+        loop {
+            if !self.should_watch() {
+                self.board.borrow_mut().is_watching = false;
+                slog::info!(self.log, "directory left to others"; "revision" => revision);
+                return;
+            }
+            let watched = tokio::select! {
+                watched = self.directory.watch(revision, WATCH_MS) => watched,
+                () = self.broken_watch.notified() => {
+                    slog::info!(self.log, "watch is behind peers and given up";
+                        "revision" => revision);
+                    continue;
+                }
+            };
+            match watched {
+                Ok(changes) => {
+                    retry_ms = RETRY_MS;
+                    self.directory_answered();
+                    revision = revision.max(changes.revision);
+                    let has_any = !changes.records.is_empty() || !changes.removed.is_empty();
+                    self.take_changes(changes);
+                    if has_any {
+                        tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
+                    }
+                }
+                Err(fault @ Fault::HistoryGone) => {
+                    slog::info!(self.log, "directory read anew"; "why" => %fault);
+                    return;
+                }
+                Err(fault) => {
+                    self.directory_failed(&fault);
+                    tokio::time::sleep(Duration::from_millis(retry_ms)).await;
+                    retry_ms = (retry_ms * 2).min(RETRY_MOST_MS);
+                }
+            }
+        }
+    }
+
+    pub(super) fn should_watch(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        let board = self.board.borrow();
+        !board.has_fleet || board.peers.should_watch(&self.me, now_ms)
+    }
+
+    /// Waits until this instance should hear of changes from the directory itself.
+    pub(super) async fn wait_for_turn(&self) {
+        while !self.should_watch() {
+            tokio::time::sleep(Duration::from_millis(WATCH_LOOK_MS)).await;
+        }
+    }
+
+    pub(super) fn directory_answered(&self) {
+        let now_ms = self.clock.now_ms();
+        let mut board = self.board.borrow_mut();
+        board.answered_ms = now_ms;
+        board.is_watching = true;
+        if board.is_directory_lost {
+            board.is_directory_lost = false;
+            if !std::mem::take(&mut board.is_outage_own) {
+                board.fleet.regained(now_ms);
+            }
+            slog::info!(self.log, "directory answers again");
+        }
+    }
+
+    pub(super) fn directory_failed(&self, fault: &Fault) {
+        self.metrics.count("directory_faults");
+        let mut board = self.board.borrow_mut();
+        if !board.is_directory_lost {
+            board.is_directory_lost = true;
+            slog::warn!(self.log, "directory lost"; "why" => %fault,
+                "config_version" => board.config.as_ref().map_or(0, |config| config.version),
+                "fleet_revision" => board.fleet.revision);
+        }
+    }
+
+    pub(super) fn take_listing(&self, listing: Listing) {
+        let now_ms = self.clock.now_ms();
+        let mut upstreams = Vec::new();
+        for record in listing.records {
+            match record {
+                Record::Upstream(upstream) => upstreams.push(upstream),
+                record => self.take_record(record, now_ms),
+            }
+        }
+        let mut board = self.board.borrow_mut();
+        slog::info!(self.log, "directory listed"; "revision" => listing.revision,
+            "upstreams" => upstreams.len());
+        if board.fleet.replace(listing.revision, upstreams, now_ms) {
+            board.has_fleet = true;
+        }
+        drop(board);
+        self.publish();
+    }
+
+    pub(super) fn take_changes(&self, changes: Changes) {
+        let now_ms = self.clock.now_ms();
+        let mut of_upstreams = Vec::new();
+        for record in changes.records {
+            match record {
+                Record::Upstream(upstream) => of_upstreams.push(Change::Put(upstream)),
+                record => self.take_record(record, now_ms),
+            }
+        }
+        for removed in changes.removed {
+            match removed {
+                Removed::Upstream(id) => of_upstreams.push(Change::Gone(id)),
+                // Peers tell by their beats whether an instance lives.
+                Removed::Instance(_) => {}
+            }
+        }
+        for change in &of_upstreams {
+            self.log_change(change);
+        }
+        self.board.borrow_mut().fleet.apply(changes.revision, of_upstreams, now_ms);
+        self.publish();
+    }
+
+    pub(super) fn log_change(&self, change: &Change) {
+        match change {
+            Change::Put(upstream) => slog::debug!(self.log, "upstream listed";
+                "upstream" => &*upstream.id, "service" => &*upstream.service,
+                "address" => %upstream.addr, "leaving" => upstream.is_leaving),
+            Change::Gone(id) => slog::debug!(self.log, "upstream gone"; "upstream" => &**id),
+        }
+    }
+
+    pub(super) fn take_record(&self, record: Record, now_ms: u64) {
+        match record {
+            Record::Config(config) => self.take_config(config, "directory"),
+            Record::Instance(registration) => {
+                if registration.id != self.me.id {
+                    self.board.borrow_mut().peers.list(registration, now_ms);
+                }
+            }
+            Record::Unreadable { key, detail } => {
+                slog::warn!(self.log, "record refused; what is in force stays";
+                    "key" => key, "detail" => detail);
+            }
+            Record::Upstream(_) => {}
+        }
+    }
+
+    pub(super) async fn keep_registration(self: Rc<Control>) {
+        loop {
+            let lease = self.board.borrow().lease;
+            let is_stopping = self.board.borrow().phase == Phase::Stopping;
+            if is_stopping {
+                return;
+            }
+            let kept = match lease {
+                Some(lease) => self.directory.renew(lease).await,
+                None => self.register().await,
+            };
+            match kept {
+                Ok(()) => tokio::time::sleep(Duration::from_millis(RENEW_MS)).await,
+                Err(Fault::LeaseEnded) => self.board.borrow_mut().lease = None,
+                Err(fault) => {
+                    slog::info!(self.log, "registration not renewed"; "why" => %fault);
+                    tokio::time::sleep(Duration::from_millis(RETRY_MOST_MS)).await;
+                }
+            }
+        }
+    }
+
+    pub(super) async fn register(&self) -> Result<(), Fault> {
+        let lease = self.directory.register(&self.me, LEASE_MS).await?;
+        self.board.borrow_mut().lease = Some(lease);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/gateway/control/exchange.rs
@@ -0,0 +1,149 @@
+//! The controller that exchanges beats and updates with peers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+
+use super::super::peers::{BEAT_MS, Beat, Held, Message, Phase, Update};
+use super::Control;
+
+/// How long news of traffic gather before peers hear of them: a burst of placements or losses
+/// comes within a few milliseconds.
+const NEWS_MS: u64 = 15;
+/// The longest datagram.
+const DATAGRAM_BYTES: usize = 32 << 10;
+
+/// Sends a message to each address; one that is lost is followed by others that say as much.
+fn send(socket: &UdpSocket, message: &Message, addrs: &[SocketAddr]) {
+    let Ok(bytes) = rmp_serde::to_vec(message) else { return };
+    for addr in addrs {
+        let _ = socket.try_send_to(&bytes, *addr);
+    }
+}
+
+impl Control {
+    pub(super) async fn send_beats(self: Rc<Control>, socket: Rc<UdpSocket>) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(BEAT_MS)).await;
+            let now_ms = self.clock.now_ms();
+            let message = Message::Beat(self.beat());
+            let due = {
+                let mut board = self.board.borrow_mut();
+                board.fleet.expire(now_ms);
+                board.peers.due(&self.settings.seeds, self.me.peer_addr, now_ms)
+            };
+            send(&socket, &message, &due);
+            self.dirty.notify_one();
+            self.fetch_if_behind(now_ms);
+        }
+    }
+
+    pub(super) async fn send_updates(self: Rc<Control>, socket: Rc<UdpSocket>) {
+        loop {
+            self.shared.news.notified().await;
+            // What follows at once goes with it.
+            tokio::time::sleep(Duration::from_millis(NEWS_MS)).await;
+            if let Some(update) = self.update() {
+                let all = self.board.borrow().peers.all(self.me.peer_addr);
+                send(&socket, &Message::Update(update), &all);
+            }
+        }
+    }
+
+    pub(super) fn beat(&self) -> Beat {
+        let own = self.shared.own();
+        let mut board = self.board.borrow_mut();
+        board.messages += 1;
+        board.told = own.clone();
+        board.told_versions = Control::versions(&board);
+        board.told_phase = board.phase;
+        Beat {
+            from: self.me.clone(),
+            count: board.messages,
+            phase: board.phase,
+            versions: board.told_versions,
+            sent: own.sent,
+            held: own.held,
+            lost: own.lost,
+            places: own.places,
+        }
+    }
+
+    /// What changed since the last message, if anything did.
+    pub(super) fn update(&self) -> Option<Update> {
+        let own = self.shared.own();
+        let mut board = self.board.borrow_mut();
+        let versions = Control::versions(&board);
+        let mut held: Vec<Held> =
+            own.held.iter().filter(|held| !board.told.held.contains(held)).cloned().collect();
+        for before in &board.told.held {
+            if own.held.iter().all(|held| held.upstream != before.upstream) {
+                let upstream = Arc::clone(&before.upstream);
+                held.push(Held { upstream, runs: 0, copies: 0, reading: 0 });
+            }
+        }
+        let is_new = |id: &&Arc<str>| !board.told.lost.contains(id);
+        let lost: Vec<Arc<str>> = own.lost.iter().filter(is_new).cloned().collect();
+        let is_new = |place: &&(u64, Arc<str>)| !board.told.places.contains(place);
+        let places: Vec<(u64, Arc<str>)> = own.places.iter().filter(is_new).cloned().collect();
+        let is_same = held.is_empty() && lost.is_empty() && places.is_empty();
+        if is_same && versions == board.told_versions && board.phase == board.told_phase {
+            return None;
+        }
+        board.messages += 1;
+        board.told = own;
+        board.told_versions = versions;
+        board.told_phase = board.phase;
+        Some(Update {
+            phase: board.phase,
+            id: Arc::clone(&self.me.id),
+            incarnation: self.me.incarnation,
+            count: board.messages,
+            versions,
+            held,
+            lost,
+            places,
+        })
+    }
+
+    pub(super) async fn hear_beats(self: Rc<Control>, socket: Rc<UdpSocket>) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+                tokio::time::sleep(Duration::from_millis(BEAT_MS)).await;
+                continue;
+            };
+            match rmp_serde::from_slice(&buffer[..length]) {
+                Ok(Message::Beat(beat)) if beat.from.id != self.me.id => self.hear_beat(beat),
+                Ok(Message::Update(update)) => self.hear_update(update),
+                Ok(Message::Beat(_)) => {}
+                Err(_) => self.metrics.count("messages_unreadable"),
+            }
+        }
+    }
+
+    pub(super) fn hear_beat(self: &Rc<Control>, beat: Beat) {
+        let now_ms = self.clock.now_ms();
+        let id = Arc::clone(&beat.from.id);
+        let is_urgent = beat.phase == Phase::Stopping;
+        let is_back = self.board.borrow_mut().peers.hear(beat, now_ms);
+        if is_back {
+            slog::info!(self.log, "peer heard"; "peer" => &*id);
+        }
+        if is_back || is_urgent {
+            self.dirty.notify_one();
+        }
+        self.fetch_if_behind(now_ms);
+    }
+
+    pub(super) fn hear_update(self: &Rc<Control>, update: Update) {
+        let now_ms = self.clock.now_ms();
+        if self.board.borrow_mut().peers.update(update, now_ms) {
+            self.dirty.notify_one();
+            self.fetch_if_behind(now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/control/knowledge.rs
@@ -0,0 +1,127 @@
+//! The controller that fetches from a peer what this instance does not know yet.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::header::HOST;
+use serde::{Deserialize, Serialize};
+
+use super::super::channel::Channel;
+use super::super::fleet::Upstream;
+use super::super::peers::Beat;
+use super::super::route::Config;
+use super::Control;
+
+/// How long a watching instance lets a peer know a newer version before it fetches it from there:
+/// the directory's own answer is usually under way.
+const BEHIND_MS: u64 = 300;
+/// How long a watch may be behind a peer before it is given up as broken.
+const BROKEN_WATCH_MS: u64 = 1_000;
+/// How long fetching from a peer may take.
+const FETCH_TIMEOUT_MS: u64 = 500;
+
+/// The path at which peers fetch what an instance knows.
+pub const KNOWLEDGE_PATH: &str = "/peer/knowledge";
+
+/// What an instance knows, as a peer fetches it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Knowledge {
+    /// The configuration in force there, if it is newer than what was asked with.
+    pub config: Option<Arc<Config>>,
+    /// The revision of its list.
+    pub fleet_revision: u64,
+    /// Its list of upstreams.
+    pub upstreams: Vec<Upstream>,
+}
+
+/// The path at which a peer's newer knowledge is fetched.
+fn knowledge_target(config_version: u64) -> String {
+    format!("{KNOWLEDGE_PATH}?config={config_version}")
+}
+
+async fn fetch(addr: SocketAddr, config_version: u64) -> Option<Knowledge> {
+    let mut channel = Channel::open(addr, FETCH_TIMEOUT_MS).await.ok()?;
+    let request = Request::get(knowledge_target(config_version))
+        .header(HOST, addr.to_string())
+        .body(Full::<Bytes>::default())
+        .ok()?;
+    let response = channel.send(request).await.ok()?;
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    rmp_serde::from_slice(&body).ok()
+}
+
+impl Control {
+    /// What peers may fetch.
+    pub fn knowledge(&self, config_version: u64) -> Knowledge {
+        let board = self.board.borrow();
+        let is_newer = |config: &Arc<Config>| config.version > config_version;
+        Knowledge {
+            config: board.config.clone().filter(is_newer),
+            fleet_revision: board.fleet.revision,
+            upstreams: board.fleet.upstreams.values().cloned().collect(),
+        }
+    }
+
+    /// Fetches from a peer what this instance doesn't know yet: at once if it leaves the directory
+    /// to others, else after a moment in which the directory usually tells.
+    pub(super) fn fetch_if_behind(self: &Rc<Control>, now_ms: u64) {
+        let mut board = self.board.borrow_mut();
+        if board.is_fetching {
+            return;
+        }
+        let known = Control::versions(&board);
+        let newer =
+            |beat: &Beat| beat.versions.config > known.config || beat.versions.fleet > known.fleet;
+        let near = |beat: &Beat| newer(beat) && beat.from.domain == self.me.domain;
+        let mut random = fastrand::Rng::new();
+        let ahead = board.peers.ahead(now_ms, &mut random, near);
+        let Some(addr) = ahead.or_else(|| board.peers.ahead(now_ms, &mut random, newer)) else {
+            board.behind_since_ms = None;
+            return;
+        };
+        let since_ms = *board.behind_since_ms.get_or_insert(now_ms);
+        let behind_ms = now_ms.saturating_sub(since_ms);
+        if board.is_watching && behind_ms < BEHIND_MS && board.has_fleet {
+            return;
+        }
+        if board.is_watching && behind_ms >= BROKEN_WATCH_MS {
+            board.behind_since_ms = None;
+            self.broken_watch.notify_one();
+        }
+        board.is_fetching = true;
+        drop(board);
+        let control = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let limit = Duration::from_millis(FETCH_TIMEOUT_MS);
+            let fetched = tokio::time::timeout(limit, fetch(addr, known.config)).await;
+            control.board.borrow_mut().is_fetching = false;
+            match fetched {
+                Ok(Some(knowledge)) => control.take_knowledge(knowledge, addr),
+                _ => control.metrics.count("peer_fetches_failed"),
+            }
+        });
+    }
+
+    pub(super) fn take_knowledge(&self, knowledge: Knowledge, from: SocketAddr) {
+        if let Some(config) = knowledge.config {
+            self.take_config(config, "peer");
+        }
+        let now_ms = self.clock.now_ms();
+        let mut board = self.board.borrow_mut();
+        let is_newer = knowledge.fleet_revision > board.fleet.revision || !board.has_fleet;
+        if is_newer && knowledge.fleet_revision > 0 {
+            board.has_fleet = true;
+            board.is_outage_own = board.is_directory_lost;
+            slog::debug!(self.log, "upstreams taken from a peer"; "peer" => %from,
+                "revision" => knowledge.fleet_revision, "before" => board.fleet.revision);
+            board.fleet.replace(knowledge.fleet_revision, knowledge.upstreams, now_ms);
+        }
+        drop(board);
+        self.publish();
+    }
+}
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -23,13 +23,14 @@
 use tokio::sync::watch;
 
 use super::answer::{self, Answer};
+use super::caller::{Stage, Watched};
 use super::dialect::{Demand, Dispatch};
 use super::failure::Failure;
 use super::metrics::Time;
 use super::peers::Phase;
 use super::route::{Config, Limits, Route};
 use super::traffic::Traffic;
-use super::{call, stream};
+use super::{call, caller, stream};
 
 /// The time that a caller has if it names none and the route has no bound either.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
@@ -124,15 +125,6 @@
     }
 }
 
-/// Where a connection stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    /// It waits for a request, since then.
-    Idle(u64),
-    /// A request is served.
-    Serving,
-}
-
 async fn serve_connection(
     traffic: Rc<Traffic>,
     stream: TcpStream,
@@ -157,13 +149,15 @@
             }
         })
     };
+    let stream = Rc::new(stream);
+    let watched = Watched::new(Rc::clone(&stream), Rc::clone(&stage), traffic.clock);
     let connection = http1::Builder::new()
         .max_buf_size(limits.head_bytes.max(LEAST_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(watched), service);
     let mut connection = pin!(connection);
     let mut is_stopping = false;
     loop {
-        let patience = tokio::time::sleep(Duration::from_millis(limits.idle_timeout_ms));
+        let patience = tokio::time::sleep(Duration::from_millis(limits.head_timeout_ms.max(1)));
         tokio::select! {
             ended = connection.as_mut() => {
                 if let Err(error) = ended {
@@ -175,13 +169,21 @@
                 is_stopping = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = patience => {
-                let is_idle = matches!(stage.get(), Stage::Idle(since_ms)
-                    if traffic.now_ms() >= since_ms + limits.idle_timeout_ms);
-                if is_idle && !is_stopping {
+            () = patience => match stage.get() {
+                Stage::Idle(since_ms)
+                    if !is_stopping && traffic.now_ms() >= since_ms + limits.idle_timeout_ms =>
+                {
                     is_stopping = true;
                     connection.as_mut().graceful_shutdown();
                 }
+                Stage::Head(since_ms) if traffic.now_ms() >= since_ms + limits.head_timeout_ms => {
+                    let failure = Failure::TooSlow { timeout_ms: limits.head_timeout_ms };
+                    slog::warn!(traffic.log, "rejected"; "status" => failure.status(),
+                        "why" => %failure);
+                    caller::tell(&stream, &failure);
+                    return;
+                }
+                _ => {}
             }
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod answer;
 pub mod budget;
 pub mod call;
+pub mod caller;
 pub mod channel;
 pub mod control;
 pub mod dialect;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -15,7 +15,8 @@
 use tokio::task::LocalSet;
 
 use super::answer::{self, Answer};
-use super::control::{Control, KNOWLEDGE_PATH};
+use super::control::Control;
+use super::control::knowledge::KNOWLEDGE_PATH;
 use super::dialect::{Dialect, Question};
 use super::directory::Directory;
 use super::front;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -4,6 +4,9 @@
 //! domain. When the first one breaks off or falls silent, the run goes on from that copy after the
 //! last whole event that the caller has, and a new copy is started at once.
 
+mod copy;
+mod relay;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,45 +15,27 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
-use hyper::{HeaderMap, Method, Request, Response};
+use hyper::{HeaderMap, Request, Response};
 use tokio::sync::{mpsc, oneshot, watch};
-
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::copy::{CopyAt, NewCopy};
 use super::answer::{self, Answer, Cut, Part};
 use super::channel::Fault;
 use super::dialect::{Copy, Dispatch, Marks};
-use super::events::{Event, Splitter};
 use super::failure::Failure;
 use super::front::{self, Job, OpenGuard};
-use super::metrics::Time;
 use super::placement::Wish;
-use super::route::{Engine, Repeat};
+use super::route::Repeat;
 use super::traffic::Traffic;
-use super::worker::{Count, Lease, What, Worker};
+use super::worker::{Lease, What, Worker};
 
 /// Events that may wait for a slow caller before its engine is slowed.
 const WAITING_EVENTS: usize = 16;
-/// A pause between events after which an engine is asked whether it lives: usual pauses are 30 to
-/// 250 ms, the allowed one is several hundred, of which a resumption takes about 100.
-const QUIET_MS: u64 = 250;
-/// A pause after which a run with a copy elsewhere goes on there, although its engine answers.
-const STUCK_MS: u64 = 450;
-/// How much longer an event takes for each prompt that is read beside it: eight steps, each with
-/// a chunk of the prompt.
-const READING_MS: u64 = 240;
 /// How long the first event may take before the engine is asked whether it lives.
 const FIRST_QUIET_MS: u64 = 900;
-/// How late a timer may fire before this process suspects itself of having stood still.
-const OWN_LAG_MS: u64 = 60;
-/// How often a run may leave an engine that lives but makes no events.
-const MOST_STUCK_MOVES: u32 = 2;
 /// The wait before another look when no engine takes work in the middle of an answer.
 const LOOK_AGAIN_MS: u64 = 50;
-/// The pause between tries to copy a run: each is a call to its engine.
-const COPY_PAUSE_MS: u64 = 500;
-/// How long a copy may take: its memory passes in milliseconds, behind others on the link.
-const COPY_TIMEOUT_MS: u64 = 1_500;
 /// The priority of a run that goes on, before all new ones.
 const RESUMED_PRIORITY: u8 = 0;
 /// The lowest priority that engines know.
@@ -105,19 +90,6 @@
     copy_again_ms: u64,
 }
 
-/// A copy that a call has made: where it lies, and its name.
-type NewCopy = (Rc<Worker>, Copy);
-
-/// Where the copy of the run's memory lies.
-#[derive(Debug)]
-struct CopyAt {
-    worker: Rc<Worker>,
-    name: Copy,
-    /// When it has to be renewed, if it doesn't grow by itself.
-    renew_ms: Option<u64>,
-    _count: Count,
-}
-
 impl Run {
     fn new(traffic: &Rc<Traffic>, job: Job, head: oneshot::Sender<Answer>) -> Run {
         Run {
@@ -245,27 +217,6 @@
         self.job.demand.prompt_part.as_ref().map(|part| xxh3_64(part.as_bytes()))
     }
 
-    /// Whether a copy at an engine can still be used.
-    fn is_fit(&self, worker: &Worker) -> bool {
-        let now_ms = self.traffic.now_ms();
-        self.traffic.takes_work(&worker.upstream.id) && !self.traffic.is_doubtful(worker, now_ms)
-    }
-
-    /// The engine for a new copy: not where the run is, nor where it was lost.
-    fn place_copy(&self, worker: &Worker) -> Option<Rc<Worker>> {
-        let can_copy = self.engine().is_some_and(|engine| engine.can_copy);
-        if !can_copy || self.job.route.repeat != Repeat::Resumable {
-            return None;
-        }
-        let mut not = self.left.clone();
-        not.push(Arc::clone(&worker.upstream.id));
-        let mut not_domains = self.lost_domains.clone();
-        not_domains.push(Arc::clone(&worker.upstream.domain));
-        let wish = Wish { not, not_domains, near: None };
-        let chosen = self.traffic.choose(&self.job.service, &wish)?;
-        self.is_fit(&chosen).then_some(chosen)
-    }
-
     async fn attempt(&mut self, worker: &Rc<Worker>, from: Option<Copy>) -> Outcome {
         let traffic = Rc::clone(&self.traffic);
         let mut silences = worker.silences.subscribe();
@@ -448,222 +399,6 @@
         body
     }
 
-    /// Passes whole events on until the stream ends, one way or the other.
-    async fn relay(
-        &mut self,
-        worker: &Rc<Worker>,
-        lease: Lease,
-        mut body: Incoming,
-        marks: Marks,
-        mut silences: watch::Receiver<u64>,
-        reading: Option<Count>,
-    ) -> Outcome {
-        let traffic = Rc::clone(&self.traffic);
-        let mut splitter = Splitter::default();
-        let mut events = Vec::new();
-        let mut reading = reading;
-        let mut heard_ms = traffic.now_ms();
-        loop {
-            let quiet_ms = if reading.is_some() { FIRST_QUIET_MS } else { QUIET_MS };
-            let wake_ms = traffic.now_ms() + quiet_ms;
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = caller_left(&mut self.head, &self.body) => return Outcome::CallerLeft,
-                _ = silences.changed() => return lost("silent", true),
-                () = until(&traffic, wake_ms.min(self.job.until_ms)) => {
-                    let now_ms = traffic.now_ms();
-                    if now_ms >= self.job.until_ms {
-                        return Outcome::TimeOver;
-                    }
-                    if now_ms > wake_ms + OWN_LAG_MS {
-                        continue;
-                    }
-                    match self.check_quiet(worker, &mut body, heard_ms, reading.is_some()).await {
-                        Quiet::Frame(frame) => frame,
-                        Quiet::Wait => continue,
-                        Quiet::Leave(outcome) => return outcome,
-                    }
-                }
-            };
-            heard_ms = traffic.now_ms();
-            let data = match frame {
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(error)) => {
-                    worker.broke(heard_ms);
-                    return lost(super::channel::describe(&error), true);
-                }
-                None if splitter.is_empty() => {
-                    worker.ended(false, heard_ms);
-                    worker.give_back(lease, marks.keep_ms, heard_ms);
-                    self.complete(worker);
-                    return Outcome::Done;
-                }
-                None => return lost("it ended in the middle of an event", false),
-            };
-            if !splitter.push(&data, &mut events) {
-                return lost("an event has no end", false);
-            }
-            if reading.take().is_some() {
-                traffic.tell_peers();
-            }
-            self.keep_copy(worker);
-            for event in events.drain(..) {
-                if let Some(outcome) = self.pass_on(event).await {
-                    return outcome;
-                }
-            }
-        }
-    }
-
-    /// What to do about an engine that has been quiet.
-    async fn check_quiet(
-        &mut self,
-        worker: &Rc<Worker>,
-        body: &mut Incoming,
-        heard_ms: u64,
-        is_reading: bool,
-    ) -> Quiet {
-        let traffic = Rc::clone(&self.traffic);
-        let lives = tokio::select! {
-            frame = body.frame() => return Quiet::Frame(frame),
-            () = caller_left(&mut self.head, &self.body) => return Quiet::Leave(Outcome::CallerLeft),
-            lives = traffic.lives(worker) => lives,
-        };
-        if !lives {
-            return Quiet::Leave(lost("silent, and its state can't be read", true));
-        }
-        if is_reading || self.copy.is_none() || self.stuck_moves >= MOST_STUCK_MOVES {
-            return Quiet::Wait;
-        }
-        let stuck_ms = heard_ms + STUCK_MS.max(READING_MS * self.traffic.reading_at(worker));
-        tokio::select! {
-            frame = body.frame() => Quiet::Frame(frame),
-            () = caller_left(&mut self.head, &self.body) => Quiet::Leave(Outcome::CallerLeft),
-            () = until(&traffic, stuck_ms) => Quiet::Leave(Outcome::Stuck),
-        }
-    }
-
-    /// Has the run's memory copied to another engine if the copy's engine is lost or leaves, or if
-    /// such a copy, which doesn't grow by itself, gets old.
-    fn keep_copy(&mut self, worker: &Rc<Worker>) {
-        let now_ms = self.traffic.now_ms();
-        self.take_finished_copy(now_ms);
-        if self.copying.is_some() {
-            return;
-        }
-        let target = match &self.copy {
-            Some(copy) if !self.is_fit(&copy.worker) => {
-                slog::info!(self.traffic.log, "copy lost"; "request" => self.job.id(),
-                    "upstream" => &*copy.worker.upstream.id);
-                self.copy = None;
-                None
-            }
-            Some(copy) if copy.renew_ms.is_some_and(|renew_ms| renew_ms <= now_ms) => {
-                Some(Rc::clone(&copy.worker))
-            }
-            Some(_) => return,
-            None => None,
-        };
-        if now_ms < self.copy_again_ms || !self.can_move() {
-            return;
-        }
-        self.copy_again_ms = now_ms + COPY_PAUSE_MS;
-        let Some(target) = target.or_else(|| self.place_copy(worker)) else { return };
-        let (tell, copied) = oneshot::channel();
-        self.copying = Some(copied);
-        let id: Arc<str> = Arc::from(self.job.id());
-        let copying = copy_run(Rc::clone(&self.traffic), Rc::clone(worker), target, id);
-        tokio::task::spawn_local(async move {
-            // The run may have ended meanwhile.
-            let _ = tell.send(copying.await);
-        });
-    }
-
-    /// Takes in a copy that was made by a call meanwhile.
-    fn take_finished_copy(&mut self, now_ms: u64) {
-        let Some(copying) = &mut self.copying else { return };
-        match copying.try_recv() {
-            Ok(copied) => {
-                self.copying = None;
-                self.take_copy(copied, now_ms);
-            }
-            Err(oneshot::error::TryRecvError::Empty) => {}
-            Err(oneshot::error::TryRecvError::Closed) => self.copying = None,
-        }
-    }
-
-    fn take_copy(&mut self, copied: Option<NewCopy>, now_ms: u64) {
-        let Some((worker, name)) = copied else { return };
-        let kept_ms = self.engine().map_or(0, |engine| engine.copy_kept_ms);
-        self.copy = Some(CopyAt {
-            name,
-            renew_ms: Some(now_ms + kept_ms / 2),
-            _count: worker.count(What::Copy),
-            worker,
-        });
-    }
-
-    fn engine(&self) -> Option<Engine> {
-        let view = self.traffic.view();
-        view.config.as_ref()?.services.get(&self.job.service)?.engine.clone()
-    }
-
-    fn can_move(&self) -> bool {
-        let can_move = self.engine().is_some_and(|engine| engine.can_move);
-        can_move && self.job.route.repeat == Repeat::Resumable
-    }
-
-    /// Passes one event on, if it is the next one.
-    async fn pass_on(&mut self, event: Event) -> Option<Outcome> {
-        let now_ms = self.traffic.now_ms();
-        if let (Some(id), Some(last)) = (event.id, self.last_event)
-            && id != last + 1
-        {
-            return Some(lost(format!("event {id} came after {last}"), false));
-        }
-        if event.id.is_some() {
-            self.last_event = event.id;
-        }
-        self.note_times(now_ms);
-        let Some(body) = &self.body else { return Some(Outcome::CallerLeft) };
-        if body.send(Ok(event.bytes)).await.is_err() {
-            return Some(Outcome::CallerLeft);
-        }
-        None
-    }
-
-    fn note_times(&mut self, now_ms: u64) {
-        if self.first_ms.is_none() {
-            self.first_ms = Some(now_ms - self.job.since_ms);
-        } else {
-            self.longest_gap_ms = self.longest_gap_ms.max(now_ms - self.last_event_ms);
-        }
-        if let Some(lost_ms) = self.lost_ms.take() {
-            let resume_ms = now_ms - lost_ms;
-            slog::info!(self.traffic.log, "went on"; "request" => self.job.id(),
-                "resume_ms" => resume_ms, "pause_ms" => now_ms - self.last_event_ms);
-            self.record(Time::Resume, resume_ms);
-        }
-        self.last_event_ms = now_ms;
-    }
-
-    fn record(&self, time: Time, value_ms: u64) {
-        let nobody: Arc<str> = Arc::from("-");
-        let organisation = self.job.organisation.as_ref().unwrap_or(&nobody);
-        self.traffic.metrics.record(time, organisation, &self.job.route.name, value_ms);
-    }
-
-    fn complete(&mut self, worker: &Worker) {
-        let whole_ms = self.traffic.now_ms() - self.job.since_ms;
-        self.job.record(&self.traffic, whole_ms, self.first_ms);
-        self.record(Time::Gap, self.longest_gap_ms);
-        slog::info!(self.traffic.log, "complete"; "request" => self.job.id(),
-            "route" => &*self.job.route.name, "upstream" => &*worker.upstream.id,
-            "first_ms" => self.first_ms, "gap_ms" => self.longest_gap_ms, "ms" => whole_ms,
-            "sent" => self.sent);
-        self.body = None;
-    }
-
     /// Ends the run without a complete answer.
     fn give_up(&mut self, failure: Failure) {
         let failure = match failure {
@@ -701,16 +436,6 @@
     }
 }
 
-/// What a look at a quiet engine brought.
-enum Quiet {
-    /// Something came after all.
-    Frame(Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>),
-    /// It lives; wait on.
-    Wait,
-    /// The run leaves it.
-    Leave(Outcome),
-}
-
 fn lost(why: impl Into<String>, engine_gone: bool) -> Outcome {
     Outcome::Lost { why: why.into(), engine_gone }
 }
@@ -731,22 +456,3 @@
     let left_ms = at_ms.saturating_sub(traffic.now_ms());
     tokio::time::sleep(Duration::from_millis(left_ms)).await;
 }
-
-/// Copies a run's memory as it is now; the source keeps the run.
-async fn copy_run(
-    traffic: Rc<Traffic>,
-    source: Rc<Worker>,
-    target: Rc<Worker>,
-    id: Arc<str>,
-) -> Option<NewCopy> {
-    let (path, body) = traffic.dialect.copy_call(&id, target.upstream.addr);
-    let limit = Duration::from_millis(COPY_TIMEOUT_MS);
-    let asked = traffic.ask(&source, Method::POST, path, body);
-    let answered = tokio::time::timeout(limit, asked).await.ok().flatten();
-    let name = answered.filter(|(status, _)| *status == 200);
-    let name = name.and_then(|(_, body)| traffic.dialect.copy_name(&body));
-    slog::info!(traffic.log, "run copied"; "request" => &*id, "from" => &*source.upstream.id,
-        "to" => &*target.upstream.id, "done" => name.is_some());
-    let copy = Copy { addr: source.upstream.addr, name: name? };
-    Some((target, copy))
-}
--- /dev/null
+++ b/src/gateway/stream/copy.rs
@@ -0,0 +1,144 @@
+//! The copy of a run's memory at a second engine: where it goes, and when it is made anew.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Method;
+use tokio::sync::oneshot;
+
+use super::super::dialect::Copy;
+use super::super::placement::Wish;
+use super::super::route::{Engine, Repeat};
+use super::super::traffic::Traffic;
+use super::super::worker::{Count, What, Worker};
+use super::Run;
+
+/// The pause between tries to copy a run: each is a call to its engine.
+const COPY_PAUSE_MS: u64 = 500;
+/// How long a copy may take: its memory passes in milliseconds, behind others on the link.
+const COPY_TIMEOUT_MS: u64 = 1_500;
+/// A copy that a call has made: where it lies, and its name.
+pub(super) type NewCopy = (Rc<Worker>, Copy);
+
+/// Where the copy of the run's memory lies.
+#[derive(Debug)]
+pub(super) struct CopyAt {
+    pub(super) worker: Rc<Worker>,
+    pub(super) name: Copy,
+    /// When it has to be renewed, if it doesn't grow by itself.
+    pub(super) renew_ms: Option<u64>,
+    pub(super) _count: Count,
+}
+
+/// Copies a run's memory as it is now; the source keeps the run.
+async fn copy_run(
+    traffic: Rc<Traffic>,
+    source: Rc<Worker>,
+    target: Rc<Worker>,
+    id: Arc<str>,
+) -> Option<NewCopy> {
+    let (path, body) = traffic.dialect.copy_call(&id, target.upstream.addr);
+    let limit = Duration::from_millis(COPY_TIMEOUT_MS);
+    let asked = traffic.ask(&source, Method::POST, path, body);
+    let answered = tokio::time::timeout(limit, asked).await.ok().flatten();
+    let name = answered.filter(|(status, _)| *status == 200);
+    let name = name.and_then(|(_, body)| traffic.dialect.copy_name(&body));
+    slog::info!(traffic.log, "run copied"; "request" => &*id, "from" => &*source.upstream.id,
+        "to" => &*target.upstream.id, "done" => name.is_some());
+    let copy = Copy { addr: source.upstream.addr, name: name? };
+    Some((target, copy))
+}
+
+impl Run {
+    /// Whether a copy at an engine can still be used.
+    pub(super) fn is_fit(&self, worker: &Worker) -> bool {
+        let now_ms = self.traffic.now_ms();
+        self.traffic.takes_work(&worker.upstream.id) && !self.traffic.is_doubtful(worker, now_ms)
+    }
+
+    /// The engine for a new copy: not where the run is, nor where it was lost.
+    pub(super) fn place_copy(&self, worker: &Worker) -> Option<Rc<Worker>> {
+        let can_copy = self.engine().is_some_and(|engine| engine.can_copy);
+        if !can_copy || self.job.route.repeat != Repeat::Resumable {
+            return None;
+        }
+        let mut not = self.left.clone();
+        not.push(Arc::clone(&worker.upstream.id));
+        let mut not_domains = self.lost_domains.clone();
+        not_domains.push(Arc::clone(&worker.upstream.domain));
+        let wish = Wish { not, not_domains, near: None };
+        let chosen = self.traffic.choose(&self.job.service, &wish)?;
+        self.is_fit(&chosen).then_some(chosen)
+    }
+
+    /// Has the run's memory copied to another engine if the copy's engine is lost or leaves, or if
+    /// such a copy, which doesn't grow by itself, gets old.
+    pub(super) fn keep_copy(&mut self, worker: &Rc<Worker>) {
+        let now_ms = self.traffic.now_ms();
+        self.take_finished_copy(now_ms);
+        if self.copying.is_some() {
+            return;
+        }
+        let target = match &self.copy {
+            Some(copy) if !self.is_fit(&copy.worker) => {
+                slog::info!(self.traffic.log, "copy lost"; "request" => self.job.id(),
+                    "upstream" => &*copy.worker.upstream.id);
+                self.copy = None;
+                None
+            }
+            Some(copy) if copy.renew_ms.is_some_and(|renew_ms| renew_ms <= now_ms) => {
+                Some(Rc::clone(&copy.worker))
+            }
+            Some(_) => return,
+            None => None,
+        };
+        if now_ms < self.copy_again_ms || !self.can_move() {
+            return;
+        }
+        self.copy_again_ms = now_ms + COPY_PAUSE_MS;
+        let Some(target) = target.or_else(|| self.place_copy(worker)) else { return };
+        let (tell, copied) = oneshot::channel();
+        self.copying = Some(copied);
+        let id: Arc<str> = Arc::from(self.job.id());
+        let copying = copy_run(Rc::clone(&self.traffic), Rc::clone(worker), target, id);
+        tokio::task::spawn_local(async move {
+            // The run may have ended meanwhile.
+            let _ = tell.send(copying.await);
+        });
+    }
+
+    /// Takes in a copy that was made by a call meanwhile.
+    pub(super) fn take_finished_copy(&mut self, now_ms: u64) {
+        let Some(copying) = &mut self.copying else { return };
+        match copying.try_recv() {
+            Ok(copied) => {
+                self.copying = None;
+                self.take_copy(copied, now_ms);
+            }
+            Err(oneshot::error::TryRecvError::Empty) => {}
+            Err(oneshot::error::TryRecvError::Closed) => self.copying = None,
+        }
+    }
+
+    pub(super) fn take_copy(&mut self, copied: Option<NewCopy>, now_ms: u64) {
+        let Some((worker, name)) = copied else { return };
+        let kept_ms = self.engine().map_or(0, |engine| engine.copy_kept_ms);
+        self.copy = Some(CopyAt {
+            name,
+            renew_ms: Some(now_ms + kept_ms / 2),
+            _count: worker.count(What::Copy),
+            worker,
+        });
+    }
+
+    pub(super) fn engine(&self) -> Option<Engine> {
+        let view = self.traffic.view();
+        view.config.as_ref()?.services.get(&self.job.service)?.engine.clone()
+    }
+
+    pub(super) fn can_move(&self) -> bool {
+        let can_move = self.engine().is_some_and(|engine| engine.can_move);
+        can_move && self.job.route.repeat == Repeat::Resumable
+    }
+}
--- /dev/null
+++ b/src/gateway/stream/relay.rs
@@ -0,0 +1,187 @@
+//! Passing an engine's events on to the caller, and noticing when none come.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::watch;
+
+use super::super::channel;
+use super::super::dialect::Marks;
+use super::super::events::{Event, Splitter};
+use super::super::metrics::Time;
+use super::super::worker::{Count, Lease, Worker};
+use super::{FIRST_QUIET_MS, Outcome, Run, caller_left, lost, until};
+
+/// A pause between events after which an engine is asked whether it lives: usual pauses are 30 to
+/// 250 ms, the allowed one is several hundred, of which a resumption takes about 100.
+const QUIET_MS: u64 = 250;
+/// A pause after which a run with a copy elsewhere goes on there, although its engine answers.
+const STUCK_MS: u64 = 450;
+/// How much longer an event takes for each prompt that is read beside it: eight steps, each with
+/// a chunk of the prompt.
+const READING_MS: u64 = 240;
+/// How late a timer may fire before this process suspects itself of having stood still.
+const OWN_LAG_MS: u64 = 60;
+/// How often a run may leave an engine that lives but makes no events.
+const MOST_STUCK_MOVES: u32 = 2;
+
+/// What a look at a quiet engine brought.
+enum Quiet {
+    /// Something came after all.
+    Frame(Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>),
+    /// It lives; wait on.
+    Wait,
+    /// The run leaves it.
+    Leave(Outcome),
+}
+
+impl Run {
+    /// Passes whole events on until the stream ends, one way or the other.
+    pub(super) async fn relay(
+        &mut self,
+        worker: &Rc<Worker>,
+        lease: Lease,
+        mut body: Incoming,
+        marks: Marks,
+        mut silences: watch::Receiver<u64>,
+        reading: Option<Count>,
+    ) -> Outcome {
+        let traffic = Rc::clone(&self.traffic);
+        let mut splitter = Splitter::default();
+        let mut events = Vec::new();
+        let mut reading = reading;
+        let mut heard_ms = traffic.now_ms();
+        loop {
+            let quiet_ms = if reading.is_some() { FIRST_QUIET_MS } else { QUIET_MS };
+            let wake_ms = traffic.now_ms() + quiet_ms;
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = caller_left(&mut self.head, &self.body) => return Outcome::CallerLeft,
+                _ = silences.changed() => return lost("silent", true),
+                () = until(&traffic, wake_ms.min(self.job.until_ms)) => {
+                    let now_ms = traffic.now_ms();
+                    if now_ms >= self.job.until_ms {
+                        return Outcome::TimeOver;
+                    }
+                    if now_ms > wake_ms + OWN_LAG_MS {
+                        continue;
+                    }
+                    match self.check_quiet(worker, &mut body, heard_ms, reading.is_some()).await {
+                        Quiet::Frame(frame) => frame,
+                        Quiet::Wait => continue,
+                        Quiet::Leave(outcome) => return outcome,
+                    }
+                }
+            };
+            heard_ms = traffic.now_ms();
+            let data = match frame {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(error)) => {
+                    worker.broke(heard_ms);
+                    return lost(channel::describe(&error), true);
+                }
+                None if splitter.is_empty() => {
+                    worker.ended(false, heard_ms);
+                    worker.give_back(lease, marks.keep_ms, heard_ms);
+                    self.complete(worker);
+                    return Outcome::Done;
+                }
+                None => return lost("it ended in the middle of an event", false),
+            };
+            if !splitter.push(&data, &mut events) {
+                return lost("an event has no end", false);
+            }
+            if reading.take().is_some() {
+                traffic.tell_peers();
+            }
+            self.keep_copy(worker);
+            for event in events.drain(..) {
+                if let Some(outcome) = self.pass_on(event).await {
+                    return outcome;
+                }
+            }
+        }
+    }
+
+    /// What to do about an engine that has been quiet.
+    async fn check_quiet(
+        &mut self,
+        worker: &Rc<Worker>,
+        body: &mut Incoming,
+        heard_ms: u64,
+        is_reading: bool,
+    ) -> Quiet {
+        let traffic = Rc::clone(&self.traffic);
+        let lives = tokio::select! {
+            frame = body.frame() => return Quiet::Frame(frame),
+            () = caller_left(&mut self.head, &self.body) => return Quiet::Leave(Outcome::CallerLeft),
+            lives = traffic.lives(worker) => lives,
+        };
+        if !lives {
+            return Quiet::Leave(lost("silent, and its state can't be read", true));
+        }
+        if is_reading || self.copy.is_none() || self.stuck_moves >= MOST_STUCK_MOVES {
+            return Quiet::Wait;
+        }
+        let stuck_ms = heard_ms + STUCK_MS.max(READING_MS * self.traffic.reading_at(worker));
+        tokio::select! {
+            frame = body.frame() => Quiet::Frame(frame),
+            () = caller_left(&mut self.head, &self.body) => Quiet::Leave(Outcome::CallerLeft),
+            () = until(&traffic, stuck_ms) => Quiet::Leave(Outcome::Stuck),
+        }
+    }
+
+    /// Passes one event on, if it is the next one.
+    pub(super) async fn pass_on(&mut self, event: Event) -> Option<Outcome> {
+        let now_ms = self.traffic.now_ms();
+        if let (Some(id), Some(last)) = (event.id, self.last_event)
+            && id != last + 1
+        {
+            return Some(lost(format!("event {id} came after {last}"), false));
+        }
+        if event.id.is_some() {
+            self.last_event = event.id;
+        }
+        self.note_times(now_ms);
+        let Some(body) = &self.body else { return Some(Outcome::CallerLeft) };
+        if body.send(Ok(event.bytes)).await.is_err() {
+            return Some(Outcome::CallerLeft);
+        }
+        None
+    }
+
+    pub(super) fn note_times(&mut self, now_ms: u64) {
+        if self.first_ms.is_none() {
+            self.first_ms = Some(now_ms - self.job.since_ms);
+        } else {
+            self.longest_gap_ms = self.longest_gap_ms.max(now_ms - self.last_event_ms);
+        }
+        if let Some(lost_ms) = self.lost_ms.take() {
+            let resume_ms = now_ms - lost_ms;
+            slog::info!(self.traffic.log, "went on"; "request" => self.job.id(),
+                "resume_ms" => resume_ms, "pause_ms" => now_ms - self.last_event_ms);
+            self.record(Time::Resume, resume_ms);
+        }
+        self.last_event_ms = now_ms;
+    }
+
+    pub(super) fn record(&self, time: Time, value_ms: u64) {
+        let nobody: Arc<str> = Arc::from("-");
+        let organisation = self.job.organisation.as_ref().unwrap_or(&nobody);
+        self.traffic.metrics.record(time, organisation, &self.job.route.name, value_ms);
+    }
+
+    pub(super) fn complete(&mut self, worker: &Worker) {
+        let whole_ms = self.traffic.now_ms() - self.job.since_ms;
+        self.job.record(&self.traffic, whole_ms, self.first_ms);
+        self.record(Time::Gap, self.longest_gap_ms);
+        slog::info!(self.traffic.log, "complete"; "request" => self.job.id(),
+            "route" => &*self.job.route.name, "upstream" => &*worker.upstream.id,
+            "first_ms" => self.first_ms, "gap_ms" => self.longest_gap_ms, "ms" => whole_ms,
+            "sent" => self.sent);
+        self.body = None;
+    }
+}
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -1,22 +1,22 @@
 //! What the traffic thread keeps: its upstreams, its budgets, its counters.
 
+mod losses;
+mod places;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use http_body_util::{BodyExt, Full};
 use hyper::header::HOST;
 use hyper::{Method, Request};
 use tokio::sync::watch;
-use xxhash_rust::xxh3::xxh3_64;
 
+use self::losses::Loss;
+use self::places::Place;
 use super::budget::{Bound, Budget};
-use super::channel;
 use super::dialect::Dialect;
 use super::fleet::Fleet;
 use super::metrics::Metrics;
@@ -30,44 +30,12 @@
 
 /// Channels that each instance may keep beyond an even part, since load is never even.
 const CHANNEL_SLACK: u32 = 2;
-/// How long an engine's state may take to arrive: it needs no slot, so it comes in a round trip,
-/// and a resumption has to fit into the rest of the allowed pause.
-const STATE_TIMEOUT_MS: u64 = 130;
-/// How long a loss counts as a sign for its failure domain, and peers are told of it: the list of
-/// upstreams drops what is gone within this time.
-const LOSS_COUNTS_MS: u64 = 4_000;
-/// So many upstreams of a service lost in one failure domain make the others there suspect.
-const DOMAIN_LOSSES: usize = 3;
 
 /// The part of a planned stop's grace within which streams are still taken: one that comes later
 /// would be cut although its caller could have gone elsewhere.
 const STREAM_PART: f64 = 0.3;
 /// The same for calls, which take a fraction of a second.
 const CALL_PART: f64 = 0.8;
-/// How long it is known which engine read a prompt: its memory keeps the prompt for about as long.
-const PLACE_MS: u64 = 12_000;
-
-/// How long after its start an instance may ask engines what they keep: callers that come back
-/// later than that have waited too long anyway.
-const RECALL_WITHIN_MS: u64 = 8_000;
-/// How long that may take: a list comes in a round trip, and reading a prompt anew takes a second.
-const RECALL_TIMEOUT_MS: u64 = 150;
-
-/// Where a prompt was read.
-#[derive(Debug, Clone)]
-struct Place {
-    upstream: Arc<str>,
-    until_ms: u64,
-}
-
-/// An upstream that was lost.
-#[derive(Debug, Clone)]
-struct Loss {
-    service: Arc<str>,
-    domain: Arc<str>,
-    at_ms: u64,
-    is_own: bool,
-}
 
 /// The state of the traffic thread.
 pub struct Traffic {
@@ -133,70 +101,6 @@
         self.now_ms() > since_ms + (grace_ms * part) as u64
     }
 
-    /// Notes that an engine reads or holds a prompt, by its last part.
-    pub fn note_place(&self, part: u64, worker: &Worker) {
-        let until_ms = self.now_ms() + PLACE_MS;
-        let upstream = Arc::clone(&worker.upstream.id);
-        self.places.borrow_mut().insert(part, Place { upstream, until_ms });
-    }
-
-    /// The engine that holds a prompt, as far as this instance or a peer knows.
-    pub fn place_of(&self, part: u64) -> Option<Rc<Worker>> {
-        let own = self.places.borrow().get(&part).map(|place| Arc::clone(&place.upstream));
-        let id = own.or_else(|| self.shared.view.load().places.get(&part).map(Arc::clone))?;
-        self.worker(&id)
-    }
-
-    /// Asks the engines of a service which prompts they keep, if this instance and its peers have
-    /// forgotten: when all instances were lost at once, callers come back and nobody else knows.
-    pub async fn recall(self: &Rc<Traffic>, service: &str) {
-        let now_ms = self.now_ms();
-        let is_known = !self.shared.view.load().places.is_empty();
-        if is_known || now_ms > RECALL_WITHIN_MS {
-            return;
-        }
-        let mut recalled = self.recalled.borrow().get(service).cloned();
-        if recalled.is_none() {
-            let (tell, done) = watch::channel(false);
-            self.recalled.borrow_mut().insert(Arc::from(service), done.clone());
-            tokio::task::spawn_local(Rc::clone(self).ask_kept(Arc::from(service), tell));
-            recalled = Some(done);
-        }
-        if let Some(mut done) = recalled {
-            let limit = Duration::from_millis(RECALL_TIMEOUT_MS);
-            // Without an answer in time, the prompt is read anew.
-            let _ = tokio::time::timeout(limit, done.wait_for(|done| *done)).await;
-        }
-    }
-
-    async fn ask_kept(self: Rc<Traffic>, service: Arc<str>, tell: watch::Sender<bool>) {
-        let workers = self.workers.borrow().values().map(Rc::clone).collect::<Vec<_>>();
-        let fitting = workers.into_iter().filter(|worker| worker.upstream.service == service);
-        let path = self.dialect.kept_path();
-        let mut asked: FuturesUnordered<_> = fitting
-            .map(|worker| {
-                let traffic = Rc::clone(&self);
-                async move {
-                    let asked = traffic.ask(&worker, Method::GET, path, Bytes::new());
-                    let limit = Duration::from_millis(RECALL_TIMEOUT_MS);
-                    let answered = tokio::time::timeout(limit, asked).await.ok().flatten();
-                    (worker, answered)
-                }
-            })
-            .collect();
-        let mut parts = 0;
-        while let Some((worker, answered)) = asked.next().await {
-            let Some((200, body)) = answered else { continue };
-            for part in self.dialect.kept_parts(&body) {
-                parts += 1;
-                self.note_place(xxh3_64(part.as_bytes()), &worker);
-            }
-        }
-        slog::info!(self.log, "asked engines what they keep"; "service" => &*service,
-            "parts" => parts);
-        tell.send_replace(true);
-    }
-
     /// Milliseconds since the start.
     pub fn now_ms(&self) -> u64 {
         self.clock.now_ms()
@@ -291,43 +195,6 @@
         }
     }
 
-    /// Asks an engine for its state, to learn whether it lives; one question at a time serves all.
-    pub async fn lives(self: &Rc<Traffic>, worker: &Rc<Worker>) -> bool {
-        let id = Arc::clone(&worker.upstream.id);
-        let running = self.probes.borrow().get(&id).cloned();
-        let mut answer = running.unwrap_or_else(|| self.start_probe(worker));
-        let answered = answer.wait_for(Option::is_some).await;
-        answered.is_ok_and(|answer| *answer == Some(true))
-    }
-
-    fn start_probe(self: &Rc<Traffic>, worker: &Rc<Worker>) -> watch::Receiver<Option<bool>> {
-        let (tell, answer) = watch::channel(None);
-        let id = Arc::clone(&worker.upstream.id);
-        self.probes.borrow_mut().insert(Arc::clone(&id), answer.clone());
-        let traffic = Rc::clone(self);
-        let worker = Rc::clone(worker);
-        tokio::task::spawn_local(async move {
-            let limit = Duration::from_millis(STATE_TIMEOUT_MS);
-            let asked = tokio::time::timeout(limit, traffic.ask_state(&worker)).await;
-            let lives = asked.unwrap_or(false);
-            traffic.probes.borrow_mut().remove(&id);
-            slog::info!(traffic.log, "engine asked whether it lives";
-                "upstream" => &*id, "lives" => lives);
-            if lives {
-                worker.answered(traffic.now_ms());
-            } else {
-                traffic.lost(&worker, "its state can't be read");
-            }
-            tell.send_replace(Some(lives));
-        });
-        answer
-    }
-
-    async fn ask_state(&self, worker: &Rc<Worker>) -> bool {
-        let path = self.dialect.state_path();
-        self.ask(worker, Method::GET, path, Bytes::new()).await.is_some()
-    }
-
     /// Makes a call of this system's own to an engine; its status and body, if it answers.
     pub async fn ask(
         &self,
@@ -352,77 +219,6 @@
         Some((status, body))
     }
 
-    /// Starts asking an engine whether it lives; those who wait for it hear if it doesn't.
-    pub fn ask_whether_lives(self: &Rc<Traffic>, worker: &Rc<Worker>) {
-        if !self.probes.borrow().contains_key(&worker.upstream.id) {
-            self.start_probe(worker);
-        }
-    }
-
-    /// Notes that an upstream is gone or silent, and tells peers at once.
-    pub fn lost(&self, worker: &Worker, why: &str) {
-        let now_ms = self.now_ms();
-        let is_new = !worker.is_lost(now_ms);
-        worker.lost(now_ms);
-        if !is_new {
-            return;
-        }
-        let loss = Loss {
-            service: Arc::clone(&worker.upstream.service),
-            domain: Arc::clone(&worker.upstream.domain),
-            at_ms: now_ms,
-            is_own: true,
-        };
-        self.losses.borrow_mut().insert(Arc::clone(&worker.upstream.id), loss);
-        self.tell_peers();
-        self.metrics.count("upstreams_lost");
-        slog::warn!(self.log, "upstream lost"; "upstream" => &*worker.upstream.id,
-            "domain" => &*worker.upstream.domain, "why" => why);
-    }
-
-    /// Notes that no connection to an upstream came about.
-    pub fn no_channel(&self, worker: &Worker, fault: &channel::Fault) {
-        match fault {
-            channel::Fault::Refused => self.lost(worker, "nothing listens there"),
-            channel::Fault::Unreachable { .. } => self.lost(worker, "no connection in time"),
-            _ => worker.broke(self.now_ms()),
-        }
-    }
-
-    /// Takes in the losses that others told, as signs for the failure domains.
-    fn hear_losses(&self, view: &View, workers: &BTreeMap<Arc<str>, Rc<Worker>>, now_ms: u64) {
-        let mut losses = self.losses.borrow_mut();
-        losses.retain(|_, loss| loss.at_ms + LOSS_COUNTS_MS > now_ms);
-        for id in view.lost.iter() {
-            let Some(worker) = workers.get(id) else { continue };
-            losses.entry(Arc::clone(id)).or_insert_with(|| Loss {
-                service: Arc::clone(&worker.upstream.service),
-                domain: Arc::clone(&worker.upstream.domain),
-                at_ms: now_ms,
-                is_own: false,
-            });
-        }
-    }
-
-    /// Whether an upstream, or so much of its failure domain that it is likely, was lost since it
-    /// last showed that it lives.
-    pub fn is_doubtful(&self, worker: &Worker, now_ms: u64) -> bool {
-        if worker.is_suspect(now_ms) {
-            return true;
-        }
-        let losses = self.losses.borrow();
-        let alive_ms = worker.alive_ms();
-        if losses.get(&worker.upstream.id).is_some_and(|loss| loss.at_ms >= alive_ms) {
-            return true;
-        }
-        let beside = |loss: &&Loss| {
-            loss.domain == worker.upstream.domain
-                && loss.service == worker.upstream.service
-                && loss.at_ms >= alive_ms
-        };
-        losses.values().filter(beside).count() >= DOMAIN_LOSSES
-    }
-
     /// Has peers hear at once what runs here and what was lost.
     pub fn tell_peers(&self) {
         let mut own = Own::default();
--- /dev/null
+++ b/src/gateway/traffic/losses.rs
@@ -0,0 +1,151 @@
+//! Lost upstreams, as signs for themselves and for their failure domains.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use tokio::sync::watch;
+
+use super::super::channel;
+use super::super::view::View;
+use super::super::worker::Worker;
+use super::Traffic;
+
+/// How long an engine's state may take to arrive: it needs no slot, so it comes in a round trip,
+/// and a resumption has to fit into the rest of the allowed pause.
+const STATE_TIMEOUT_MS: u64 = 130;
+/// How long a loss counts as a sign for its failure domain, and peers are told of it: the list of
+/// upstreams drops what is gone within this time.
+const LOSS_COUNTS_MS: u64 = 4_000;
+/// So many upstreams of a service lost in one failure domain make the others there suspect.
+const DOMAIN_LOSSES: usize = 3;
+
+/// An upstream that was lost.
+#[derive(Debug, Clone)]
+pub(super) struct Loss {
+    pub(super) service: Arc<str>,
+    pub(super) domain: Arc<str>,
+    pub(super) at_ms: u64,
+    pub(super) is_own: bool,
+}
+
+impl Traffic {
+    /// Asks an engine for its state, to learn whether it lives; one question at a time serves all.
+    pub async fn lives(self: &Rc<Traffic>, worker: &Rc<Worker>) -> bool {
+        let id = Arc::clone(&worker.upstream.id);
+        let running = self.probes.borrow().get(&id).cloned();
+        let mut answer = running.unwrap_or_else(|| self.start_probe(worker));
+        let answered = answer.wait_for(Option::is_some).await;
+        answered.is_ok_and(|answer| *answer == Some(true))
+    }
+
+    pub(super) fn start_probe(
+        self: &Rc<Traffic>,
+        worker: &Rc<Worker>,
+    ) -> watch::Receiver<Option<bool>> {
+        let (tell, answer) = watch::channel(None);
+        let id = Arc::clone(&worker.upstream.id);
+        self.probes.borrow_mut().insert(Arc::clone(&id), answer.clone());
+        let traffic = Rc::clone(self);
+        let worker = Rc::clone(worker);
+        tokio::task::spawn_local(async move {
+            let limit = Duration::from_millis(STATE_TIMEOUT_MS);
+            let asked = tokio::time::timeout(limit, traffic.ask_state(&worker)).await;
+            let lives = asked.unwrap_or(false);
+            traffic.probes.borrow_mut().remove(&id);
+            slog::info!(traffic.log, "engine asked whether it lives";
+                "upstream" => &*id, "lives" => lives);
+            if lives {
+                worker.answered(traffic.now_ms());
+            } else {
+                traffic.lost(&worker, "its state can't be read");
+            }
+            tell.send_replace(Some(lives));
+        });
+        answer
+    }
+
+    pub(super) async fn ask_state(&self, worker: &Rc<Worker>) -> bool {
+        let path = self.dialect.state_path();
+        self.ask(worker, Method::GET, path, Bytes::new()).await.is_some()
+    }
+
+    /// Starts asking an engine whether it lives; those who wait for it hear if it doesn't.
+    pub fn ask_whether_lives(self: &Rc<Traffic>, worker: &Rc<Worker>) {
+        if !self.probes.borrow().contains_key(&worker.upstream.id) {
+            self.start_probe(worker);
+        }
+    }
+
+    /// Notes that an upstream is gone or silent, and tells peers at once.
+    pub fn lost(&self, worker: &Worker, why: &str) {
+        let now_ms = self.now_ms();
+        let is_new = !worker.is_lost(now_ms);
+        worker.lost(now_ms);
+        if !is_new {
+            return;
+        }
+        let loss = Loss {
+            service: Arc::clone(&worker.upstream.service),
+            domain: Arc::clone(&worker.upstream.domain),
+            at_ms: now_ms,
+            is_own: true,
+        };
+        self.losses.borrow_mut().insert(Arc::clone(&worker.upstream.id), loss);
+        self.tell_peers();
+        self.metrics.count("upstreams_lost");
+        slog::warn!(self.log, "upstream lost"; "upstream" => &*worker.upstream.id,
+            "domain" => &*worker.upstream.domain, "why" => why);
+    }
+
+    /// Notes that no connection to an upstream came about.
+    pub fn no_channel(&self, worker: &Worker, fault: &channel::Fault) {
+        match fault {
+            channel::Fault::Refused => self.lost(worker, "nothing listens there"),
+            channel::Fault::Unreachable { .. } => self.lost(worker, "no connection in time"),
+            _ => worker.broke(self.now_ms()),
+        }
+    }
+
+    /// Takes in the losses that others told, as signs for the failure domains.
+    pub(super) fn hear_losses(
+        &self,
+        view: &View,
+        workers: &BTreeMap<Arc<str>, Rc<Worker>>,
+        now_ms: u64,
+    ) {
+        let mut losses = self.losses.borrow_mut();
+        losses.retain(|_, loss| loss.at_ms + LOSS_COUNTS_MS > now_ms);
+        for id in view.lost.iter() {
+            let Some(worker) = workers.get(id) else { continue };
+            losses.entry(Arc::clone(id)).or_insert_with(|| Loss {
+                service: Arc::clone(&worker.upstream.service),
+                domain: Arc::clone(&worker.upstream.domain),
+                at_ms: now_ms,
+                is_own: false,
+            });
+        }
+    }
+
+    /// Whether an upstream, or so much of its failure domain that it is likely, was lost since it
+    /// last showed that it lives.
+    pub fn is_doubtful(&self, worker: &Worker, now_ms: u64) -> bool {
+        if worker.is_suspect(now_ms) {
+            return true;
+        }
+        let losses = self.losses.borrow();
+        let alive_ms = worker.alive_ms();
+        if losses.get(&worker.upstream.id).is_some_and(|loss| loss.at_ms >= alive_ms) {
+            return true;
+        }
+        let beside = |loss: &&Loss| {
+            loss.domain == worker.upstream.domain
+                && loss.service == worker.upstream.service
+                && loss.at_ms >= alive_ms
+        };
+        losses.values().filter(beside).count() >= DOMAIN_LOSSES
+    }
+}
--- a/tests/fakes/src/process.rs
+++ b/tests/fakes/src/process.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::caller::{self, Call};
-use crate::site;
+use crate::site::{self, Place};
 
 /// A condition that doesn't come true within this time fails its test.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -35,14 +35,15 @@
         binary: &Path,
         folder: &Path,
         number: u8,
-        base_port: u16,
+        place: Place,
         store: SocketAddr,
         seeds: &[u8],
     ) -> Process {
         let settings = folder.join(format!("node-{number}.toml"));
-        let text = site::boot(number, base_port, store, seeds, 4.0);
+        let text = site::boot(place, number, store, seeds, 4.0);
         std::fs::write(&settings, text).expect("the folder can be written");
-        let ip = [127, 0, (base_port % 200 + 10) as u8, number + 1];
+        let Place { base_port, .. } = place;
+        let ip = place.ip(number);
         let mut process = Process {
             number,
             front: SocketAddr::from((ip, base_port)),
--- a/tests/fakes/src/site.rs
+++ b/tests/fakes/src/site.rs
@@ -106,13 +106,29 @@
         "tenants": [{"name": "huka270", "api-keys": keys, "priority": 1}]})
 }
 
+/// Where the gateways of a site listen; no two sites that run at once share a network.
+#[derive(Debug, Clone, Copy)]
+pub struct Place {
+    /// The first three numbers of all addresses.
+    pub network: [u8; 3],
+    /// The port for callers; others follow from it.
+    pub base_port: u16,
+}
+
+impl Place {
+    /// The address of a gateway.
+    pub fn ip(&self, number: u8) -> std::net::Ipv4Addr {
+        let [a, b, c] = self.network;
+        std::net::Ipv4Addr::new(a, b, c, number + 1)
+    }
+}
+
 /// The settings file of one gateway, which listens on an address of its own.
-pub fn boot(number: u8, base_port: u16, store: SocketAddr, seeds: &[u8], grace_s: f64) -> String {
-    let ip = format!("127.0.{}.{}", base_port % 200 + 10, number + 1);
-    let seeds: Vec<String> = seeds
-        .iter()
-        .map(|seed| format!("\"127.0.{}.{}:{}\"", base_port % 200 + 10, seed + 1, base_port + 8))
-        .collect();
+pub fn boot(place: Place, number: u8, store: SocketAddr, seeds: &[u8], grace_s: f64) -> String {
+    let base_port = place.base_port;
+    let ip = place.ip(number);
+    let seeds: Vec<String> =
+        seeds.iter().map(|seed| format!("\"{}:{}\"", place.ip(*seed), base_port + 8)).collect();
     let zone = ZONES[usize::from(number) % ZONES.len()];
     format!(
         r#"node-name = "edge-{number}"
--- a/tests/gateway/front.rs
+++ b/tests/gateway/front.rs
@@ -82,10 +82,21 @@
     }
 }
 
+/// A head that never ends is refused, as a request that has not run, and holds nothing up.
+#[tokio::test]
+async fn a_head_that_does_not_end_is_refused() {
+    let running = support::start(1).await;
+    let mut stream = TcpStream::connect(running.front(0)).await.unwrap();
+    stream.write_all(b"GET /look/a HTTP/1.1\r\nHost: x\r\n").await.unwrap();
+    let answer = Connection::new(stream).read_answer().await.unwrap();
+    assert_eq!(answer.status(), 408);
+}
+
 #[test]
 fn a_broken_settings_file_names_every_fault() {
     let store = "127.0.0.1:1".parse().unwrap();
-    let text = siskinrock_fakes::site::boot(0, 20_000, store, &[], 0.0);
+    let place = siskinrock_fakes::site::Place { network: [127, 0, 0], base_port: 20_000 };
+    let text = siskinrock_fakes::site::boot(place, 0, store, &[], 0.0);
     let text = text.replace("seeds = []", "seeds = [\"nowhere\"]");
     let error = siskinrock::platform::boot::parse(&text).unwrap_err().to_string();
     assert!(error.contains("seeds"), "{error}");
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -7,7 +7,7 @@
 use siskinrock_fakes::caller::Call;
 use siskinrock_fakes::engine::{EVENTS, event};
 use siskinrock_fakes::process::{Process, wait_for};
-use siskinrock_fakes::site::{self, Site};
+use siskinrock_fakes::site::{self, Place, Site};
 
 /// Each test of the run has ports and addresses of its own.
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
@@ -18,7 +18,7 @@
     pub site: Site,
     pub gateways: Vec<Process>,
     pub folder: PathBuf,
-    pub base_port: u16,
+    pub place: Place,
 }
 
 /// Starts a site with so many gateways, and waits until all are ready.
@@ -28,11 +28,12 @@
 
 pub async fn start_site(site: Site, gateways: u8) -> Running {
     let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-    // Below the ephemeral ports; processes of this run differ by their addresses as well.
-    let base_port = 20_000 + (std::process::id() as u16 % 50) * 200 + number;
+    // A network for each test of each run, below the ephemeral ports.
+    let run = (std::process::id() % 100) as u8;
+    let place = Place { network: [127, 1 + run, number as u8], base_port: 20_000 };
     let folder = std::env::temp_dir().join(format!("siskinrock-{}-{number}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
-    let mut running = Running { site, gateways: Vec::new(), folder, base_port };
+    let mut running = Running { site, gateways: Vec::new(), folder, place };
     for gateway in 0..gateways {
         running.add(gateway);
     }
@@ -46,7 +47,7 @@
         let binary = Path::new(env!("CARGO_BIN_EXE_siskinrock"));
         let seeds = [0, 1, 2];
         let store = self.site.store.addr;
-        let process = Process::start(binary, &self.folder, number, self.base_port, store, &seeds);
+        let process = Process::start(binary, &self.folder, number, self.place, store, &seeds);
         self.gateways.push(process);
     }
 
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -62,7 +62,7 @@
 
 /// Draws the faults of a seed.
 pub fn draw(random: &mut fastrand::Rng, sizes: Sizes, length: Duration) -> Vec<Timed> {
-    let count = random.usize(4..10);
+    let count = random.usize(6..14);
     let mut faults: Vec<Timed> = (0..count)
         .map(|_| Timed {
             at: Duration::from_millis(random.u64(200..length.as_millis() as u64 * 3 / 4)),
@@ -81,7 +81,7 @@
     let delay_ms = random.u64(5..80);
     let harms = [Harm::Delay(delay_ms), Harm::Silent, Harm::OneWay, Harm::Reset];
     let harm = harms[random.usize(..harms.len())];
-    match random.u8(..16) {
+    match random.u8(..18) {
         0 | 1 => Fault::Kill(gateway),
         2 => Fault::KillAll,
         3 | 4 => Fault::Stop(gateway),
@@ -91,7 +91,7 @@
         8 => Fault::StoreLink(harm),
         9 => Fault::Engine(engine, engine_fault(random)),
         10 => Fault::Zone(random.usize(..3), engine_fault(random)),
-        11 => Fault::Service(service, service_fault(random)),
+        11 | 16 | 17 => Fault::Service(service, service_fault(random)),
         12 => Fault::Store(store_fault(random)),
         13 => Fault::Forget,
         14 => Fault::Configure,
--- a/tests/soak/src/world.rs
+++ b/tests/soak/src/world.rs
@@ -10,7 +10,7 @@
 use siskinrock_fakes::http::Connection;
 use siskinrock_fakes::process::{Process, wait_for};
 use siskinrock_fakes::proxy::{Harm, Proxy};
-use siskinrock_fakes::site::{self, KEY, SECOND_KEY, Site, config};
+use siskinrock_fakes::site::{self, KEY, Place, SECOND_KEY, Site, config};
 use siskinrock_fakes::{engine, service, store};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -89,11 +89,10 @@
         engine.meet(&listed.map(|(other, link)| other.at(link.addr)).collect::<Vec<_>>());
     }
     let store_link = Proxy::start(site.store.addr).await;
-    let base_port = 10_000 + (std::process::id() as u16 % 50) * 200 + (seed % 100) as u16;
+    let run = (std::process::id() % 100) as u8;
+    let place = Place { network: [127, 101 + run, (seed % 256) as u8], base_port: 20_000 };
     let gateways: Vec<Process> = (0..count)
-        .map(|number| {
-            Process::start(binary, folder, number, base_port, store_link.addr, &[0, 1, 2])
-        })
+        .map(|number| Process::start(binary, folder, number, place, store_link.addr, &[0, 1, 2]))
         .collect();
     for gateway in &gateways {
         wait_for("a gateway is ready", async || gateway.is_ready().await).await;
