--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -1,5 +1,6 @@
 //! The controller that follows the directory and keeps the registration there.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use super::super::fleet::Change;
 use super::super::peers::Phase;
 use super::Control;
+use super::knowledge::{self, Known};
 
 /// How long a watch waits. A directory that was down may have forgotten a watch without a word,
 /// and an accepted change must be in force within two seconds of a calm directory, so a watch is
@@ -24,12 +26,20 @@
 const LEASE_MS: u64 = 30_000;
 /// The pause between renewals, a third of the lease.
 const RENEW_MS: u64 = 10_000;
+/// How long an instance that starts asks seeds: one that starts at the same time knows everything
+/// within a few round trips.
+const START_MS: u64 = 400;
+/// The first pause between two questions, doubled each time.
+const FIRST_PAUSE_MS: u64 = 20;
+/// Within which time those that heard nothing ask the directory, not all at once.
+const START_SPREAD_MS: u64 = 600;
 /// How often an instance looks whether it should watch the directory.
 const WATCH_LOOK_MS: u64 = 250;
 
 impl Control {
     pub(super) async fn follow_directory(self: Rc<Control>) {
         let mut retry_ms = RETRY_MS;
+        self.ask_seeds().await;
         loop {
             self.wait_for_turn().await;
             let listed = self.directory.list().await;
@@ -97,6 +107,31 @@
         !board.has_fleet || board.peers.should_watch(&self.me, now_ms)
     }
 
+    /// Asks the seeds what they know before the directory is asked: reading everything is dear for
+    /// the directory when many start at once. The seeds, whom all ask, read it themselves.
+    async fn ask_seeds(&self) {
+        let me = self.settings.peer;
+        let seeds: Vec<SocketAddr> = self.settings.seeds.clone();
+        if seeds.contains(&me) || seeds.is_empty() {
+            return;
+        }
+        let patience_ms = START_MS + fastrand::u64(..START_SPREAD_MS);
+        let mut pause_ms = FIRST_PAUSE_MS;
+        while self.clock.now_ms() < patience_ms && !self.board.borrow().has_fleet {
+            let seed = seeds[fastrand::usize(..seeds.len())];
+            let limit = Duration::from_millis(START_MS);
+            let asked = tokio::time::timeout(limit, knowledge::fetch(seed, Known::default()));
+            if let Ok(Some(known)) = asked.await
+                && known.config.is_some()
+            {
+                self.take_knowledge(known, seed);
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(fastrand::u64(pause_ms..2 * pause_ms))).await;
+            pause_ms = (pause_ms * 2).min(RETRY_MOST_MS);
+        }
+    }
+
     /// Waits until this instance should hear of changes from the directory itself.
     pub(super) async fn wait_for_turn(&self) {
         while !self.should_watch() {
--- a/src/gateway/control/knowledge.rs
+++ b/src/gateway/control/knowledge.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::super::channel::Channel;
-use super::super::fleet::Upstream;
+use super::super::fleet::Delta;
 use super::super::peers::Beat;
 use super::super::route::Config;
 use super::Control;
@@ -22,8 +22,8 @@
 const BEHIND_MS: u64 = 300;
 /// How long a watch may be behind a peer before it is given up as broken.
 const BROKEN_WATCH_MS: u64 = 1_000;
-/// How long fetching from a peer may take.
-const FETCH_TIMEOUT_MS: u64 = 500;
+/// How long fetching from a peer may take: all of a large fleet is some 300 KB, over a slow link.
+const FETCH_TIMEOUT_MS: u64 = 1_500;
 
 /// The path at which peers fetch what an instance knows.
 pub const KNOWLEDGE_PATH: &str = "/peer/knowledge";
@@ -33,20 +33,40 @@
 pub struct Knowledge {
     /// The configuration in force there, if it is newer than what was asked with.
     pub config: Option<Arc<Config>>,
-    /// The revision of its list.
-    pub fleet_revision: u64,
-    /// Its list of upstreams.
-    pub upstreams: Vec<Upstream>,
+    /// What changed in the list of upstreams since the revision that was asked with.
+    pub fleet: Delta,
+}
+
+/// What an instance that asks knows already.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Known {
+    /// The version of its configuration.
+    pub config: u64,
+    /// The revision of its list of upstreams.
+    pub fleet: u64,
+}
+
+impl Known {
+    /// Reads the query of a question.
+    pub fn read(query: &str) -> Known {
+        let field = |name: &str| {
+            let fields = query.split('&').filter_map(|field| field.split_once('='));
+            let mut named = fields.filter(|(known, _)| *known == name);
+            named.next().and_then(|(_, value)| value.parse().ok()).unwrap_or(0)
+        };
+        Known { config: field("config"), fleet: field("fleet") }
+    }
 }
 
 /// The path at which a peer's newer knowledge is fetched.
-fn knowledge_target(config_version: u64) -> String {
-    format!("{KNOWLEDGE_PATH}?config={config_version}")
+fn knowledge_target(known: Known) -> String {
+    format!("{KNOWLEDGE_PATH}?config={}&fleet={}", known.config, known.fleet)
 }
 
-async fn fetch(addr: SocketAddr, config_version: u64) -> Option<Knowledge> {
+/// Asks a peer what it knows that is newer.
+pub(super) async fn fetch(addr: SocketAddr, known: Known) -> Option<Knowledge> {
     let mut channel = Channel::open(addr, FETCH_TIMEOUT_MS).await.ok()?;
-    let request = Request::get(knowledge_target(config_version))
+    let request = Request::get(knowledge_target(known))
         .header(HOST, addr.to_string())
         .body(Full::<Bytes>::default())
         .ok()?;
@@ -57,13 +77,12 @@
 
 impl Control {
     /// What peers may fetch.
-    pub fn knowledge(&self, config_version: u64) -> Knowledge {
+    pub fn knowledge(&self, known: Known) -> Knowledge {
         let board = self.board.borrow();
-        let is_newer = |config: &Arc<Config>| config.version > config_version;
+        let is_newer = |config: &Arc<Config>| config.version > known.config;
         Knowledge {
             config: board.config.clone().filter(is_newer),
-            fleet_revision: board.fleet.revision,
-            upstreams: board.fleet.upstreams.values().cloned().collect(),
+            fleet: board.fleet.since(known.fleet),
         }
     }
 
@@ -94,11 +113,12 @@
             self.broken_watch.notify_one();
         }
         board.is_fetching = true;
+        let asked = Known { config: known.config, fleet: known.fleet };
         drop(board);
         let control = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let limit = Duration::from_millis(FETCH_TIMEOUT_MS);
-            let fetched = tokio::time::timeout(limit, fetch(addr, known.config)).await;
+            let fetched = tokio::time::timeout(limit, fetch(addr, asked)).await;
             control.board.borrow_mut().is_fetching = false;
             match fetched {
                 Ok(Some(knowledge)) => control.take_knowledge(knowledge, addr),
@@ -113,13 +133,14 @@
         }
         let now_ms = self.clock.now_ms();
         let mut board = self.board.borrow_mut();
-        let is_newer = knowledge.fleet_revision > board.fleet.revision || !board.has_fleet;
-        if is_newer && knowledge.fleet_revision > 0 {
+        let revision = knowledge.fleet.revision;
+        let is_newer = revision > board.fleet.revision || !board.has_fleet;
+        if is_newer && revision > 0 {
             board.has_fleet = true;
             board.is_outage_own = board.is_directory_lost;
             slog::debug!(self.log, "upstreams taken from a peer"; "peer" => %from,
-                "revision" => knowledge.fleet_revision, "before" => board.fleet.revision);
-            board.fleet.replace(knowledge.fleet_revision, knowledge.upstreams, now_ms);
+                "revision" => revision, "before" => board.fleet.revision);
+            board.fleet.take(knowledge.fleet, now_ms);
         }
         drop(board);
         self.publish();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -50,12 +50,87 @@
     /// Entries that lapsed around an outage, with the time at which they count as gone.
     #[serde(skip)]
     lapsed: BTreeMap<Arc<str>, u64>,
+    /// The revision at which each upstream last changed or went.
+    #[serde(skip)]
+    changed: BTreeMap<Arc<str>, u64>,
+    /// From which revision on all changes are in `changed`.
+    #[serde(skip)]
+    changed_from: u64,
     /// Until when a lapse may be the outage's doing.
     #[serde(skip)]
     settling_until_ms: u64,
 }
 
+/// What changed after a revision, or everything, as one instance tells another.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The revision up to which it goes.
+    pub revision: u64,
+    /// Whether it holds everything.
+    pub is_whole: bool,
+    /// Upstreams that changed.
+    pub upstreams: Vec<Upstream>,
+    /// Upstreams that went.
+    pub gone: Vec<Arc<str>>,
+    /// Upstreams that lapsed around an outage and may come back.
+    pub lapsed: Vec<Arc<str>>,
+}
+
+/// Upstreams that went are remembered up to so many changes, for those that ask what changed.
+const REMEMBERED: usize = 4_000;
+
 impl Fleet {
+    /// What changed after a revision.
+    pub fn since(&self, revision: u64) -> Delta {
+        let is_whole = revision < self.changed_from || revision == 0;
+        let is_asked = |id: &Arc<str>| {
+            is_whole || self.changed.get(id).is_some_and(|changed| *changed > revision)
+        };
+        let upstreams = self.upstreams.values().filter(|upstream| is_asked(&upstream.id));
+        let gone = self.changed.keys().filter(|id| !self.upstreams.contains_key(*id));
+        Delta {
+            revision: self.revision,
+            is_whole,
+            upstreams: upstreams.cloned().collect(),
+            gone: gone.filter(|id| !is_whole && is_asked(id)).cloned().collect(),
+            lapsed: self.lapsed.keys().cloned().collect(),
+        }
+    }
+
+    /// Takes in what another instance tells; something older changes nothing.
+    pub fn take(&mut self, delta: Delta, now_ms: u64) -> bool {
+        if delta.revision < self.revision {
+            return false;
+        }
+        if delta.is_whole {
+            self.replace(delta.revision, delta.upstreams, now_ms);
+        } else {
+            let put = delta.upstreams.into_iter().map(Change::Put);
+            let gone = delta.gone.into_iter().map(Change::Gone);
+            self.apply(delta.revision, put.chain(gone).collect(), now_ms);
+        }
+        for id in delta.lapsed {
+            if self.upstreams.contains_key(&id) {
+                self.lapsed.entry(id).or_insert(now_ms + RETURN_MS);
+            }
+        }
+        true
+    }
+
+    fn note_change(&mut self, id: &Arc<str>) {
+        self.changed.insert(Arc::clone(id), self.revision);
+        if self.changed.len() <= self.upstreams.len() + REMEMBERED {
+            return;
+        }
+        let gone = self.changed.iter().filter(|(id, _)| !self.upstreams.contains_key(*id));
+        let oldest = gone.min_by_key(|(_, revision)| **revision);
+        let Some((id, revision)) = oldest.map(|(id, revision)| (Arc::clone(id), *revision)) else {
+            return;
+        };
+        self.changed.remove(&id);
+        self.changed_from = self.changed_from.max(revision);
+    }
+
     /// Notes that the directory answers again after an outage.
     pub fn regained(&mut self, now_ms: u64) {
         self.settling_until_ms = now_ms + RETURN_MS;
@@ -82,12 +157,25 @@
             }
         }
         self.lapsed.retain(|id, _| listed.contains_key(id));
-        for (id, upstream) in &listed {
-            if self.upstreams.get(id) != Some(upstream) {
-                self.lapsed.remove(id);
-            }
+        let before = std::mem::replace(&mut self.upstreams, listed);
+        if before.is_empty() {
+            self.changed_from = revision;
+        }
+        let now = self.upstreams.values();
+        let put = now.filter(|upstream| before.get(&upstream.id) != Some(*upstream));
+        let put: Vec<Arc<str>> = put.map(|upstream| Arc::clone(&upstream.id)).collect();
+        for id in &put {
+            self.lapsed.remove(id);
+            self.note_change(id);
+        }
+        for id in before
+            .keys()
+            .filter(|id| !self.upstreams.contains_key(*id))
+            .cloned()
+            .collect::<Vec<_>>()
+        {
+            self.note_change(&id);
         }
-        self.upstreams = listed;
         true
     }
 
@@ -100,8 +188,10 @@
         for change in changes {
             match change {
                 Change::Put(upstream) => {
-                    self.lapsed.remove(&upstream.id);
-                    self.upstreams.insert(Arc::clone(&upstream.id), upstream);
+                    let id = Arc::clone(&upstream.id);
+                    self.lapsed.remove(&id);
+                    self.upstreams.insert(Arc::clone(&id), upstream);
+                    self.note_change(&id);
                 }
                 Change::Gone(id) => match self.grace(&id, now_ms) {
                     Some(until_ms) => {
@@ -109,6 +199,7 @@
                     }
                     None => {
                         self.upstreams.remove(&id);
+                        self.note_change(&id);
                     }
                 },
             }
@@ -117,16 +208,14 @@
 
     /// Drops the entries whose time to come back is over; tells whether any was.
     pub fn expire(&mut self, now_ms: u64) -> bool {
-        let before = self.lapsed.len();
-        let upstreams = &mut self.upstreams;
-        self.lapsed.retain(|id, until_ms| {
-            let is_kept = *until_ms > now_ms;
-            if !is_kept {
-                upstreams.remove(id);
-            }
-            is_kept
-        });
-        before != self.lapsed.len()
+        let over = self.lapsed.iter().filter(|(_, until_ms)| **until_ms <= now_ms);
+        let over: Vec<Arc<str>> = over.map(|(id, _)| Arc::clone(id)).collect();
+        for id in &over {
+            self.lapsed.remove(id);
+            self.upstreams.remove(id);
+            self.note_change(id);
+        }
+        !over.is_empty()
     }
 
     /// Until when an entry that is missing now is kept, if it is at all.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -16,7 +16,7 @@
 
 use super::answer::{self, Answer};
 use super::control::Control;
-use super::control::knowledge::KNOWLEDGE_PATH;
+use super::control::knowledge::{KNOWLEDGE_PATH, Known};
 use super::dialect::{Dialect, Question};
 use super::directory::Directory;
 use super::front;
@@ -244,8 +244,7 @@
             if request.uri().path() != KNOWLEDGE_PATH {
                 return answer::whole(404, HeaderMap::new(), Bytes::new());
             }
-            let known = request.uri().query().and_then(|query| query.strip_prefix("config="));
-            let known = known.and_then(|version| version.parse().ok()).unwrap_or(0);
+            let known = Known::read(request.uri().query().unwrap_or_default());
             match rmp_serde::to_vec(&control.knowledge(known)) {
                 Ok(body) => answer::whole(200, HeaderMap::new(), Bytes::from(body)),
                 Err(_) => answer::whole(500, HeaderMap::new(), Bytes::new()),
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -226,3 +226,43 @@
         assert!(!splitter.is_empty());
     }
 }
+
+/// What one instance tells another brings it to the same list, whichever revision it had.
+#[test]
+fn a_delta_brings_another_to_the_same_list() {
+    let mut source = Fleet::default();
+    source.replace(5, vec![upstream("a", false), upstream("b", false)], 0);
+    let mut others = vec![Fleet::default()];
+    for step in 6..40 {
+        let mut behind = Fleet::default();
+        behind.take(source.since(0), 0);
+        others.push(behind);
+        let id = format!("u{}", step % 7);
+        let change = match step % 3 {
+            0 => Change::Gone((*id).into()),
+            1 => Change::Put(upstream(&id, true)),
+            _ => Change::Put(upstream(&id, false)),
+        };
+        source.apply(step, vec![change], 0);
+    }
+    for mut other in others {
+        let delta = source.since(other.revision);
+        assert_eq!(delta.is_whole, other.revision == 0);
+        assert!(other.take(delta, 0));
+        assert_eq!(other.upstreams, source.upstreams);
+        assert_eq!(other.revision, source.revision);
+    }
+}
+
+#[test]
+fn what_lapsed_elsewhere_expires_here_too() {
+    let mut source = Fleet::default();
+    source.replace(5, vec![upstream("a", false), upstream("b", false)], 0);
+    source.regained(1_000);
+    source.apply(6, vec![Change::Gone("a".into())], 1_100);
+    let mut other = Fleet::default();
+    other.take(source.since(0), 1_200);
+    assert_eq!(ids(&other), ["a", "b"]);
+    other.expire(4_000);
+    assert_eq!(ids(&other), ["b"]);
+}
