--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -4,14 +4,19 @@
 use std::fs;
 use std::path::Path;
 
-/// The names of all test functions, as `file::function`.
+/// The names of all test functions, as `file::function`; those of the gateway's tests as
+/// `gateway/file::function`.
 fn tests() -> BTreeSet<String> {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests");
-    let folders = [folder.join("regression"), folder];
-    let read = |folder| fs::read_dir(folder).expect("the tests' folder").flatten();
+    let folders =
+        [(folder.join("regression"), ""), (folder.join("gateway"), "gateway/"), (folder, "")];
+    let read = |(folder, prefix): (std::path::PathBuf, &'static str)| {
+        let entries = fs::read_dir(folder).expect("the tests' folder").flatten();
+        entries.map(move |entry| (entry.path(), prefix))
+    };
     let files = folders.into_iter().flat_map(read);
     let mut names = BTreeSet::new();
-    for file in files.map(|entry| entry.path()).filter(|path| path.extension().is_some()) {
+    for (file, prefix) in files.filter(|(path, _)| path.extension().is_some()) {
         let text = fs::read_to_string(&file).unwrap_or_default();
         let stem = file.file_stem().unwrap_or_default().to_string_lossy().into_owned();
         for line in text.lines() {
@@ -19,7 +24,7 @@
                 continue;
             };
             let function = rest.split('(').next().unwrap_or_default();
-            names.insert(format!("{stem}::{function}"));
+            names.insert(format!("{prefix}{stem}::{function}"));
         }
     }
     names
