Draw on the budget of repeats only for what is sent again, and never return to replaced engines

Now the repeat is drawn when a channel stands, such engines are out for as long as they are listed, peers hear of sums at once, and 0.85 of the bound is used.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 
 /// The part of the bound that is used: repeats are counted where they arrive, a little later.
-const USED: f64 = 0.8;
+const USED: f64 = 0.85;
 /// Into how many steps the window is divided.
 const STEPS: u64 = 10;
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -35,6 +35,8 @@
     Unknown { detail: String },
     /// The time was over.
     TimeOver,
+    /// The budget of repeats of all instances is used up.
+    OverBudget,
 }
 
 /// A whole answer of an upstream.
@@ -58,20 +60,20 @@
             let failure = if sent == 0 { Failure::TimeOverUnsent } else { last };
             return finish(job, traffic, failure, may_have_run, retry_after_ms);
         }
-        let is_first = sent == 0;
-        if !is_first && !traffic.may_repeat(&job.service) {
-            return finish(job, traffic, last, may_have_run, retry_after_ms);
-        }
         let Some(worker) = traffic.choose(&job.service, &wish) else {
             return finish(job, traffic, last, may_have_run, retry_after_ms);
         };
         wish.not.push(Arc::clone(&worker.upstream.id));
-        match attempt(traffic, job, &worker).await {
+        match attempt(traffic, job, &worker, sent == 0).await {
+            Outcome::OverBudget => {
+                traffic.metrics.count("repeats_over_budget");
+                return finish(job, traffic, last, may_have_run, retry_after_ms);
+            }
             Outcome::Answered(whole) => {
                 sent += 1;
                 let is_failure = whole.status >= 500;
                 let may_repeat = is_failure && job.route.repeat == Repeat::Idempotent;
-                if may_repeat && sent < job.route.max_attempts && traffic.may_repeat(&job.service) {
+                if may_repeat && sent < job.route.max_attempts {
                     log_attempt(traffic, job, &worker, "answered with an error; tried elsewhere");
                     if let Some(better) = second_opinion(traffic, job, &mut wish).await {
                         return deliver(traffic, job, &worker, better);
@@ -115,13 +117,13 @@
 async fn second_opinion(traffic: &Rc<Traffic>, job: &Job, wish: &mut Wish) -> Option<Whole> {
     let worker = traffic.choose(&job.service, wish)?;
     wish.not.push(Arc::clone(&worker.upstream.id));
-    match attempt(traffic, job, &worker).await {
+    match attempt(traffic, job, &worker, false).await {
         Outcome::Answered(whole) if whole.status < 500 => Some(whole),
         _ => None,
     }
 }
 
-async fn attempt(traffic: &Rc<Traffic>, job: &Job, worker: &Rc<Worker>) -> Outcome {
+async fn attempt(traffic: &Rc<Traffic>, job: &Job, worker: &Rc<Worker>, is_first: bool) -> Outcome {
     let most = traffic.channel_share(&job.service);
     let mut lease = match worker.lease(most, traffic.now_ms()).await {
         Ok(lease) => lease,
@@ -138,6 +140,11 @@
     if left_ms == 0 || !traffic.takes_work(&worker.upstream.id) {
         return unsent();
     }
+    // Only what is really sent again draws on the budget.
+    if !is_first && !traffic.may_repeat(&job.service) {
+        worker.give_back(lease, None, now_ms);
+        return Outcome::OverBudget;
+    }
     let _run = worker.count(What::Run);
     let dispatch = Dispatch {
         upstream: Arc::clone(&worker.upstream.id),
@@ -198,7 +205,7 @@
         return Outcome::Unknown { detail: "the answer belongs to another request".to_owned() };
     }
     if whole.status == 421 {
-        traffic.lost(worker, "another one has its address");
+        traffic.replaced(worker);
     } else {
         worker.answered(now_ms);
     }
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -93,6 +93,7 @@
         if is_same && versions == board.told_versions && board.phase == board.told_phase {
             return None;
         }
+        let sent = (own.sent != board.told.sent).then(|| own.sent.clone());
         board.messages += 1;
         board.told = own;
         board.told_versions = versions;
@@ -103,6 +104,7 @@
             incarnation: self.me.incarnation,
             count: board.messages,
             versions,
+            sent,
             held,
             lost,
             places,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -96,6 +96,8 @@
     pub versions: Versions,
     /// What it has running where that changed; nothing runs where all counts are 0.
     pub held: Vec<Held>,
+    /// What it sent lately, if that changed.
+    pub sent: Option<Vec<Sent>>,
     /// Upstreams that it lost.
     pub lost: Vec<Arc<str>>,
     /// Which engine read a prompt.
@@ -187,6 +189,9 @@
                 beat.held.push(held);
             }
         }
+        if let Some(sent) = update.sent {
+            beat.sent = sent;
+        }
         beat.lost.extend(update.lost);
         beat.places.extend(update.places);
         true
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -68,6 +68,8 @@
     Stuck,
     /// The time is over.
     TimeOver,
+    /// The budget of repeats of all instances is used up.
+    OverBudget,
 }
 
 struct Run {
@@ -123,9 +125,6 @@
             if self.traffic.now_ms() >= self.job.until_ms {
                 return self.give_up(Failure::TimeOver);
             }
-            if self.sent > 0 && !self.traffic.may_repeat(&self.job.service) {
-                return self.give_up(Failure::Full);
-            }
             let Some((worker, copy)) = self.place() else {
                 if self.sent == 0 || !self.wait(LOOK_AGAIN_MS).await {
                     return self.give_up(Failure::NoUpstream);
@@ -150,6 +149,13 @@
                 self.give_up(Failure::TimeOver);
                 return false;
             }
+            Outcome::OverBudget => {
+                slog::warn!(self.traffic.log, "no repeat left in the budget";
+                    "request" => self.job.id(), "service" => &*self.job.service);
+                self.traffic.metrics.count("repeats_over_budget");
+                self.give_up(Failure::Full);
+                return false;
+            }
             Outcome::NotRun { was_sent, why } => {
                 slog::info!(self.traffic.log, "engine did not run it"; "request" => self.job.id(),
                     "upstream" => &**id, "was_sent" => was_sent, "why" => why);
@@ -231,6 +237,11 @@
                 return Outcome::NotRun { was_sent: false, why: fault.to_string() };
             }
         };
+        // Only what is really sent again draws on the budget.
+        if self.sent > 0 && !traffic.may_repeat(&self.job.service) {
+            worker.give_back(lease, None, traffic.now_ms());
+            return Outcome::OverBudget;
+        }
         if !traffic.takes_work(&worker.upstream.id) {
             return Outcome::NotRun { was_sent: false, why: "it is leaving".to_owned() };
         }
@@ -343,7 +354,7 @@
             return Some(lost("the answer belongs to another request", false));
         }
         if response.status().as_u16() == 421 {
-            self.traffic.lost(worker, "another one has its address");
+            self.traffic.replaced(worker);
         } else {
             worker.answered(now_ms);
         }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -138,7 +138,7 @@
     /// Whether an upstream may get work.
     pub fn takes_work(&self, id: &str) -> bool {
         self.view();
-        self.worker(id).is_some_and(|worker| !worker.is_leaving())
+        self.worker(id).is_some_and(|worker| worker.takes_work())
     }
 
     /// The best upstream of a service for a request.
@@ -148,7 +148,7 @@
         let workers = self.workers.borrow();
         let fitting: Vec<&Rc<Worker>> = workers
             .values()
-            .filter(|worker| *worker.upstream.service == *service && !worker.is_leaving())
+            .filter(|worker| *worker.upstream.service == *service && worker.takes_work())
             .collect();
         self.hear_losses(&view, &workers, now_ms);
         let candidates: Vec<Candidate> =
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -101,6 +101,13 @@
             "domain" => &*worker.upstream.domain, "why" => why);
     }
 
+    /// Notes that another life has an upstream's address: this one gets nothing more, however long
+    /// the list still names it, and peers are told for as long.
+    pub fn replaced(&self, worker: &Worker) {
+        worker.replace();
+        self.lost(worker, "another one has its address");
+    }
+
     /// Notes that no connection to an upstream came about.
     pub fn no_channel(&self, worker: &Worker, fault: &channel::Fault) {
         match fault {
@@ -118,7 +125,10 @@
         now_ms: u64,
     ) {
         let mut losses = self.losses.borrow_mut();
-        losses.retain(|_, loss| loss.at_ms + LOSS_COUNTS_MS > now_ms);
+        losses.retain(|id, loss| {
+            let is_final = workers.get(id).is_some_and(|worker| worker.is_replaced());
+            is_final || loss.at_ms + LOSS_COUNTS_MS > now_ms
+        });
         for id in view.lost.iter() {
             let Some(worker) = workers.get(id) else { continue };
             losses.entry(Arc::clone(id)).or_insert_with(|| Loss {
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -48,6 +48,7 @@
     idle: RefCell<VecDeque<Idle>>,
     listed_ms: u64,
     leaving: Cell<bool>,
+    replaced: Cell<bool>,
     suspect_until_ms: Cell<u64>,
     lost_until_ms: Cell<u64>,
     answered_ms: Cell<u64>,
@@ -124,6 +125,7 @@
             idle: RefCell::default(),
             listed_ms: now_ms,
             leaving: Cell::new(upstream.is_leaving),
+            replaced: Cell::new(false),
             suspect_until_ms: Cell::new(0),
             lost_until_ms: Cell::new(0),
             answered_ms: Cell::new(0),
@@ -199,6 +201,21 @@
         self.leaving.get()
     }
 
+    /// Whether it may get work at all.
+    pub fn takes_work(&self) -> bool {
+        !self.is_leaving() && !self.is_replaced()
+    }
+
+    /// Whether another life has its address, so that this one never comes back.
+    pub fn is_replaced(&self) -> bool {
+        self.replaced.get()
+    }
+
+    /// Notes that another life has its address.
+    pub fn replace(&self) {
+        self.replaced.set(true);
+    }
+
     /// Takes in what the list says now of the same life.
     pub fn relist(&self, upstream: &Upstream) {
         self.leaving.set(upstream.is_leaving);
