--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -40,7 +40,6 @@
     peers: Peers,
     phase: Phase,
     is_directory_lost: bool,
-    answered_ms: u64,
     lease: Option<u64>,
     is_watching: bool,
     /// Peers heard of changes while this instance did not: the outage was its own.
@@ -93,7 +92,6 @@
             peers: Peers::default(),
             phase: Phase::Starting,
             is_directory_lost: false,
-            answered_ms: 0,
             lease: None,
             is_watching: false,
             is_outage_own: false,
@@ -195,7 +193,6 @@
             Control::versions(&board) != board.told_versions || board.phase != board.told_phase;
         drop(board);
         self.shared.view.store(Arc::new(view));
-        self.shared.changed.notify_waiters();
         if has_news {
             self.shared.news.notify_one();
         }
--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -142,7 +142,6 @@
     pub(super) fn directory_answered(&self) {
         let now_ms = self.clock.now_ms();
         let mut board = self.board.borrow_mut();
-        board.answered_ms = now_ms;
         board.is_watching = true;
         if board.is_directory_lost {
             board.is_directory_lost = false;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -33,9 +33,6 @@
 /// The part of the grace of a planned stop after which what still runs is cut, so that the end of
 /// the process is its own.
 const GRACE_PART: f64 = 0.88;
-/// How long a stopping instance still takes callers that hold its address: answers may be kept
-/// three times as long as they say.
-const KEEP_FACTOR: u64 = 1;
 /// How often a planned stop looks whether all requests have ended.
 const STOP_STEP_MS: u64 = 25;
 /// The stack of a thread; its futures live on the heap.
@@ -205,7 +202,8 @@
     let _ = stopping.wait_for(|stop| *stop).await;
     let since_ms = traffic.now_ms();
     traffic.stopping_ms.set(Some(since_ms));
-    let least_ms = since_ms + keep_ms * KEEP_FACTOR;
+    // Callers hold the address for as long as they were told.
+    let least_ms = since_ms + keep_ms;
     let most_ms = since_ms + (grace_ms as f64 * GRACE_PART) as u64;
     loop {
         let now_ms = traffic.now_ms();
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -48,8 +48,6 @@
 pub struct Shared {
     /// The newest picture.
     pub view: ArcSwap<View>,
-    /// Wakes those who wait for a newer picture.
-    pub changed: Notify,
     /// Wakes the control thread when peers should hear of traffic at once.
     pub news: Notify,
     /// What traffic here has running, and whom it lost.
@@ -84,12 +82,7 @@
             places: Arc::default(),
         };
         let view = ArcSwap::from_pointee(view);
-        Arc::new(Shared {
-            view,
-            changed: Notify::new(),
-            news: Notify::new(),
-            own: Mutex::default(),
-        })
+        Arc::new(Shared { view, news: Notify::new(), own: Mutex::default() })
     }
 
     /// Replaces what is told to peers.
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -21,17 +21,13 @@
 async fn a_stream_that_came_late_names_the_engine_that_was_lost() {
     let running = support::start(1).await;
     let sent = plan();
-    let front = running.front(0);
-    let reading = tokio::spawn({
-        let sent = sent.clone();
-        async move { caller::stream(front, &sent).await.unwrap() }
-    });
+    let reading = running.read_stream(&sent);
     let engines = &running.site.engines;
     wait_for("an engine works", async || engines.iter().any(|engine| engine.working() > 0)).await;
     let first = engines.iter().position(|engine| engine.working() > 0).unwrap();
     running.wait_for_events(first).await;
     engines[first].fail(engine::Fault::Torn);
-    reading.await.unwrap();
+    reading.await.unwrap().unwrap();
     let id = sent.id.clone();
     wait_for("the end is logged", async || {
         messages(&lines_of(&running, &id)).contains(&"complete")
--- a/tests/gateway/lost_instances.rs
+++ b/tests/gateway/lost_instances.rs
@@ -26,10 +26,7 @@
     let mut running = support::start(2).await;
     let front = running.front(0);
     let sent = plan();
-    let reading = tokio::spawn({
-        let sent = sent.clone();
-        async move { caller::stream(front, &sent).await.unwrap() }
-    });
+    let reading = running.read_stream(&sent);
     wait_for("an engine works on it", async || {
         running.site.engines.iter().any(|engine| engine.working() > 0)
     })
@@ -44,7 +41,7 @@
     let answer = kept.read_answer().await.unwrap();
     assert_eq!(answer.status(), 200);
     assert_eq!(answer.header("connection"), Some("close"));
-    let stream = reading.await.unwrap();
+    let stream = reading.await.unwrap().unwrap();
     assert!(stream.is_complete);
     assert_eq!(stream.text, whole_text(&sent, 0));
     wait_for("the process has ended", async || running.gateways[0].has_ended()).await;
@@ -55,17 +52,13 @@
 async fn a_signal_to_reload_cuts_nothing() {
     let running = support::start(1).await;
     let sent = plan();
-    let front = running.front(0);
-    let reading = tokio::spawn({
-        let sent = sent.clone();
-        async move { caller::stream(front, &sent).await.unwrap() }
-    });
+    let reading = running.read_stream(&sent);
     wait_for("an engine works on it", async || {
         running.site.engines.iter().any(|engine| engine.working() > 0)
     })
     .await;
     running.gateways[0].signal(libc::SIGHUP);
-    assert!(reading.await.unwrap().is_complete);
+    assert!(reading.await.unwrap().unwrap().is_complete);
     assert!(running.gateways[0].logged().contains("settings read again"));
 }
 
@@ -74,11 +67,7 @@
 async fn a_caller_goes_on_where_its_prompt_lies_after_the_loss_of_all() {
     let mut running = support::start(2).await;
     let sent = plan();
-    let front = running.front(0);
-    let reading = tokio::spawn({
-        let sent = sent.clone();
-        async move { caller::stream(front, &sent).await }
-    });
+    let reading = running.read_stream(&sent);
     let engines = running.site.engines.clone();
     wait_for("an engine works", async || engines.iter().any(|engine| engine.working() > 0)).await;
     let first = engines.iter().position(|engine| engine.working() > 0).unwrap();
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -37,16 +37,12 @@
 async fn a_stream_outlives_its_engine(fault: Fault) {
     let running = support::start(1).await;
     let sent = plan();
-    let front = running.front(0);
-    let reading = tokio::spawn({
-        let sent = sent.clone();
-        async move { caller::stream(front, &sent).await.unwrap() }
-    });
+    let reading = running.read_stream(&sent);
     let first = working_engine(&running).await;
     wait_for("some events are made", async || running.logged_sent(&sent.id) > 0).await;
     tokio::time::timeout(Duration::from_secs(5), running.wait_for_events(first)).await.unwrap();
     running.site.engines[first].fail(fault);
-    let stream = reading.await.unwrap();
+    let stream = reading.await.unwrap().unwrap();
     assert!(stream.is_complete);
     assert_eq!(stream.text, whole_text(&sent, 0));
     let signature = stream.head.header("x-response-signature").unwrap();
@@ -78,11 +74,7 @@
     let site = siskinrock_fakes::site::Site::start(2, 120).await;
     let running = support::start_site(site, 1).await;
     let sent = plan();
-    let front = running.front(0);
-    let reading = tokio::spawn({
-        let sent = sent.clone();
-        async move { caller::stream(front, &sent).await.unwrap() }
-    });
+    let reading = running.read_stream(&sent);
     let first = working_engine(&running).await;
     let seen = running.site.engines[first].seen();
     let copy = seen[0].request.header("x-kv-backup").unwrap().to_owned();
@@ -94,7 +86,7 @@
     })
     .await;
     running.site.engines[first].fail(Fault::Torn);
-    let stream = reading.await.unwrap();
+    let stream = reading.await.unwrap().unwrap();
     assert!(stream.is_complete);
     assert_eq!(stream.text, whole_text(&sent, 0));
     assert!(
@@ -106,15 +98,11 @@
 async fn a_stream_without_resumption_is_cut_and_not_run_again() {
     let running = support::start(1).await;
     let sent = caller::Call { path: "/plan/once/a".to_owned(), ..plan() };
-    let front = running.front(0);
-    let reading = tokio::spawn({
-        let sent = sent.clone();
-        async move { caller::stream(front, &sent).await.unwrap() }
-    });
+    let reading = running.read_stream(&sent);
     let first = working_engine(&running).await;
     running.wait_for_events(first).await;
     running.site.engines[first].fail(Fault::Torn);
-    let stream = reading.await.unwrap();
+    let stream = reading.await.unwrap().unwrap();
     assert!(!stream.is_complete, "an answer that was cut must not look complete");
     assert!(whole_text(&sent, 0).starts_with(&stream.text), "only whole events are passed on");
     assert_eq!(running.runs_of(&sent.id), 1);
@@ -124,11 +112,7 @@
 async fn a_caller_goes_on_after_its_last_event_where_its_prompt_lies() {
     let running = support::start(3).await;
     let sent = plan();
-    let front = running.front(0);
-    let reading = tokio::spawn({
-        let sent = sent.clone();
-        async move { caller::stream(front, &sent).await }
-    });
+    let reading = running.read_stream(&sent);
     let first = working_engine(&running).await;
     running.wait_for_events(first).await;
     let mut running = running;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
 
-use siskinrock_fakes::caller::Call;
+use siskinrock_fakes::caller::{self, Call, Stream};
 use siskinrock_fakes::engine::{EVENTS, event};
 use siskinrock_fakes::process::{Process, wait_for};
 use siskinrock_fakes::site::{self, Place, Site};
@@ -62,6 +62,13 @@
         }
     }
 
+    /// Reads a stream from the first gateway while the test goes on.
+    pub fn read_stream(&self, sent: &Call) -> tokio::task::JoinHandle<std::io::Result<Stream>> {
+        let front = self.front(0);
+        let sent = sent.clone();
+        tokio::spawn(async move { caller::stream(front, &sent).await })
+    }
+
     pub fn front(&self, index: usize) -> SocketAddr {
         self.gateways[index].front
     }
