Tell all peers what only a beat had told a few of them

Change: what all peers were told is a pure type of its own (news.rs); beats only note which upstreams they named. Also: the line of an answer names the upstream that gave it, where a second one was asked. Tests: decisions::what_only_a_beat_told_is_still_news, what_a_beat_named_and_has_ended_is_told_too (both can't be written against the old code, whose beat cleared the difference).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -75,8 +75,8 @@
                 let may_repeat = is_failure && job.route.repeat == Repeat::Idempotent;
                 if may_repeat && sent < job.route.max_attempts {
                     log_attempt(traffic, job, &worker, "answered with an error; tried elsewhere");
-                    if let Some(better) = second_opinion(traffic, job, &mut wish).await {
-                        return deliver(traffic, job, &worker, better);
+                    if let Some((better, by)) = second_opinion(traffic, job, &mut wish).await {
+                        return deliver(traffic, job, &by, better);
                     }
                 }
                 return deliver(traffic, job, &worker, whole);
@@ -114,11 +114,15 @@
 }
 
 /// One more attempt after an upstream's own error, whose answer counts only if it is better.
-async fn second_opinion(traffic: &Rc<Traffic>, job: &Job, wish: &mut Wish) -> Option<Whole> {
+async fn second_opinion(
+    traffic: &Rc<Traffic>,
+    job: &Job,
+    wish: &mut Wish,
+) -> Option<(Whole, Rc<Worker>)> {
     let worker = traffic.choose(&job.service, wish)?;
     wish.not.push(Arc::clone(&worker.upstream.id));
     match attempt(traffic, job, &worker, false).await {
-        Outcome::Answered(whole) if whole.status < 500 => Some(whole),
+        Outcome::Answered(whole) if whole.status < 500 => Some((whole, worker)),
         _ => None,
     }
 }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -21,10 +21,11 @@
 use super::fleet::Fleet;
 use super::instance::Registration;
 use super::metrics::Metrics;
-use super::peers::{Beat, Held, Peers, Phase, Sent, Versions};
+use super::news::{Held, Sent, Told};
+use super::peers::{Beat, Peers, Phase, Versions};
 use super::route::Config;
 use super::settings::Settings;
-use super::view::{Front, Own, Shared, View};
+use super::view::{Front, Shared, View};
 use crate::clock::Clock;
 
 /// How often at the most traffic gets a new picture: peers' news come in bursts.
@@ -45,9 +46,7 @@
     /// Peers heard of changes while this instance did not: the outage was its own.
     is_outage_own: bool,
     messages: u64,
-    told: Own,
-    told_versions: Versions,
-    told_phase: Phase,
+    told: Told,
     behind_since_ms: Option<u64>,
     is_fetching: bool,
 }
@@ -96,9 +95,7 @@
             is_watching: false,
             is_outage_own: false,
             messages: 0,
-            told: Own::default(),
-            told_versions: Versions::default(),
-            told_phase: Phase::Starting,
+            told: Told::default(),
             behind_since_ms: None,
             is_fetching: false,
         };
@@ -171,7 +168,7 @@
         fronts.extend(others.fronts);
         let mut places = BTreeMap::new();
         for beat in board.peers.remembered(REMEMBER_MS, now_ms) {
-            places.extend(beat.places.iter().cloned());
+            places.extend(beat.own.places.iter().cloned());
         }
         let before = self.shared.view.load();
         let is_same_fleet = before.fleet.upstreams == board.fleet.upstreams;
@@ -189,8 +186,7 @@
             places: Arc::new(places),
         };
         drop(before);
-        let has_news =
-            Control::versions(&board) != board.told_versions || board.phase != board.told_phase;
+        let has_news = board.told.is_old(Control::versions(&board), board.phase);
         drop(board);
         self.shared.view.store(Arc::new(view));
         if has_news {
@@ -241,21 +237,20 @@
             let domain = Arc::clone(&beat.from.domain);
             self.fronts.push(Front { addr: beat.from.front_addr, domain });
         }
-        for held in &beat.held {
-            let upstream = Arc::clone(&held.upstream);
-            let nothing = || Held { upstream, runs: 0, copies: 0, reading: 0 };
-            let sum = self.held.entry(Arc::clone(&held.upstream)).or_insert_with(nothing);
+        for held in &beat.own.held {
+            let sum = self.held.entry(Arc::clone(&held.upstream));
+            let sum = sum.or_insert_with(|| Held::nothing(Arc::clone(&held.upstream)));
             sum.runs += held.runs;
             sum.copies += held.copies;
             sum.reading += held.reading;
         }
-        for sent in &beat.sent {
+        for sent in &beat.own.sent {
             let service = Arc::clone(&sent.service);
             let nothing = || Sent { service, requests: 0, repeats: 0 };
             let sum = self.sent.entry(Arc::clone(&sent.service)).or_insert_with(nothing);
             sum.requests += sent.requests;
             sum.repeats += sent.repeats;
         }
-        self.lost.extend(beat.lost.iter().cloned());
+        self.lost.extend(beat.own.lost.iter().cloned());
     }
 }
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -7,7 +7,7 @@
 
 use tokio::net::UdpSocket;
 
-use super::super::peers::{BEAT_MS, Beat, Held, Message, Phase, Update};
+use super::super::peers::{BEAT_MS, Beat, Message, Phase, Update};
 use super::Control;
 
 /// How long news of traffic gather before peers hear of them: a burst of placements or losses
@@ -57,57 +57,31 @@
         let own = self.shared.own();
         let mut board = self.board.borrow_mut();
         board.messages += 1;
-        board.told = own.clone();
-        board.told_versions = Control::versions(&board);
-        board.told_phase = board.phase;
+        board.told.note_beat(&own);
         Beat {
             from: self.me.clone(),
             count: board.messages,
             phase: board.phase,
-            versions: board.told_versions,
-            sent: own.sent,
-            held: own.held,
-            lost: own.lost,
-            places: own.places,
+            versions: Control::versions(&board),
+            own,
         }
     }
 
-    /// What changed since the last message, if anything did.
+    /// What changed since the last update, if anything did.
     pub(super) fn update(&self) -> Option<Update> {
         let own = self.shared.own();
         let mut board = self.board.borrow_mut();
         let versions = Control::versions(&board);
-        let mut held: Vec<Held> =
-            own.held.iter().filter(|held| !board.told.held.contains(held)).cloned().collect();
-        for before in &board.told.held {
-            if own.held.iter().all(|held| held.upstream != before.upstream) {
-                let upstream = Arc::clone(&before.upstream);
-                held.push(Held { upstream, runs: 0, copies: 0, reading: 0 });
-            }
-        }
-        let is_new = |id: &&Arc<str>| !board.told.lost.contains(id);
-        let lost: Vec<Arc<str>> = own.lost.iter().filter(is_new).cloned().collect();
-        let is_new = |place: &&(u64, Arc<str>)| !board.told.places.contains(place);
-        let places: Vec<(u64, Arc<str>)> = own.places.iter().filter(is_new).cloned().collect();
-        let is_same = held.is_empty() && lost.is_empty() && places.is_empty();
-        if is_same && versions == board.told_versions && board.phase == board.told_phase {
-            return None;
-        }
-        let sent = (own.sent != board.told.sent).then(|| own.sent.clone());
+        let phase = board.phase;
+        let news = board.told.take(own, versions, phase)?;
         board.messages += 1;
-        board.told = own;
-        board.told_versions = versions;
-        board.told_phase = board.phase;
         Some(Update {
-            phase: board.phase,
             id: Arc::clone(&self.me.id),
             incarnation: self.me.incarnation,
             count: board.messages,
+            phase,
             versions,
-            sent,
-            held,
-            lost,
-            places,
+            news,
         })
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod front;
 pub mod instance;
 pub mod metrics;
+pub mod news;
 pub mod peers;
 pub mod placement;
 pub mod route;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::instance::Registration;
+use super::news::{News, Own};
 use crate::decide::Random;
 
 /// The time between two beats of an instance: three lost in a row are noticed within a second.
@@ -27,9 +28,10 @@
 const FORGET_MS: u64 = 60_000;
 
 /// Whether an instance takes callers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     /// It doesn't know enough yet.
+    #[default]
     Starting,
     /// It does.
     Ready,
@@ -37,30 +39,6 @@
     Stopping,
 }
 
-/// What an instance has running at one upstream.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Held {
-    /// The upstream.
-    pub upstream: Arc<str>,
-    /// Requests that run there.
-    pub runs: u32,
-    /// Copies of runs that lie there.
-    pub copies: u32,
-    /// Prompts that it is reading.
-    pub reading: u32,
-}
-
-/// What an instance sent to a service in the window of the budget of repeats.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Sent {
-    /// The service.
-    pub service: Arc<str>,
-    /// Requests of callers.
-    pub requests: u64,
-    /// Repeats.
-    pub repeats: u64,
-}
-
 /// What an instance knows, by versions that only grow.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
@@ -94,14 +72,8 @@
     pub phase: Phase,
     /// What it knows.
     pub versions: Versions,
-    /// What it has running where that changed; nothing runs where all counts are 0.
-    pub held: Vec<Held>,
-    /// What it sent lately, if that changed.
-    pub sent: Option<Vec<Sent>>,
-    /// Upstreams that it lost.
-    pub lost: Vec<Arc<str>>,
-    /// Which engine read a prompt.
-    pub places: Vec<(u64, Arc<str>)>,
+    /// What changed in its traffic.
+    pub news: News,
 }
 
 /// Everything that an instance tells its peers.
@@ -115,15 +87,8 @@
     pub phase: Phase,
     /// What it knows.
     pub versions: Versions,
-    /// What it sent lately.
-    pub sent: Vec<Sent>,
-    /// What it has running at model engines.
-    pub held: Vec<Held>,
-    /// Upstreams that it lost in the last moments.
-    pub lost: Vec<Arc<str>>,
-    /// Which engine read a prompt, by the hash of its last part: a caller whose instance died goes
-    /// on at another one, which sends it where the prompt is still in memory.
-    pub places: Vec<(u64, Arc<str>)>,
+    /// What its traffic has to tell.
+    pub own: Own,
 }
 
 /// A peer as it was last heard.
@@ -183,17 +148,7 @@
         beat.count = update.count;
         beat.versions = update.versions;
         beat.phase = update.phase;
-        for held in update.held {
-            beat.held.retain(|known| known.upstream != held.upstream);
-            if held.runs + held.copies + held.reading > 0 {
-                beat.held.push(held);
-            }
-        }
-        if let Some(sent) = update.sent {
-            beat.sent = sent;
-        }
-        beat.lost.extend(update.lost);
-        beat.places.extend(update.places);
+        beat.own.take(update.news);
         true
     }
 
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -20,11 +20,11 @@
 use super::dialect::Dialect;
 use super::fleet::Fleet;
 use super::metrics::Metrics;
-use super::peers::{Held, Sent};
+use super::news::{Held, Own, Sent};
 use super::placement::{self, Candidate, Wish};
 use super::route::Repeat;
 use super::settings::Settings;
-use super::view::{Own, Shared, View};
+use super::view::{Shared, View};
 use super::worker::Worker;
 use crate::clock::Clock;
 
@@ -221,6 +221,12 @@
 
     /// Has peers hear at once what runs here and what was lost.
     pub fn tell_peers(&self) {
+        self.note_own();
+        self.shared.news.notify_one();
+    }
+
+    /// Notes what runs here and what was lost, for the next beat.
+    fn note_own(&self) {
         let mut own = Own::default();
         let places = self.places.borrow();
         own.places = places.iter().map(|(part, at)| (*part, Arc::clone(&at.upstream))).collect();
@@ -238,12 +244,11 @@
                 copies: worker.copies.get(),
                 reading: worker.reading.get(),
             };
-            if held.runs + held.copies > 0 {
+            if !held.is_nothing() {
                 own.held.push(held);
             }
         }
         self.shared.set_own(own);
-        self.shared.news.notify_one();
     }
 
     /// How many prompts an engine is reading, as far as known.
@@ -288,5 +293,7 @@
                 self.start_probe(&worker);
             }
         }
+        // What has ended since the last update can wait for a beat.
+        self.note_own();
     }
 }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -8,7 +8,8 @@
 use tokio::sync::Notify;
 
 use super::fleet::Fleet;
-use super::peers::{Held, Phase, Sent};
+use super::news::{Held, Own, Sent};
+use super::peers::Phase;
 use super::route::Config;
 
 /// An immutable picture of what is known.
@@ -54,19 +55,6 @@
     own: Mutex<Own>,
 }
 
-/// What this instance's traffic tells its peers.
-#[derive(Debug, Clone, Default)]
-pub struct Own {
-    /// What it has running at model engines.
-    pub held: Vec<Held>,
-    /// Upstreams that it lost in the last moments.
-    pub lost: Vec<Arc<str>>,
-    /// Which engine read a prompt, by the hash of its last part.
-    pub places: Vec<(u64, Arc<str>)>,
-    /// What it sent lately.
-    pub sent: Vec<Sent>,
-}
-
 impl Shared {
     /// Nothing known yet.
     pub fn new() -> Arc<Shared> {
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -6,6 +6,7 @@
 use siskinrock::gateway::events::Splitter;
 use siskinrock::gateway::fleet::{Change, Fleet, Upstream};
 use siskinrock::gateway::instance::Registration;
+use siskinrock::gateway::news::{Held, News, Own, Told};
 use siskinrock::gateway::peers::{Beat, Peers, Phase, Update, Versions};
 use siskinrock::gateway::placement::{Candidate, Wish, choose};
 use siskinrock::platform::document;
@@ -164,10 +165,7 @@
         count,
         phase: Phase::Ready,
         versions: Versions { config: count, fleet: 0, is_first_hand: true },
-        sent: Vec::new(),
-        held: Vec::new(),
-        lost: Vec::new(),
-        places: Vec::new(),
+        own: Own::default(),
     }
 }
 
@@ -182,21 +180,49 @@
         count,
         phase: Phase::Stopping,
         versions: Versions::default(),
-        held: Vec::new(),
-        sent: None,
-        lost: vec!["e1".into()],
-        places: Vec::new(),
+        news: News { lost: vec!["e1".into()], ..News::default() },
     };
     assert!(!peers.update(update("b", 9), 200));
     assert!(!peers.update(update("a", 5), 200));
     assert!(peers.update(update("a", 6), 200));
     let known: Vec<&Beat> = peers.alive(300).collect();
     assert_eq!(known[0].phase, Phase::Stopping);
-    assert_eq!(known[0].lost, [Arc::from("e1")]);
+    assert_eq!(known[0].own.lost, [Arc::from("e1")]);
     assert_eq!(peers.alive(5_000).count(), 0, "a silent peer is not alive");
     assert_eq!(peers.remembered(10_000, 5_000).count(), 1, "what it told is remembered");
 }
 
+fn held(upstream: &str, runs: u32) -> Held {
+    Held { runs, ..Held::nothing(upstream.into()) }
+}
+
+/// A beat reaches a few peers; the others must hear the same news by the next update.
+#[test]
+fn what_only_a_beat_told_is_still_news() {
+    let versions = Versions { config: 2, ..Versions::default() };
+    let mut told = Told::default();
+    let own = Own { held: vec![held("e1", 1)], lost: vec!["e9".into()], ..Own::default() };
+    told.note_beat(&own);
+    let news = told.take(own.clone(), versions, Phase::Ready).expect("most peers know nothing");
+    assert_eq!(news.held, own.held);
+    assert_eq!(news.lost, own.lost);
+    assert_eq!(told.take(own, versions, Phase::Ready), None);
+}
+
+#[test]
+fn what_a_beat_named_and_has_ended_is_told_too() {
+    let versions = Versions::default();
+    let mut told = Told::default();
+    told.take(Own::default(), versions, Phase::Ready);
+    told.note_beat(&Own { held: vec![held("e1", 1)], ..Own::default() });
+    let now = Own { held: vec![held("e2", 1)], ..Own::default() };
+    let news = told.take(now, versions, Phase::Ready).expect("both changed");
+    assert_eq!(news.held, [held("e2", 1), held("e1", 0)]);
+    let mut heard = Own { held: vec![held("e1", 1)], ..Own::default() };
+    heard.take(news);
+    assert_eq!(heard.held, [held("e2", 1)]);
+}
+
 #[test]
 fn two_instances_a_domain_watch_and_one_is_always_left() {
     let mut peers = Peers::default();
