Keep copies out of their runs' failure domains, and use them before the first event

Their logs show copies in the run's own failure domain: a domain in which a run ever lost an engine was avoided for good, engines of a domain of which half had crashed stayed doubtful for four seconds, and of three domains none was left. A copy in a doubtful domain was dropped and made anew (824 times). A run lost while its prompt was read began from the start, although the copy grows from the prompt on (60 of 478 losses). Losses are a pure type. Tests, red with the old code: streams::a_stream_lost_before_its_first_event_goes_on_from_its_copy; decisions::a_copy_keeps_away_from_its_run, a_falling_domain_makes_its_engines_doubtful_for_a_moment.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub mod fleet;
 pub mod front;
 pub mod instance;
+pub mod losses;
 pub mod metrics;
 pub mod news;
 pub mod peers;
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -124,9 +124,8 @@
     }
 
     fn news(&self, own: &Own) -> News {
-        let is_changed = |held: &&Held| {
-            self.in_beats.contains(&held.upstream) || !self.own.held.contains(held)
-        };
+        let is_changed =
+            |held: &&Held| self.in_beats.contains(&held.upstream) || !self.own.held.contains(held);
         let mut held: Vec<Held> = own.held.iter().filter(is_changed).cloned().collect();
         let told = self.own.held.iter().map(|held| &held.upstream);
         let named: BTreeSet<&Arc<str>> = told.chain(&self.in_beats).collect();
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -44,6 +44,8 @@
     pub not: Vec<Arc<str>>,
     /// Failure domains to keep away from, if others can take it.
     pub not_domains: Vec<Arc<str>>,
+    /// The failure domain of a run whose copy is placed: there, the copy falls with the run.
+    pub apart_from: Option<Arc<str>>,
     /// The failure domain that costs least.
     pub near: Option<Arc<str>>,
 }
@@ -94,8 +96,11 @@
     if wish.not_domains.contains(&candidate.domain) {
         cost += LAST_RESORT;
     }
-    if candidate.is_suspect {
+    if wish.apart_from.as_ref() == Some(&candidate.domain) {
         cost += 2.0 * LAST_RESORT;
     }
+    if candidate.is_suspect {
+        cost += 4.0 * LAST_RESORT;
+    }
     cost
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -36,6 +36,10 @@
 const FIRST_QUIET_MS: u64 = 900;
 /// The wait before another look when no engine takes work in the middle of an answer.
 const LOOK_AGAIN_MS: u64 = 50;
+/// How long a run keeps away from a failure domain in which it lost an engine: engines that crashed
+/// are back after about 1.2 s, and with one domain of three left out for longer, the copies of the
+/// next loss lie where their runs are.
+const AVOID_MS: u64 = 1_500;
 /// The priority of a run that goes on, before all new ones.
 const RESUMED_PRIORITY: u8 = 0;
 /// The lowest priority that engines know.
@@ -86,7 +90,7 @@
     sent: u32,
     stuck_moves: u32,
     left: Vec<Arc<str>>,
-    lost_domains: Vec<Arc<str>>,
+    lost_domains: Vec<(Arc<str>, u64)>,
     copy: Option<CopyAt>,
     copying: Option<oneshot::Receiver<Option<NewCopy>>>,
     copy_again_ms: u64,
@@ -160,6 +164,7 @@
                 slog::info!(self.traffic.log, "engine did not run it"; "request" => self.job.id(),
                     "upstream" => &**id, "was_sent" => was_sent, "why" => why);
                 self.left.push(Arc::clone(id));
+                self.copy = None;
                 if was_sent && self.sent >= self.job.route.max_attempts {
                     self.give_up(Failure::Full);
                     return false;
@@ -179,7 +184,7 @@
                     "last_event" => self.last_event, "quiet_ms" => now_ms - self.last_event_ms);
                 self.may_have_run = true;
                 if engine_gone {
-                    self.lost_domains.push(Arc::clone(&worker.upstream.domain));
+                    self.lost_domains.push((Arc::clone(&worker.upstream.domain), now_ms));
                     // What ended by itself doesn't count among the attempts.
                     self.sent = self.sent.saturating_sub(1).max(1);
                 }
@@ -200,7 +205,7 @@
     fn place(&mut self) -> Option<(Rc<Worker>, Option<Copy>)> {
         self.take_finished_copy(self.traffic.now_ms());
         if let Some(copy) = self.copy.take()
-            && self.is_fit(&copy.worker)
+            && self.keeps_copy(&copy.worker)
         {
             return Some((copy.worker, Some(copy.name)));
         }
@@ -212,12 +217,20 @@
         }
         let wish = Wish {
             not: self.left.clone(),
-            not_domains: self.lost_domains.clone(),
+            not_domains: self.lost_domains(),
+            apart_from: None,
             near: Some(Arc::clone(&self.traffic.settings.domain)),
         };
         self.traffic.choose(&self.job.service, &wish).map(|worker| (worker, None))
     }
 
+    /// Failure domains in which the run lost an engine a moment ago.
+    fn lost_domains(&self) -> Vec<Arc<str>> {
+        let now_ms = self.traffic.now_ms();
+        let recent = self.lost_domains.iter().filter(|(_, at_ms)| at_ms + AVOID_MS > now_ms);
+        recent.map(|(domain, _)| Arc::clone(domain)).collect()
+    }
+
     /// The prompt's last part, which is the request's own, as a number.
     fn part(&self) -> Option<u64> {
         self.job.demand.prompt_part.as_ref().map(|part| xxh3_64(part.as_bytes()))
@@ -259,6 +272,7 @@
             traffic.note_place(part, worker);
         }
         traffic.tell_peers();
+        self.note_copy(copy);
         let response = match self.wait_for_head(worker, &mut lease, request, &mut silences).await {
             Ok(response) => response,
             Err(outcome) => return outcome,
@@ -272,12 +286,6 @@
         if status != 200 {
             return self.pass_on_failure(worker, lease, response, &marks).await;
         }
-        self.copy = copy.map(|worker| CopyAt {
-            name: Copy { addr: worker.upstream.addr, name: Arc::from(self.job.id()) },
-            renew_ms: None,
-            _count: worker.count(What::Copy),
-            worker,
-        });
         let body = self.open_body(response);
         self.relay(worker, lease, body, marks, silences, reading).await
     }
@@ -386,6 +394,7 @@
         if self.body.is_some() || (can_repeat && !is_last) || matches!(status, 408 | 429 | 503) {
             return lost(format!("status {status}"), false);
         }
+        self.copy = None;
         let headers = front::end_to_end(response.headers().clone());
         let Ok(body) = response.into_body().collect().await else {
             return lost(format!("status {status} with a broken body"), false);
--- a/src/gateway/stream/copy.rs
+++ b/src/gateway/stream/copy.rs
@@ -42,16 +42,18 @@
     let limit = Duration::from_millis(COPY_TIMEOUT_MS);
     let asked = traffic.ask(&source, Method::POST, path, body);
     let answered = tokio::time::timeout(limit, asked).await.ok().flatten();
+    let status = answered.as_ref().map(|(status, _)| *status);
     let name = answered.filter(|(status, _)| *status == 200);
     let name = name.and_then(|(_, body)| traffic.dialect.copy_name(&body));
     slog::info!(traffic.log, "run copied"; "request" => &*id, "from" => &*source.upstream.id,
-        "to" => &*target.upstream.id, "done" => name.is_some());
+        "to" => &*target.upstream.id, "domain" => &*target.upstream.domain,
+        "done" => name.is_some(), "status" => status);
     let copy = Copy { addr: source.upstream.addr, name: name? };
     Some((target, copy))
 }
 
 impl Run {
-    /// Whether a copy at an engine can still be used.
+    /// Whether an engine can take a run or a new copy.
     pub(super) fn is_fit(&self, worker: &Worker) -> bool {
         let now_ms = self.traffic.now_ms();
         self.traffic.takes_work(&worker.upstream.id) && !self.traffic.is_doubtful(worker, now_ms)
@@ -65,39 +67,54 @@
         }
         let mut not = self.left.clone();
         not.push(Arc::clone(&worker.upstream.id));
-        let mut not_domains = self.lost_domains.clone();
-        not_domains.push(Arc::clone(&worker.upstream.domain));
-        let wish = Wish { not, not_domains, near: None };
+        let wish = Wish {
+            not,
+            not_domains: self.lost_domains(),
+            apart_from: Some(Arc::clone(&worker.upstream.domain)),
+            near: None,
+        };
         let chosen = self.traffic.choose(&self.job.service, &wish)?;
         self.is_fit(&chosen).then_some(chosen)
     }
 
-    /// Has the run's memory copied to another engine if the copy's engine is lost or leaves, or if
-    /// such a copy, which doesn't grow by itself, gets old.
+    /// Whether the copy at an engine can still be used: it may be in doubt, which a question
+    /// settles for less than a new copy costs.
+    pub(super) fn keeps_copy(&self, worker: &Worker) -> bool {
+        let now_ms = self.traffic.now_ms();
+        self.traffic.takes_work(&worker.upstream.id) && !self.traffic.is_lost(worker, now_ms)
+    }
+
+    /// Notes the engine to which the run's memory is copied as it grows, from the prompt on: a run
+    /// that is lost before its first event then reads only what had not arrived.
+    pub(super) fn note_copy(&mut self, worker: Option<Rc<Worker>>) {
+        self.copy = worker.map(|worker| CopyAt {
+            name: Copy { addr: worker.upstream.addr, name: Arc::from(self.job.id()) },
+            renew_ms: None,
+            _count: worker.count(What::Copy),
+            worker,
+        });
+    }
+
+    /// Has the run's memory copied to another engine if the copy's engine is lost, leaves or lies
+    /// in the run's own failure domain, or if such a copy, which doesn't grow by itself, gets old.
     pub(super) fn keep_copy(&mut self, worker: &Rc<Worker>) {
         let now_ms = self.traffic.now_ms();
         self.take_finished_copy(now_ms);
         if self.copying.is_some() {
             return;
         }
-        let target = match &self.copy {
-            Some(copy) if !self.is_fit(&copy.worker) => {
-                slog::info!(self.traffic.log, "copy lost"; "request" => self.job.id(),
-                    "upstream" => &*copy.worker.upstream.id);
-                self.copy = None;
-                None
-            }
-            Some(copy) if copy.renew_ms.is_some_and(|renew_ms| renew_ms <= now_ms) => {
-                Some(Rc::clone(&copy.worker))
-            }
-            Some(_) => return,
-            None => None,
-        };
+        if let Some(copy) = &self.copy
+            && !self.keeps_copy(&copy.worker)
+        {
+            slog::info!(self.traffic.log, "copy lost"; "request" => self.job.id(),
+                "upstream" => &*copy.worker.upstream.id);
+            self.copy = None;
+        }
         if now_ms < self.copy_again_ms || !self.can_move() {
             return;
         }
+        let Some(target) = self.copy_target(worker, now_ms) else { return };
         self.copy_again_ms = now_ms + COPY_PAUSE_MS;
-        let Some(target) = target.or_else(|| self.place_copy(worker)) else { return };
         let (tell, copied) = oneshot::channel();
         self.copying = Some(copied);
         let id: Arc<str> = Arc::from(self.job.id());
@@ -108,6 +125,17 @@
         });
     }
 
+    /// Where the run's memory should be copied to now, if anywhere.
+    fn copy_target(&self, worker: &Worker, now_ms: u64) -> Option<Rc<Worker>> {
+        let Some(copy) = &self.copy else { return self.place_copy(worker) };
+        if copy.worker.upstream.domain == worker.upstream.domain {
+            let better = self.place_copy(worker);
+            return better.filter(|better| better.upstream.domain != worker.upstream.domain);
+        }
+        let is_old = copy.renew_ms.is_some_and(|renew_ms| renew_ms <= now_ms);
+        is_old.then(|| Rc::clone(&copy.worker))
+    }
+
     /// Takes in a copy that was made by a call meanwhile.
     pub(super) fn take_finished_copy(&mut self, now_ms: u64) {
         let Some(copying) = &mut self.copying else { return };
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -14,11 +14,11 @@
 use hyper::{Method, Request};
 use tokio::sync::watch;
 
-use self::losses::Loss;
 use self::places::Place;
 use super::budget::{Bound, Budget};
 use super::dialect::Dialect;
 use super::fleet::Fleet;
+use super::losses::Losses;
 use super::metrics::Metrics;
 use super::news::{Held, Own, Sent};
 use super::placement::{self, Candidate, Wish};
@@ -61,7 +61,7 @@
     budgets: RefCell<BTreeMap<Arc<str>, Budget>>,
     recalled: RefCell<BTreeMap<Arc<str>, watch::Receiver<bool>>>,
     probes: RefCell<BTreeMap<Arc<str>, watch::Receiver<Option<bool>>>>,
-    losses: RefCell<BTreeMap<Arc<str>, Loss>>,
+    losses: RefCell<Losses>,
 }
 
 impl Traffic {
@@ -234,9 +234,7 @@
             let (requests, repeats) = budget.sums();
             own.sent.push(Sent { service: Arc::clone(service), requests, repeats });
         }
-        let losses = self.losses.borrow();
-        let own_losses = losses.iter().filter(|(_, loss)| loss.is_own);
-        own.lost.extend(own_losses.map(|(id, _)| Arc::clone(id)));
+        own.lost = self.losses.borrow().own();
         for worker in self.workers.borrow().values() {
             let held = Held {
                 upstream: Arc::clone(&worker.upstream.id),
@@ -277,8 +275,8 @@
         }
     }
 
-    /// Closes what was idle too long, and asks upstreams that others lost and that have work of
-    /// ours.
+    /// Closes what was idle too long, and asks upstreams that others lost and that have work or
+    /// copies of ours.
     pub fn sweep(self: &Rc<Traffic>) {
         let view = self.view();
         let now_ms = self.now_ms();
@@ -288,8 +286,9 @@
         for worker in workers {
             worker.sweep(now_ms);
             let is_asked = self.probes.borrow().contains_key(&worker.upstream.id);
-            let has_work = worker.runs.get() > 0 && !worker.is_lost(now_ms);
-            if has_work && !is_asked && self.is_doubtful(&worker, now_ms) {
+            let has_stake = worker.runs.get() + worker.copies.get() > 0;
+            let is_open = has_stake && !worker.is_lost(now_ms);
+            if is_open && !is_asked && self.is_doubtful(&worker, now_ms) {
                 self.start_probe(&worker);
             }
         }
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -1,4 +1,4 @@
-//! Lost upstreams, as signs for themselves and for their failure domains.
+//! Asking upstreams whether they live, and what follows when they don't.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -10,6 +10,8 @@
 use tokio::sync::watch;
 
 use super::super::channel;
+use super::super::fleet::Upstream;
+use super::super::losses::{Loss, Subject};
 use super::super::view::View;
 use super::super::worker::Worker;
 use super::Traffic;
@@ -17,20 +19,6 @@
 /// How long an engine's state may take to arrive: it needs no slot, so it comes in a round trip,
 /// and a resumption has to fit into the rest of the allowed pause.
 const STATE_TIMEOUT_MS: u64 = 130;
-/// How long a loss counts as a sign for its failure domain, and peers are told of it: the list of
-/// upstreams drops what is gone within this time.
-const LOSS_COUNTS_MS: u64 = 4_000;
-/// So many upstreams of a service lost in one failure domain make the others there suspect.
-const DOMAIN_LOSSES: usize = 3;
-
-/// An upstream that was lost.
-#[derive(Debug, Clone)]
-pub(super) struct Loss {
-    pub(super) service: Arc<str>,
-    pub(super) domain: Arc<str>,
-    pub(super) at_ms: u64,
-    pub(super) is_own: bool,
-}
 
 impl Traffic {
     /// Asks an engine for its state, to learn whether it lives; one question at a time serves all.
@@ -88,13 +76,7 @@
         if !is_new {
             return;
         }
-        let loss = Loss {
-            service: Arc::clone(&worker.upstream.service),
-            domain: Arc::clone(&worker.upstream.domain),
-            at_ms: now_ms,
-            is_own: true,
-        };
-        self.losses.borrow_mut().insert(Arc::clone(&worker.upstream.id), loss);
+        self.losses.borrow_mut().note(&worker.upstream.id, loss_of(worker, now_ms, true));
         self.tell_peers();
         self.metrics.count("upstreams_lost");
         slog::warn!(self.log, "upstream lost"; "upstream" => &*worker.upstream.id,
@@ -125,37 +107,37 @@
         now_ms: u64,
     ) {
         let mut losses = self.losses.borrow_mut();
-        losses.retain(|id, loss| {
-            let is_final = workers.get(id).is_some_and(|worker| worker.is_replaced());
-            is_final || loss.at_ms + LOSS_COUNTS_MS > now_ms
-        });
+        let is_final = |id: &str| workers.get(id).is_some_and(|worker| worker.is_replaced());
+        losses.forget(now_ms, is_final);
         for id in view.lost.iter() {
             let Some(worker) = workers.get(id) else { continue };
-            losses.entry(Arc::clone(id)).or_insert_with(|| Loss {
-                service: Arc::clone(&worker.upstream.service),
-                domain: Arc::clone(&worker.upstream.domain),
-                at_ms: now_ms,
-                is_own: false,
-            });
+            losses.hear(id, loss_of(worker, now_ms, false));
         }
     }
 
-    /// Whether an upstream, or so much of its failure domain that it is likely, was lost since it
-    /// last showed that it lives.
+    /// Whether an upstream was lost or broke off since it last showed that it lives, as this
+    /// instance or a peer found.
+    pub fn is_lost(&self, worker: &Worker, now_ms: u64) -> bool {
+        worker.is_suspect(now_ms) || self.losses.borrow().is_lost(subject(worker))
+    }
+
+    /// Whether an upstream was lost, or so much of its failure domain that it is likely.
     pub fn is_doubtful(&self, worker: &Worker, now_ms: u64) -> bool {
-        if worker.is_suspect(now_ms) {
-            return true;
-        }
-        let losses = self.losses.borrow();
-        let alive_ms = worker.alive_ms();
-        if losses.get(&worker.upstream.id).is_some_and(|loss| loss.at_ms >= alive_ms) {
-            return true;
-        }
-        let beside = |loss: &&Loss| {
-            loss.domain == worker.upstream.domain
-                && loss.service == worker.upstream.service
-                && loss.at_ms >= alive_ms
-        };
-        losses.values().filter(beside).count() >= DOMAIN_LOSSES
+        let is_falling = || self.losses.borrow().is_domain_falling(subject(worker), now_ms);
+        self.is_lost(worker, now_ms) || is_falling()
+    }
+}
+
+fn loss_of(worker: &Worker, at_ms: u64, is_own: bool) -> Loss {
+    let Upstream { service, domain, .. } = &worker.upstream;
+    Loss { service: Arc::clone(service), domain: Arc::clone(domain), at_ms, is_own }
+}
+
+fn subject(worker: &Worker) -> Subject<'_> {
+    Subject {
+        id: &worker.upstream.id,
+        service: &worker.upstream.service,
+        domain: &worker.upstream.domain,
+        alive_ms: worker.alive_ms(),
     }
 }
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -48,6 +48,8 @@
     /// Runs of this engine and copies that lie here, by request, with the events made.
     runs: BTreeMap<String, u64>,
     copies: BTreeMap<String, u64>,
+    /// How long a prompt takes that isn't in memory.
+    read_ms: u64,
     /// Parts of prompts that lie in memory.
     kept: BTreeSet<String>,
     working: usize,
@@ -69,7 +71,7 @@
 
 /// How many events a stream has.
 pub const EVENTS: u64 = 20;
-/// How long a prompt takes that isn't in memory.
+/// How long a prompt takes at first.
 const READ_MS: u64 = 60;
 
 /// The text of one event of a request: whoever mixes requests up is found out.
@@ -80,7 +82,8 @@
 impl EngineFake {
     /// Starts one.
     pub async fn start(id: &str, step_ms: u64) -> EngineFake {
-        let state: Arc<Mutex<State>> = Arc::default();
+        let state = State { read_ms: READ_MS, ..State::default() };
+        let state = Arc::new(Mutex::new(state));
         let changed = Arc::new(watch::Sender::new(0));
         let peers: Arc<Mutex<Vec<EngineFake>>> = Arc::default();
         let mut fake = EngineFake {
@@ -121,6 +124,11 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Takes so long for each prompt from now on.
+    pub fn read_for(&self, read_ms: u64) {
+        self.lock().read_ms = read_ms;
+    }
+
     /// What it was asked.
     pub fn seen(&self) -> Vec<Seen> {
         self.lock().seen.clone()
@@ -236,8 +244,13 @@
         let last = request.header("last-event-id").and_then(|last| last.parse::<u64>().ok());
         let part = part_of(request);
         self.lock().kept.insert(part.clone());
+        self.note_copy(request, id, last.unwrap_or(0));
         if !has_copy {
-            self.pause(READ_MS, connection).await?;
+            let read_ms = self.lock().read_ms;
+            self.pause(read_ms, connection).await?;
+        }
+        if self.lock().fault == Fault::Torn {
+            return Err(std::io::ErrorKind::ConnectionAborted.into());
         }
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\n\
@@ -265,6 +278,10 @@
     /// Notes an event, here and where the copy grows.
     fn note_progress(&self, request: &Message, id: &str, number: u64) {
         self.lock().runs.insert(id.to_owned(), number);
+        self.note_copy(request, id, number);
+    }
+
+    fn note_copy(&self, request: &Message, id: &str, number: u64) {
         let Some(target) = request.header("x-kv-backup") else { return };
         for peer in self.peers.lock().expect("no holder panics").iter() {
             if peer.addr.to_string() == target {
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -6,6 +6,7 @@
 use siskinrock::gateway::events::Splitter;
 use siskinrock::gateway::fleet::{Change, Fleet, Upstream};
 use siskinrock::gateway::instance::Registration;
+use siskinrock::gateway::losses::{Loss, Losses, Subject};
 use siskinrock::gateway::news::{Held, News, Own, Told};
 use siskinrock::gateway::peers::{Beat, Peers, Phase, Update, Versions};
 use siskinrock::gateway::placement::{Candidate, Wish, choose};
@@ -192,6 +193,66 @@
     assert_eq!(peers.remembered(10_000, 5_000).count(), 1, "what it told is remembered");
 }
 
+/// A copy falls with its run if it lies in the same failure domain, so a domain that lost engines
+/// a moment ago is better, and only engines that are likely gone are worse.
+#[parameterized(
+    apart_from_the_run = { &["own", "lost", "clean"], "clean" },
+    rather_where_engines_were_lost = { &["own", "lost"], "lost" },
+    rather_in_its_own_domain = { &["own", "gone"], "own" },
+    only_one = { &["gone"], "gone" },
+)]
+fn a_copy_keeps_away_from_its_run(names: &[&str], expected: &str) {
+    let mut candidates: Vec<Candidate> =
+        names.iter().map(|name| candidate(name, name, 0.0)).collect();
+    candidates.iter_mut().for_each(|known| known.is_suspect = &*known.id == "gone");
+    let wish = Wish {
+        not_domains: vec!["lost".into()],
+        apart_from: Some("own".into()),
+        ..Wish::default()
+    };
+    let chosen = choose(&candidates, &wish, &mut fastrand::Rng::new());
+    assert_eq!(&*candidates[chosen.unwrap()].id, expected);
+}
+
+fn loss(at_ms: u64, is_own: bool) -> Loss {
+    Loss { service: "plan".into(), domain: "hall".into(), at_ms, is_own }
+}
+
+fn subject(id: &str, alive_ms: u64) -> Subject<'_> {
+    Subject { id, service: "plan", domain: "hall", alive_ms }
+}
+
+#[test]
+fn a_falling_domain_makes_its_engines_doubtful_for_a_moment() {
+    let mut losses = Losses::default();
+    losses.note(&"a".into(), loss(1_000, true));
+    losses.hear(&"b".into(), loss(1_010, false));
+    assert!(!losses.is_domain_falling(subject("x", 0), 1_020), "two may fail by chance");
+    losses.hear(&"c".into(), loss(1_020, false));
+    assert!(losses.is_domain_falling(subject("x", 0), 1_020));
+    assert!(!losses.is_domain_falling(subject("x", 1_015), 1_020), "it answered meanwhile");
+    assert!(!losses.is_domain_falling(Subject { domain: "far", ..subject("x", 0) }, 1_020));
+    assert!(
+        !losses.is_domain_falling(subject("x", 0), 2_000),
+        "whoever is not found lost by now lives: half a domain may fall, and the rest is needed"
+    );
+    assert!(losses.is_lost(subject("a", 0)), "what was lost stays lost until it answers");
+    assert!(!losses.is_lost(subject("a", 1_500)));
+    assert!(!losses.is_lost(subject("x", 0)));
+}
+
+#[test]
+fn only_own_losses_are_told_and_old_ones_are_forgotten() {
+    let mut losses = Losses::default();
+    losses.note(&"a".into(), loss(1_000, true));
+    losses.hear(&"b".into(), loss(1_000, false));
+    losses.hear(&"a".into(), loss(3_000, false));
+    assert_eq!(losses.own(), [Arc::from("a")]);
+    losses.forget(6_000, |id| id == "b");
+    assert!(!losses.is_lost(subject("a", 0)));
+    assert!(losses.is_lost(subject("b", 0)), "another one has its address for good");
+}
+
 fn held(upstream: &str, runs: u32) -> Held {
     Held { runs, ..Held::nothing(upstream.into()) }
 }
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -51,6 +51,22 @@
     assert_eq!(from_copy.filter(|seen| seen.from_copy).count(), 1);
 }
 
+/// Reading a prompt takes a second, so a run that is lost meanwhile goes on from the copy too.
+#[tokio::test]
+async fn a_stream_lost_before_its_first_event_goes_on_from_its_copy() {
+    let running = support::start(1).await;
+    running.site.engines.iter().for_each(|engine| engine.read_for(400));
+    let sent = plan();
+    let reading = running.read_stream(&sent);
+    let first = working_engine(&running).await;
+    running.site.engines[first].fail(Fault::Torn);
+    let stream = reading.await.unwrap().unwrap();
+    assert!(stream.is_complete);
+    assert_eq!(stream.text, whole_text(&sent, 0));
+    let from_copy = running.site.engines.iter().flat_map(|engine| engine.seen());
+    assert_eq!(from_copy.filter(|seen| seen.from_copy).count(), 1);
+}
+
 #[tokio::test]
 async fn a_copy_lies_in_another_failure_domain() {
     let running = support::start(1).await;
