Introduce instances to each other, so that all know all

Change: each beat introduces one living instance, a different one each time; what is known already is newer and stays.

--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -58,12 +58,15 @@
         let mut board = self.board.borrow_mut();
         board.messages += 1;
         board.told.note_beat(&own);
+        let now_ms = self.clock.now_ms();
+        let introduced = board.peers.acquaintance(now_ms, &mut fastrand::Rng::new());
         Beat {
             from: self.me.clone(),
             count: board.messages,
             phase: board.phase,
             versions: Control::versions(&board),
             own,
+            introduced,
         }
     }
 
@@ -101,8 +104,12 @@
         }
     }
 
-    pub(super) fn hear_beat(self: &Rc<Control>, beat: Beat) {
+    pub(super) fn hear_beat(self: &Rc<Control>, mut beat: Beat) {
         let now_ms = self.clock.now_ms();
+        let introduced = beat.introduced.take().filter(|other| other.id != self.me.id);
+        if let Some(other) = introduced {
+            self.board.borrow_mut().peers.introduce(other, now_ms);
+        }
         let id = Arc::clone(&beat.from.id);
         let is_urgent = beat.phase == Phase::Stopping;
         let is_back = self.board.borrow_mut().peers.hear(beat, now_ms);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -89,6 +89,9 @@
     pub versions: Versions,
     /// What its traffic has to tell.
     pub own: Own,
+    /// Another living instance, a different one each time: few read the directory's list, and two
+    /// instances that know only a third one would else never meet.
+    pub introduced: Option<Registration>,
 }
 
 /// A peer as it was last heard.
@@ -120,6 +123,20 @@
         self.known.insert(id, Peer { beat: None, registration, heard_ms: now_ms });
     }
 
+    /// Notes a peer that another one introduces; what is known of it already is newer.
+    pub fn introduce(&mut self, registration: Registration, now_ms: u64) {
+        let id = Arc::clone(&registration.id);
+        let new = Peer { beat: None, registration, heard_ms: now_ms };
+        self.known.entry(id).or_insert(new);
+    }
+
+    /// A living peer to introduce to others.
+    pub fn acquaintance(&self, now_ms: u64, random: &mut dyn Random) -> Option<Registration> {
+        let alive: Vec<&Beat> = self.alive(now_ms).collect();
+        let index = random.below(alive.len().max(1) as u64) as usize;
+        alive.get(index).map(|beat| beat.from.clone())
+    }
+
     /// Takes in a beat; an older one of the same incarnation changes nothing. Returns whether the
     /// sender was not heard lately.
     pub fn hear(&mut self, beat: Beat, now_ms: u64) -> bool {
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -1,5 +1,6 @@
 //! The gateway's pure steps: routes, the list of upstreams, placement, repeats, peers, events.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use siskinrock::gateway::budget::{Bound, Budget};
@@ -8,7 +9,7 @@
 use siskinrock::gateway::instance::Registration;
 use siskinrock::gateway::losses::{Loss, Losses, Subject};
 use siskinrock::gateway::news::{Held, News, Own, Told};
-use siskinrock::gateway::peers::{Beat, Peers, Phase, Update, Versions};
+use siskinrock::gateway::peers::{BEAT_MS, Beat, Peers, Phase, Update, Versions};
 use siskinrock::gateway::placement::{Candidate, Wish, choose};
 use siskinrock::platform::document;
 use yare::parameterized;
@@ -167,6 +168,7 @@
         phase: Phase::Ready,
         versions: Versions { config: count, fleet: 0, is_first_hand: true },
         own: Own::default(),
+        introduced: None,
     }
 }
 
@@ -284,6 +286,45 @@
     assert_eq!(heard.held, [held("e2", 1)]);
 }
 
+/// Few instances read the directory's list, so the others must hear of each other some other way.
+#[test]
+fn instances_that_know_only_a_seed_meet_each_other() {
+    const INSTANCES: usize = 40;
+    const ROUNDS: u64 = 60;
+    let mut random = fastrand::Rng::with_seed(7);
+    let name = |index: usize| format!("i{index}");
+    let addr = |index: usize| SocketAddr::from(([10, 0, 0, index as u8], 8_000));
+    let mut all: Vec<Peers> = (0..INSTANCES).map(|_| Peers::default()).collect();
+    for round in 1..=ROUNDS {
+        let now_ms = round * BEAT_MS;
+        for sender in 0..INSTANCES {
+            let mut sent = beat(&name(sender), 1, round);
+            sent.from.peer_addr = addr(sender);
+            sent.introduced = all[sender].acquaintance(now_ms, &mut random);
+            for to in all[sender].due(&[addr(0)], addr(sender), now_ms) {
+                let SocketAddr::V4(to) = to else { unreachable!("all addresses are of version 4") };
+                let heard = &mut all[usize::from(to.ip().octets()[3])];
+                if let Some(other) = sent.introduced.clone() {
+                    heard.introduce(other, now_ms);
+                }
+                heard.hear(sent.clone(), now_ms);
+            }
+        }
+    }
+    let now_ms = ROUNDS * BEAT_MS;
+    let known: Vec<usize> = all.iter().map(|peers| peers.alive(now_ms).count()).collect();
+    assert!(known.iter().all(|known| *known >= INSTANCES - 1), "{known:?}");
+}
+
+#[test]
+fn an_introduction_replaces_nothing_that_was_heard() {
+    let mut peers = Peers::default();
+    peers.hear(beat("a", 2, 5), 100);
+    peers.introduce(registration("a", 1), 110);
+    let known = peers.alive(120).next().map(|beat| beat.from.clone());
+    assert_eq!(known, Some(registration("a", 2)));
+}
+
 #[test]
 fn two_instances_a_domain_watch_and_one_is_always_left() {
     let mut peers = Peers::default();
