Ask quiet engines sooner, and tell peers' news sooner

Cause: a dark engine was left after 383 ms (250 of quiet, 130 for its state), and a resumption takes 20 to 320 ms, so pauses came to 650 to 900 ms where 700 are allowed; news of placements took 35 ms, within which several instances chose the same engine that had just come back. Change: the question comes after 140 ms of quiet, or 270 while a prompt is read beside the run, which is known. A question that this process itself was late for is asked again. News gather for 5 ms, and traffic gets a new picture every 10 ms. The copy's place is counted from the request on, and is used from the head of the answer on.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -29,7 +29,7 @@
 use crate::clock::Clock;
 
 /// How often at the most traffic gets a new picture: peers' news come in bursts.
-const PUBLISH_MS: u64 = 20;
+const PUBLISH_MS: u64 = 10;
 /// How long what a peer told last is remembered after its death: callers come within seconds.
 const REMEMBER_MS: u64 = 10_000;
 
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -12,7 +12,7 @@
 
 /// How long news of traffic gather before peers hear of them: a burst of placements or losses
 /// comes within a few milliseconds.
-const NEWS_MS: u64 = 15;
+const NEWS_MS: u64 = 5;
 /// The longest datagram.
 const DATAGRAM_BYTES: usize = 32 << 10;
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
-use self::copy::{CopyAt, NewCopy};
+use self::copy::{CopyAt, Growing, NewCopy};
 use super::answer::{self, Answer, Cut, Part};
 use super::channel::Fault;
 use super::dialect::{Copy, Dispatch, Marks};
@@ -272,7 +272,7 @@
             traffic.note_place(part, worker);
         }
         traffic.tell_peers();
-        self.note_copy(copy);
+        let copy = copy.map(|worker| Growing { _count: worker.count(What::Copy), worker });
         let response = match self.wait_for_head(worker, &mut lease, request, &mut silences).await {
             Ok(response) => response,
             Err(outcome) => return outcome,
@@ -286,6 +286,7 @@
         if status != 200 {
             return self.pass_on_failure(worker, lease, response, &marks).await;
         }
+        self.note_copy(copy);
         let body = self.open_body(response);
         self.relay(worker, lease, body, marks, silences, reading).await
     }
--- a/src/gateway/stream/copy.rs
+++ b/src/gateway/stream/copy.rs
@@ -21,6 +21,13 @@
 /// A copy that a call has made: where it lies, and its name.
 pub(super) type NewCopy = (Rc<Worker>, Copy);
 
+/// An engine that was named for a growing copy; it holds one from the first event on.
+#[derive(Debug)]
+pub(super) struct Growing {
+    pub(super) worker: Rc<Worker>,
+    pub(super) _count: Count,
+}
+
 /// Where the copy of the run's memory lies.
 #[derive(Debug)]
 pub(super) struct CopyAt {
@@ -84,14 +91,13 @@
         self.traffic.takes_work(&worker.upstream.id) && !self.traffic.is_lost(worker, now_ms)
     }
 
-    /// Notes the engine to which the run's memory is copied as it grows, from the prompt on: a run
-    /// that is lost before its first event then reads only what had not arrived.
-    pub(super) fn note_copy(&mut self, worker: Option<Rc<Worker>>) {
-        self.copy = worker.map(|worker| CopyAt {
+    /// Notes the engine at which a copy grows since the first event.
+    pub(super) fn note_copy(&mut self, growing: Option<Growing>) {
+        self.copy = growing.map(|Growing { worker, _count }| CopyAt {
             name: Copy { addr: worker.upstream.addr, name: Arc::from(self.job.id()) },
             renew_ms: None,
-            _count: worker.count(What::Copy),
             worker,
+            _count,
         });
     }
 
@@ -110,11 +116,11 @@
                 "upstream" => &*copy.worker.upstream.id);
             self.copy = None;
         }
-        if now_ms < self.copy_again_ms || !self.can_move() {
+        if now_ms < self.copy_again_ms || !self.wants_copy(worker, now_ms) || !self.can_move() {
             return;
         }
-        let Some(target) = self.copy_target(worker, now_ms) else { return };
         self.copy_again_ms = now_ms + COPY_PAUSE_MS;
+        let Some(target) = self.copy_target(worker) else { return };
         let (tell, copied) = oneshot::channel();
         self.copying = Some(copied);
         let id: Arc<str> = Arc::from(self.job.id());
@@ -125,15 +131,21 @@
         });
     }
 
-    /// Where the run's memory should be copied to now, if anywhere.
-    fn copy_target(&self, worker: &Worker, now_ms: u64) -> Option<Rc<Worker>> {
+    /// Whether there is no copy, or one that should be elsewhere or newer.
+    fn wants_copy(&self, worker: &Worker, now_ms: u64) -> bool {
+        let Some(copy) = &self.copy else { return true };
+        let is_old = copy.renew_ms.is_some_and(|renew_ms| renew_ms <= now_ms);
+        is_old || copy.worker.upstream.domain == worker.upstream.domain
+    }
+
+    /// Where the run's memory should be copied to.
+    fn copy_target(&self, worker: &Worker) -> Option<Rc<Worker>> {
         let Some(copy) = &self.copy else { return self.place_copy(worker) };
-        if copy.worker.upstream.domain == worker.upstream.domain {
-            let better = self.place_copy(worker);
-            return better.filter(|better| better.upstream.domain != worker.upstream.domain);
+        if copy.worker.upstream.domain != worker.upstream.domain {
+            return Some(Rc::clone(&copy.worker));
         }
-        let is_old = copy.renew_ms.is_some_and(|renew_ms| renew_ms <= now_ms);
-        is_old.then(|| Rc::clone(&copy.worker))
+        let better = self.place_copy(worker);
+        better.filter(|better| better.upstream.domain != worker.upstream.domain)
     }
 
     /// Takes in a copy that was made by a call meanwhile.
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -12,19 +12,21 @@
 use super::super::dialect::Marks;
 use super::super::events::{Event, Splitter};
 use super::super::metrics::Time;
+use super::super::traffic::OWN_LAG_MS;
 use super::super::worker::{Count, Lease, Worker};
 use super::{FIRST_QUIET_MS, Outcome, Run, caller_left, lost, until};
 
-/// A pause between events after which an engine is asked whether it lives: usual pauses are 30 to
-/// 250 ms, the allowed one is several hundred, of which a resumption takes about 100.
-const QUIET_MS: u64 = 250;
+/// A pause between events after which an engine is asked whether it lives: events come every 30 to
+/// 70 ms, the allowed pause is several hundred, of which the question may take 130 and a resumption
+/// takes 20 to 300.
+const QUIET_MS: u64 = 140;
+/// The same while a prompt is read beside the run, when events come every 230 ms.
+const QUIET_BESIDE_READING_MS: u64 = 270;
 /// A pause after which a run with a copy elsewhere goes on there, although its engine answers.
 const STUCK_MS: u64 = 450;
 /// How much longer an event takes for each prompt that is read beside it: eight steps, each with
 /// a chunk of the prompt.
 const READING_MS: u64 = 240;
-/// How late a timer may fire before this process suspects itself of having stood still.
-const OWN_LAG_MS: u64 = 60;
 /// How often a run may leave an engine that lives but makes no events.
 const MOST_STUCK_MOVES: u32 = 2;
 
@@ -55,7 +57,11 @@
         let mut reading = reading;
         let mut heard_ms = traffic.now_ms();
         loop {
-            let quiet_ms = if reading.is_some() { FIRST_QUIET_MS } else { QUIET_MS };
+            let quiet_ms = match reading {
+                Some(_) => FIRST_QUIET_MS,
+                None if traffic.reading_at(worker) > 0 => QUIET_BESIDE_READING_MS,
+                None => QUIET_MS,
+            };
             let wake_ms = traffic.now_ms() + quiet_ms;
             let frame = tokio::select! {
                 frame = body.frame() => frame,
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -3,6 +3,8 @@
 mod losses;
 mod places;
 
+pub(super) use self::losses::OWN_LAG_MS;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -19,6 +19,11 @@
 /// How long an engine's state may take to arrive: it needs no slot, so it comes in a round trip,
 /// and a resumption has to fit into the rest of the allowed pause.
 const STATE_TIMEOUT_MS: u64 = 130;
+/// How late a timer may fire before this process suspects itself of having stood still: a tenth of
+/// a second at most where processor time is a quota, some ten milliseconds on a busy core.
+pub(in super::super) const OWN_LAG_MS: u64 = 60;
+/// How often the question is asked at the most; the second time only after such a standstill.
+const STATE_TRIES: u32 = 2;
 
 impl Traffic {
     /// Asks an engine for its state, to learn whether it lives; one question at a time serves all.
@@ -40,9 +45,7 @@
         let traffic = Rc::clone(self);
         let worker = Rc::clone(worker);
         tokio::task::spawn_local(async move {
-            let limit = Duration::from_millis(STATE_TIMEOUT_MS);
-            let asked = tokio::time::timeout(limit, traffic.ask_state(&worker)).await;
-            let lives = asked.unwrap_or(false);
+            let lives = traffic.answers_state(&worker).await;
             traffic.probes.borrow_mut().remove(&id);
             slog::info!(traffic.log, "engine asked whether it lives";
                 "upstream" => &*id, "lives" => lives);
@@ -56,6 +59,21 @@
         answer
     }
 
+    /// Whether an engine tells its state in time; asked again if this process itself was late.
+    async fn answers_state(&self, worker: &Rc<Worker>) -> bool {
+        let limit = Duration::from_millis(STATE_TIMEOUT_MS);
+        for _ in 0..STATE_TRIES {
+            let asked_ms = self.now_ms();
+            if let Ok(answered) = tokio::time::timeout(limit, self.ask_state(worker)).await {
+                return answered;
+            }
+            if self.now_ms() <= asked_ms + STATE_TIMEOUT_MS + OWN_LAG_MS {
+                return false;
+            }
+        }
+        false
+    }
+
     pub(super) async fn ask_state(&self, worker: &Rc<Worker>) -> bool {
         let path = self.dialect.state_path();
         self.ask(worker, Method::GET, path, Bytes::new()).await.is_some()
