Log what decided a rejection or a placement, and measure what was missing

Cause: a request that reached no service left a line without its id, so a caller's 401 or 404 could not be explained; the line of a placement told this instance's own runs only, though all instances' decide; nothing told the age of the store's last answer, the versions known, channels, times of an attempt or of the store, or records left out. Change: rejections carry the id, host, path and the configuration's version (never the key); placements carry what all instances have there and the list's revision; gauges and two histograms. Fields that nothing read are gone (Lease::is_new, Job::deadline_ms, slots, memory_tokens). Tests: explain::a_rejected_request_is_found_by_its_id, explain::metrics_tell_outcomes_and_times (both red before).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -13,6 +13,7 @@
 use super::dialect::{Dispatch, Marks};
 use super::failure::Failure;
 use super::front::Job;
+use super::metrics::Time;
 use super::placement::Wish;
 use super::route::Repeat;
 use super::traffic::Traffic;
@@ -164,6 +165,7 @@
         worker.ended(true, traffic.now_ms());
         return if lease.channel.written() == 0 { unsent() } else { Outcome::TimeOver };
     };
+    job.record_time(traffic, Time::Upstream, traffic.now_ms() - now_ms);
     judge(traffic, job, worker, lease, result)
 }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -41,6 +41,8 @@
     peers: Peers,
     phase: Phase,
     is_directory_lost: bool,
+    /// When the directory last answered.
+    answered_ms: u64,
     lease: Option<u64>,
     is_watching: bool,
     /// Peers heard of changes while this instance did not: the outage was its own.
@@ -91,6 +93,7 @@
             peers: Peers::default(),
             phase: Phase::Starting,
             is_directory_lost: false,
+            answered_ms: 0,
             lease: None,
             is_watching: false,
             is_outage_own: false,
@@ -203,6 +206,19 @@
         }
     }
 
+    /// What this instance knows, and how old it may be.
+    fn note_gauges(&self, now_ms: u64) {
+        let board = self.board.borrow();
+        let versions = Control::versions(&board);
+        self.metrics.gauge("config_version", versions.config);
+        self.metrics.gauge("list_revision", versions.fleet);
+        self.metrics.gauge("upstreams", board.fleet.upstreams.len() as u64);
+        self.metrics.gauge("peers", board.peers.alive(now_ms).count() as u64);
+        self.metrics.gauge("is_watching_directory", u64::from(versions.is_first_hand));
+        let age_ms = now_ms.saturating_sub(board.answered_ms);
+        self.metrics.gauge("directory_answer_age_ms", age_ms);
+    }
+
     fn versions(board: &Board) -> Versions {
         Versions {
             config: board.config.as_ref().map_or(0, |config| config.version),
--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::super::directory::{Changes, Fault, Listing, Record, Removed};
 use super::super::fleet::Change;
+use super::super::metrics::Time;
 use super::super::peers::Phase;
 use super::Control;
 use super::knowledge::{self, Known};
@@ -42,7 +44,7 @@
         self.ask_seeds().await;
         loop {
             self.wait_for_turn().await;
-            let listed = self.directory.list().await;
+            let listed = self.timed("list", self.directory.list()).await;
             match listed {
                 Ok(listing) => {
                     retry_ms = RETRY_MS;
@@ -139,9 +141,26 @@
         }
     }
 
+    /// Makes a call and records how long its answer took; a call without one is a fault, and
+    /// counted as such.
+    async fn timed<T>(
+        &self,
+        call: &str,
+        answer: impl Future<Output = Result<T, Fault>>,
+    ) -> Result<T, Fault> {
+        let since_ms = self.clock.now_ms();
+        let answered = answer.await;
+        if answered.is_ok() {
+            let taken_ms = self.clock.now_ms() - since_ms;
+            self.metrics.record(Time::Directory, &Arc::from("-"), &Arc::from(call), taken_ms);
+        }
+        answered
+    }
+
     pub(super) fn directory_answered(&self) {
         let now_ms = self.clock.now_ms();
         let mut board = self.board.borrow_mut();
+        board.answered_ms = now_ms;
         board.is_watching = true;
         if board.is_directory_lost {
             board.is_directory_lost = false;
@@ -238,7 +257,7 @@
                 return;
             }
             let kept = match lease {
-                Some(lease) => self.directory.renew(lease).await,
+                Some(lease) => self.timed("renew", self.directory.renew(lease)).await,
                 None => self.register().await,
             };
             match kept {
@@ -253,7 +272,8 @@
     }
 
     pub(super) async fn register(&self) -> Result<(), Fault> {
-        let lease = self.directory.register(&self.me, LEASE_MS).await?;
+        let registering = self.directory.register(&self.me, LEASE_MS);
+        let lease = self.timed("register", registering).await?;
         self.board.borrow_mut().lease = Some(lease);
         Ok(())
     }
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -37,6 +37,7 @@
             };
             send(&socket, &message, &due);
             self.dirty.notify_one();
+            self.note_gauges(now_ms);
             self.fetch_if_behind(now_ms);
         }
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -25,8 +25,6 @@
     pub addr: SocketAddr,
     /// Its failure domain.
     pub domain: Arc<str>,
-    /// Requests that it runs at once.
-    pub slots: u32,
     /// Whether it said that it is leaving.
     pub is_leaving: bool,
 }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -54,8 +54,6 @@
     pub priority: u8,
     /// When it arrived.
     pub since_ms: u64,
-    /// When the caller stops waiting.
-    pub deadline_ms: u64,
     /// When the caller must have its answer: its deadline or the route's bound.
     pub until_ms: u64,
     method: Method,
@@ -87,13 +85,18 @@
         request
     }
 
-    /// Records how long it took.
-    pub fn record(&self, traffic: &Traffic, whole_ms: u64, first_ms: Option<u64>) {
+    /// Records a time under its organisation and route.
+    pub fn record_time(&self, traffic: &Traffic, time: Time, value_ms: u64) {
         let nobody: Arc<str> = Arc::from("-");
         let organisation = self.organisation.as_ref().unwrap_or(&nobody);
-        traffic.metrics.record(Time::Whole, organisation, &self.route.name, whole_ms);
+        traffic.metrics.record(time, organisation, &self.route.name, value_ms);
+    }
+
+    /// Records how long it took.
+    pub fn record(&self, traffic: &Traffic, whole_ms: u64, first_ms: Option<u64>) {
+        self.record_time(traffic, Time::Whole, whole_ms);
         if let Some(first_ms) = first_ms {
-            traffic.metrics.record(Time::First, organisation, &self.route.name, first_ms);
+            self.record_time(traffic, Time::First, first_ms);
         }
         traffic.metrics.count("answered");
     }
@@ -219,10 +222,10 @@
         }
         Ok(job) if job.route.repeat.is_stream() => stream::serve(traffic, job).await,
         Ok(job) => call::serve(traffic, &job).await,
-        Err(failure) => {
+        Err(rejected) => {
             traffic.metrics.count("rejected");
-            slog::warn!(traffic.log, "rejected"; "status" => failure.status(), "why" => %failure);
-            answer::failed(&failure, None)
+            rejected.log(traffic);
+            answer::failed(&rejected.failure, None)
         }
     };
     if is_stopping {
@@ -232,23 +235,49 @@
     answer
 }
 
+/// A request that never reached a service, with what decided that.
+struct Rejected {
+    failure: Failure,
+    id: Option<Arc<str>>,
+    host: String,
+    path: String,
+    config_version: u64,
+}
+
+impl Rejected {
+    fn log(&self, traffic: &Traffic) {
+        slog::warn!(traffic.log, "rejected"; "request" => self.id.as_deref().unwrap_or("-"),
+            "status" => self.failure.status(), "why" => %self.failure, "host" => &self.host,
+            "path" => &self.path, "config_version" => self.config_version);
+    }
+}
+
 /// Reads a request to its end, finds its route and checks its key.
-async fn read(traffic: &Traffic, request: Request<Incoming>) -> Result<Job, Failure> {
+async fn read(traffic: &Traffic, request: Request<Incoming>) -> Result<Job, Rejected> {
     let since_ms = traffic.now_ms();
     let view = traffic.view();
-    let Some(config) = view.config.as_ref() else { return Err(Failure::Starting) };
     let (head, body) = request.into_parts();
     let demand = traffic.dialect.demand(&head.headers);
-    let admitted = admit(config, &demand, &head.headers, &head.uri);
+    let host = host(&head.headers, &head.uri).to_owned();
+    let reject = |failure| Rejected {
+        failure,
+        id: demand.id.clone(),
+        host: host.clone(),
+        path: head.uri.path().to_owned(),
+        config_version: view.config.as_ref().map_or(0, |config| config.version),
+    };
+    let Some(config) = view.config.as_ref() else { return Err(reject(Failure::Starting)) };
+    let admitted = admit(config, &demand, &head.headers, &host, head.uri.path());
     let (route, organisation) = match admitted {
         Ok(admitted) => admitted,
         Err(failure) => {
             discard(body, config.limits).await;
-            return Err(failure);
+            return Err(reject(failure));
         }
     };
-    let body = read_body(body, &head.headers, config.limits).await?;
-    let service = route.target(fastrand::u64(..)).ok_or(Failure::NoUpstream)?;
+    let body = read_body(body, &head.headers, config.limits).await.map_err(reject)?;
+    let service = route.target(fastrand::u64(..));
+    let service = service.ok_or_else(|| reject(Failure::NoUpstream))?;
     traffic.note_request(service);
     let priority = organisation.as_ref().and_then(|known| known.priority);
     let patience_ms = demand.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
@@ -264,7 +293,6 @@
         organisation: organisation.map(|known| known.name),
         priority: priority.unwrap_or(route.priority),
         since_ms,
-        deadline_ms: since_ms + patience_ms,
         until_ms: since_ms + patience_ms.min(bound_ms),
         route,
         demand,
@@ -272,21 +300,26 @@
     })
 }
 
+/// The host that a request names.
+fn host<'a>(headers: &'a HeaderMap, uri: &'a hyper::Uri) -> &'a str {
+    let named = headers.get(HOST).and_then(|host| host.to_str().ok());
+    named.or(uri.host()).unwrap_or_default()
+}
+
 type Admitted = (Arc<Route>, Option<super::route::Organisation>);
 
 fn admit(
     config: &Config,
     demand: &Demand,
     headers: &HeaderMap,
-    uri: &hyper::Uri,
+    host: &str,
+    path: &str,
 ) -> Result<Admitted, Failure> {
     if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
         let detail = "it has a length and is chunked".to_owned();
         return Err(Failure::Malformed { detail });
     }
-    let named = headers.get(HOST).and_then(|host| host.to_str().ok()).or(uri.host());
-    let host = named.unwrap_or_default();
-    let route = config.route(host, uri.path()).ok_or(Failure::NoRoute)?;
+    let route = config.route(host, path).ok_or(Failure::NoRoute)?;
     let Some(keys) = &config.keys else { return Ok((Arc::clone(route), None)) };
     let organisation = demand.key.as_ref().and_then(|key| keys.get(key)).cloned();
     if organisation.is_none() && !route.is_open {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,6 +24,10 @@
     Gap,
     /// From the loss of an upstream to the next event.
     Resume,
+    /// Until an upstream's answer to one attempt was whole, or its first event came.
+    Upstream,
+    /// Until the directory answered a call.
+    Directory,
 }
 
 impl Time {
@@ -33,6 +37,8 @@
             Time::Whole => "whole_ms",
             Time::Gap => "gap_ms",
             Time::Resume => "resume_ms",
+            Time::Upstream => "upstream_ms",
+            Time::Directory => "directory_ms",
         }
     }
 }
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -93,10 +93,6 @@
 /// The bounds of the model engines of a service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
-    /// Requests that run at once.
-    pub slots: u32,
-    /// Tokens that the memory holds.
-    pub memory_tokens: u64,
     /// Whether a run's memory can be copied to another engine while it grows.
     pub can_copy: bool,
     /// Whether a run's memory can be moved by a call.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -221,7 +221,6 @@
     loop {
         tokio::time::sleep(Duration::from_millis(SWEEP_MS)).await;
         traffic.sweep();
-        traffic.metrics.gauge("open_requests", traffic.open.get() as u64);
     }
 }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -25,6 +25,7 @@
 use super::dialect::{Copy, Dispatch, Marks};
 use super::failure::Failure;
 use super::front::{self, Job, OpenGuard};
+use super::metrics::Time;
 use super::placement::Wish;
 use super::route::Repeat;
 use super::traffic::Traffic;
@@ -263,21 +264,25 @@
         let reading = from.is_none().then(|| worker.count(What::Reading));
         let request =
             self.job.request(&traffic, &self.dispatch(worker, copy.as_ref(), from.as_ref()));
+        let seen = traffic.standing(worker);
         slog::info!(traffic.log, "sent"; "request" => self.job.id(),
             "upstream" => &*worker.upstream.id, "domain" => &*worker.upstream.domain,
             "copy" => copy.as_ref().map(|copy| copy.upstream.id.to_string()),
             "from_copy" => from.is_some(), "after" => self.last_event,
-            "runs" => worker.runs.get());
+            "runs" => seen.runs, "copies" => seen.copies, "reading" => seen.reading,
+            "list_revision" => traffic.shared.view.load().fleet.revision);
         if let Some(part) = self.part() {
             traffic.note_place(part, worker);
         }
         traffic.tell_peers();
+        let sent_ms = traffic.now_ms();
         let copy = copy.map(|worker| Growing { _count: worker.count(What::Copy), worker });
         let response = match self.wait_for_head(worker, &mut lease, request, &mut silences).await {
             Ok(response) => response,
             Err(outcome) => return outcome,
         };
         self.sent += 1;
+        self.job.record_time(&traffic, Time::Upstream, traffic.now_ms() - sent_ms);
         let marks = traffic.dialect.marks(response.headers());
         if let Some(outcome) = self.check_head(worker, &response, &marks) {
             return outcome;
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -1,7 +1,6 @@
 //! Passing an engine's events on to the caller, and noticing when none come.
 
 use std::rc::Rc;
-use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -169,21 +168,15 @@
             let resume_ms = now_ms - lost_ms;
             slog::info!(self.traffic.log, "went on"; "request" => self.job.id(),
                 "resume_ms" => resume_ms, "pause_ms" => now_ms - self.last_event_ms);
-            self.record(Time::Resume, resume_ms);
+            self.job.record_time(&self.traffic, Time::Resume, resume_ms);
         }
         self.last_event_ms = now_ms;
     }
 
-    pub(super) fn record(&self, time: Time, value_ms: u64) {
-        let nobody: Arc<str> = Arc::from("-");
-        let organisation = self.job.organisation.as_ref().unwrap_or(&nobody);
-        self.traffic.metrics.record(time, organisation, &self.job.route.name, value_ms);
-    }
-
     pub(super) fn complete(&mut self, worker: &Worker) {
         let whole_ms = self.traffic.now_ms() - self.job.since_ms;
         self.job.record(&self.traffic, whole_ms, self.first_ms);
-        self.record(Time::Gap, self.longest_gap_ms);
+        self.job.record_time(&self.traffic, Time::Gap, self.longest_gap_ms);
         slog::info!(self.traffic.log, "complete"; "request" => self.job.id(),
             "route" => &*self.job.route.name, "upstream" => &*worker.upstream.id,
             "first_ms" => self.first_ms, "gap_ms" => self.longest_gap_ms, "ms" => whole_ms,
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -29,6 +29,7 @@
 use super::view::{Shared, View};
 use super::worker::Worker;
 use crate::clock::Clock;
+use crate::log;
 
 /// Channels that each instance may keep beyond an even part, since load is never even.
 const CHANNEL_SLACK: u32 = 2;
@@ -258,6 +259,11 @@
         u64::from(worker.reading.get() + others)
     }
 
+    /// What is known of an upstream's load, for logs.
+    pub fn standing(&self, worker: &Worker) -> Candidate {
+        self.candidate(worker, &self.shared.view.load(), self.now_ms())
+    }
+
     fn candidate(&self, worker: &Worker, view: &View, now_ms: u64) -> Candidate {
         let others = view.others.get(&worker.upstream.id);
         let others_run = match worker.told_others(now_ms) {
@@ -296,5 +302,17 @@
         }
         // What has ended since the last update can wait for a beat.
         self.note_own();
+        self.note_gauges();
+    }
+
+    fn note_gauges(&self) {
+        let workers = self.workers.borrow();
+        let sum = |count: fn(&Worker) -> u64| workers.values().map(|worker| count(worker)).sum();
+        self.metrics.gauge("open_requests", self.open.get() as u64);
+        self.metrics.gauge("channels", sum(Worker::channels));
+        self.metrics.gauge("runs", sum(|worker| u64::from(worker.runs.get())));
+        self.metrics.gauge("copies", sum(|worker| u64::from(worker.copies.get())));
+        self.metrics.gauge("prompts_reading", sum(|worker| u64::from(worker.reading.get())));
+        self.metrics.gauge("log_records_left_out", log::left_out());
     }
 }
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -74,8 +74,6 @@
 pub struct Lease {
     /// The channel.
     pub channel: Channel,
-    /// Whether it was opened for this request.
-    pub is_new: bool,
     _open: OpenGuard,
 }
 
@@ -160,7 +158,7 @@
     pub async fn lease(self: &Rc<Worker>, most: u32, now_ms: u64) -> Result<Lease, channel::Fault> {
         while let Some(idle) = self.take_idle() {
             if idle.until_ms > now_ms && idle.channel.is_usable() {
-                return Ok(self.hold(idle.channel, false));
+                return Ok(self.hold(idle.channel));
             }
         }
         if self.open.get() >= most {
@@ -169,16 +167,16 @@
         self.open.set(self.open.get() + 1);
         let open = OpenGuard(Rc::clone(self));
         let channel = Channel::open(self.upstream.addr, CONNECT_TIMEOUT_MS).await?;
-        Ok(Lease { channel, is_new: true, _open: open })
+        Ok(Lease { channel, _open: open })
     }
 
     fn take_idle(&self) -> Option<Idle> {
         self.idle.borrow_mut().pop_front()
     }
 
-    fn hold(self: &Rc<Worker>, channel: Channel, is_new: bool) -> Lease {
+    fn hold(self: &Rc<Worker>, channel: Channel) -> Lease {
         self.open.set(self.open.get() + 1);
-        Lease { channel, is_new, _open: OpenGuard(Rc::clone(self)) }
+        Lease { channel, _open: OpenGuard(Rc::clone(self)) }
     }
 
     /// Keeps a channel for later requests; `keep_ms` is the upstream's own timeout for it.
@@ -191,6 +189,11 @@
         self.idle.borrow_mut().push_back(idle);
     }
 
+    /// Channels that are open, in use or kept.
+    pub fn channels(&self) -> u64 {
+        u64::from(self.open.get()) + self.idle.borrow().len() as u64
+    }
+
     /// Closes channels that were idle too long or broke.
     pub fn sweep(&self, now_ms: u64) {
         self.idle.borrow_mut().retain(|idle| idle.until_ms > now_ms && idle.channel.is_usable());
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,6 +1,7 @@
 //! Logs as JSON lines on standard error.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Instant;
 
@@ -40,6 +41,14 @@
 /// of one kind must not hide the others.
 const RECORDS_PER_SECOND: u64 = 200;
 
+/// Records that were left out since the start of the process, whichever logger left them out.
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
+/// How many records were left out by the bound on each message.
+pub fn left_out() -> u64 {
+    LEFT_OUT.load(Ordering::Relaxed)
+}
+
 /// Lets each message pass so often a second, and tells how many records of it were left out.
 struct PerMessage<D> {
     inner: D,
@@ -71,6 +80,7 @@
         }
         if second.passed >= RECORDS_PER_SECOND {
             second.left_out += 1;
+            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
             return None;
         }
         second.passed += 1;
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -20,7 +20,6 @@
         service: "plan".into(),
         addr: "10.0.0.1:80".parse().unwrap(),
         domain: "hall".into(),
-        slots: 8,
         is_leaving,
     }
 }
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -71,6 +71,21 @@
     assert_eq!(lines[1]["status"], 503);
 }
 
+/// A caller with a wrong key asks why: the line names the request and the version that decided it.
+#[tokio::test]
+async fn a_rejected_request_is_found_by_its_id() {
+    let running = support::start(1).await;
+    let sent = caller::Call { key: Some("unknown".to_owned()), ..call("GET", "/look/a") };
+    assert_eq!(caller::send(running.front(0), &sent).await.unwrap().status(), 401);
+    wait_for("it is logged", async || !lines_of(&running, &sent.id).is_empty()).await;
+    let lines = lines_of(&running, &sent.id);
+    assert_eq!(messages(&lines), ["rejected"]);
+    assert_eq!(lines[0]["status"], 401);
+    assert_eq!(lines[0]["config_version"], 2);
+    assert_eq!(lines[0]["path"], "/look/a");
+    assert!(!lines[0].to_string().contains("unknown"), "keys are not logged");
+}
+
 #[tokio::test]
 async fn metrics_tell_outcomes_and_times() {
     let running = support::start(1).await;
@@ -83,7 +98,21 @@
     })
     .await;
     let text = gateway.metrics().await;
-    for name in ["whole_ms", "first_ms", "gap_ms", "open_requests"] {
+    let names = [
+        "whole_ms",
+        "first_ms",
+        "gap_ms",
+        "upstream_ms",
+        "directory_ms",
+        "open_requests",
+        "channels",
+        "config_version",
+        "list_revision",
+        "peers",
+        "directory_answer_age_ms",
+        "log_records_left_out",
+    ];
+    for name in names {
         assert!(text.contains(&format!("siskinrock_{name}")), "{name} is missing in {text}");
     }
 }
