Find a silent instance gone within four seconds in a large fleet

Cause: a peer counted as gone after four missed rounds of beats; with 69 instances a round of twelve beats takes 1.5 s, so callers were sent to a dark instance for six seconds. Change: two rounds and half a second: 1 s with nine instances as before, 3.5 s with 69. Test: decisions::a_silent_instance_is_found_gone (its large case is red with the old bound).

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -22,8 +22,10 @@
 /// Instances of a failure domain that watch the directory; the others hear from them. One may be
 /// lost without a gap, and each call is counted and paid for.
 const WATCHERS_PER_DOMAIN: usize = 2;
-/// Beats that may be lost before a peer counts as gone; single datagrams do get lost.
-const MISSED_BEATS: u64 = 4;
+/// Rounds of beats that may be lost before a peer counts as gone; single datagrams do get lost.
+const MISSED_ROUNDS: u64 = 2;
+/// How much longer a peer may be silent: a process may stand still for some hundred milliseconds.
+const SILENCE_SLACK_MS: u64 = 500;
 /// How long a silent peer is still sent beats, so that a healed link is noticed.
 const FORGET_MS: u64 = 60_000;
 
@@ -233,6 +235,7 @@
     fn is_alive(&self, peer: &Peer, now_ms: u64) -> bool {
         let rounds = self.known.len().div_ceil(FANOUT).max(1) as u64;
         peer.beat.is_some()
-            && now_ms.saturating_sub(peer.heard_ms) <= rounds * BEAT_MS * MISSED_BEATS
+            && now_ms.saturating_sub(peer.heard_ms)
+                <= rounds * BEAT_MS * MISSED_ROUNDS + SILENCE_SLACK_MS
     }
 }
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -285,6 +285,21 @@
     assert_eq!(heard.held, [held("e2", 1)]);
 }
 
+/// Callers are sent to an instance until its peers find it gone, so a large fleet must not take
+/// much longer than a small one.
+#[parameterized(
+    small = { 9, 1_000, 1_250 },
+    large = { 70, 3_000, 4_000 },
+)]
+fn a_silent_instance_is_found_gone(instances: u64, alive_ms: u64, gone_ms: u64) {
+    let mut peers = Peers::default();
+    for peer in 1..instances {
+        peers.hear(beat(&format!("i{peer}"), 1, 1), 0);
+    }
+    assert_eq!(peers.alive(alive_ms).count() as u64, instances - 1);
+    assert_eq!(peers.alive(gone_ms).count(), 0);
+}
+
 /// Few instances read the directory's list, so the others must hear of each other some other way.
 #[test]
 fn instances_that_know_only_a_seed_meet_each_other() {
