Give the gateway a wire, a configuration file and flags of the project's own

Cause: the gateway spoke the platform's wire only, so nobody could run it elsewhere, and its cost against a bare relay could not be measured. Change: src/gateway/native/ is the project's own side of the two traits: headers (docs/API.md), a TOML file that is checked as a whole and watched (its version is the revision of everything, so peers agree on the newest), flags with every fault and its remedy, 'check gateway'. Readers of headers and flags that both sides need stand once (dialect.rs, settings::Reader). Weighed: the router's store client as a directory (needs the stand-in store for a first look), a file on each machine (chosen: no service at all, and peers pass the newest on).

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,6 +5,7 @@
 
 mod fit;
 mod fleet;
+mod forwarder;
 mod path;
 mod plot;
 mod relay;
--- a/bench/src/path.rs
+++ b/bench/src/path.rs
@@ -8,7 +8,7 @@
 
 use crate::fit::{self, Percentiles};
 use crate::fleet::{Fleet, HARBOUR_KEY, Shape};
-use crate::{relay, usage};
+use crate::{forwarder, relay, usage};
 
 const STREAMS: usize = 60;
 const TOKENS: usize = 200;
@@ -23,6 +23,7 @@
     Direct,
     Relay,
     Router,
+    Gateway,
 }
 
 #[derive(Debug, Serialize)]
@@ -48,8 +49,8 @@
 
 /// Where each way begins.
 struct Ways {
-    engine: [String; 3],
-    seats: [String; 3],
+    engine: [String; 4],
+    seats: [String; 4],
 }
 
 impl Ways {
@@ -69,22 +70,31 @@
     let engine_relay = relay::start(&fleet.engines[0].addr.to_string());
     let seats_relay = relay::start(&fleet.seats.addr.to_string());
     let router = fleet.routers[0].addr.clone();
+    let engine_addr = fleet.engines[0].addr.to_string().parse().expect("an address");
+    let seats_addr = fleet.seats.addr.to_string().parse().expect("an address");
+    let gateway = forwarder::start(engine_addr, seats_addr).await;
     let ways = Ways {
-        engine: [fleet.engines[0].addr.to_string(), engine_relay.addr.to_string(), router.clone()],
+        engine: [
+            fleet.engines[0].addr.to_string(),
+            engine_relay.addr.to_string(),
+            router.clone(),
+            gateway.addr.to_string(),
+        ],
         seats: [
             fleet.seats.addr.to_string(),
             seats_relay.addr.to_string(),
             format!("{router}/v1/services/booking"),
+            gateway.addr.to_string(),
         ],
     };
     let mut report = Report { streams: Vec::new(), calls: Vec::new(), idle_stream_kb: 0.0 };
-    for way in [Way::Direct, Way::Relay, Way::Router] {
+    for way in [Way::Direct, Way::Relay, Way::Router, Way::Gateway] {
         report.streams.push(streams(&fleet, &ways, way).await);
     }
-    for way in [Way::Direct, Way::Relay, Way::Router] {
+    for way in [Way::Direct, Way::Relay, Way::Router, Way::Gateway] {
         report.calls.push(calls(&fleet, &ways, way, "repeatable").await);
     }
-    for way in [Way::Direct, Way::Relay, Way::Router] {
+    for way in [Way::Direct, Way::Relay, Way::Router, Way::Gateway] {
         report.calls.push(calls(&fleet, &ways, way, "not repeatable").await);
     }
     report.idle_stream_kb = idle_streams(&fleet).await;
@@ -252,10 +262,13 @@
             gap.max
         );
     }
-    let [direct, relay, router] = &report.streams[..] else { return };
-    println!("gap p99 over direct: {:.3}", router.gap_ms.p99 / direct.gap_ms.p99);
-    println!("first p99 over relay: {:+.2} ms", router.first_ms.p99 - relay.first_ms.p99);
-    println!("first p50 over relay: {:+.2} ms", router.first_ms.p50 - relay.first_ms.p50);
+    let [direct, relay, ours @ ..] = &report.streams[..] else { return };
+    for own in ours {
+        let way = format!("{:?}", own.way);
+        println!("{way}: gap p99 over direct {:.3}", own.gap_ms.p99 / direct.gap_ms.p99);
+        println!("{way}: first p99 over relay {:+.2} ms", own.first_ms.p99 - relay.first_ms.p99);
+        println!("{way}: first p50 over relay {:+.2} ms", own.first_ms.p50 - relay.first_ms.p50);
+    }
     for calls in &report.calls {
         let same = |other: &&Calls| other.way == Way::Relay && calls.what.starts_with(other.what);
         let relay = report.calls.iter().find(same).map_or(1.0, |relay| relay.ms.p99);
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use hyper::HeaderMap;
+use hyper::header::HeaderName;
 
 /// What a caller says of its request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -86,6 +87,52 @@
     pub slots: u32,
 }
 
+impl Load {
+    /// Reads running, waiting and slots, with commas between them.
+    pub fn read(value: &str) -> Option<Load> {
+        let mut numbers = value.split(',').map(|number| number.trim().parse().ok());
+        Some(Load { running: numbers.next()??, waiting: numbers.next()??, slots: numbers.next()?? })
+    }
+}
+
+/// A header's text, if it is one.
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// A header's number; a fraction is cut off.
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    text(headers, name)?.trim().parse::<f64>().ok().map(|value| value as u64)
+}
+
+/// A header's time in seconds, which may have a fraction.
+pub fn seconds_ms(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    let seconds = text(headers, name)?.trim().parse::<f64>().ok()?;
+    Some((seconds * 1_000.0) as u64)
+}
+
+/// Takes headers out.
+pub fn remove(headers: &mut HeaderMap, names: &[HeaderName]) {
+    for name in names {
+        headers.remove(name);
+    }
+}
+
+/// How long an upstream keeps an idle channel, by the usual header, which holds whole seconds.
+pub fn keep_ms(headers: &HeaderMap) -> Option<u64> {
+    let value = text(headers, &HeaderName::from_static("keep-alive"))?;
+    let mut fields = value.split(',').filter_map(|field| field.trim().split_once('='));
+    let seconds = fields.find(|(name, _)| *name == "timeout")?.1;
+    Some(seconds.trim().parse::<u64>().ok()? * 1_000)
+}
+
+/// A field of a query.
+pub fn field(query: Option<&str>, name: &str) -> Option<Arc<str>> {
+    let fields = query.unwrap_or_default().split('&');
+    let mut named = fields.filter_map(|field| field.split_once('='));
+    named.find(|(known, _)| *known == name).map(|(_, value)| Arc::from(value))
+}
+
 /// A question from a caller that isn't a request to an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Question {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod instance;
 pub mod losses;
 pub mod metrics;
+pub mod native;
 pub mod news;
 pub mod peers;
 pub mod placement;
--- /dev/null
+++ b/src/gateway/native/wire.rs
@@ -0,0 +1,148 @@
+//! The gateway's own headers, paths and bodies; see [docs/API.md](../../../docs/API.md).
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue, RETRY_AFTER};
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::dialect::{
+    self, Copy, Demand, Dialect, Dispatch, Load, Marks, Question, number, text,
+};
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("siskinrock-request-id");
+const DEADLINE_MS: HeaderName = HeaderName::from_static("siskinrock-deadline-ms");
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const PROMPT_TOKENS: HeaderName = HeaderName::from_static("siskinrock-prompt-tokens");
+const OUTPUT_TOKENS: HeaderName = HeaderName::from_static("siskinrock-output-tokens");
+const PROMPT_PART: HeaderName = HeaderName::from_static("siskinrock-prompt-part");
+/// To an upstream: which one is meant. From one: which one it is.
+const UPSTREAM: HeaderName = HeaderName::from_static("siskinrock-upstream");
+const ORGANISATION: HeaderName = HeaderName::from_static("siskinrock-organisation");
+const PRIORITY: HeaderName = HeaderName::from_static("siskinrock-priority");
+const COPY_TO: HeaderName = HeaderName::from_static("siskinrock-copy-to");
+/// A copy as IP:PORT/NAME.
+const GO_ON_FROM: HeaderName = HeaderName::from_static("siskinrock-go-on-from");
+const NOT_RUN: HeaderName = HeaderName::from_static("siskinrock-not-run");
+/// Running, waiting and slots, with commas.
+const LOAD: HeaderName = HeaderName::from_static("siskinrock-load");
+
+/// Headers that only the system may set, and the caller's key, which goes no further.
+const RESERVED: [HeaderName; 7] =
+    [AUTHORIZATION, LAST_EVENT, UPSTREAM, ORGANISATION, PRIORITY, COPY_TO, GO_ON_FROM];
+
+/// The gateway's own wire.
+#[derive(Debug, Clone, std::marker::Copy, Default)]
+pub struct Wire;
+
+#[derive(Serialize)]
+struct Addresses {
+    addresses: Vec<Address>,
+    keep_ms: u64,
+}
+
+#[derive(Serialize)]
+struct Address {
+    address: SocketAddr,
+}
+
+#[derive(Serialize)]
+struct Copying<'a> {
+    request: &'a str,
+    to: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct Copied {
+    name: Arc<str>,
+}
+
+#[derive(Deserialize, Default)]
+struct Kept {
+    parts: Vec<Arc<str>>,
+}
+
+impl Dialect for Wire {
+    fn demand(&self, headers: &HeaderMap) -> Demand {
+        let bearer = text(headers, &AUTHORIZATION).and_then(|value| value.strip_prefix("Bearer "));
+        Demand {
+            id: text(headers, &REQUEST_ID).map(Arc::from),
+            deadline_ms: number(headers, &DEADLINE_MS),
+            key: bearer.map(Arc::from),
+            last_event: number(headers, &LAST_EVENT),
+            prompt_tokens: number(headers, &PROMPT_TOKENS).unwrap_or(0),
+            output_tokens: number(headers, &OUTPUT_TOKENS).unwrap_or(0),
+            prompt_part: text(headers, &PROMPT_PART).map(Arc::from),
+        }
+    }
+
+    fn strip(&self, headers: &mut HeaderMap) {
+        dialect::remove(headers, &RESERVED);
+    }
+
+    fn dispatch(&self, headers: &mut HeaderMap, dispatch: &Dispatch) {
+        let mut set = |name: HeaderName, value: Option<String>| {
+            if let Some(value) = value.and_then(|value| HeaderValue::try_from(value).ok()) {
+                headers.insert(name, value);
+            }
+        };
+        set(UPSTREAM, Some(dispatch.upstream.to_string()));
+        set(DEADLINE_MS, Some(dispatch.deadline_ms.to_string()));
+        set(ORGANISATION, dispatch.organisation.as_ref().map(ToString::to_string));
+        set(PRIORITY, dispatch.priority.map(|priority| priority.to_string()));
+        set(LAST_EVENT, dispatch.last_event.map(|last| last.to_string()));
+        set(COPY_TO, dispatch.copy_to.map(|addr| addr.to_string()));
+        let from = dispatch.go_on_from.as_ref();
+        set(GO_ON_FROM, from.map(|Copy { addr, name }| format!("{addr}/{name}")));
+    }
+
+    fn marks(&self, headers: &HeaderMap) -> Marks {
+        Marks {
+            id: text(headers, &REQUEST_ID).map(Arc::from),
+            not_run: headers.contains_key(NOT_RUN),
+            // Upstreams sign nothing here: a whole answer on their own connection is proof enough.
+            is_signed: true,
+            load: text(headers, &LOAD).and_then(Load::read),
+            upstream: text(headers, &UPSTREAM).map(Arc::from),
+            keep_ms: dialect::keep_ms(headers),
+            retry_after_ms: dialect::seconds_ms(headers, &RETRY_AFTER),
+        }
+    }
+
+    fn question(&self, path: &str, query: Option<&str>) -> Question {
+        match path {
+            "/v1/ready" => Question::Ready,
+            "/v1/addresses" => Question::Addresses { domain: dialect::field(query, "domain") },
+            _ => Question::Unknown,
+        }
+    }
+
+    fn addresses(&self, addresses: &[SocketAddr], keep_ms: u64) -> Bytes {
+        let addresses = addresses.iter().map(|address| Address { address: *address }).collect();
+        // Addresses and a number always serialize.
+        Bytes::from(serde_json::to_vec(&Addresses { addresses, keep_ms }).unwrap_or_default())
+    }
+
+    fn state_path(&self) -> &'static str {
+        "/v1/state"
+    }
+
+    fn kept_path(&self) -> &'static str {
+        "/v1/kept"
+    }
+
+    fn kept_parts(&self, body: &[u8]) -> Vec<Arc<str>> {
+        serde_json::from_slice::<Kept>(body).unwrap_or_default().parts
+    }
+
+    fn copy_call(&self, id: &str, to: SocketAddr) -> (&'static str, Bytes) {
+        let copying = Copying { request: id, to };
+        ("/v1/copies", Bytes::from(serde_json::to_vec(&copying).unwrap_or_default()))
+    }
+
+    fn copy_name(&self, body: &[u8]) -> Option<Arc<str>> {
+        serde_json::from_slice::<Copied>(body).ok().map(|copied| copied.name)
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use siskinrock::error::Error;
-use siskinrock::gateway::server;
+use siskinrock::gateway::{native, server};
 use siskinrock::settings::{self, Settings};
 use siskinrock::{ctl, log, platform, router};
 
@@ -21,8 +21,8 @@
 USAGE: siskinrock COMMAND [FLAGS]
 
   router   serve callers, operators and peers
-  gateway  forward by routes on the users' platform
-  check    check the settings of a router without serving
+  gateway  forward by routes, as a configuration file or the platform says
+  check    check the settings of a router without serving; check gateway: those of a gateway
   ctl      ask and command a running system
   help     this page; also --help after each command
 ";
@@ -34,8 +34,12 @@
     match command.to_str() {
         Some("router" | "check") if wants_help => print(settings::HELP),
         Some("ctl") if wants_help || arguments.is_empty() => print(ctl::HELP),
+        Some("gateway") if wants_help => print(native::settings::HELP),
         Some("router") => serve(arguments),
-        Some("gateway") => forward(),
+        Some("gateway") => forward(arguments),
+        Some("check") if arguments.first().is_some_and(|first| first == "gateway") => {
+            check_gateway(arguments.split_off(1))
+        }
         Some("check") => check(arguments),
         Some("ctl") => operate(arguments),
         Some("help" | "--help" | "-h") => print(HELP),
@@ -84,21 +88,46 @@
     }
 }
 
-/// Runs a gateway until the platform stops it.
-fn forward() -> ExitCode {
-    let (gateway, logger) = match platform::start() {
+/// Checks the settings of a gateway and its configuration file.
+fn check_gateway(arguments: Vec<OsString>) -> ExitCode {
+    let checked = native::settings::read(arguments, &environment);
+    let checked = checked.and_then(|settings| native::document::read(&settings.config));
+    match checked {
+        Ok(document) => {
+            println!("version {} is in order", document.config.version);
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(&error, EXIT_USAGE),
+    }
+}
+
+/// Runs a gateway until it is stopped: with flags by them, else as the platform says.
+fn forward(arguments: Vec<OsString>) -> ExitCode {
+    let started = if arguments.is_empty() {
+        platform::start().map(|started| (started, platform::reload as Reload))
+    } else {
+        native::start(arguments, &environment).map(|started| (started, native::reload as Reload))
+    };
+    let ((gateway, logger), reload) = match started {
         Ok(started) => started,
         Err(error) => return fail(&error, EXIT_USAGE),
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let Ok(runtime) = runtime else { return ExitCode::from(EXIT_FAILED) };
-    match runtime.block_on(run_gateway(gateway, logger)) {
+    match runtime.block_on(run_gateway(gateway, logger, reload)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error, EXIT_FAILED),
     }
 }
 
-async fn run_gateway(mut gateway: server::Gateway, logger: slog::Logger) -> Result<(), Error> {
+/// Says whether the next start will take the settings as they are now.
+type Reload = fn() -> Result<(), Error>;
+
+async fn run_gateway(
+    mut gateway: server::Gateway,
+    logger: slog::Logger,
+    read_again: Reload,
+) -> Result<(), Error> {
     use tokio::signal::unix::{SignalKind, signal};
     let mut terminate = signal(SignalKind::terminate()).map_err(cannot_listen)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(cannot_listen)?;
@@ -108,7 +137,7 @@
             ended = gateway.ended() => return ended,
             _ = terminate.recv() => gateway.stop(),
             _ = interrupt.recv() => gateway.stop(),
-            _ = reload.recv() => match platform::reload() {
+            _ = reload.recv() => match read_again() {
                 Ok(()) => slog::info!(logger, "settings read again; all of them need a restart"),
                 Err(error) => slog::warn!(logger, "settings refused; the old ones stay in force";
                     "why" => %error),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -76,27 +76,42 @@
     ///
     /// One error that lists every fault, each with its remedy.
     pub fn read(arguments: Vec<OsString>, environment: Environment<'_>) -> Result<Settings> {
-        let mut reader = Reader {
-            arguments: pico_args::Arguments::from_vec(arguments),
-            environment,
-            faults: Vec::new(),
-        };
+        let mut reader = Reader::new(arguments, environment, "router", HELP);
         let settings = reader.settings();
-        reader.refuse_rest();
-        match settings {
-            Some(settings) if reader.faults.is_empty() => Ok(settings),
-            _ => Err(Kind::Settings { faults: reader.faults }.into()),
-        }
+        reader.finish(settings)
     }
 }
 
-struct Reader<'a> {
+/// Reads flags and environment variables, and gathers every fault.
+pub(crate) struct Reader<'a> {
     arguments: pico_args::Arguments,
     environment: Environment<'a>,
+    command: &'static str,
+    help: &'static str,
     faults: Vec<String>,
 }
 
-impl Reader<'_> {
+impl<'a> Reader<'a> {
+    /// A reader of the flags of a command, which its help names.
+    pub(crate) fn new(
+        arguments: Vec<OsString>,
+        environment: Environment<'a>,
+        command: &'static str,
+        help: &'static str,
+    ) -> Reader<'a> {
+        let arguments = pico_args::Arguments::from_vec(arguments);
+        Reader { arguments, environment, command, help, faults: Vec::new() }
+    }
+
+    /// The settings, if there was no fault.
+    pub(crate) fn finish<T>(mut self, settings: Option<T>) -> Result<T> {
+        self.refuse_rest();
+        match settings {
+            Some(settings) if self.faults.is_empty() => Ok(settings),
+            _ => Err(Kind::Settings { faults: self.faults }.into()),
+        }
+    }
+
     fn settings(&mut self) -> Option<Settings> {
         let id = self.name("--id");
         let domain = self.name("--domain");
@@ -144,7 +159,7 @@
         }
     }
 
-    fn required(&mut self, flag: &'static str) -> Option<String> {
+    pub(crate) fn required(&mut self, flag: &'static str) -> Option<String> {
         let value = self.value(flag).filter(|value| !value.is_empty());
         if value.is_none() {
             self.faults.push(format!("{flag} is missing; give it, or set {}", variable(flag)));
@@ -152,7 +167,7 @@
         value
     }
 
-    fn name(&mut self, flag: &'static str) -> Option<Arc<str>> {
+    pub(crate) fn name(&mut self, flag: &'static str) -> Option<Arc<str>> {
         let name = self.required(flag)?;
         let is_plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_' || c == '.';
         if name.chars().all(is_plain) {
@@ -181,7 +196,7 @@
         None
     }
 
-    fn parsed<T: std::str::FromStr>(
+    pub(crate) fn parsed<T: std::str::FromStr>(
         &mut self,
         flag: &'static str,
         default: &str,
@@ -195,7 +210,11 @@
         parsed
     }
 
-    fn optional<T: std::str::FromStr>(&mut self, flag: &'static str, form: &str) -> Option<T> {
+    pub(crate) fn optional<T: std::str::FromStr>(
+        &mut self,
+        flag: &'static str,
+        form: &str,
+    ) -> Option<T> {
         let value = self.value(flag)?;
         let parsed = value.parse().ok();
         if parsed.is_none() {
@@ -204,7 +223,13 @@
         parsed
     }
 
-    fn within(&mut self, flag: &'static str, default: u64, least: u64, most: u64) -> Option<u64> {
+    pub(crate) fn within(
+        &mut self,
+        flag: &'static str,
+        default: u64,
+        least: u64,
+        most: u64,
+    ) -> Option<u64> {
         let value = self.value(flag).unwrap_or_else(|| default.to_string());
         match value.parse::<u64>() {
             Ok(number) if (least..=most).contains(&number) => Some(number),
@@ -216,14 +241,30 @@
         }
     }
 
+    /// Addresses with commas between them.
+    pub(crate) fn addresses(&mut self, flag: &'static str) -> Vec<SocketAddr> {
+        let value = self.value(flag).unwrap_or_default();
+        let mut addresses = Vec::new();
+        for part in value.split(',').filter(|part| !part.is_empty()) {
+            match part.parse() {
+                Ok(address) => addresses.push(address),
+                Err(_) => {
+                    self.faults.push(format!("{flag} {part:?} is no address; write IP:PORT"));
+                }
+            }
+        }
+        addresses
+    }
+
     fn refuse_rest(&mut self) {
         let rest = std::mem::replace(&mut self.arguments, pico_args::Arguments::from_vec(vec![]));
+        let command = self.command;
         for argument in rest.finish() {
             let argument = argument.to_string_lossy().into_owned();
-            let known = HELP.split_whitespace().filter(|word| word.starts_with("--"));
+            let known = self.help.split_whitespace().filter(|word| word.starts_with("--"));
             let hint = crate::error::did_you_mean(&argument, known);
             self.faults
-                .push(format!("{argument:?} is no flag{hint}; see siskinrock router --help"));
+                .push(format!("{argument:?} is no flag{hint}; see siskinrock {command} --help"));
         }
     }
 }
