Look for crashed engines at their addresses while the directory is silent

Cause: engines that crash come back after 1.2 s as other incarnations that only the directory lists. Ruled out: waiting longer for the store (nothing can be listed); placing on any answer at the address (addresses are used again by other services). Change: while neither this instance nor a peer hears from the directory, three instances ask the addresses of lost engines for their state, whose models must be the service's, and for their id; all peers are told. What was found stands for whoever had the address, yields to what the directory says, and ends 1.9 s after its return, when whoever is missing is gone. Tests: streams::engines_that_came_back_are_found_while_the_store_is_silent (red without the search), decisions::what_was_found_stands_for_whoever_had_the_address_until_the_directory_tells, what_was_found_ends_with_the_time_to_be_listed_again.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod exchange;
 pub mod knowledge;
+mod successors;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -17,8 +18,10 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use super::dialect::Dialect;
 use super::directory::Directory;
 use super::fleet::Fleet;
+use super::found::Found;
 use super::instance::Registration;
 use super::metrics::Metrics;
 use super::news::{Held, Sent, Told};
@@ -37,6 +40,8 @@
 struct Board {
     config: Option<Arc<Config>>,
     fleet: Fleet,
+    /// Engines that the silent directory does not list yet.
+    found: Found,
     has_fleet: bool,
     peers: Peers,
     phase: Phase,
@@ -58,6 +63,7 @@
     settings: Settings,
     me: Registration,
     directory: Box<dyn Directory>,
+    dialect: Arc<dyn Dialect>,
     shared: Arc<Shared>,
     metrics: Arc<Metrics>,
     clock: Clock,
@@ -67,6 +73,8 @@
     broken_watch: Notify,
     /// Asks for a new picture for traffic.
     dirty: Notify,
+    /// Tells that an engine was found which peers should hear of at once.
+    found_news: Notify,
 }
 
 impl Control {
@@ -74,6 +82,7 @@
     pub fn new(
         settings: Settings,
         directory: Box<dyn Directory>,
+        dialect: Arc<dyn Dialect>,
         shared: Arc<Shared>,
         metrics: Arc<Metrics>,
         clock: Clock,
@@ -89,6 +98,7 @@
         let board = Board {
             config: None,
             fleet: Fleet::default(),
+            found: Found::default(),
             has_fleet: false,
             peers: Peers::default(),
             phase: Phase::Starting,
@@ -105,10 +115,12 @@
         let board = RefCell::new(board);
         let broken_watch = Notify::new();
         let dirty = Notify::new();
+        let found_news = Notify::new();
         Rc::new(Control {
             settings,
             me,
             directory,
+            dialect,
             shared,
             metrics,
             clock,
@@ -116,6 +128,7 @@
             board,
             broken_watch,
             dirty,
+            found_news,
         })
     }
 
@@ -126,6 +139,8 @@
         tokio::task::spawn_local(Rc::clone(self).keep_registration());
         tokio::task::spawn_local(Rc::clone(self).hear_beats(Rc::clone(&socket)));
         tokio::task::spawn_local(Rc::clone(self).send_updates(Rc::clone(&socket)));
+        tokio::task::spawn_local(Rc::clone(self).send_found(Rc::clone(&socket)));
+        tokio::task::spawn_local(Rc::clone(self).seek_successors());
         tokio::task::spawn_local(Rc::clone(self).send_beats(socket));
         tokio::task::spawn_local(Rc::clone(self).publish_changes());
     }
@@ -174,9 +189,14 @@
             places.extend(beat.own.places.iter().cloned());
         }
         let before = self.shared.view.load();
-        let is_same_fleet = before.fleet.upstreams == board.fleet.upstreams;
-        let fleet =
-            if is_same_fleet { Arc::clone(&before.fleet) } else { Arc::new(board.fleet.clone()) };
+        let upstreams = board.found.merge(&board.fleet.upstreams);
+        let fleet = if before.fleet.upstreams == upstreams {
+            Arc::clone(&before.fleet)
+        } else {
+            let mut fleet = board.fleet.clone();
+            fleet.upstreams = upstreams;
+            Arc::new(fleet)
+        };
         let view = View {
             config: board.config.clone(),
             fleet,
@@ -219,6 +239,12 @@
         self.metrics.gauge("directory_answer_age_ms", age_ms);
     }
 
+    /// Whether this instance or a peer hears from the directory.
+    fn is_directory_heard(board: &Board, now_ms: u64) -> bool {
+        let is_own = Control::versions(board).is_first_hand;
+        is_own || board.peers.alive(now_ms).any(|beat| beat.versions.is_first_hand)
+    }
+
     fn versions(board: &Board) -> Versions {
         Versions {
             config: board.config.as_ref().map_or(0, |config| config.version),
--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -219,6 +219,9 @@
         }
         for change in &of_upstreams {
             self.log_change(change);
+            if let Change::Gone(id) = change {
+                self.board.borrow_mut().found.remove(id);
+            }
         }
         self.board.borrow_mut().fleet.apply(changes.revision, of_upstreams, now_ms);
         self.publish();
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -7,6 +7,7 @@
 
 use tokio::net::UdpSocket;
 
+use super::super::fleet::Upstream;
 use super::super::peers::{BEAT_MS, Beat, Message, Phase, Update};
 use super::Control;
 
@@ -29,10 +30,14 @@
         loop {
             tokio::time::sleep(Duration::from_millis(BEAT_MS)).await;
             let now_ms = self.clock.now_ms();
-            let message = Message::Beat(self.beat());
+            let message = Message::Beat(Box::new(self.beat()));
             let due = {
                 let mut board = self.board.borrow_mut();
                 board.fleet.expire(now_ms);
+                let is_heard = Control::is_directory_heard(&board, now_ms);
+                if board.found.note_directory(is_heard, now_ms) {
+                    slog::info!(self.log, "engines found meanwhile count only as listed");
+                }
                 board.peers.due(&self.settings.seeds, self.me.peer_addr, now_ms)
             };
             send(&socket, &message, &due);
@@ -54,6 +59,19 @@
         }
     }
 
+    /// Tells all peers of engines that were found; beats repeat it.
+    pub(super) async fn send_found(self: Rc<Control>, socket: Rc<UdpSocket>) {
+        loop {
+            self.found_news.notified().await;
+            tokio::time::sleep(Duration::from_millis(NEWS_MS)).await;
+            let (found, all) = {
+                let board = self.board.borrow();
+                (board.found.all(), board.peers.all(self.me.peer_addr))
+            };
+            send(&socket, &Message::Found(found), &all);
+        }
+    }
+
     pub(super) fn beat(&self) -> Beat {
         let own = self.shared.own();
         let mut board = self.board.borrow_mut();
@@ -68,6 +86,7 @@
             versions: Control::versions(&board),
             own,
             introduced,
+            found: board.found.all(),
         }
     }
 
@@ -97,8 +116,9 @@
                 continue;
             };
             match rmp_serde::from_slice(&buffer[..length]) {
-                Ok(Message::Beat(beat)) if beat.from.id != self.me.id => self.hear_beat(beat),
+                Ok(Message::Beat(beat)) if beat.from.id != self.me.id => self.hear_beat(*beat),
                 Ok(Message::Update(update)) => self.hear_update(update),
+                Ok(Message::Found(found)) => self.hear_found(found),
                 Ok(Message::Beat(_)) => {}
                 Err(_) => self.metrics.count("messages_unreadable"),
             }
@@ -111,6 +131,7 @@
         if let Some(other) = introduced {
             self.board.borrow_mut().peers.introduce(other, now_ms);
         }
+        self.hear_found(std::mem::take(&mut beat.found));
         let id = Arc::clone(&beat.from.id);
         let is_urgent = beat.phase == Phase::Stopping;
         let is_back = self.board.borrow_mut().peers.hear(beat, now_ms);
@@ -123,6 +144,12 @@
         self.fetch_if_behind(now_ms);
     }
 
+    fn hear_found(&self, found: Vec<Upstream>) {
+        for upstream in found {
+            self.take_found(upstream);
+        }
+    }
+
     pub(super) fn hear_update(self: &Rc<Control>, update: Update) {
         let now_ms = self.clock.now_ms();
         if self.board.borrow_mut().peers.update(update, now_ms) {
--- /dev/null
+++ b/src/gateway/control/successors.rs
@@ -0,0 +1,122 @@
+//! The controller that looks for lost engines at their addresses while the directory is silent.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::header::HOST;
+
+use super::super::channel::Channel;
+use super::super::fleet::Upstream;
+use super::super::peers::Phase;
+use super::Control;
+
+/// How often lost engines are looked for: one is back about 1.2 s after its crash.
+const LOOK_MS: u64 = 400;
+/// How often one engine is looked for; what is not back within so long is gone for good.
+const MOST_LOOKS: u32 = 12;
+/// Instances that look, of all; each look is paid for, and one or two of them may be cut off.
+const SEEKERS: usize = 3;
+/// How long an engine may take to answer: it has just started and has nothing to do.
+const ANSWER_TIMEOUT_MS: u64 = 300;
+
+/// Lost engines, with how often each was looked for.
+type Sought = BTreeMap<Arc<str>, u32>;
+
+impl Control {
+    pub(super) async fn seek_successors(self: Rc<Control>) {
+        let mut sought = Sought::new();
+        loop {
+            tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+            if !self.is_seeker() {
+                sought.clear();
+                continue;
+            }
+            for lost in self.due(&mut sought) {
+                let control = Rc::clone(&self);
+                tokio::task::spawn_local(async move { control.look_for(lost).await });
+            }
+        }
+    }
+
+    /// Whether nobody hears from the directory, and this instance is among the few that look.
+    fn is_seeker(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        let board = self.board.borrow();
+        if board.phase != Phase::Ready || Control::is_directory_heard(&board, now_ms) {
+            return false;
+        }
+        let before = board.peers.alive(now_ms).filter(|beat| beat.from.id < self.me.id);
+        before.count() < SEEKERS
+    }
+
+    /// The lost engines to look for now.
+    fn due(&self, sought: &mut Sought) -> Vec<Upstream> {
+        let now_ms = self.clock.now_ms();
+        let board = self.board.borrow();
+        let mut lost = self.shared.own().lost;
+        lost.extend(board.peers.alive(now_ms).flat_map(|beat| beat.own.lost.iter().cloned()));
+        for id in lost {
+            sought.entry(id).or_insert(0);
+        }
+        let view = self.shared.view.load();
+        sought.retain(|id, looks| *looks < MOST_LOOKS && view.fleet.upstreams.contains_key(id));
+        sought.values_mut().for_each(|looks| *looks += 1);
+        let is_engine = |upstream: &&Upstream| {
+            let service = view.config.as_ref().and_then(|all| all.services.get(&upstream.service));
+            !upstream.is_leaving && service.is_some_and(|service| service.engine.is_some())
+        };
+        let known = sought.keys().filter_map(|id| view.fleet.upstreams.get(id));
+        known.filter(is_engine).cloned().collect()
+    }
+
+    /// Asks an engine's address who is there now; the answers must say that it is an engine of the
+    /// same service, since addresses are used again by others.
+    async fn look_for(&self, lost: Upstream) {
+        let limit = Duration::from_millis(ANSWER_TIMEOUT_MS);
+        let Ok(Some(id)) = tokio::time::timeout(limit, self.ask_who(&lost)).await else { return };
+        if id == lost.id {
+            return;
+        }
+        slog::info!(self.log, "engine found again"; "upstream" => &*id, "before" => &*lost.id,
+            "address" => %lost.addr, "domain" => &*lost.domain);
+        self.metrics.count("engines_found_again");
+        self.take_found(Upstream { id, ..lost });
+    }
+
+    async fn ask_who(&self, lost: &Upstream) -> Option<Arc<str>> {
+        let view = self.shared.view.load_full();
+        let service = view.config.as_ref()?.services.get(&lost.service)?;
+        let engine = service.engine.as_ref()?;
+        let mut channel = Channel::open(lost.addr, ANSWER_TIMEOUT_MS).await.ok()?;
+        let ask = |path: &str| {
+            let request = Request::get(path).header(HOST, lost.addr.to_string());
+            request.body(Full::<Bytes>::default()).ok()
+        };
+        let state = channel.send(ask(self.dialect.state_path())?).await.ok()?;
+        let state = state.into_body().collect().await.ok()?.to_bytes();
+        let models = self.dialect.state_models(&state);
+        if models.is_empty() || models.iter().any(|model| !engine.models.contains(model)) {
+            return None;
+        }
+        let health = channel.send(ask(&service.health_path)?).await.ok()?;
+        let is_well = health.status().is_success();
+        self.dialect.marks(health.headers()).upstream.filter(|_| is_well)
+    }
+
+    /// Takes in an engine that this instance or a peer found, while the directory is silent.
+    pub(super) fn take_found(&self, upstream: Upstream) {
+        let now_ms = self.clock.now_ms();
+        let mut board = self.board.borrow_mut();
+        let is_heard = Control::is_directory_heard(&board, now_ms);
+        if !is_heard && board.has_fleet && board.found.add(upstream) {
+            drop(board);
+            self.dirty.notify_one();
+            self.found_news.notify_one();
+        }
+    }
+}
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -170,6 +170,9 @@
     /// The path of an engine's state, for a check whether it lives.
     fn state_path(&self) -> &'static str;
 
+    /// The models that an engine says it has, from its state.
+    fn state_models(&self, body: &[u8]) -> Vec<Arc<str>>;
+
     /// The path at which an engine lists the prompts that it keeps.
     fn kept_path(&self) -> &'static str;
 
--- /dev/null
+++ b/src/gateway/found.rs
@@ -0,0 +1,66 @@
+//! Engines that were found again at their addresses while the directory was silent: pure steps.
+//!
+//! An engine that crashes comes back as a new incarnation, which only the directory lists. While it
+//! is silent for seconds, engines that crash and come back would be missing one failure domain after
+//! the other, until none is left.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::fleet::Upstream;
+
+/// How long what was found is kept after the directory's return: upstreams that lapsed meanwhile
+/// are listed again within two seconds, and whoever is missing then counts as gone.
+const KEPT_MS: u64 = 1_900;
+
+/// Upstreams that the directory does not list yet.
+#[derive(Debug, Default)]
+pub struct Found {
+    known: BTreeMap<Arc<str>, Upstream>,
+    until_ms: Option<u64>,
+}
+
+impl Found {
+    /// Adds an upstream; tells whether it is new.
+    pub fn add(&mut self, upstream: Upstream) -> bool {
+        self.known.retain(|_, known| known.addr != upstream.addr || known.id == upstream.id);
+        self.known.insert(Arc::clone(&upstream.id), upstream).is_none()
+    }
+
+    /// Drops one that the directory says is gone.
+    pub fn remove(&mut self, id: &str) {
+        self.known.remove(id);
+    }
+
+    /// Notes whether any instance hears from the directory. Tells whether what was found has just
+    /// ceased to count.
+    pub fn note_directory(&mut self, is_heard: bool, now_ms: u64) -> bool {
+        if !is_heard || self.known.is_empty() {
+            self.until_ms = None;
+            return false;
+        }
+        let until_ms = *self.until_ms.get_or_insert(now_ms + KEPT_MS);
+        if now_ms < until_ms {
+            return false;
+        }
+        *self = Found::default();
+        true
+    }
+
+    /// All that were found.
+    pub fn all(&self) -> Vec<Upstream> {
+        self.known.values().cloned().collect()
+    }
+
+    /// The list with what was found: instead of whoever had the address before, and after what the
+    /// directory itself says.
+    pub fn merge(&self, listed: &BTreeMap<Arc<str>, Upstream>) -> BTreeMap<Arc<str>, Upstream> {
+        let is_new = |found: &&Upstream| !listed.contains_key(&found.id);
+        let found: Vec<&Upstream> = self.known.values().filter(is_new).collect();
+        let is_replaced = |known: &Upstream| found.iter().any(|found| found.addr == known.addr);
+        let kept = listed.iter().filter(|(_, known)| !is_replaced(known));
+        let kept = kept.map(|(id, known)| (Arc::clone(id), known.clone()));
+        let found = found.iter().map(|found| (Arc::clone(&found.id), (*found).clone()));
+        kept.chain(found).collect()
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod events;
 pub mod failure;
 pub mod fleet;
+pub mod found;
 pub mod front;
 pub mod instance;
 pub mod losses;
--- a/src/gateway/native/document.rs
+++ b/src/gateway/native/document.rs
@@ -11,6 +11,9 @@
 use crate::gateway::fleet::Upstream;
 use crate::gateway::route::{Config, Engine, Limits, Organisation, Repeat, Route, Service, Target};
 
+/// The path that tells whether an upstream is well, where the file names none: the usual one.
+const HEALTH_PATH: &str = "/healthz";
+
 /// Everything that the file says, checked.
 #[derive(Debug, Clone)]
 pub struct Document {
@@ -56,6 +59,7 @@
 struct ServiceEntry {
     name: Arc<str>,
     max_channels: Option<u32>,
+    health_path: Option<Arc<str>>,
     engine: Option<EngineEntry>,
 }
 
@@ -66,6 +70,7 @@
     can_copy: bool,
     can_move: bool,
     copy_kept_ms: u64,
+    models: Vec<Arc<str>>,
 }
 
 #[derive(Deserialize)]
@@ -247,8 +252,13 @@
         can_copy: engine.can_copy,
         can_move: engine.can_move,
         copy_kept_ms: engine.copy_kept_ms,
+        models: engine.models,
     });
-    Service { max_channels: entry.max_channels.unwrap_or(u32::MAX), engine }
+    Service {
+        max_channels: entry.max_channels.unwrap_or(u32::MAX),
+        health_path: entry.health_path.unwrap_or_else(|| Arc::from(HEALTH_PATH)),
+        engine,
+    }
 }
 
 fn route(entry: RouteEntry) -> Route {
--- a/src/gateway/native/wire.rs
+++ b/src/gateway/native/wire.rs
@@ -59,6 +59,11 @@
     name: Arc<str>,
 }
 
+#[derive(Deserialize, Default)]
+struct State {
+    models: Vec<Arc<str>>,
+}
+
 #[derive(Deserialize, Default)]
 struct Kept {
     parts: Vec<Arc<str>>,
@@ -129,6 +134,10 @@
         "/v1/state"
     }
 
+    fn state_models(&self, body: &[u8]) -> Vec<Arc<str>> {
+        serde_json::from_slice::<State>(body).unwrap_or_default().models
+    }
+
     fn kept_path(&self) -> &'static str {
         "/v1/kept"
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::fleet::Upstream;
 use super::instance::Registration;
 use super::news::{News, Own};
 use crate::decide::Random;
@@ -56,9 +57,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Everything, a few times a second to some peers.
-    Beat(Beat),
+    Beat(Box<Beat>),
     /// What changed, at once to all.
     Update(Update),
+    /// Engines that were found while the directory is silent, at once to all.
+    Found(Vec<Upstream>),
 }
 
 /// What changed at an instance since its last message.
@@ -94,6 +97,8 @@
     /// Another living instance, a different one each time: few read the directory's list, and two
     /// instances that know only a third one would else never meet.
     pub introduced: Option<Registration>,
+    /// Engines that were found while the directory is silent.
+    pub found: Vec<Upstream>,
 }
 
 /// A peer as it was last heard.
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -86,6 +86,8 @@
 pub struct Service {
     /// Channels that one upstream accepts from all instances together.
     pub max_channels: u32,
+    /// The path that tells whether one of its upstreams is well, and which one it is.
+    pub health_path: Arc<str>,
     /// What its model engines are, if it has any.
     pub engine: Option<Engine>,
 }
@@ -99,6 +101,8 @@
     pub can_move: bool,
     /// How long a moved copy is kept for use.
     pub copy_kept_ms: u64,
+    /// The models that its engines may have.
+    pub models: Vec<Arc<str>>,
 }
 
 /// What callers may send, and how long they may take.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -140,6 +140,7 @@
         let control = Control::new(
             parts.settings.clone(),
             make_directory(),
+            Arc::clone(&parts.dialect),
             Arc::clone(&parts.shared),
             Arc::clone(&parts.metrics),
             parts.clock,
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -50,6 +50,8 @@
     copies: BTreeMap<String, u64>,
     /// How long a prompt takes that isn't in memory.
     read_ms: u64,
+    /// The id of a later incarnation, if it has crashed and come back.
+    reborn: Option<String>,
     /// Parts of prompts that lie in memory.
     kept: BTreeSet<String>,
     working: usize,
@@ -129,6 +131,20 @@
         self.lock().read_ms = read_ms;
     }
 
+    /// Comes back from a crash as another incarnation with empty memory.
+    pub fn come_back(&self, id: &str) {
+        let mut state = self.lock();
+        let read_ms = state.read_ms;
+        let seen = std::mem::take(&mut state.seen);
+        *state = State { read_ms, seen, reborn: Some(id.to_owned()), ..State::default() };
+        drop(state);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn current_id(&self) -> String {
+        self.lock().reborn.clone().unwrap_or_else(|| self.id.clone())
+    }
+
     /// What it was asked.
     pub fn seen(&self) -> Vec<Seen> {
         self.lock().seen.clone()
@@ -162,9 +178,14 @@
             let served = match (fault, request.path()) {
                 (Fault::Dark, _) => return std::future::pending().await,
                 (_, "/siskinrock/report") => {
-                    let body = json!({"stage": "both", "queued": 0, "active": self.working()});
+                    let body = json!({"stage": "both", "models": [{"name": "m"}], "queued": 0,
+                        "active": self.working()});
                     connection.answer(200, &[], body.to_string().as_bytes()).await
                 }
+                (_, "/healthz") => {
+                    let id = self.current_id();
+                    connection.answer(200, &[("X-Instance-Id", &*id)], b"").await
+                }
                 (_, "/siskinrock/kv-list") => {
                     let held: Vec<_> =
                         self.lock().kept.iter().map(|part| json!(["", part, 80, "m"])).collect();
@@ -206,7 +227,7 @@
         let has_copy = copy.as_ref().is_some_and(|name| self.takes_copy(name));
         let fault = self.lock().fault;
         let refused = match (&expected, &copy) {
-            (Some(expected), _) if *expected != self.id => Some(421),
+            (Some(expected), _) if *expected != self.current_id() => Some(421),
             (_, Some(_)) if !has_copy => Some(503),
             _ => (fault == Fault::Full).then_some(503),
         };
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -6,6 +6,7 @@
 use siskinrock::gateway::budget::{Bound, Budget};
 use siskinrock::gateway::events::Splitter;
 use siskinrock::gateway::fleet::{Change, Fleet, Upstream};
+use siskinrock::gateway::found::Found;
 use siskinrock::gateway::instance::Registration;
 use siskinrock::gateway::losses::{Loss, Losses, Subject};
 use siskinrock::gateway::news::{Held, News, Own, Told};
@@ -168,6 +169,7 @@
         versions: Versions { config: count, fleet: 0, is_first_hand: true },
         own: Own::default(),
         introduced: None,
+        found: Vec::new(),
     }
 }
 
@@ -285,6 +287,44 @@
     assert_eq!(heard.held, [held("e2", 1)]);
 }
 
+fn at(id: &str, port: u16) -> Upstream {
+    Upstream { addr: ([10, 0, 0, 1], port).into(), ..upstream(id, false) }
+}
+
+#[test]
+fn what_was_found_stands_for_whoever_had_the_address_until_the_directory_tells() {
+    let mut fleet = Fleet::default();
+    fleet.replace(5, vec![at("old", 80), at("other", 81)], 0);
+    let mut found = Found::default();
+    assert!(found.add(at("new", 80)));
+    assert!(!found.add(at("new", 80)), "found again, it is no news");
+    let names = |found: &Found, fleet: &Fleet| -> Vec<String> {
+        found.merge(&fleet.upstreams).keys().map(ToString::to_string).collect()
+    };
+    assert_eq!(names(&found, &fleet), ["new", "other"]);
+    assert!(found.add(at("newer", 80)), "it crashed once more");
+    assert_eq!(names(&found, &fleet), ["newer", "other"]);
+    let leaving = Upstream { is_leaving: true, ..at("newer", 80) };
+    fleet.apply(6, vec![Change::Put(leaving)], 100);
+    assert!(found.merge(&fleet.upstreams)["newer"].is_leaving, "the directory's word goes first");
+    found.remove("newer");
+    assert_eq!(names(&found, &fleet), ["newer", "old", "other"]);
+}
+
+#[test]
+fn what_was_found_ends_with_the_time_to_be_listed_again() {
+    let mut found = Found::default();
+    found.add(at("new", 80));
+    assert!(!found.note_directory(false, 0));
+    assert!(!found.note_directory(true, 1_000));
+    assert!(!found.note_directory(false, 1_500), "silent again");
+    assert!(!found.note_directory(true, 3_000));
+    assert!(!found.note_directory(true, 4_800));
+    assert_eq!(found.all().len(), 1);
+    assert!(found.note_directory(true, 4_900));
+    assert!(found.all().is_empty());
+}
+
 /// Callers are sent to an instance until its peers find it gone, so a large fleet must not take
 /// much longer than a small one.
 #[parameterized(
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -170,6 +170,36 @@
     assert_eq!(seen.request.header("x-request-priority"), Some("2"));
 }
 
+/// Engines that crash while the store is silent come back as others that nobody lists; without
+/// looking for them, each crash leaves fewer.
+#[tokio::test]
+async fn engines_that_came_back_are_found_while_the_store_is_silent() {
+    let running = support::start(2).await;
+    caller::stream(running.front(0), &plan()).await.unwrap();
+    running.site.store.fail(siskinrock_fakes::store::Fault::Silent);
+    wait_for("both notice", async || {
+        running.gateways.iter().all(|gateway| gateway.logged().contains("directory lost"))
+    })
+    .await;
+    let engines = &running.site.engines;
+    for (index, engine) in engines.iter().enumerate() {
+        engine.come_back(&format!("reborn-{index}"));
+    }
+    for gateway in [0, 1] {
+        wait_for("streams are served by engines that were found", async || {
+            let sent = plan();
+            let stream = caller::stream(running.front(gateway), &sent).await;
+            stream.is_ok_and(|stream| stream.is_complete && stream.text == whole_text(&sent, 0))
+        })
+        .await;
+    }
+    running.site.store.fail(siskinrock_fakes::store::Fault::None);
+    wait_for("only what is listed counts again", async || {
+        running.gateways[0].logged().contains("count only as listed")
+    })
+    .await;
+}
+
 impl Running {
     /// How often the log says that a request was sent.
     pub fn logged_sent(&self, id: &str) -> usize {
