Tell found engines once, and repeat a few of them in beats

Change: only the finder tells all; a beat repeats three, different ones each time. Test: decisions::a_beat_repeats_a_few_of_what_was_found_and_all_in_the_end.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -20,7 +20,7 @@
 
 use super::dialect::Dialect;
 use super::directory::Directory;
-use super::fleet::Fleet;
+use super::fleet::{Fleet, Upstream};
 use super::found::Found;
 use super::instance::Registration;
 use super::metrics::Metrics;
@@ -42,6 +42,8 @@
     fleet: Fleet,
     /// Engines that the silent directory does not list yet.
     found: Found,
+    /// Engines that this instance found and peers have to hear of.
+    found_news: Vec<Upstream>,
     has_fleet: bool,
     peers: Peers,
     phase: Phase,
@@ -73,7 +75,7 @@
     broken_watch: Notify,
     /// Asks for a new picture for traffic.
     dirty: Notify,
-    /// Tells that an engine was found which peers should hear of at once.
+    /// Tells that this instance found an engine.
     found_news: Notify,
 }
 
@@ -99,6 +101,7 @@
             config: None,
             fleet: Fleet::default(),
             found: Found::default(),
+            found_news: Vec::new(),
             has_fleet: false,
             peers: Peers::default(),
             phase: Phase::Starting,
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -59,14 +59,15 @@
         }
     }
 
-    /// Tells all peers of engines that were found; beats repeat it.
+    /// Tells all peers of engines that this instance found; the beats of all repeat them.
     pub(super) async fn send_found(self: Rc<Control>, socket: Rc<UdpSocket>) {
         loop {
             self.found_news.notified().await;
             tokio::time::sleep(Duration::from_millis(NEWS_MS)).await;
             let (found, all) = {
-                let board = self.board.borrow();
-                (board.found.all(), board.peers.all(self.me.peer_addr))
+                let mut board = self.board.borrow_mut();
+                let found = std::mem::take(&mut board.found_news);
+                (found, board.peers.all(self.me.peer_addr))
             };
             send(&socket, &Message::Found(found), &all);
         }
@@ -86,7 +87,7 @@
             versions: Control::versions(&board),
             own,
             introduced,
-            found: board.found.all(),
+            found: board.found.sample(&mut fastrand::Rng::new()),
         }
     }
 
--- a/src/gateway/control/successors.rs
+++ b/src/gateway/control/successors.rs
@@ -85,7 +85,11 @@
         slog::info!(self.log, "engine found again"; "upstream" => &*id, "before" => &*lost.id,
             "address" => %lost.addr, "domain" => &*lost.domain);
         self.metrics.count("engines_found_again");
-        self.take_found(Upstream { id, ..lost });
+        let found = Upstream { id, ..lost };
+        if self.take_found(found.clone()) {
+            self.board.borrow_mut().found_news.push(found);
+            self.found_news.notify_one();
+        }
     }
 
     async fn ask_who(&self, lost: &Upstream) -> Option<Arc<str>> {
@@ -108,15 +112,16 @@
         self.dialect.marks(health.headers()).upstream.filter(|_| is_well)
     }
 
-    /// Takes in an engine that this instance or a peer found, while the directory is silent.
-    pub(super) fn take_found(&self, upstream: Upstream) {
+    /// Takes in an engine that this instance or a peer found, while the directory is silent. Tells
+    /// whether it is new here.
+    pub(super) fn take_found(&self, upstream: Upstream) -> bool {
         let now_ms = self.clock.now_ms();
         let mut board = self.board.borrow_mut();
         let is_heard = Control::is_directory_heard(&board, now_ms);
-        if !is_heard && board.has_fleet && board.found.add(upstream) {
-            drop(board);
+        let is_new = !is_heard && board.has_fleet && board.found.add(upstream);
+        if is_new {
             self.dirty.notify_one();
-            self.found_news.notify_one();
         }
+        is_new
     }
 }
--- a/src/gateway/found.rs
+++ b/src/gateway/found.rs
@@ -8,11 +8,17 @@
 use std::sync::Arc;
 
 use super::fleet::Upstream;
+use crate::decide::Random;
 
 /// How long what was found is kept after the directory's return: upstreams that lapsed meanwhile
 /// are listed again within two seconds, and whoever is missing then counts as gone.
 const KEPT_MS: u64 = 1_900;
 
+/// How many a sample has. Some fifty beats reach an instance each second, so that a hundred
+/// upstreams pass within a second at 20 KB; with all of them in each beat, links of 10 Mbit/s were
+/// full, and engines that lived were taken for lost.
+const SAMPLE: usize = 3;
+
 /// Upstreams that the directory does not list yet.
 #[derive(Debug, Default)]
 pub struct Found {
@@ -47,9 +53,22 @@
         true
     }
 
-    /// All that were found.
-    pub fn all(&self) -> Vec<Upstream> {
-        self.known.values().cloned().collect()
+    /// How many were found.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether none was found.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// A few of those that were found, different ones each time, so that a message stays small
+    /// however many there are.
+    pub fn sample(&self, random: &mut dyn Random) -> Vec<Upstream> {
+        let start = random.below(self.known.len().max(1) as u64) as usize;
+        let from_start = self.known.values().cycle().skip(start);
+        from_start.take(SAMPLE.min(self.known.len())).cloned().collect()
     }
 
     /// The list with what was found: instead of whoever had the address before, and after what the
--- /dev/null
+++ b/src/gateway/stream/attempt.rs
@@ -0,0 +1,218 @@
+//! One attempt of a run at one engine, from the channel to the head of its answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::{HeaderMap, Request, Response};
+use tokio::sync::{mpsc, watch};
+
+use super::super::answer;
+use super::super::channel::Fault;
+use super::super::dialect::{Copy, Dispatch, Marks};
+use super::super::front;
+use super::super::metrics::Time;
+use super::super::route::Repeat;
+use super::super::worker::{Lease, What, Worker};
+use super::copy::Growing;
+use super::{FIRST_QUIET_MS, Outcome, Run, caller_left, lost, until};
+
+/// Events that may wait for a slow caller before its engine is slowed.
+const WAITING_EVENTS: usize = 16;
+/// The priority of a run that goes on, before all new ones.
+const RESUMED_PRIORITY: u8 = 0;
+/// The lowest priority that engines know.
+const LOWEST_PRIORITY: u8 = 9;
+
+impl Run {
+    pub(super) async fn attempt(&mut self, worker: &Rc<Worker>, from: Option<Copy>) -> Outcome {
+        let traffic = Rc::clone(&self.traffic);
+        let mut silences = worker.silences.subscribe();
+        silences.mark_unchanged();
+        let most = traffic.channel_share(&self.job.service);
+        let mut lease = match worker.lease(most, traffic.now_ms()).await {
+            Ok(lease) => lease,
+            Err(fault) => {
+                traffic.no_channel(worker, &fault);
+                slog::info!(traffic.log, "no channel"; "request" => self.job.id(),
+                    "upstream" => &*worker.upstream.id, "detail" => %fault);
+                return Outcome::NotRun { was_sent: false, why: fault.to_string() };
+            }
+        };
+        // Only what is really sent again draws on the budget.
+        if self.sent > 0 && !traffic.may_repeat(&self.job.service) {
+            worker.give_back(lease, None, traffic.now_ms());
+            return Outcome::OverBudget;
+        }
+        if !traffic.takes_work(&worker.upstream.id) {
+            return Outcome::NotRun { was_sent: false, why: "it is leaving".to_owned() };
+        }
+        let copy = self.place_copy(worker);
+        let _run = worker.count(What::Run);
+        let reading = from.is_none().then(|| worker.count(What::Reading));
+        let request =
+            self.job.request(&traffic, &self.dispatch(worker, copy.as_ref(), from.as_ref()));
+        let seen = traffic.standing(worker);
+        slog::info!(traffic.log, "sent"; "request" => self.job.id(),
+            "upstream" => &*worker.upstream.id, "domain" => &*worker.upstream.domain,
+            "copy" => copy.as_ref().map(|copy| copy.upstream.id.to_string()),
+            "from_copy" => from.is_some(), "after" => self.last_event,
+            "runs" => seen.runs, "copies" => seen.copies, "reading" => seen.reading,
+            "list_revision" => traffic.shared.view.load().fleet.revision);
+        if let Some(part) = self.part() {
+            traffic.note_place(part, worker);
+        }
+        traffic.tell_peers();
+        let sent_ms = traffic.now_ms();
+        let copy = copy.map(|worker| Growing { _count: worker.count(What::Copy), worker });
+        let response = match self.wait_for_head(worker, &mut lease, request, &mut silences).await {
+            Ok(response) => response,
+            Err(outcome) => return outcome,
+        };
+        self.sent += 1;
+        self.job.record_time(&traffic, Time::Upstream, traffic.now_ms() - sent_ms);
+        let marks = traffic.dialect.marks(response.headers());
+        if let Some(outcome) = self.check_head(worker, &response, &marks) {
+            return outcome;
+        }
+        let status = response.status().as_u16();
+        if status != 200 {
+            return self.pass_on_failure(worker, lease, response, &marks).await;
+        }
+        self.note_copy(copy);
+        let body = self.open_body(response);
+        self.relay(worker, lease, body, marks, silences, reading).await
+    }
+
+    /// Sends the request and waits until the engine answers, which it does with the first event.
+    async fn wait_for_head(
+        &mut self,
+        worker: &Rc<Worker>,
+        lease: &mut Lease,
+        request: Request<Full<Bytes>>,
+        silences: &mut watch::Receiver<u64>,
+    ) -> Result<Response<Incoming>, Outcome> {
+        let traffic = Rc::clone(&self.traffic);
+        let mut sending = std::pin::pin!(lease.channel.send(request));
+        let response = loop {
+            let wake_ms = (traffic.now_ms() + FIRST_QUIET_MS).min(self.job.until_ms);
+            tokio::select! {
+                response = sending.as_mut() => break response,
+                () = caller_left(&mut self.head, &self.body) => return Err(Outcome::CallerLeft),
+                _ = silences.changed() => {
+                    self.sent += 1;
+                    return Err(lost("silent before its answer", true));
+                }
+                () = until(&traffic, wake_ms) => {}
+            }
+            if traffic.now_ms() >= self.job.until_ms {
+                self.sent += 1;
+                return Err(Outcome::TimeOver);
+            }
+            // An answer to the question, or none, is noticed above.
+            traffic.ask_whether_lives(worker);
+        };
+        match response {
+            Ok(response) => Ok(response),
+            Err(Fault::Broken { detail }) => {
+                self.sent += 1;
+                worker.broke(traffic.now_ms());
+                worker.ended(true, traffic.now_ms());
+                Err(lost(detail, true))
+            }
+            Err(fault) => Err(Outcome::NotRun { was_sent: false, why: fault.to_string() }),
+        }
+    }
+
+    fn dispatch(
+        &self,
+        worker: &Worker,
+        copy: Option<&Rc<Worker>>,
+        from: Option<&Copy>,
+    ) -> Dispatch {
+        let is_resumed = self.may_have_run || self.job.demand.last_event.is_some();
+        let new = (self.job.priority + 1).min(LOWEST_PRIORITY);
+        Dispatch {
+            upstream: Arc::clone(&worker.upstream.id),
+            deadline_ms: self.job.left_ms(self.traffic.now_ms()),
+            organisation: self.job.organisation.clone(),
+            priority: Some(if is_resumed { RESUMED_PRIORITY } else { new }),
+            last_event: self.last_event,
+            copy_to: copy.map(|copy| copy.upstream.addr),
+            go_on_from: from.cloned(),
+        }
+    }
+
+    /// Looks at the head of an answer; an outcome if it can't be used.
+    fn check_head(
+        &mut self,
+        worker: &Rc<Worker>,
+        response: &Response<Incoming>,
+        marks: &Marks,
+    ) -> Option<Outcome> {
+        let now_ms = self.traffic.now_ms();
+        if marks.id.is_some() && marks.id != self.job.demand.id {
+            self.traffic.metrics.count("answers_of_other_requests");
+            return Some(lost("the answer belongs to another request", false));
+        }
+        if response.status().as_u16() == 421 {
+            self.traffic.replaced(worker);
+        } else {
+            worker.answered(now_ms);
+        }
+        if let Some(load) = marks.load {
+            worker.tell(load, now_ms);
+        }
+        let status = response.status().as_u16();
+        if marks.not_run || status == 421 {
+            return Some(Outcome::NotRun { was_sent: true, why: format!("status {status}") });
+        }
+        if status == 200 && !marks.is_signed {
+            return Some(lost("the answer is not signed", false));
+        }
+        None
+    }
+
+    /// An upstream's own error: it goes to the caller, unless the run may go on elsewhere.
+    async fn pass_on_failure(
+        &mut self,
+        worker: &Rc<Worker>,
+        lease: Lease,
+        response: Response<Incoming>,
+        marks: &Marks,
+    ) -> Outcome {
+        let status = response.status().as_u16();
+        worker.ended(true, self.traffic.now_ms());
+        let can_repeat = status >= 500 && self.job.route.repeat == Repeat::Resumable;
+        let is_last = self.sent >= self.job.route.max_attempts;
+        if self.body.is_some() || (can_repeat && !is_last) || matches!(status, 408 | 429 | 503) {
+            return lost(format!("status {status}"), false);
+        }
+        self.copy = None;
+        let headers = front::end_to_end(response.headers().clone());
+        let Ok(body) = response.into_body().collect().await else {
+            return lost(format!("status {status} with a broken body"), false);
+        };
+        if self.job.body.is_empty() {
+            worker.give_back(lease, marks.keep_ms, self.traffic.now_ms());
+        }
+        self.answer(answer::whole(status, headers, body.to_bytes()));
+        Outcome::Done
+    }
+
+    /// Gives the caller the head of the first answer; later ones only bring events.
+    fn open_body(&mut self, response: Response<Incoming>) -> Incoming {
+        let (head, body) = response.into_parts();
+        if self.body.is_none() {
+            let (parts, growing) = mpsc::channel(WAITING_EVENTS);
+            let mut headers: HeaderMap = front::end_to_end(head.headers);
+            headers.remove(CONTENT_LENGTH);
+            self.body = Some(parts);
+            self.answer(answer::growing(head.status.as_u16(), headers, growing));
+        }
+        body
+    }
+}
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -320,9 +320,29 @@
     assert!(!found.note_directory(false, 1_500), "silent again");
     assert!(!found.note_directory(true, 3_000));
     assert!(!found.note_directory(true, 4_800));
-    assert_eq!(found.all().len(), 1);
+    assert_eq!(found.len(), 1);
     assert!(found.note_directory(true, 4_900));
-    assert!(found.all().is_empty());
+    assert!(found.is_empty());
+}
+
+/// Beats that carried everything filled the links of small instances.
+#[test]
+fn a_beat_repeats_a_few_of_what_was_found_and_all_in_the_end() {
+    let mut found = Found::default();
+    for number in 0..100 {
+        found.add(at(&format!("e{number}"), 1_000 + number));
+    }
+    let mut random = fastrand::Rng::with_seed(5);
+    let mut heard = Found::default();
+    for _ in 0..400 {
+        let sample = found.sample(&mut random);
+        assert!(sample.len() <= 3);
+        for upstream in sample {
+            heard.add(upstream);
+        }
+    }
+    assert_eq!(heard.len(), 100);
+    assert!(Found::default().sample(&mut random).is_empty());
 }
 
 /// Callers are sent to an instance until its peers find it gone, so a large fleet must not take
