--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,7 +12,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use tokio::sync::{mpsc, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
