--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -141,7 +141,8 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
-    fn current_id(&self) -> String {
+    /// The id of its present incarnation.
+    pub fn current_id(&self) -> String {
         self.lock().reborn.clone().unwrap_or_else(|| self.id.clone())
     }
 
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -26,6 +26,8 @@
     Engine(usize, engine::Fault),
     /// All engines of a zone misbehave.
     Zone(usize, engine::Fault),
+    /// All engines of a zone crash, and come back as other incarnations at their addresses.
+    Crash(usize),
     /// A service misbehaves.
     Service(usize, service::Fault),
     /// The store misbehaves.
@@ -81,7 +83,7 @@
     let delay_ms = random.u64(5..80);
     let harms = [Harm::Delay(delay_ms), Harm::Silent, Harm::OneWay, Harm::Reset];
     let harm = harms[random.usize(..harms.len())];
-    match random.u8(..18) {
+    match random.u8(..20) {
         0 | 1 => Fault::Kill(gateway),
         2 => Fault::KillAll,
         3 | 4 => Fault::Stop(gateway),
@@ -95,6 +97,7 @@
         12 => Fault::Store(store_fault(random)),
         13 => Fault::Forget,
         14 => Fault::Configure,
+        18 | 19 => Fault::Crash(random.usize(..3)),
         _ => Fault::Leave(engine),
     }
 }
--- a/tests/soak/src/world.rs
+++ b/tests/soak/src/world.rs
@@ -141,6 +141,7 @@
             Fault::StoreLink(harm) => self.store_link.set(harm),
             Fault::Engine(index, fault) => self.site.engines[index].fail(fault),
             Fault::Zone(zone, fault) => self.fail_zone(zone, fault),
+            Fault::Crash(zone) => self.fail_zone(zone, engine::Fault::Torn),
             Fault::Service(index, fault) => self.site.services[index].fail(fault),
             Fault::Store(fault) => self.site.store.fail(fault),
             Fault::Forget => self.site.store.forget_history(),
@@ -164,6 +165,7 @@
             Fault::StoreLink(_) => self.store_link.set(Harm::None),
             Fault::Engine(index, _) => self.site.engines[index].fail(engine::Fault::None),
             Fault::Zone(zone, _) => self.fail_zone(zone, engine::Fault::None),
+            Fault::Crash(zone) => self.bring_back(zone),
             Fault::Service(index, _) => self.site.services[index].fail(service::Fault::None),
             Fault::Store(_) => self.site.store.fail(store::Fault::None),
             Fault::Leave(index) => self.list(index, "ready"),
@@ -179,11 +181,22 @@
         }
     }
 
+    /// Starts the engines of a zone again, each as another incarnation at its address.
+    fn bring_back(&self, zone: usize) {
+        for (index, engine) in self.site.engines.iter().enumerate() {
+            if self.site.engine_zone(index) == site::ZONES[zone] {
+                self.site.store.remove(&format!("servers/{}", engine.current_id()));
+                engine.come_back(&format!("{}-{}", engine.id, self.new_id()));
+                self.list(index, "ready");
+            }
+        }
+    }
+
     fn list(&self, index: usize, state: &str) {
         let engine = &self.site.engines[index];
         let addr = self.engine_links[index].addr;
         let entry = engine.entry("plan-llm", self.site.engine_zone(index), state, addr);
-        self.site.store.put(&format!("servers/{}", engine.id), &entry);
+        self.site.store.put(&format!("servers/{}", engine.current_id()), &entry);
     }
 
     fn configure(&self) {
