Copy the list of upstreams only while engines are found, and write a server's entry once

Cause: read once more, the change that looks for crashed engines copied the whole list at each new picture for traffic (up to 100 a second) to merge into it what was found, which is nearly always nothing; before, the list was only compared. And the fakes of engines and services wrote the same entry of the store, once each (site::server_entry now).

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -193,11 +193,11 @@
         }
         let before = self.shared.view.load();
         let upstreams = board.found.merge(&board.fleet.upstreams);
-        let fleet = if before.fleet.upstreams == upstreams {
+        let fleet = if before.fleet.upstreams == *upstreams {
             Arc::clone(&before.fleet)
         } else {
             let mut fleet = board.fleet.clone();
-            fleet.upstreams = upstreams;
+            fleet.upstreams = upstreams.into_owned();
             Arc::new(fleet)
         };
         let view = View {
--- a/src/gateway/found.rs
+++ b/src/gateway/found.rs
@@ -4,6 +4,7 @@
 //! is silent for seconds, engines that crash and come back would be missing one failure domain after
 //! the other, until none is left.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -72,14 +73,20 @@
     }
 
     /// The list with what was found: instead of whoever had the address before, and after what the
-    /// directory itself says.
-    pub fn merge(&self, listed: &BTreeMap<Arc<str>, Upstream>) -> BTreeMap<Arc<str>, Upstream> {
+    /// directory itself says. It is not copied while nothing is found, which is nearly always.
+    pub fn merge<'a>(
+        &self,
+        listed: &'a BTreeMap<Arc<str>, Upstream>,
+    ) -> Cow<'a, BTreeMap<Arc<str>, Upstream>> {
+        if self.known.is_empty() {
+            return Cow::Borrowed(listed);
+        }
         let is_new = |found: &&Upstream| !listed.contains_key(&found.id);
         let found: Vec<&Upstream> = self.known.values().filter(is_new).collect();
         let is_replaced = |known: &Upstream| found.iter().any(|found| found.addr == known.addr);
         let kept = listed.iter().filter(|(_, known)| !is_replaced(known));
         let kept = kept.map(|(id, known)| (Arc::clone(id), known.clone()));
         let found = found.iter().map(|found| (Arc::clone(&found.id), (*found).clone()));
-        kept.chain(found).collect()
+        Cow::Owned(kept.chain(found).collect())
     }
 }
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -161,18 +161,6 @@
         self.lock().runs.values().copied().max().unwrap_or(0)
     }
 
-    /// Its entry in the list of servers.
-    pub fn entry(
-        &self,
-        service: &str,
-        zone: &str,
-        state: &str,
-        addr: SocketAddr,
-    ) -> serde_json::Value {
-        json!({"backend": service, "address": addr.to_string(), "zone": zone, "version": "v1",
-            "slots": 8, "state": state, "cold-remaining-ms": 0, "sequence": 1})
-    }
-
     async fn serve(self, mut connection: Connection) {
         while let Ok(Some(request)) = connection.read_request().await {
             let fault = self.lock().fault;
--- a/tests/fakes/src/service.rs
+++ b/tests/fakes/src/service.rs
@@ -4,8 +4,6 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use serde_json::json;
-
 use crate::engine::Seen;
 use crate::http::{self, Connection, Message};
 
@@ -84,18 +82,6 @@
         self.lock().seen.clone()
     }
 
-    /// Its entry in the list of servers.
-    pub fn entry(
-        &self,
-        service: &str,
-        zone: &str,
-        state: &str,
-        addr: SocketAddr,
-    ) -> serde_json::Value {
-        json!({"backend": service, "address": addr.to_string(), "zone": zone, "version": "v1",
-            "slots": 8, "state": state, "cold-remaining-ms": 0, "sequence": 1})
-    }
-
     async fn serve(self, mut connection: Connection) {
         while let Ok(Some(request)) = connection.read_request().await {
             let fault = self.lock().fault;
--- a/tests/fakes/src/site.rs
+++ b/tests/fakes/src/site.rs
@@ -61,18 +61,24 @@
     /// Writes an engine's entry.
     pub fn list_engine(&self, index: usize, state: &str) {
         let engine = &self.engines[index];
-        let entry = engine.entry("plan-llm", self.engine_zone(index), state, engine.addr);
+        let entry = server_entry("plan-llm", self.engine_zone(index), state, engine.addr);
         self.store.put(&format!("servers/{}", engine.id), &entry);
     }
 
     /// Writes a service's entry.
     pub fn list_service(&self, index: usize, state: &str) {
         let service = &self.services[index];
-        let entry = service.entry("booking-app", ZONES[index], state, service.addr);
+        let entry = server_entry("booking-app", ZONES[index], state, service.addr);
         self.store.put(&format!("servers/{}", service.id), &entry);
     }
 }
 
+/// What a server writes about itself in the store.
+pub fn server_entry(service: &str, zone: &str, state: &str, addr: SocketAddr) -> Value {
+    json!({"backend": service, "address": addr.to_string(), "zone": zone, "version": "v1",
+        "slots": 8, "state": state, "cold-remaining-ms": 0, "sequence": 1})
+}
+
 /// A configuration with the usual routes and some further ones.
 pub fn config(version: u64, keys: &[&str], more: &[&str]) -> Value {
     let route =
--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -2,7 +2,7 @@
 
 use siskinrock_fakes::caller;
 use siskinrock_fakes::service::Fault;
-use siskinrock_fakes::site::KEY;
+use siskinrock_fakes::site::{self, KEY};
 use yare::parameterized;
 
 use crate::support::{self, call};
@@ -92,7 +92,7 @@
     // The list still names earlier lives at the addresses of two of the three.
     for index in [0, 1] {
         let service = &running.site.services[index];
-        let entry = service.entry("booking-app", "ranong-hall", "ready", service.addr);
+        let entry = site::server_entry("booking-app", "ranong-hall", "ready", service.addr);
         running.site.store.remove(&format!("servers/{}", service.id));
         running.site.store.put(&format!("servers/gone-{index}"), &entry);
     }
--- a/tests/soak/src/world.rs
+++ b/tests/soak/src/world.rs
@@ -79,7 +79,7 @@
     let mut engine_links = Vec::new();
     for (index, engine) in site.engines.iter().enumerate() {
         let link = Proxy::start(engine.addr).await;
-        let entry = engine.entry("plan-llm", site.engine_zone(index), "ready", link.addr);
+        let entry = site::server_entry("plan-llm", site.engine_zone(index), "ready", link.addr);
         site.store.put(&format!("servers/{}", engine.id), &entry);
         engine_links.push(link);
     }
@@ -195,7 +195,7 @@
     fn list(&self, index: usize, state: &str) {
         let engine = &self.site.engines[index];
         let addr = self.engine_links[index].addr;
-        let entry = engine.entry("plan-llm", self.site.engine_zone(index), state, addr);
+        let entry = site::server_entry("plan-llm", self.site.engine_zone(index), state, addr);
         self.site.store.put(&format!("servers/{}", engine.current_id()), &entry);
     }
 
