--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -136,17 +136,22 @@
     let _ = stream.set_nodelay(true);
     let limits = limits(&traffic);
     let stage = Rc::new(Cell::new(Stage::Idle(traffic.now_ms())));
+    let _connection = ConnectionGuard::new(&traffic);
+    let requests = Cell::new(0);
     let service = {
         let traffic = Rc::clone(&traffic);
         let stage = Rc::clone(&stage);
-        service_fn(move |request| {
+        service_fn(move |request: Request<Incoming>| {
             let traffic = Rc::clone(&traffic);
             let stage = Rc::clone(&stage);
+            requests.set(requests.get() + 1);
+            let number = requests.get();
             async move {
                 stage.set(Stage::Serving);
-                let open = OpenGuard::new(&traffic);
-                let answer = serve(&traffic, request).await;
-                drop(open);
+                let demand = traffic.dialect.demand(request.headers());
+                let open = OpenGuard::new(&traffic, demand.id.clone(), number);
+                let answer = serve(&traffic, demand, request).await;
+                open.answered();
                 stage.set(Stage::Idle(traffic.now_ms()));
                 Ok::<_, Infallible>(answer)
             }
@@ -197,26 +202,64 @@
     view.config.as_ref().map(|config| config.limits).unwrap_or_default()
 }
 
-/// Counts a request as open for as long as it lives.
-pub struct OpenGuard(Rc<Traffic>);
+/// Counts a caller's connection for as long as it lives.
+struct ConnectionGuard(Rc<Traffic>);
+
+impl ConnectionGuard {
+    fn new(traffic: &Rc<Traffic>) -> ConnectionGuard {
+        traffic.connections.set(traffic.connections.get() + 1);
+        ConnectionGuard(Rc::clone(traffic))
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+/// Counts a request as open for as long as it lives, and logs one that ends without an answer.
+pub struct OpenGuard {
+    traffic: Rc<Traffic>,
+    id: Option<Arc<str>>,
+    /// Which request of its connection it is, from one on.
+    number: u32,
+    since_ms: u64,
+    is_answered: bool,
+}
 
 impl OpenGuard {
     /// Counts one more.
-    pub fn new(traffic: &Rc<Traffic>) -> OpenGuard {
+    pub fn new(traffic: &Rc<Traffic>, id: Option<Arc<str>>, number: u32) -> OpenGuard {
         traffic.open.set(traffic.open.get() + 1);
-        OpenGuard(Rc::clone(traffic))
+        let since_ms = traffic.now_ms();
+        OpenGuard { traffic: Rc::clone(traffic), id, number, since_ms, is_answered: false }
+    }
+
+    /// Ends it with an answer.
+    pub fn answered(mut self) {
+        self.is_answered = true;
     }
 }
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
+        let traffic = &self.traffic;
+        traffic.open.set(traffic.open.get() - 1);
+        if !self.is_answered {
+            traffic.metrics.count("unanswered");
+            slog::info!(traffic.log, "unanswered: its caller left, or this instance ended";
+                "request" => self.id.as_deref().unwrap_or("-"),
+                "number_on_connection" => self.number,
+                "ms" => traffic.now_ms() - self.since_ms,
+                "is_stopping" => traffic.stopping_ms.get().is_some());
+        }
     }
 }
 
-async fn serve(traffic: &Rc<Traffic>, request: Request<Incoming>) -> Answer {
+async fn serve(traffic: &Rc<Traffic>, demand: Demand, request: Request<Incoming>) -> Answer {
     let is_stopping = traffic.shared.view.load().phase == Phase::Stopping;
-    let mut answer = match read(traffic, request).await {
+    let mut answer = match read(traffic, demand, request).await {
         Ok(job) if is_stopping && traffic.is_too_late(job.route.repeat) => {
             job.refuse(traffic, &Failure::Stopping, None)
         }
@@ -253,11 +296,14 @@
 }
 
 /// Reads a request to its end, finds its route and checks its key.
-async fn read(traffic: &Traffic, request: Request<Incoming>) -> Result<Job, Rejected> {
+async fn read(
+    traffic: &Traffic,
+    demand: Demand,
+    request: Request<Incoming>,
+) -> Result<Job, Rejected> {
     let since_ms = traffic.now_ms();
     let view = traffic.view();
     let (head, body) = request.into_parts();
-    let demand = traffic.dialect.demand(&head.headers);
     let host = host(&head.headers, &head.uri).to_owned();
     let reject = |failure| Rejected {
         failure,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -188,6 +188,8 @@
         // Connections without a request are closed now; an error means that there are none.
         let _ = close.send(true);
         tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
+        slog::info!(traffic.log, "traffic ended"; "cut" => traffic.open.get(),
+            "connections" => traffic.connections.get());
         Ok(())
     })
 }
@@ -211,7 +213,7 @@
         let is_idle = traffic.open.get() == 0;
         if (is_idle && now_ms >= least_ms) || now_ms >= most_ms {
             slog::info!(traffic.log, "requests ended"; "cut" => traffic.open.get(),
-                "after_ms" => now_ms - since_ms);
+                "connections" => traffic.connections.get(), "after_ms" => now_ms - since_ms);
             return;
         }
         tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -39,8 +39,9 @@
     let (head, answered) = oneshot::channel();
     let traffic = Rc::clone(traffic);
     tokio::task::spawn_local(async move {
-        let _open = OpenGuard::new(&traffic);
+        let open = OpenGuard::new(&traffic, job.demand.id.clone(), 0);
         Run::new(&traffic, job, head).drive().await;
+        open.answered();
     });
     // The run always answers, unless its caller has left.
     answered.await.unwrap_or_else(|_| answer::failed(&Failure::Unknown, None))
@@ -137,7 +138,13 @@
         let now_ms = self.traffic.now_ms();
         let id = &worker.upstream.id;
         match outcome {
-            Outcome::Done | Outcome::CallerLeft => return false,
+            Outcome::Done => return false,
+            Outcome::CallerLeft => {
+                slog::info!(self.traffic.log, "caller left"; "request" => self.job.id(),
+                    "last_event" => self.last_event,
+                    "ms" => now_ms - self.job.since_ms);
+                return false;
+            }
             Outcome::TimeOver => {
                 self.give_up(Failure::TimeOver);
                 return false;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -56,6 +56,8 @@
     pub metrics: Arc<Metrics>,
     /// Requests whose answers are not complete.
     pub open: Cell<usize>,
+    /// Callers' connections.
+    pub connections: Cell<usize>,
     /// When a planned stop began.
     pub stopping_ms: Cell<Option<u64>>,
     places: RefCell<BTreeMap<u64, Place>>,
@@ -85,6 +87,7 @@
             log,
             metrics,
             open: Cell::new(0),
+            connections: Cell::new(0),
             stopping_ms: Cell::new(None),
             places: RefCell::default(),
             fleet: RefCell::default(),
@@ -309,6 +312,7 @@
         let workers = self.workers.borrow();
         let sum = |count: fn(&Worker) -> u64| workers.values().map(|worker| count(worker)).sum();
         self.metrics.gauge("open_requests", self.open.get() as u64);
+        self.metrics.gauge("connections", self.connections.get() as u64);
         self.metrics.gauge("channels", sum(Worker::channels));
         self.metrics.gauge("runs", sum(|worker| u64::from(worker.runs.get())));
         self.metrics.gauge("copies", sum(|worker| u64::from(worker.copies.get())));
--- a/tests/fakes/src/service.rs
+++ b/tests/fakes/src/service.rs
@@ -35,6 +35,8 @@
 struct State {
     fault: Fault,
     seen: Vec<Seen>,
+    /// How long a call takes.
+    work_ms: u64,
 }
 
 /// A running service; cloning shares it.
@@ -47,7 +49,7 @@
     state: Arc<Mutex<State>>,
 }
 
-/// How long a call takes.
+/// How long a call takes at first.
 const WORK_MS: u64 = 5;
 /// How long after an answer the extra one comes.
 const EXTRA_MS: u64 = 2;
@@ -55,7 +57,8 @@
 impl ServiceFake {
     /// Starts one.
     pub async fn start(id: &str) -> ServiceFake {
-        let state: Arc<Mutex<State>> = Arc::default();
+        let state = State { work_ms: WORK_MS, ..State::default() };
+        let state = Arc::new(Mutex::new(state));
         let mut fake =
             ServiceFake { id: id.to_owned(), addr: SocketAddr::from(([127, 0, 0, 1], 0)), state };
         let served = fake.clone();
@@ -77,6 +80,11 @@
         self.lock().fault = fault;
     }
 
+    /// Takes so long for each call from now on.
+    pub fn work_for(&self, work_ms: u64) {
+        self.lock().work_ms = work_ms;
+    }
+
     /// What it was asked.
     pub fn seen(&self) -> Vec<Seen> {
         self.lock().seen.clone()
@@ -99,7 +107,8 @@
                 }
                 continue;
             }
-            tokio::time::sleep(Duration::from_millis(WORK_MS)).await;
+            let work_ms = self.lock().work_ms;
+            tokio::time::sleep(Duration::from_millis(work_ms)).await;
             let answered = match fault {
                 Fault::LostAnswer => return connection.reset(),
                 Fault::Mute => return std::future::pending().await,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod front;
 mod lost_instances;
+mod stops;
 mod store;
 mod streams;
 mod support;
