A registration that is under way when a stop begins is removed as well

Cause, of the same class: the stop removed the lease that was held when the order came. One that was being taken out came about a moment later, and the store listed the instance until the lease ran out, 30 s. Change: who keeps the registration removes it once a stop has begun. Test: stops::a_registration_under_way_is_removed_by_a_stop, red before (the key was still there after the end).

--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -254,16 +254,17 @@
 
     pub(super) async fn keep_registration(self: Rc<Control>) {
         loop {
-            let lease = self.board.borrow().lease;
-            let is_stopping = self.board.borrow().phase == Phase::Stopping;
-            if is_stopping {
-                return;
+            if self.is_stopping() {
+                // A registration that was under way when the stop began has just come about.
+                return self.release().await;
             }
+            let lease = self.board.borrow().lease;
             let kept = match lease {
                 Some(lease) => self.timed("renew", self.directory.renew(lease)).await,
                 None => self.register().await,
             };
             match kept {
+                Ok(()) if self.is_stopping() => {}
                 Ok(()) => tokio::time::sleep(Duration::from_millis(RENEW_MS)).await,
                 Err(Fault::LeaseEnded) => self.board.borrow_mut().lease = None,
                 Err(fault) => {
@@ -274,6 +275,10 @@
         }
     }
 
+    fn is_stopping(&self) -> bool {
+        self.board.borrow().phase == Phase::Stopping
+    }
+
     pub(super) async fn register(&self) -> Result<(), Fault> {
         let registering = self.directory.register(&self.me, LEASE_MS);
         let lease = self.timed("register", registering).await?;
--- a/tests/gateway/stops.rs
+++ b/tests/gateway/stops.rs
@@ -8,7 +8,7 @@
 use siskinrock_fakes::caller::{self, Call};
 use siskinrock_fakes::http::Connection;
 use siskinrock_fakes::process::wait_for;
-use siskinrock_fakes::{engine, service, store};
+use siskinrock_fakes::{service, store};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -78,13 +78,13 @@
     assert_eq!(lost, 0, "calls ran and were not answered; the log:\n{log}");
 }
 
-/// Starts an instance with a stream that does not end, and stops it: it then lives for as long as
-/// a planned stop may take. Returns when the order was given.
+/// Stops an instance beside a stream that does not end, so that it lives for as long as a planned
+/// stop may take. Returns when the order was given.
 async fn stop_beside_a_stream(running: &Running) -> Instant {
-    let _reading = running.read_stream(&plan());
     let engines = &running.site.engines;
+    engines.iter().for_each(|engine| engine.read_for(20_000));
+    let _reading = running.read_stream(&plan());
     wait_for("an engine works", async || engines.iter().any(|engine| engine.working() > 0)).await;
-    engines.iter().for_each(|engine| engine.fail(engine::Fault::Stuck));
     let start = Instant::now();
     running.gateways[0].signal(libc::SIGTERM);
     start
@@ -167,6 +167,20 @@
     assert_eq!(send(running.front(0), &plan()).await, Heard::Answer(502));
 }
 
+/// The store listed an instance that was gone for half a minute: its registration was under way when
+/// the stop removed what it held by then, which was nothing.
+#[tokio::test]
+async fn a_registration_under_way_is_removed_by_a_stop() {
+    let mut running = support::start(2).await;
+    running.site.store.fail(store::Fault::Slow);
+    running.add(2);
+    wait_for("it is ready", async || running.gateways[2].is_ready().await).await;
+    running.gateways[2].signal(libc::SIGTERM);
+    wait_for("the process has ended", async || running.gateways[2].has_ended()).await;
+    let registered = running.site.store.keys("");
+    assert!(!registered.iter().any(|key| key.ends_with("edge-2")), "{registered:?}");
+}
+
 #[parameterized(
     a_stream_early = { Repeat::Resumable, 60_000, 1_100, true },
     a_stream_later = { Repeat::Resumable, 60_000, 1_300, false },
