--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -54,7 +54,26 @@
     reborn: Option<String>,
     /// Parts of prompts that lie in memory.
     kept: BTreeSet<String>,
+    /// Requests that this incarnation works on.
     working: usize,
+    /// How often it has come back: runs of earlier incarnations may end after that.
+    incarnation: u64,
+}
+
+impl State {
+    /// Counts a run; returns the incarnation that it belongs to.
+    fn begin(&mut self) -> u64 {
+        self.working += 1;
+        self.incarnation
+    }
+
+    /// Forgets a run, and counts it no more unless its incarnation's count has ended already.
+    fn end(&mut self, id: &str, incarnation: u64) {
+        self.runs.remove(id);
+        if self.incarnation == incarnation {
+            self.working -= 1;
+        }
+    }
 }
 
 /// A running engine; cloning shares it.
@@ -134,9 +153,13 @@
     /// Comes back from a crash as another incarnation with empty memory.
     pub fn come_back(&self, id: &str) {
         let mut state = self.lock();
-        let read_ms = state.read_ms;
-        let seen = std::mem::take(&mut state.seen);
-        *state = State { read_ms, seen, reborn: Some(id.to_owned()), ..State::default() };
+        *state = State {
+            read_ms: state.read_ms,
+            seen: std::mem::take(&mut state.seen),
+            reborn: Some(id.to_owned()),
+            incarnation: state.incarnation + 1,
+            ..State::default()
+        };
         drop(state);
         self.changed.send_modify(|count| *count += 1);
     }
@@ -231,11 +254,9 @@
             let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
             return connection.answer(status, &headers, b"").await;
         }
-        self.lock().working += 1;
+        let incarnation = self.lock().begin();
         let ended = self.run(connection, request, &id, has_copy).await;
-        let mut state = self.lock();
-        state.working -= 1;
-        state.runs.remove(&id);
+        self.lock().end(&id, incarnation);
         ended
     }
 
