Soak: a request that was taken and never answered breaks a promise, and a panicking task fails its seed

Now each outcome keeps its gateway and its times, and the history keeps when gateways and upstreams were disturbed without a plan and when stops began. A request that ran and got no whole answer breaks a promise unless its gateway was killed or paused from 3 s before, its upstream broke off or was harmed meanwhile, its time was over, or it was cut in the last sixth of the grace and sent no later than 3 s after the signal. A store's fault excuses nothing.

Callers: half of those that keep connections keep them until they are told to close or find them closed, through a stop; as many more open a new one for each call to a gateway that is being stopped until it is gone. A kept connection is counted to the gateway that it leads to, not to one that was drawn and not used.

--gateways takes up to 120, with callers to match; the most memory in use is printed, and a seed ends and fails before it takes more than half of the machine's. A gateway that has ended by itself, or runs on after its grace, fails the seed. A start that another fault has made already is no longer waited for: that took up to 5 s for each gateway.

--- a/tests/fakes/src/process.rs
+++ b/tests/fakes/src/process.rs
@@ -10,6 +10,8 @@
 
 /// A condition that doesn't come true within this time fails its test.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// How long a gateway may take for a planned stop, as its settings say.
+pub const GRACE: Duration = Duration::from_secs(4);
 /// The pause between two looks.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -40,7 +42,7 @@
         seeds: &[u8],
     ) -> Process {
         let settings = folder.join(format!("node-{number}.toml"));
-        let text = site::boot(place, number, store, seeds, 4.0);
+        let text = site::boot(place, number, store, seeds, GRACE.as_secs_f64());
         std::fs::write(&settings, text).expect("the folder can be written");
         let Place { base_port, .. } = place;
         let ip = place.ip(number);
@@ -98,6 +100,11 @@
         ended
     }
 
+    /// Its process id, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// What it logged.
     pub fn logged(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/tests/soak/src/checks.rs
+++ b/tests/soak/src/checks.rs
@@ -1,9 +1,15 @@
 //! What callers saw, against what upstreams did.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 
-use siskinrock_fakes::engine::{EVENTS, Seen, event};
+use siskinrock_fakes::engine::{EVENTS, event};
+
+use crate::history::{History, Span, Target};
+use crate::lost;
+
+/// The statuses that promise that a request has not run and never will.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
 /// What one caller's request came to.
 #[derive(Debug, Clone)]
@@ -20,6 +26,10 @@
     pub is_complete: bool,
     /// Whether it was sent after all faults had ended for a while.
     pub is_calm: bool,
+    /// The gateway that it was sent to.
+    pub gateway: usize,
+    /// From before it was sent until its answer had ended.
+    pub span: Span,
 }
 
 /// The kinds of request.
@@ -33,6 +43,15 @@
     Plan(String, u64),
 }
 
+/// A run of a request, as its upstream saw it.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// The request's name.
+    pub id: String,
+    /// Who ran it.
+    pub upstream: Target,
+}
+
 /// What a seed showed.
 #[derive(Debug, Default)]
 pub struct Report {
@@ -42,6 +61,8 @@
     pub served: usize,
     /// Promises that were broken.
     pub broken: Vec<String>,
+    /// The most memory that the gateways and the soak had in use together.
+    pub most_kb: u64,
     /// Where logs and the list of faults are.
     pub folder: PathBuf,
 }
@@ -49,43 +70,56 @@
 impl Report {
     /// One line.
     pub fn summary(&self) -> String {
-        let Report { sent, served, broken, .. } = self;
-        format!("{served} of {sent} requests served, {} promises broken", broken.len())
+        let Report { sent, served, broken, most_kb, .. } = self;
+        let broken = broken.len();
+        let most_mb = most_kb >> 10;
+        format!("{served} of {sent} requests served, {broken} promises broken, {most_mb} MB in use")
     }
 }
 
 /// Checks every outcome against what upstreams saw.
-pub fn check(outcomes: &[Outcome], seen: &[Seen], report: &mut Report) {
-    let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
-    for seen in seen.iter().filter(|seen| seen.ran) {
-        *runs.entry(seen.request.header("x-request-id").unwrap_or_default()).or_default() += 1;
+pub fn check(outcomes: &[Outcome], runs: &[Run], history: &History, report: &mut Report) {
+    let mut ran_on: BTreeMap<&str, Vec<Target>> = BTreeMap::new();
+    for run in runs {
+        ran_on.entry(&run.id).or_default().push(run.upstream);
     }
-    for id in runs.keys() {
-        if !outcomes.iter().any(|outcome| outcome.id == *id) {
-            report.broken.push(format!("{id} ran and nobody sent it"));
-        }
+    let sent: BTreeSet<&str> = outcomes.iter().map(|outcome| &*outcome.id).collect();
+    for id in ran_on.keys().filter(|id| !sent.contains(*id)) {
+        report.broken.push(format!("{id} ran and nobody sent it"));
     }
     for outcome in outcomes {
+        let ran_on = ran_on.get(&*outcome.id).map_or(&[][..], Vec::as_slice);
         report.sent += 1;
-        let ran = runs.get(&*outcome.id).copied().unwrap_or(0);
-        let fault = match &outcome.kind {
-            Kind::Plan(part, after) => check_stream(outcome, part, *after),
-            Kind::Book | Kind::Look => check_call(outcome, ran),
-        };
-        let is_served = outcome.status == 200 && outcome.is_complete;
-        report.served += usize::from(is_served);
-        let fault = fault.or_else(|| check_promise(outcome, ran));
-        let fault = fault
-            .or_else(|| (outcome.is_calm && !is_served).then(|| "not served in calm".to_owned()));
-        if let Some(fault) = fault {
+        report.served += usize::from(is_served(outcome));
+        if let Some(fault) = check_one(outcome, ran_on, history) {
             report.broken.push(format!(
-                "{} {:?} status {} ran {ran}: {fault}",
-                outcome.id, outcome.kind, outcome.status
+                "{} {:?} status {} ran {}: {fault}",
+                outcome.id,
+                outcome.kind,
+                outcome.status,
+                ran_on.len(),
             ));
         }
     }
 }
 
+fn is_served(outcome: &Outcome) -> bool {
+    outcome.status == 200 && outcome.is_complete
+}
+
+/// The first promise that an outcome breaks.
+fn check_one(outcome: &Outcome, ran_on: &[Target], history: &History) -> Option<String> {
+    let ran = ran_on.len();
+    let fault = match &outcome.kind {
+        Kind::Plan(part, after) => check_stream(outcome, part, *after),
+        Kind::Book | Kind::Look => check_call(outcome, ran),
+    };
+    fault
+        .or_else(|| check_not_run(outcome, ran))
+        .or_else(|| lost::check(outcome, ran_on, history))
+        .or_else(|| check_calm(outcome))
+}
+
 fn check_call(outcome: &Outcome, ran: usize) -> Option<String> {
     if outcome.kind == Kind::Book && ran > 1 {
         return Some("ran more than once".to_owned());
@@ -106,8 +140,11 @@
     (!whole.starts_with(&outcome.text)).then(|| format!("wrong events: {:?}", outcome.text))
 }
 
-/// These statuses promise that the request has not run and never will.
-fn check_promise(outcome: &Outcome, ran: usize) -> Option<String> {
-    let promises = matches!(outcome.status, 408 | 421 | 429 | 503);
+fn check_not_run(outcome: &Outcome, ran: usize) -> Option<String> {
+    let promises = NOT_RUN.contains(&outcome.status);
     (promises && ran > 0).then(|| "refused as not run, and ran".to_owned())
 }
+
+fn check_calm(outcome: &Outcome) -> Option<String> {
+    (outcome.is_calm && !is_served(outcome)).then(|| "not served in calm".to_owned())
+}
--- /dev/null
+++ b/tests/soak/src/lib.rs
@@ -0,0 +1,11 @@
+//! A randomized soak: real gateways as separate processes, faults from outside, and the promises
+//! checked while it runs from what callers and upstreams see.
+
+pub mod callers;
+pub mod checks;
+pub mod faults;
+pub mod history;
+pub mod lost;
+pub mod memory;
+pub mod tasks;
+pub mod world;
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -1,16 +1,19 @@
-//! A randomized soak: real gateways as separate processes, faults from outside, and the promises
-//! checked while it runs from what callers and upstreams see.
+//! The soak's command line: it plays seeds one after the other and says what they showed.
 //!
 //! `siskinrock-soak --binary target/release/siskinrock [--seeds 50] [--first 1] [--length-ms 8000]`
 
-mod checks;
-mod faults;
-mod world;
-
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
+use siskinrock_soak::checks::Report;
+use siskinrock_soak::world::{self, Setup};
+use tokio::task::{self, LocalSet};
+
+/// The most gateways: each is a process, and their addresses end in one byte.
+const MOST_GATEWAYS: u8 = 120;
+/// Promises that are printed of a seed; one cause often breaks many.
+const SHOWN: usize = 10;
+
 const HELP: &str = "\
 siskinrock-soak: run gateways under random faults and check their promises
 
@@ -18,29 +21,33 @@
   --seeds N          how many seeds [50]
   --first N          the first seed [1]
   --length-ms N      how long faults are injected in each [8000]
-  --gateways N       how many gateways [4]
+  --gateways N       how many gateways, 120 at most [4]
 ";
 
 struct Plan {
-    binary: PathBuf,
+    setup: Setup,
     seeds: u64,
     first: u64,
-    length: Duration,
-    gateways: u8,
 }
 
 fn plan() -> Result<Plan, pico_args::Error> {
     let mut arguments = pico_args::Arguments::from_env();
-    let plan = Plan {
+    let length_ms = arguments.opt_value_from_str("--length-ms")?.unwrap_or(8_000);
+    let setup = Setup {
         binary: arguments.value_from_str("--binary")?,
+        length: Duration::from_millis(length_ms),
+        gateways: arguments.opt_value_from_fn("--gateways", gateways)?.unwrap_or(4),
+    };
+    Ok(Plan {
+        setup,
         seeds: arguments.opt_value_from_str("--seeds")?.unwrap_or(50),
         first: arguments.opt_value_from_str("--first")?.unwrap_or(1),
-        length: Duration::from_millis(
-            arguments.opt_value_from_str("--length-ms")?.unwrap_or(8_000),
-        ),
-        gateways: arguments.opt_value_from_str("--gateways")?.unwrap_or(4),
-    };
-    Ok(plan)
+    })
+}
+
+fn gateways(text: &str) -> Result<u8, String> {
+    let count = text.parse().ok().filter(|count| (1..=MOST_GATEWAYS).contains(count));
+    count.ok_or_else(|| format!("write a number from 1 to {MOST_GATEWAYS}"))
 }
 
 fn main() -> ExitCode {
@@ -52,18 +59,30 @@
         }
     };
     let runtime = tokio::runtime::Runtime::new().expect("a runtime can be started");
-    let mut failed = Vec::new();
+    let mut failed = 0;
     for seed in plan.first..plan.first + plan.seeds {
-        let report = runtime.block_on(world::run(&plan.binary, seed, plan.length, plan.gateways));
-        println!("seed {seed}: {}", report.summary());
-        if !report.broken.is_empty() {
-            failed.push(seed);
-            for broken in report.broken.iter().take(10) {
-                println!("  {broken}");
-            }
-            println!("  logs and faults: {}", report.folder.display());
-        }
+        let report = LocalSet::new().block_on(&runtime, run(plan.setup.clone(), seed));
+        print(seed, &report);
+        failed += u64::from(!report.broken.is_empty());
+    }
+    println!("{} passed, {failed} failed", plan.seeds - failed);
+    if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Plays a seed; one whose check itself panics has failed.
+async fn run(setup: Setup, seed: u64) -> Report {
+    task::spawn_local(world::run(setup, seed)).await.unwrap_or_else(|error| Report {
+        broken: vec![format!("the soak itself ended early: {error}")],
+        ..Report::default()
+    })
+}
+
+fn print(seed: u64, report: &Report) {
+    println!("seed {seed}: {}", report.summary());
+    for broken in report.broken.iter().take(SHOWN) {
+        println!("  {broken}");
+    }
+    if !report.broken.is_empty() {
+        println!("  logs and faults: {}", report.folder.display());
     }
-    println!("{} passed, {} failed", plan.seeds - failed.len() as u64, failed.len());
-    if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/tests/soak/src/world.rs
+++ b/tests/soak/src/world.rs
@@ -3,40 +3,59 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use siskinrock_fakes::caller::{self, Call};
-use siskinrock_fakes::http::Connection;
-use siskinrock_fakes::process::{Process, wait_for};
+use siskinrock_fakes::process::{GRACE, Process, wait_for};
 use siskinrock_fakes::proxy::{Harm, Proxy};
 use siskinrock_fakes::site::{self, KEY, Place, SECOND_KEY, Site, config};
 use siskinrock_fakes::{engine, service, store};
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use crate::checks::{self, Kind, Outcome, Report};
+use crate::checks::{self, Outcome, Report, Run};
 use crate::faults::{self, Fault, Sizes, Timed};
+use crate::history::{History, Span, Target};
+use crate::{callers, memory, tasks};
 
-/// Callers of each kind.
-const CALLERS: usize = 4;
-/// The pause between two requests of a caller.
-const PAUSE: Duration = Duration::from_millis(25);
+/// The pause between two looks whether a gateway has ended.
+const LOOK: Duration = Duration::from_millis(25);
+/// A planned stop that takes longer has failed: the grace, and as much again for a gateway that
+/// stood still before.
+const STOP_LIMIT: Duration = Duration::from_secs(2 * GRACE.as_secs());
 /// How long after the last fault everything must be served again: an engine that was lost is kept
 /// out for five seconds unless it is asked.
 const SETTLE: Duration = Duration::from_millis(6_000);
 /// How long it is checked that everything is served.
 const CALM: Duration = Duration::from_millis(1_500);
-/// The longest that a caller waits.
-const PATIENCE: Duration = Duration::from_secs(20);
+/// The range of the services' time for a call: some calls outlast a step of a planned stop.
+const WORK_MS: std::ops::Range<u64> = 5..40;
+/// How often the memory in use is looked at.
+const MEMORY_LOOK: Duration = Duration::from_millis(500);
 
-struct World {
+/// What all seeds of a run share.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// The binary of the gateways.
+    pub binary: PathBuf,
+    /// How long faults are injected.
+    pub length: Duration,
+    /// How many gateways there are.
+    pub gateways: u8,
+}
+
+/// A running site and what has happened on it.
+pub struct World {
     site: Site,
     engine_links: Vec<Proxy>,
     store_link: Proxy,
     gateways: Mutex<Vec<Process>>,
-    fronts: Vec<SocketAddr>,
+    /// Where callers reach each gateway.
+    pub fronts: Vec<SocketAddr>,
+    /// Gateways that were told to stop and have not been started again, once for each order.
+    stopping: Mutex<Vec<usize>>,
+    history: Mutex<History>,
+    most_kb: AtomicU64,
     outcomes: Mutex<Vec<Outcome>>,
     next_id: AtomicU64,
     version: AtomicU64,
@@ -45,33 +64,46 @@
 }
 
 /// Plays one seed.
-pub async fn run(binary: &Path, seed: u64, length: Duration, gateways: u8) -> Report {
+pub async fn run(setup: Setup, seed: u64) -> Report {
     let mut random = fastrand::Rng::with_seed(seed);
     let folder =
         std::env::temp_dir().join(format!("siskinrock-soak-{}-{seed}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
-    let world = Arc::new(start(binary, seed, &folder, gateways).await);
+    let world = Arc::new(start(&setup.binary, seed, &folder, setup.gateways).await);
     let sizes = Sizes {
-        gateways: usize::from(gateways),
+        gateways: usize::from(setup.gateways),
         engines: world.site.engines.len(),
         services: world.site.services.len(),
     };
-    let faults = faults::draw(&mut random, sizes, length);
+    let faults = faults::draw(&mut random, sizes, setup.length);
     let listed: String = faults.iter().map(|timed| format!("{timed:?}\n")).collect();
     std::fs::write(folder.join("faults.txt"), listed).expect("the folder can be written");
-    let mut callers = JoinSet::new();
-    for _ in 0..CALLERS {
-        callers.spawn(call(Arc::clone(&world), "POST", "/book/a", Kind::Book, random.fork()));
-        callers.spawn(call(Arc::clone(&world), "GET", "/look/a", Kind::Look, random.fork()));
-        callers.spawn(plan(Arc::clone(&world), random.fork()));
+    for service in &world.site.services {
+        service.work_for(random.u64(WORK_MS));
     }
-    play(&world, &faults).await;
+    let mut callers = callers::start(&world, &mut random);
+    callers.spawn(watch_memory(Arc::clone(&world)));
+    let mut broken = play(&world, &faults).await;
     tokio::time::sleep(SETTLE).await;
     world.is_calm.store(true, Ordering::SeqCst);
     tokio::time::sleep(CALM).await;
     world.is_over.store(true, Ordering::SeqCst);
-    while callers.join_next().await.is_some() {}
-    judge(&world, folder)
+    broken.extend(tasks::join_all(callers).await);
+    judge(&world, broken, folder)
+}
+
+/// Notes the most memory in use; ends the seed before it takes more than it may.
+async fn watch_memory(world: Arc<World>) {
+    while !world.is_over() {
+        let used_kb = memory::resident_kb(std::process::id()) + world.gateways_kb();
+        world.most_kb.fetch_max(used_kb, Ordering::SeqCst);
+        if used_kb > memory::limit_kb() {
+            world.is_over.store(true, Ordering::SeqCst);
+            world.gateways().iter_mut().for_each(Process::kill);
+            panic!("{used_kb} kB in use, more than half of the machine's memory");
+        }
+        tokio::time::sleep(MEMORY_LOOK).await;
+    }
 }
 
 async fn start(binary: &Path, seed: u64, folder: &Path, count: u8) -> World {
@@ -104,6 +136,9 @@
         store_link,
         fronts,
         gateways: Mutex::new(gateways),
+        stopping: Mutex::default(),
+        history: Mutex::default(),
+        most_kb: AtomicU64::new(0),
         outcomes: Mutex::default(),
         next_id: AtomicU64::new(1),
         version: AtomicU64::new(10),
@@ -112,29 +147,37 @@
     }
 }
 
-/// Begins and ends each fault at its time; a fault may begin while others last.
-async fn play(world: &Arc<World>, faults: &[Timed]) {
+/// Begins and ends each fault at its time; a fault may begin while others last. Returns what went
+/// wrong with that.
+async fn play(world: &Arc<World>, faults: &[Timed]) -> Vec<String> {
     let start = Instant::now();
     let mut playing = JoinSet::new();
     for timed in faults.iter().copied() {
         let world = Arc::clone(world);
         playing.spawn(async move {
             tokio::time::sleep_until(start + timed.at).await;
-            world.begin(timed.fault);
+            let from = Instant::now();
+            let old = world.begin(timed.fault);
             tokio::time::sleep_until(start + timed.at + timed.lasts).await;
-            world.end(timed.fault).await;
+            world.end(timed.fault, old).await;
+            world.remember(timed.fault, Span { from, until: Instant::now() });
         });
     }
-    while playing.join_next().await.is_some() {}
+    tasks::join_all(playing).await
 }
 
 impl World {
-    fn begin(&self, fault: Fault) {
-        let mut gateways = self.gateways.lock().expect("no holder panics");
+    /// Begins a fault; returns the process that it told to stop, if it was one and ran.
+    fn begin(&self, fault: Fault) -> Option<u32> {
+        let mut gateways = self.gateways();
         match fault {
             Fault::Kill(index) => gateways[index].kill(),
             Fault::KillAll => gateways.iter_mut().for_each(Process::kill),
-            Fault::Stop(index) => gateways[index].signal(libc::SIGTERM),
+            Fault::Stop(index) => {
+                gateways[index].signal(libc::SIGTERM);
+                self.stopping.lock().expect("no holder panics").push(index);
+                return gateways[index].pid();
+            }
             Fault::Pause(index) => gateways[index].signal(libc::SIGSTOP),
             Fault::Reload(index) => gateways[index].signal(libc::SIGHUP),
             Fault::EngineLink(index, harm) => self.engine_links[index].set(harm),
@@ -148,18 +191,23 @@
             Fault::Configure => self.configure(),
             Fault::Leave(index) => self.list(index, "draining"),
         }
+        None
     }
 
-    async fn end(&self, fault: Fault) {
+    async fn end(&self, fault: Fault, old: Option<u32>) {
         match fault {
-            Fault::Kill(index) | Fault::Stop(index) => self.restart(index).await,
+            Fault::Kill(index) => self.restart(index, None).await,
+            Fault::Stop(index) => {
+                self.restart(index, old).await;
+                self.forget_stop(index);
+            }
             Fault::KillAll => {
                 for index in 0..self.fronts.len() {
-                    self.restart(index).await;
+                    self.restart(index, None).await;
                 }
             }
             Fault::Pause(index) => {
-                self.gateways.lock().expect("no holder panics")[index].signal(libc::SIGCONT);
+                self.gateways()[index].signal(libc::SIGCONT);
             }
             Fault::EngineLink(index, _) => self.engine_links[index].set(Harm::None),
             Fault::StoreLink(_) => self.store_link.set(Harm::None),
@@ -173,22 +221,48 @@
         }
     }
 
-    fn fail_zone(&self, zone: usize, fault: engine::Fault) {
-        for (index, engine) in self.site.engines.iter().enumerate() {
-            if self.site.engine_zone(index) == site::ZONES[zone] {
-                engine.fail(fault);
+    /// Keeps what the checks need to know of a fault that has ended.
+    fn remember(&self, fault: Fault, span: Span) {
+        let mut history = self.history.lock().expect("no holder panics");
+        let targets: Vec<Target> = match fault {
+            Fault::Stop(index) => return history.stop(index, span.from),
+            Fault::Kill(index) | Fault::Pause(index) => vec![Target::Gateway(index)],
+            Fault::KillAll => (0..self.fronts.len()).map(Target::Gateway).collect(),
+            // Who refuses or answers with an error breaks nothing off.
+            Fault::Engine(_, engine::Fault::Full) | Fault::Zone(_, engine::Fault::Full) => return,
+            Fault::Service(_, service::Fault::Full | service::Fault::Error) => return,
+            Fault::EngineLink(index, _) | Fault::Engine(index, _) => vec![Target::Engine(index)],
+            Fault::Zone(zone, _) | Fault::Crash(zone) => {
+                self.engines_of(zone).map(Target::Engine).collect()
             }
+            Fault::Service(index, _) => vec![Target::Service(index)],
+            // These disturb neither a gateway nor an upstream, so they excuse nothing.
+            Fault::Reload(_) | Fault::Configure | Fault::Leave(_) => return,
+            Fault::StoreLink(_) | Fault::Store(_) | Fault::Forget => return,
+        };
+        for target in targets {
+            history.harm(target, span);
+        }
+    }
+
+    fn engines_of(&self, zone: usize) -> impl Iterator<Item = usize> {
+        let all = 0..self.site.engines.len();
+        all.filter(move |index| self.site.engine_zone(*index) == site::ZONES[zone])
+    }
+
+    fn fail_zone(&self, zone: usize, fault: engine::Fault) {
+        for index in self.engines_of(zone) {
+            self.site.engines[index].fail(fault);
         }
     }
 
     /// Starts the engines of a zone again, each as another incarnation at its address.
     fn bring_back(&self, zone: usize) {
-        for (index, engine) in self.site.engines.iter().enumerate() {
-            if self.site.engine_zone(index) == site::ZONES[zone] {
-                self.site.store.remove(&format!("servers/{}", engine.current_id()));
-                engine.come_back(&format!("{}-{}", engine.id, self.new_id()));
-                self.list(index, "ready");
-            }
+        for index in self.engines_of(zone) {
+            let engine = &self.site.engines[index];
+            self.site.store.remove(&format!("servers/{}", engine.current_id()));
+            engine.come_back(&format!("{}-{}", engine.id, self.new_id()));
+            self.list(index, "ready");
         }
     }
 
@@ -205,146 +279,97 @@
         self.site.store.put("op/config", &config(version, &[KEY, SECOND_KEY], &[&name]));
     }
 
-    /// Starts a gateway again once it has ended, also one that ends as planned.
-    async fn restart(&self, index: usize) {
+    /// Starts a gateway again once its old process has ended, also one that ends as planned;
+    /// another fault may have done so already.
+    async fn restart(&self, index: usize, old: Option<u32>) {
         let since = Instant::now();
-        loop {
+        while !self.is_over() {
             {
-                let mut gateways = self.gateways.lock().expect("no holder panics");
+                let mut gateways = self.gateways();
                 let gateway = &mut gateways[index];
                 gateway.signal(libc::SIGCONT);
                 if gateway.has_ended() {
                     gateway.restart();
                     return;
                 }
-                // Another fault may have started it anew: then it runs, and stays.
-                if since.elapsed() > Duration::from_secs(5) {
+                if gateway.pid() != old {
                     return;
                 }
             }
-            tokio::time::sleep(PAUSE).await;
+            assert!(since.elapsed() < STOP_LIMIT, "gateway {index} runs on after its grace");
+            tokio::time::sleep(LOOK).await;
         }
     }
 
-    fn new_id(&self) -> String {
+    fn forget_stop(&self, index: usize) {
+        let mut stopping = self.stopping.lock().expect("no holder panics");
+        if let Some(place) = stopping.iter().position(|stopped| *stopped == index) {
+            stopping.swap_remove(place);
+        }
+    }
+
+    /// One of the gateways that are being stopped.
+    pub fn stopping(&self, random: &mut fastrand::Rng) -> Option<usize> {
+        random.choice(self.stopping.lock().expect("no holder panics").iter().copied())
+    }
+
+    fn gateways(&self) -> MutexGuard<'_, Vec<Process>> {
+        self.gateways.lock().expect("no holder panics")
+    }
+
+    fn gateways_kb(&self) -> u64 {
+        self.gateways().iter().filter_map(Process::pid).map(memory::resident_kb).sum()
+    }
+
+    /// A name that no other request has.
+    pub fn new_id(&self) -> String {
         format!("{:016x}", self.next_id.fetch_add(1, Ordering::SeqCst))
     }
 
-    fn note(&self, outcome: Outcome) {
+    /// Keeps what became of a request.
+    pub fn note(&self, outcome: Outcome) {
         self.outcomes.lock().expect("no holder panics").push(outcome);
     }
 
-    fn is_over(&self) -> bool {
+    /// Whether callers have to end.
+    pub fn is_over(&self) -> bool {
         self.is_over.load(Ordering::SeqCst)
     }
 
-    fn is_calm(&self) -> bool {
+    /// Whether everything has to be served.
+    pub fn is_calm(&self) -> bool {
         self.is_calm.load(Ordering::SeqCst)
     }
-}
 
-fn new_call(world: &World, method: &'static str, path: &str) -> Call {
-    Call {
-        method,
-        path: path.to_owned(),
-        host: site::HOST.to_owned(),
-        id: world.new_id(),
-        key: Some(KEY.to_owned()),
-        deadline_ms: 3_000,
-        last_event: None,
-        part: None,
-        body: if method == "POST" { b"a body".to_vec() } else { Vec::new() },
+    /// What all upstreams ran.
+    fn runs(&self) -> Vec<Run> {
+        let engines = self.site.engines.iter().enumerate();
+        let engines = engines.map(|(index, engine)| (Target::Engine(index), engine.seen()));
+        let services = self.site.services.iter().enumerate();
+        let services = services.map(|(index, service)| (Target::Service(index), service.seen()));
+        let seen = engines.chain(services);
+        seen.flat_map(|(upstream, seen)| {
+            seen.into_iter().filter(|seen| seen.ran).map(move |seen| {
+                let id = seen.request.header("x-request-id").unwrap_or_default().to_owned();
+                Run { id, upstream }
+            })
+        })
+        .collect()
     }
 }
 
-/// Sends calls over a connection that is kept for as long as it lasts.
-async fn call(
-    world: Arc<World>,
-    method: &'static str,
-    path: &'static str,
-    kind: Kind,
-    mut random: fastrand::Rng,
-) {
-    let mut kept: Option<Connection> = None;
-    while !world.is_over() {
-        tokio::time::sleep(PAUSE).await;
-        let front = world.fronts[random.usize(..world.fronts.len())];
-        let is_calm = world.is_calm();
-        let sent = new_call(&world, method, path);
-        let exchange = async {
-            let mut connection = match kept.take() {
-                Some(connection) => connection,
-                None => Connection::new(TcpStream::connect(front).await?),
-            };
-            connection.write(&sent.encode()).await?;
-            let answer = connection.read_answer().await?;
-            std::io::Result::Ok((connection, answer))
-        };
-        let answered = tokio::time::timeout(PATIENCE, exchange).await;
-        let mut outcome = Outcome {
-            id: sent.id.clone(),
-            kind: kind.clone(),
-            status: 0,
-            text: String::new(),
-            is_complete: false,
-            is_calm,
-        };
-        if let Ok(Ok((connection, answer))) = answered {
-            outcome.status = answer.status();
-            outcome.text = String::from_utf8_lossy(&answer.body).into_owned();
-            outcome.is_complete = true;
-            let closes = answer.header("connection") == Some("close");
-            kept = (!closes && random.u8(..10) > 0).then_some(connection);
+fn judge(world: &World, broken: Vec<String>, folder: PathBuf) -> Report {
+    let most_kb = world.most_kb.load(Ordering::SeqCst);
+    let mut report = Report { broken, most_kb, folder, ..Report::default() };
+    for (index, gateway) in world.gateways().iter_mut().enumerate() {
+        if gateway.has_ended() {
+            report.broken.push(format!("gateway {index} ended and was not told to"));
         }
-        world.note(outcome);
     }
-}
-
-/// Sends streams; one that was cut goes on once at another gateway, after its last event.
-async fn plan(world: Arc<World>, mut random: fastrand::Rng) {
-    while !world.is_over() {
-        tokio::time::sleep(PAUSE).await;
-        let part = world.new_id();
-        let mut after = 0;
-        for _ in 0..2 {
-            let front = world.fronts[random.usize(..world.fronts.len())];
-            let is_calm = world.is_calm();
-            let sent = Call {
-                part: Some(part.clone()),
-                last_event: (after > 0).then_some(after),
-                deadline_ms: 15_000,
-                ..new_call(&world, "POST", "/plan/a")
-            };
-            let streamed = tokio::time::timeout(PATIENCE, caller::stream(front, &sent)).await;
-            let stream = streamed.ok().and_then(Result::ok).unwrap_or_default();
-            let text = stream.text;
-            let came = text.matches("id: ").count() as u64;
-            let outcome = Outcome {
-                id: sent.id,
-                kind: Kind::Plan(part.clone(), after),
-                status: stream.head.status(),
-                text,
-                is_complete: stream.is_complete,
-                is_calm,
-            };
-            let is_complete = outcome.is_complete;
-            world.note(outcome);
-            after += came;
-            if is_complete || came == 0 {
-                break;
-            }
-        }
-    }
-}
-
-fn judge(world: &World, folder: PathBuf) -> Report {
-    let mut report = Report { folder, ..Report::default() };
-    let outcomes = world.outcomes.lock().expect("no holder panics").clone();
-    let engines = world.site.engines.iter().flat_map(|engine| engine.seen());
-    let services = world.site.services.iter().flat_map(|service| service.seen());
-    let seen: Vec<engine::Seen> = engines.chain(services).collect();
-    checks::check(&outcomes, &seen, &mut report);
-    world.gateways.lock().expect("no holder panics").clear();
+    let outcomes = world.outcomes.lock().expect("no holder panics");
+    let history = world.history.lock().expect("no holder panics");
+    checks::check(&outcomes, &world.runs(), &history, &mut report);
+    world.gateways().clear();
     if report.broken.is_empty() {
         let _ = std::fs::remove_dir_all(&report.folder);
     }
--- a/tests/soak/tests/short.rs
+++ b/tests/soak/tests/short.rs
@@ -18,7 +18,8 @@
             .args(["--seeds", "1", "--length-ms", "3000", "--first", &seed.to_string()])
             .output()
             .expect("the soak was built");
-        let text = String::from_utf8_lossy(&output.stdout);
-        assert!(output.status.success(), "seed {seed}: {text}");
+        let out = String::from_utf8_lossy(&output.stdout);
+        let err = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "seed {seed}: {out}\nstderr:\n{err}");
     }
 }
