Soak: series of planned stops over all gateways, with reloads and configurations among them

Series overlap with each other and with the faults that were drawn before; those are drawn as they were.

--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -5,6 +5,15 @@
 use siskinrock_fakes::proxy::Harm;
 use siskinrock_fakes::{engine, service, store};
 
+/// Series of planned stops of a seed, which may overlap.
+const MOST_ROLLS: usize = 2;
+/// The time between two stops of a series.
+const ROLL_STEP_MS: std::ops::RangeInclusive<u64> = 300..=800;
+/// Gateways of a series; with more, the last would be stopped long after all other faults.
+const LONGEST_ROLL: usize = 16;
+/// How long after a stop of a series another order may come: up to the end of most stops.
+const BESIDE_MS: u64 = 2_500;
+
 /// Something that goes wrong for a while.
 #[derive(Debug, Clone, Copy)]
 pub enum Fault {
@@ -51,6 +60,13 @@
     pub fault: Fault,
 }
 
+impl Timed {
+    /// An order, which needs no end.
+    fn order(at_ms: u64, fault: Fault) -> Timed {
+        Timed { at: Duration::from_millis(at_ms), lasts: Duration::ZERO, fault }
+    }
+}
+
 /// How many things there are to harm.
 #[derive(Debug, Clone, Copy)]
 pub struct Sizes {
@@ -72,10 +88,35 @@
             fault: draw_one(random, sizes),
         })
         .collect();
+    for _ in 0..random.usize(1..=MOST_ROLLS) {
+        draw_roll(random, sizes, length, &mut faults);
+    }
     faults.sort_by_key(|timed| timed.at);
     faults
 }
 
+/// Adds planned stops of one gateway after the other, each started again when it is gone, with
+/// reloads and configurations among them.
+fn draw_roll(random: &mut fastrand::Rng, sizes: Sizes, length: Duration, faults: &mut Vec<Timed>) {
+    let step_ms = random.u64(ROLL_STEP_MS);
+    let first_ms = random.u64(200..length.as_millis() as u64 / 2);
+    let first = random.usize(..sizes.gateways);
+    for turn in 0..sizes.gateways.min(LONGEST_ROLL) {
+        let at_ms = first_ms + step_ms * turn as u64;
+        let gateway = (first + turn) % sizes.gateways;
+        faults.push(Timed::order(at_ms, Fault::Stop(gateway)));
+        let beside_ms = at_ms + random.u64(..BESIDE_MS);
+        match random.u8(..4) {
+            0 => faults.push(Timed::order(beside_ms, Fault::Reload(gateway))),
+            1 => {
+                faults.push(Timed::order(beside_ms, Fault::Reload(random.usize(..sizes.gateways))))
+            }
+            2 => faults.push(Timed::order(beside_ms, Fault::Configure)),
+            _ => {}
+        }
+    }
+}
+
 fn draw_one(random: &mut fastrand::Rng, sizes: Sizes) -> Fault {
     let gateway = random.usize(..sizes.gateways);
     let engine = random.usize(..sizes.engines);
