A failing test: streams leave an engine whose events still come

Cause: a question for an engine's state that comes to nothing, whoever asked it, makes every run there leave; the question fails at once where this instance has no connection left, and after 130 ms on an engine that is full. What follows draws on the budget of repeats, and past it the stream is given up.

--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -20,6 +20,8 @@
     Dark,
     /// It answers its state, and makes no more events.
     Stuck,
+    /// It makes events, and doesn't answer its state.
+    Mute,
     /// It closes every channel in the middle of an event.
     Torn,
     /// It refuses everything as full.
@@ -189,6 +191,7 @@
             let fault = self.lock().fault;
             let served = match (fault, request.path()) {
                 (Fault::Dark, _) => return std::future::pending().await,
+                (Fault::Mute, "/siskinrock/report") => return std::future::pending().await,
                 (_, "/siskinrock/report") => {
                     let body = json!({"stage": "both", "models": [{"name": "m"}], "queued": 0,
                         "active": self.working()});
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -5,6 +5,7 @@
 use siskinrock_fakes::caller;
 use siskinrock_fakes::engine::{EVENTS, Fault};
 use siskinrock_fakes::process::wait_for;
+use siskinrock_fakes::site::Site;
 use yare::parameterized;
 
 use crate::support::{self, Running, plan, whole_text};
@@ -51,6 +52,34 @@
     assert_eq!(from_copy.filter(|seen| seen.from_copy).count(), 1);
 }
 
+/// Streams were cut whose events were still coming. Another request waited for its first event at
+/// the same engine, the engine was asked for its state, the question came to nothing (the engine was
+/// full, or no connection was left), and all runs there left at once, the last event 40 to 100 ms
+/// old. Many at a time used up the budget of repeats, and the rest was given up.
+///
+/// Evidence: `engine asked whether it lives` with `lives` false, `engine lost` with why `silent` and
+/// `quiet_ms` 40, `no repeat left in the budget`, `refused`.
+#[tokio::test]
+async fn a_stream_whose_events_come_stays_when_its_engine_does_not_tell_its_state() {
+    let site = Site::start(1, 100).await;
+    for engine in &site.engines[1..] {
+        site.store.remove(&format!("servers/{}", engine.id));
+    }
+    let running = support::start_site(site, 1).await;
+    let engine = &running.site.engines[0];
+    let sent = plan();
+    let reading = running.read_stream(&sent);
+    running.wait_for_events(0).await;
+    engine.fail(Fault::Mute);
+    engine.read_for(3_000);
+    let _waiting = running.read_stream(&plan());
+    let stream = reading.await.unwrap().unwrap();
+    assert!(stream.is_complete);
+    assert_eq!(stream.text, whole_text(&sent, 0));
+    assert!(running.gateways[0].logged().contains("engine asked whether it lives"));
+    assert_eq!(running.runs_of(&sent.id), 1);
+}
+
 /// Copies begin with the first event: before that, an attempt at the copy would only be refused.
 #[tokio::test]
 async fn a_stream_lost_before_its_first_event_does_not_look_for_a_copy() {
