An engine whose events come lives, whether or not it tells its state

Any event of any run at an engine within the time of the question now counts as its sign of life (Worker::hear, Traffic::shows_life), so a question that failed for want of a connection, or at a full engine, no longer drives its runs away; who is really silent has made no event for longer than the question takes. A run at an engine that lives and makes no events leaves it only if the budget has a repeat for it; past it the run would have been given up.

Ruled out: ignoring the news of a loss in each run by its own last event (the engine would still count as lost for placement, and its kept connections would be closed).

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -55,6 +55,15 @@
 
     /// Counts a repeat, if the bound allows one.
     pub fn repeat(&mut self, bound: Bound, now_ms: u64) -> bool {
+        if !self.has_repeat(bound, now_ms) {
+            return false;
+        }
+        self.step(bound, now_ms).repeats += 1;
+        true
+    }
+
+    /// Whether the bound allows one more repeat.
+    pub fn has_repeat(&mut self, bound: Bound, now_ms: u64) -> bool {
         self.step(bound, now_ms);
         let (requests, repeats) = self.sums();
         let all_requests = requests + bound.others_requests;
@@ -62,11 +71,7 @@
         let own_part = most / f64::from(bound.instances.max(1));
         let is_within_all = (repeats + bound.others_repeats + 1) as f64 <= most;
         let is_within_own = (repeats + 1) as f64 <= (own_part * PARTS).max(LEAST);
-        if !is_within_all || !is_within_own {
-            return false;
-        }
-        self.step(bound, now_ms).repeats += 1;
-        true
+        is_within_all && is_within_own
     }
 
     /// Requests and repeats in the window.
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -83,7 +83,10 @@
             };
             heard_ms = traffic.now_ms();
             let data = match frame {
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Ok(frame)) => {
+                    worker.hear(heard_ms);
+                    frame.into_data().unwrap_or_default()
+                }
                 Some(Err(error)) => {
                     worker.broke(heard_ms);
                     return lost(channel::describe(&error), true);
@@ -128,7 +131,9 @@
         if !lives {
             return Quiet::Leave(lost("silent, and its state can't be read", true));
         }
-        if is_reading || self.copy.is_none() || self.stuck_moves >= MOST_STUCK_MOVES {
+        let can_move = self.copy.is_some() && self.stuck_moves < MOST_STUCK_MOVES;
+        // Past the budget of repeats the run would be given up, although its engine lives.
+        if is_reading || !can_move || !traffic.has_repeat(&self.job.service) {
             return Quiet::Wait;
         }
         let stuck_ms = heard_ms + STUCK_MS.max(READING_MS * self.traffic.reading_at(worker));
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -184,6 +184,14 @@
         budgets.entry(Arc::clone(service)).or_default().repeat(bound, now_ms)
     }
 
+    /// Whether the bound allows a repeat to a service now.
+    pub fn has_repeat(&self, service: &Arc<str>) -> bool {
+        let bound = self.bound(service);
+        let now_ms = self.now_ms();
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(Arc::clone(service)).or_default().has_repeat(bound, now_ms)
+    }
+
     fn bound(&self, service: &str) -> Bound {
         let view = self.shared.view.load();
         let others = view.sent.get(service);
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -45,7 +45,7 @@
         let traffic = Rc::clone(self);
         let worker = Rc::clone(worker);
         tokio::task::spawn_local(async move {
-            let lives = traffic.answers_state(&worker).await;
+            let lives = traffic.shows_life(&worker).await;
             traffic.probes.borrow_mut().remove(&id);
             slog::info!(traffic.log, "engine asked whether it lives";
                 "upstream" => &*id, "lives" => lives);
@@ -59,6 +59,13 @@
         answer
     }
 
+    /// Whether an engine shows that it lives: it tells its state in time, or makes events of any
+    /// run meanwhile. A full engine is late with its state, and this instance may have no
+    /// connection left to ask over; the runs there must not leave it for that.
+    async fn shows_life(&self, worker: &Rc<Worker>) -> bool {
+        self.answers_state(worker).await || worker.is_heard(STATE_TIMEOUT_MS, self.now_ms())
+    }
+
     /// Whether an engine tells its state in time; asked again if this process itself was late.
     async fn answers_state(&self, worker: &Rc<Worker>) -> bool {
         let limit = Duration::from_millis(STATE_TIMEOUT_MS);
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -52,6 +52,7 @@
     suspect_until_ms: Cell<u64>,
     lost_until_ms: Cell<u64>,
     answered_ms: Cell<u64>,
+    heard_ms: Cell<Option<u64>>,
     failing: Cell<f64>,
     failing_ms: Cell<u64>,
     told: Cell<Option<Told>>,
@@ -127,6 +128,7 @@
             suspect_until_ms: Cell::new(0),
             lost_until_ms: Cell::new(0),
             answered_ms: Cell::new(0),
+            heard_ms: Cell::new(None),
             failing: Cell::new(0.0),
             failing_ms: Cell::new(0),
             told: Cell::new(None),
@@ -245,6 +247,16 @@
         self.lost_until_ms.set(0);
     }
 
+    /// Notes that something of a run's answer came.
+    pub fn hear(&self, now_ms: u64) {
+        self.heard_ms.set(Some(now_ms));
+    }
+
+    /// Whether something of a run's answer came within the last `within_ms`.
+    pub fn is_heard(&self, within_ms: u64, now_ms: u64) -> bool {
+        self.heard_ms.get().is_some_and(|heard_ms| heard_ms + within_ms > now_ms)
+    }
+
     /// When it last showed that it lives: by an answer, or by its listing.
     pub fn alive_ms(&self) -> u64 {
         self.answered_ms.get().max(self.listed_ms)
