--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod front;
 mod lost_instances;
 mod stops;
+mod stops_review;
 mod store;
 mod streams;
 mod support;
