--- a/tests/gateway/stops_review.rs
+++ b/tests/gateway/stops_review.rs
@@ -68,6 +68,29 @@
     }
 }
 
+/// After a stream that was longer than the idle timeout, its connection was closed at once, without
+/// a word in the stream's head, though callers may reuse it for most of that timeout: the idle time
+/// was counted from the head of the answer and not from its end.
+#[tokio::test]
+async fn the_idle_time_begins_at_the_end_of_an_answer() {
+    const TIMEOUT_MS: u64 = 400;
+    let site = Site::start(2, 60).await;
+    let mut config = site::config(3, &[site::KEY], &[]);
+    config["limits"]["header-timeout-ms"] = (TIMEOUT_MS / 2).into();
+    config["limits"]["idle-timeout-ms"] = TIMEOUT_MS.into();
+    site.store.put("op/config", &config);
+    let running = support::start_site(site, 1).await;
+    let mut kept = connect(running.front(0)).await;
+    kept.write(&plan().encode()).await.unwrap();
+    let head = kept.read_answer().await.unwrap();
+    assert_eq!((head.status(), head.header("connection")), (200, None));
+    while !kept.read_chunk().await.expect("the stream comes whole").is_empty() {}
+    tokio::time::sleep(Duration::from_millis(TIMEOUT_MS / 8)).await;
+    kept.write(&call("POST", "/book/a").encode()).await.expect("the connection is open");
+    let answer = kept.read_answer().await.expect("the request is answered");
+    assert_eq!(answer.status(), 200);
+}
+
 /// Half a head that came in the same bytes as the request before it was closed with the kept
 /// connection: the stage is set to `Head` by a read, and here none follows, as hyper has the bytes
 /// in its buffer already. The head's own timeout does not run for it either.
