--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -1,4 +1,4 @@
-//! A caller's socket, watched for when its next request begins.
+//! A caller's socket, watched for when its next request begins and when an answer is written.
 
 use std::cell::Cell;
 use std::io;
@@ -21,19 +21,82 @@
     Head(u64),
     /// A request is served.
     Serving,
+    /// Its answer is being made.
+    Answering,
+    /// The answer was made, and a part of it isn't written.
+    Flushing,
 }
 
-/// A socket that notes when a request begins to arrive.
+/// Follows a connection from stage to stage.
+pub struct Progress {
+    clock: Clock,
+    stage: Cell<Stage>,
+    /// Bytes of the next request came before the answer was written.
+    has_next: Cell<bool>,
+}
+
+impl Progress {
+    /// Of a connection that was just accepted.
+    pub fn new(clock: Clock) -> Progress {
+        let stage = Cell::new(Stage::Idle(clock.now_ms()));
+        Progress { clock, stage, has_next: Cell::new(false) }
+    }
+
+    /// Where it stands.
+    pub fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    /// Notes that the head of a request is whole.
+    pub fn begin(&self) {
+        self.has_next.set(false);
+        self.stage.set(Stage::Serving);
+    }
+
+    /// Notes that the head of the answer is there.
+    pub fn answer(&self) {
+        self.stage.set(Stage::Answering);
+    }
+
+    /// Notes that the body of the answer has ended.
+    pub fn body_ended(&self) {
+        if self.stage.get() == Stage::Answering {
+            self.stage.set(Stage::Flushing);
+        }
+    }
+
+    /// Notes that all bytes of answers are written. The times of the next request begin here, not
+    /// with the head of an answer that may take many times as long.
+    fn flushed(&self) {
+        if self.stage.get() != Stage::Flushing {
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        let has_next = self.has_next.take();
+        self.stage.set(if has_next { Stage::Head(now_ms) } else { Stage::Idle(now_ms) });
+    }
+
+    /// Notes that bytes were read.
+    fn read(&self) {
+        match self.stage.get() {
+            Stage::Idle(_) => self.stage.set(Stage::Head(self.clock.now_ms())),
+            Stage::Answering | Stage::Flushing => self.has_next.set(true),
+            // Of the head, or of the body of the request that is served.
+            Stage::Head(_) | Stage::Serving => {}
+        }
+    }
+}
+
+/// A socket that notes when a request begins to arrive and when an answer is written.
 pub struct Watched {
     stream: Rc<TcpStream>,
-    stage: Rc<Cell<Stage>>,
-    clock: Clock,
+    progress: Rc<Progress>,
 }
 
 impl Watched {
-    /// Watches a socket; `stage` is set to [`Stage::Head`] by the first byte after an idle time.
-    pub fn new(stream: Rc<TcpStream>, stage: Rc<Cell<Stage>>, clock: Clock) -> Watched {
-        Watched { stream, stage, clock }
+    /// Watches a socket.
+    pub fn new(stream: Rc<TcpStream>, progress: Rc<Progress>) -> Watched {
+        Watched { stream, progress }
     }
 }
 
@@ -61,8 +124,8 @@
             match self.stream.try_read(buffer.initialize_unfilled()) {
                 Ok(read) => {
                     buffer.advance(read);
-                    if read > 0 && matches!(self.stage.get(), Stage::Idle(_)) {
-                        self.stage.set(Stage::Head(self.clock.now_ms()));
+                    if read > 0 {
+                        self.progress.read();
                     }
                     return Poll::Ready(Ok(()));
                 }
@@ -101,6 +164,8 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes the socket once its own buffer is empty.
+        self.progress.flushed();
         Poll::Ready(Ok(()))
     }
 
--- /dev/null
+++ b/src/gateway/connection.rs
@@ -0,0 +1,154 @@
+//! A caller's connection: its requests one after the other, and when it closes.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::caller::{self, Progress, Stage, Watched};
+use super::failure::Failure;
+use super::front;
+use super::open::{ConnectionGuard, Delivery, OpenGuard};
+use super::route::Limits;
+use super::traffic::Traffic;
+
+/// The least buffer that hyper accepts for a head.
+pub(super) const LEAST_BUFFER_BYTES: usize = 8 << 10;
+/// The pause after a failed accept: connections that end meanwhile free descriptors.
+const ACCEPT_AGAIN_MS: u64 = 20;
+/// How often a connection that has to close looks whether its request has come or ended; 300
+/// connections that looked cost 8 % of a core.
+const CLOSE_LOOK_MS: u64 = 10;
+/// How long a new connection may be without a request before a planned stop closes it: its caller
+/// opened it to send one, which is a round trip away.
+const NEW_CONNECTION_MS: u64 = 100;
+
+/// Accepts callers until `close` is set, those that came before it as well.
+pub async fn accept(traffic: Rc<Traffic>, listener: TcpListener, mut close: watch::Receiver<bool>) {
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = close.wait_for(|close| *close) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                // Counted before its task first runs, so that no look misses it.
+                let guard = ConnectionGuard::new(&traffic);
+                let serving = serve(Rc::clone(&traffic), stream, close.clone());
+                tokio::task::spawn_local(async move {
+                    serving.await;
+                    drop(guard);
+                });
+            }
+            Err(error) => {
+                slog::warn!(traffic.log, "can't accept"; "detail" => %error);
+                tokio::time::sleep(Duration::from_millis(ACCEPT_AGAIN_MS)).await;
+            }
+        }
+    }
+}
+
+/// What a connection does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// It goes on.
+    GoOn,
+    /// It closes after what it is doing; at once if that is nothing.
+    Close,
+    /// Its head did not come in time.
+    TooSlow,
+}
+
+/// What a connection does next, from where it stands.
+///
+/// `is_closing` says that a planned stop closes all connections, `is_new` that this one has not
+/// brought a request yet.
+pub fn next(stage: Stage, is_closing: bool, is_new: bool, limits: &Limits, now_ms: u64) -> Next {
+    match stage {
+        Stage::Head(since_ms) if now_ms >= since_ms + limits.head_timeout_ms => Next::TooSlow,
+        // hyper would close with the bytes of a head that has begun; it closes with its answer.
+        Stage::Head(_) => Next::GoOn,
+        Stage::Idle(since_ms) => {
+            let is_over = now_ms >= since_ms + limits.idle_timeout_ms;
+            let is_awaited = is_new && now_ms < since_ms + NEW_CONNECTION_MS;
+            if is_over || (is_closing && !is_awaited) { Next::Close } else { Next::GoOn }
+        }
+        Stage::Serving | Stage::Answering | Stage::Flushing if is_closing => Next::Close,
+        Stage::Serving | Stage::Answering | Stage::Flushing => Next::GoOn,
+    }
+}
+
+async fn serve(traffic: Rc<Traffic>, stream: TcpStream, mut close: watch::Receiver<bool>) {
+    let _ = stream.set_nodelay(true);
+    let view = traffic.shared.view.load_full();
+    let limits = view.config.as_ref().map(|config| config.limits).unwrap_or_default();
+    let progress = Rc::new(Progress::new(traffic.clock));
+    let requests = Rc::new(Cell::new(0));
+    let service = {
+        let requests = Rc::clone(&requests);
+        let traffic = Rc::clone(&traffic);
+        let progress = Rc::clone(&progress);
+        service_fn(move |request: Request<Incoming>| {
+            requests.set(requests.get() + 1);
+            progress.begin();
+            let traffic = Rc::clone(&traffic);
+            let progress = Rc::clone(&progress);
+            let number = requests.get();
+            async move {
+                let demand = traffic.dialect.demand(request.headers());
+                let open = OpenGuard::new(&traffic, demand.id.clone(), number);
+                let answer = front::serve(&traffic, demand, request).await;
+                progress.answer();
+                Ok::<_, Infallible>(answer.map(|body| Delivery::new(body, open, progress)))
+            }
+        })
+    };
+    let stream = Rc::new(stream);
+    let watched = Watched::new(Rc::clone(&stream), Rc::clone(&progress));
+    let connection = http1::Builder::new()
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(watched), service);
+    let mut connection = pin!(connection);
+    let mut is_closing = false;
+    let mut has_closed = false;
+    loop {
+        let is_looking = is_closing && !has_closed;
+        let patience_ms = if is_looking { CLOSE_LOOK_MS } else { limits.head_timeout_ms.max(1) };
+        tokio::select! {
+            // What has arrived is read before the connection is told to close.
+            biased;
+            ended = connection.as_mut() => {
+                if let Err(error) = ended {
+                    slog::debug!(traffic.log, "connection ended"; "detail" => %error);
+                }
+                return;
+            }
+            _ = close.wait_for(|close| *close), if !is_closing => is_closing = true,
+            () = tokio::time::sleep(Duration::from_millis(patience_ms)) => {}
+        }
+        let is_new = requests.get() == 0;
+        match next(progress.stage(), is_closing, is_new, &limits, traffic.now_ms()) {
+            Next::Close if !has_closed => {
+                has_closed = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            Next::TooSlow => {
+                let failure = Failure::TooSlow { timeout_ms: limits.head_timeout_ms };
+                slog::warn!(traffic.log, "rejected"; "status" => failure.status(),
+                    "why" => %failure);
+                return caller::tell(&stream, &failure);
+            }
+            Next::Close | Next::GoOn => {}
+        }
+    }
+}
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -1,9 +1,7 @@
 //! Callers' connections: reading requests within the limits, and passing each to its service.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,30 +17,20 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request};
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::net::TcpListener;
 
 use super::answer::{self, Answer};
-use super::caller::{Stage, Watched};
 use super::dialect::{Demand, Dispatch};
 use super::failure::Failure;
 use super::metrics::Time;
 use super::route::{Config, Limits, Route};
 use super::traffic::Traffic;
-use super::{call, caller, stream};
+use super::{call, connection, stream};
 
 /// The time that a caller has if it names none and the route has no bound either.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
-/// The least buffer that hyper accepts for a head.
-const LEAST_BUFFER_BYTES: usize = 8 << 10;
 /// The most of a refused body that is read, so that the caller sees the answer and not a reset.
 const DISCARD_BYTES: usize = 8 << 20;
-/// How often a connection that closes looks whether its request has come or ended.
-const CLOSE_LOOK_MS: u64 = 10;
-/// How long a new connection may be without a request before it is closed in a planned stop: its
-/// caller opened it to send one, which is a round trip away.
-const NEW_CONNECTION_MS: u64 = 100;
-
 /// A request on its way through this instance.
 #[derive(Debug)]
 pub struct Job {
@@ -115,183 +103,9 @@
     }
 }
 
-/// Accepts callers until `close` is set, those that came before it as well.
-pub async fn accept(traffic: Rc<Traffic>, listener: TcpListener, mut close: watch::Receiver<bool>) {
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            _ = close.wait_for(|close| *close) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let traffic = Rc::clone(&traffic);
-                tokio::task::spawn_local(serve_connection(traffic, stream, close.clone()));
-            }
-            Err(error) => {
-                // Out of descriptors: connections that end free some.
-                slog::warn!(traffic.log, "can't accept"; "detail" => %error);
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
-}
-
-async fn serve_connection(
-    traffic: Rc<Traffic>,
-    stream: TcpStream,
-    mut close: watch::Receiver<bool>,
-) {
-    let _ = stream.set_nodelay(true);
-    let limits = limits(&traffic);
-    let stage = Rc::new(Cell::new(Stage::Idle(traffic.now_ms())));
-    let _connection = ConnectionGuard::new(&traffic);
-    let requests = Rc::new(Cell::new(0));
-    let service = {
-        let requests = Rc::clone(&requests);
-        let traffic = Rc::clone(&traffic);
-        let stage = Rc::clone(&stage);
-        service_fn(move |request: Request<Incoming>| {
-            let traffic = Rc::clone(&traffic);
-            let stage = Rc::clone(&stage);
-            requests.set(requests.get() + 1);
-            let number = requests.get();
-            async move {
-                stage.set(Stage::Serving);
-                let demand = traffic.dialect.demand(request.headers());
-                let open = OpenGuard::new(&traffic, demand.id.clone(), number);
-                let answer = serve(&traffic, demand, request).await;
-                open.answered();
-                stage.set(Stage::Idle(traffic.now_ms()));
-                Ok::<_, Infallible>(answer)
-            }
-        })
-    };
-    let stream = Rc::new(stream);
-    let watched = Watched::new(Rc::clone(&stream), Rc::clone(&stage), traffic.clock);
-    let connection = http1::Builder::new()
-        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(watched), service);
-    let mut connection = pin!(connection);
-    let mut is_closing = false;
-    let mut is_shut = false;
-    loop {
-        let patience_ms = if is_closing { CLOSE_LOOK_MS } else { limits.head_timeout_ms.max(1) };
-        tokio::select! {
-            // What has arrived is read before the connection is told to close.
-            biased;
-            ended = connection.as_mut() => {
-                if let Err(error) = ended {
-                    slog::debug!(traffic.log, "connection ended"; "detail" => %error);
-                }
-                return;
-            }
-            _ = close.wait_for(|close| *close), if !is_closing => is_closing = true,
-            () = tokio::time::sleep(Duration::from_millis(patience_ms)) => {}
-        }
-        let now_ms = traffic.now_ms();
-        match stage.get() {
-            Stage::Head(since_ms) if now_ms >= since_ms + limits.head_timeout_ms => {
-                let failure = Failure::TooSlow { timeout_ms: limits.head_timeout_ms };
-                slog::warn!(traffic.log, "rejected"; "status" => failure.status(),
-                    "why" => %failure);
-                caller::tell(&stream, &failure);
-                return;
-            }
-            // A head that has begun would be dropped; its connection closes with its answer.
-            Stage::Head(_) => {}
-            Stage::Serving if is_closing && !is_shut => {
-                is_shut = true;
-                connection.as_mut().graceful_shutdown();
-            }
-            Stage::Idle(since_ms) if !is_shut => {
-                let is_new = requests.get() == 0 && now_ms < since_ms + NEW_CONNECTION_MS;
-                let is_over = now_ms >= since_ms + limits.idle_timeout_ms;
-                if is_over || (is_closing && !is_new) {
-                    is_shut = true;
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
-            Stage::Serving | Stage::Idle(_) => {}
-        }
-    }
-}
-
-fn limits(traffic: &Traffic) -> Limits {
-    let view = traffic.shared.view.load();
-    view.config.as_ref().map(|config| config.limits).unwrap_or_default()
-}
-
-/// Counts a caller's connection for as long as it lives.
-struct ConnectionGuard(Rc<Traffic>);
-
-impl ConnectionGuard {
-    fn new(traffic: &Rc<Traffic>) -> ConnectionGuard {
-        traffic.connections.set(traffic.connections.get() + 1);
-        ConnectionGuard(Rc::clone(traffic))
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-    }
-}
-
-/// Counts a request as open for as long as it lives, and logs one that ends without an answer.
-pub struct OpenGuard {
-    traffic: Rc<Traffic>,
-    id: Option<Arc<str>>,
-    /// Which request of its connection it is, from one on.
-    number: u32,
-    since_ms: u64,
-    is_answered: bool,
-}
-
-impl OpenGuard {
-    /// Counts one more.
-    pub fn new(traffic: &Rc<Traffic>, id: Option<Arc<str>>, number: u32) -> OpenGuard {
-        traffic.open.set(traffic.open.get() + 1);
-        let since_ms = traffic.now_ms();
-        OpenGuard { traffic: Rc::clone(traffic), id, number, since_ms, is_answered: false }
-    }
-
-    /// Ends it with an answer.
-    pub fn answered(mut self) {
-        self.is_answered = true;
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        let traffic = &self.traffic;
-        traffic.open.set(traffic.open.get() - 1);
-        if !self.is_answered {
-            traffic.metrics.count("unanswered");
-            slog::info!(traffic.log, "unanswered: its caller left, or this instance ended";
-                "request" => self.id.as_deref().unwrap_or("-"),
-                "number_on_connection" => self.number,
-                "ms" => traffic.now_ms() - self.since_ms,
-                "is_stopping" => traffic.stop.get().is_some());
-        }
-    }
-}
-
 /// Serves a request; it has its answer before a planned stop ends, whichever it is.
-async fn serve(traffic: &Rc<Traffic>, demand: Demand, request: Request<Incoming>) -> Answer {
-    let id = demand.id.clone();
-    let mut last_answers = traffic.last_answers.subscribe();
-    let mut answer = tokio::select! {
-        biased;
-        answer = dispatch(traffic, demand, request) => answer,
-        _ = last_answers.wait_for(|is_now| *is_now) => {
-            let failure = Failure::Stopped;
-            slog::warn!(traffic.log, "refused"; "request" => id.as_deref().unwrap_or("-"),
-                "status" => failure.status(), "why" => %failure);
-            traffic.metrics.count("refused");
-            answer::failed(&failure, None)
-        }
-    };
+pub async fn serve(traffic: &Rc<Traffic>, demand: Demand, request: Request<Incoming>) -> Answer {
+    let mut answer = dispatch(traffic, demand, request).await;
     if traffic.stop.get().is_some() {
         // Callers open their next connection elsewhere.
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -301,10 +115,26 @@
 
 /// Reads a request and passes it to its service.
 async fn dispatch(traffic: &Rc<Traffic>, demand: Demand, request: Request<Incoming>) -> Answer {
-    match read(traffic, demand, request).await {
+    let id = demand.id.clone();
+    let (host, path) =
+        (host(request.headers(), request.uri()).to_owned(), request.uri().path().to_owned());
+    let read = tokio::select! {
+        biased;
+        read = read(traffic, demand, request) => read,
+        // Nothing of it was sent anywhere, nor will be.
+        () = traffic.gives_last_answers() => {
+            let failure = Failure::Stopping;
+            Err(Rejected { failure, id, host, path, config_version: 0 })
+        }
+    };
+    match read {
         Ok(job) if !traffic.takes(&job) => job.refuse(traffic, &Failure::Stopping, None),
         Ok(job) if job.route.repeat.is_stream() => stream::serve(traffic, job).await,
-        Ok(job) => call::serve(traffic, &job).await,
+        Ok(job) => tokio::select! {
+            biased;
+            answer = call::serve(traffic, &job) => answer,
+            () = traffic.gives_last_answers() => job.refuse(traffic, &Failure::Stopped, None),
+        },
         Err(rejected) => {
             traffic.metrics.count("rejected");
             rejected.log(traffic);
@@ -472,7 +302,7 @@
             });
             // A broken connection concerns its asker only.
             let _ = http1::Builder::new()
-                .max_buf_size(LEAST_BUFFER_BYTES)
+                .max_buf_size(connection::LEAST_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! them, how often they may be tried and for how long. A stream outlives its engine inside one
 //! answer, a call that may not be repeated is sent again only if it certainly did not run.
 //!
-//! The parts, in the order of a request: [`front`] reads it, [`route`] finds where it goes,
+//! The parts, in the order of a request: [`connection`] accepts it, [`front`] reads it, [`route`] finds where it goes,
 //! [`placement`] picks the upstream, [`call`] or [`stream`] carries it over a channel of
 //! [`channel`]. Beside them [`control`] keeps the configuration and the list of upstreams new,
 //! over a [`directory`] and with its [`peers`]. How requests look on the wire is the business of a
@@ -15,6 +15,7 @@
 pub mod call;
 pub mod caller;
 pub mod channel;
+pub mod connection;
 pub mod control;
 pub mod dialect;
 pub mod directory;
@@ -28,6 +29,7 @@
 pub mod metrics;
 pub mod native;
 pub mod news;
+pub mod open;
 pub mod peers;
 pub mod placement;
 pub mod route;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -12,20 +12,20 @@
 use hyper::{HeaderMap, Request};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::LocalSet;
+use tokio::task::{JoinHandle, LocalSet};
 
 use super::answer::{self, Answer};
 use super::control::Control;
 use super::control::knowledge::{KNOWLEDGE_PATH, Known};
 use super::dialect::{Dialect, Question};
 use super::directory::Directory;
-use super::front;
 use super::metrics::Metrics;
 use super::peers::Phase;
 use super::settings::Settings;
 use super::stop::Stop;
 use super::traffic::Traffic;
 use super::view::{Shared, View};
+use super::{connection, front};
 use crate::clock::Clock;
 use crate::error::{Error, Kind, Result};
 
@@ -132,7 +132,9 @@
     let runtime = runtime()?;
     let (stop_traffic, stopping) = watch::channel(None);
     let traffic_parts = parts.clone();
-    let traffic = spawn("traffic", move || run_traffic(traffic_parts, stopping))?;
+    let (listening, mut traffic_state) = watch::channel(false);
+    // The sender is dropped with the traffic thread, however it ends, which the receiver notices.
+    let traffic = spawn("traffic", move || run_traffic(traffic_parts, stopping, listening))?;
     let local = LocalSet::new();
     local.block_on(&runtime, async move {
         let control = Control::new(
@@ -148,11 +150,18 @@
         let socket = socket.map_err(|error| cannot_listen(parts.settings.peer, &error))?;
         serve_peers(&control, parts.settings.peer).await?;
         serve_questions(&parts).await?;
+        // An instance that says it is ready before it listens has its first callers refused.
+        if traffic_state.wait_for(|is_listening| *is_listening).await.is_err() {
+            return traffic.join().unwrap_or_else(|_| Err(panicked("traffic")));
+        }
         control.start(socket);
         slog::info!(parts.log, "started"; "instance" => &*parts.settings.id,
             "domain" => &*parts.settings.domain, "front" => %parts.settings.front);
-        stop.recv().await;
-        slog::info!(parts.log, "stopping: no new callers are sent here");
+        tokio::select! {
+            _ = stop.recv() => slog::info!(parts.log, "stopping: no new callers are sent here"),
+            // Without it, callers would be told to come and find nobody.
+            _ = traffic_state.changed() => slog::error!(parts.log, "traffic ended by itself"),
+        }
         control.stop();
         let stop = Stop {
             since_ms: parts.clock.now_ms(),
@@ -162,22 +171,22 @@
         // The grace runs from the order: traffic hears of it before the directory is called, which
         // may take a second to answer. The send fails only if the traffic thread has ended.
         let _ = stop_traffic.send(Some(stop));
-        let ended = async {
-            while !traffic.is_finished() {
-                tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
-            }
-        };
-        tokio::join!(control.release(), ended);
+        let _ = tokio::join!(control.release(), traffic_state.changed());
         slog::info!(parts.log, "stopped");
         traffic.join().unwrap_or_else(|_| Err(panicked("traffic")))
     })
 }
 
-fn run_traffic(parts: Parts, mut stopping: watch::Receiver<Option<Stop>>) -> Result<()> {
+fn run_traffic(
+    parts: Parts,
+    mut stopping: watch::Receiver<Option<Stop>>,
+    listening: watch::Sender<bool>,
+) -> Result<()> {
     let runtime = runtime()?;
     let local = LocalSet::new();
     local.block_on(&runtime, async move {
         let listener = listen(parts.settings.front).await?;
+        listening.send_replace(true);
         let traffic = Traffic::new(
             parts.settings,
             parts.dialect,
@@ -187,12 +196,13 @@
             parts.metrics,
         );
         let (close, closing) = watch::channel(false);
-        tokio::task::spawn_local(front::accept(Rc::clone(&traffic), listener, closing));
+        let accepting = connection::accept(Rc::clone(&traffic), listener, closing);
+        let accepting = tokio::task::spawn_local(accepting);
         tokio::task::spawn_local(sweep(Rc::clone(&traffic)));
         // The control thread keeps the sender for as long as it lives.
         let ordered = stopping.wait_for(Option::is_some).await.ok().and_then(|stop| *stop);
         if let Some(stop) = ordered {
-            drain(&traffic, stop, &close).await;
+            drain(&traffic, stop, &close, accepting).await;
         }
         Ok(())
     })
@@ -204,7 +214,12 @@
 /// connection shows: a look at the requests that are being served misses what is in a socket, in a
 /// half-read head or in an answer that its caller takes slowly. So the last look is at the
 /// connections, after the listener has closed and none can come any more.
-async fn drain(traffic: &Rc<Traffic>, stop: Stop, close: &watch::Sender<bool>) {
+async fn drain(
+    traffic: &Rc<Traffic>,
+    stop: Stop,
+    close: &watch::Sender<bool>,
+    accepting: JoinHandle<()>,
+) {
     traffic.stop.set(Some(stop));
     let is_idle = || traffic.open.get() == 0 && traffic.now_ms() >= stop.least_ms();
     wait_until(traffic, stop.answer_ms(), is_idle).await;
@@ -213,9 +228,9 @@
         "connections" => traffic.connections.get(), "after_ms" => after_ms);
     // An error means that there is neither a listener nor a connection.
     let _ = close.send(true);
-    let is_left = || traffic.open.get() == 0 && traffic.connections.get() == 0;
-    // The listener needs a moment to take in those that came before it closed.
-    tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
+    // The listener takes in those that came before; a panic there leaves it closed as well.
+    let _ = accepting.await;
+    let is_left = || traffic.connections.get() == 0;
     wait_until(traffic, stop.answer_ms(), is_left).await;
     traffic.last_answers.send_replace(true);
     wait_until(traffic, stop.end_ms(), is_left).await;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,7 +19,7 @@
 use super::answer::{self, Answer, Cut, Part};
 use super::dialect::Copy;
 use super::failure::Failure;
-use super::front::{Job, OpenGuard};
+use super::front::Job;
 use super::placement::Wish;
 use super::route::Repeat;
 use super::traffic::Traffic;
@@ -39,9 +39,13 @@
     let (head, answered) = oneshot::channel();
     let traffic = Rc::clone(traffic);
     tokio::task::spawn_local(async move {
-        let open = OpenGuard::new(&traffic, job.demand.id.clone(), 0);
-        Run::new(&traffic, job, head).drive().await;
-        open.answered();
+        let mut run = Run::new(&traffic, job, head);
+        tokio::select! {
+            biased;
+            () = run.drive() => {}
+            // What ran so long is cut: its caller goes on elsewhere after its last event.
+            () = traffic.gives_last_answers() => run.give_up(Failure::Stopped),
+        }
     });
     // The run always answers, unless its caller has left.
     answered.await.unwrap_or_else(|_| answer::failed(&Failure::Unknown, None))
@@ -109,7 +113,7 @@
         }
     }
 
-    async fn drive(mut self) {
+    async fn drive(&mut self) {
         if self.last_event.is_some()
             && self.part().is_some_and(|part| self.traffic.place_of(part).is_none())
         {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -103,6 +103,13 @@
         self.stop.get().is_none_or(|stop| stop.takes(job.route.repeat, job.until_ms, now_ms))
     }
 
+    /// Waits until a planned stop gives its last answers, which may be never.
+    pub async fn gives_last_answers(&self) {
+        let mut last_answers = self.last_answers.subscribe();
+        // The sender lives as long as this.
+        let _ = last_answers.wait_for(|is_now| *is_now).await;
+    }
+
     /// Milliseconds since the start.
     pub fn now_ms(&self) -> u64 {
         self.clock.now_ms()
--- a/src/router.rs
+++ b/src/router.rs
@@ -52,7 +52,8 @@
 const STOP_STEP_MS: u64 = 50;
 /// How long a stopping instance waits for the others to take over its records.
 const HAND_OVER_MS: u64 = 15_000;
-/// How long connections with a half-sent request or a half-read answer hold up a stop.
+/// How long connections with a half-sent request or a half-read answer hold up a stop in which no
+/// request is open.
 const LAST_CONNECTIONS_MS: u64 = 5_000;
 
 /// A running instance.
@@ -129,19 +130,33 @@
         node.tell(control::Event::Stop);
         wait_until_left(&node).await;
         tokio::time::sleep(Duration::from_millis(node.settings.keep_ms)).await;
-        while node.registry.active().await > 0 || node.open.load(Ordering::SeqCst) > 0 {
+        while is_busy(&node).await {
             tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
         }
         self.server.stop_graceful(None);
-        // The count of open requests misses heads that are arriving and answers that are being
-        // written, so the end is that of the connections; idle ones close at once.
-        let limit = Duration::from_millis(LAST_CONNECTIONS_MS);
-        if tokio::time::timeout(limit, &mut self.serving).await.is_err() {
-            slog::warn!(node.log, "connections are cut that did not end in time";
-                "timeout_ms" => LAST_CONNECTIONS_MS);
-        }
+        self.end_connections(&node).await;
         slog::info!(node.log, "stopped");
     }
+
+    /// Waits for the end of the last connection. The count of open requests misses heads that are
+    /// arriving and answers that are being written; connections that are idle close at once.
+    async fn end_connections(&mut self, node: &Node) {
+        let mut idle_ms = 0;
+        while idle_ms < LAST_CONNECTIONS_MS {
+            let step = Duration::from_millis(STOP_STEP_MS);
+            if tokio::time::timeout(step, &mut self.serving).await.is_ok() {
+                return;
+            }
+            idle_ms = if is_busy(node).await { 0 } else { idle_ms + STOP_STEP_MS };
+        }
+        slog::warn!(node.log, "connections are cut that did not end in time";
+            "timeout_ms" => LAST_CONNECTIONS_MS);
+    }
+}
+
+/// Whether a request is open or a run goes on.
+async fn is_busy(node: &Node) -> bool {
+    node.registry.active().await > 0 || node.open.load(Ordering::SeqCst) > 0
 }
 
 fn stream_threads(threads: usize) -> Result<Runtime> {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,12 +2,12 @@
 
 mod calls;
 mod configuration;
+mod connections;
 mod decisions;
 mod explain;
 mod front;
 mod lost_instances;
 mod stops;
-mod stops_review;
 mod store;
 mod streams;
 mod support;
