Repeats of an instance that ended count for the rest of the window

Cause: the budget of repeats is kept over all instances by what they tell in beats, summed over the living ones. What an instance had sent left the sum with its end, or with the first beat of its next incarnation, while the service had counted it: work that was accepted and not counted, once more. Change: peers' last sums stand for the window, also after their end, and those of former incarnations beside them. Test: decisions::what_was_sent_by_an_instance_that_ended_counts_for_the_window, red before (1 instead of 6).

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -190,6 +190,7 @@
             fronts.push(Front { addr: self.me.front_addr, domain: Arc::clone(&self.me.domain) });
         }
         let others = Others::sum(board.peers.alive(now_ms));
+        let sent = sum_sent(board.peers.sent(self.settings.repeat_window_ms, now_ms));
         fronts.extend(others.fronts);
         let mut places = BTreeMap::new();
         for beat in board.peers.remembered(REMEMBER_MS, now_ms) {
@@ -211,7 +212,7 @@
             fronts,
             instances: others.instances + 1,
             others: Arc::new(others.held),
-            sent: Arc::new(others.sent),
+            sent: Arc::new(sent),
             lost: Arc::new(others.lost),
             places: Arc::new(places),
         };
@@ -261,13 +262,25 @@
     }
 }
 
+/// What was sent to each service.
+fn sum_sent<'a>(all: impl Iterator<Item = &'a Sent>) -> BTreeMap<Arc<str>, Sent> {
+    let mut sums = BTreeMap::new();
+    for sent in all {
+        let service = Arc::clone(&sent.service);
+        let nothing = || Sent { service, requests: 0, repeats: 0 };
+        let sum: &mut Sent = sums.entry(Arc::clone(&sent.service)).or_insert_with(nothing);
+        sum.requests += sent.requests;
+        sum.repeats += sent.repeats;
+    }
+    sums
+}
+
 /// What the other instances have, summed up.
 #[derive(Default)]
 struct Others {
     instances: u32,
     fronts: Vec<Front>,
     held: BTreeMap<Arc<str>, Held>,
-    sent: BTreeMap<Arc<str>, Sent>,
     lost: Vec<Arc<str>>,
 }
 
@@ -293,13 +306,6 @@
             sum.copies += held.copies;
             sum.reading += held.reading;
         }
-        for sent in &beat.own.sent {
-            let service = Arc::clone(&sent.service);
-            let nothing = || Sent { service, requests: 0, repeats: 0 };
-            let sum = self.sent.entry(Arc::clone(&sent.service)).or_insert_with(nothing);
-            sum.requests += sent.requests;
-            sum.repeats += sent.repeats;
-        }
         self.lost.extend(beat.own.lost.iter().cloned());
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,7 +13,7 @@
 
 use super::fleet::Upstream;
 use super::instance::Registration;
-use super::news::{News, Own};
+use super::news::{News, Own, Sent};
 use crate::decide::Random;
 
 /// The time between two beats of an instance: three lost in a row are noticed within a second.
@@ -112,10 +112,18 @@
     pub heard_ms: u64,
 }
 
+/// What an incarnation had sent before the next one was heard.
+#[derive(Debug)]
+struct Former {
+    sent: Vec<Sent>,
+    heard_ms: u64,
+}
+
 /// All peers.
 #[derive(Debug, Default)]
 pub struct Peers {
     known: BTreeMap<Arc<str>, Peer>,
+    former: Vec<Former>,
     next: usize,
 }
 
@@ -155,9 +163,16 @@
         if is_old {
             return false;
         }
+        let incarnation = beat.from.incarnation;
         let registration = beat.from.clone();
         let id = Arc::clone(&registration.id);
-        self.known.insert(id, Peer { beat: Some(beat), registration, heard_ms: now_ms });
+        let peer = Peer { beat: Some(beat), registration, heard_ms: now_ms };
+        let Some(before) = self.known.insert(id, peer) else { return !was_alive };
+        if let Some(last) = before.beat
+            && last.from.incarnation != incarnation
+        {
+            self.former.push(Former { sent: last.own.sent, heard_ms: before.heard_ms });
+        }
         !was_alive
     }
 
@@ -197,6 +212,7 @@
     /// The peers that get this round's beat.
     pub fn due(&mut self, seeds: &[SocketAddr], me: SocketAddr, now_ms: u64) -> Vec<SocketAddr> {
         self.known.retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) < FORGET_MS);
+        self.former.retain(|former| now_ms.saturating_sub(former.heard_ms) < FORGET_MS);
         let mut all: Vec<SocketAddr> =
             self.known.values().map(|peer| peer.registration.peer_addr).collect();
         all.extend(seeds);
@@ -223,6 +239,14 @@
         self.known.values().filter(recent).filter_map(|peer| peer.beat.as_ref())
     }
 
+    /// What instances sent within the window of the budget of repeats, also those that have ended
+    /// since: upstreams have counted it.
+    pub fn sent(&self, window_ms: u64, now_ms: u64) -> impl Iterator<Item = &Sent> {
+        let last = self.remembered(window_ms, now_ms).flat_map(|beat| &beat.own.sent);
+        let former = self.former.iter().filter(move |former| former.heard_ms + window_ms > now_ms);
+        last.chain(former.flat_map(|former| &former.sent))
+    }
+
     /// A living peer that knows more, by what `newer` finds in its beat.
     pub fn ahead(
         &self,
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -9,7 +9,7 @@
 use siskinrock::gateway::found::Found;
 use siskinrock::gateway::instance::Registration;
 use siskinrock::gateway::losses::{Loss, Losses, Subject};
-use siskinrock::gateway::news::{Held, News, Own, Told};
+use siskinrock::gateway::news::{Held, News, Own, Sent, Told};
 use siskinrock::gateway::peers::{BEAT_MS, Beat, Peers, Phase, Update, Versions};
 use siskinrock::gateway::placement::{Candidate, Wish, choose};
 use siskinrock::platform::document;
@@ -173,6 +173,33 @@
     }
 }
 
+/// A service got 844 repeats for 750 requests in ten seconds, 750 allowed, on a day on which all
+/// instances were stopped and started within seconds: what an instance had sent was forgotten with
+/// its end, and by the first beat of its next incarnation, while the service had counted it.
+#[test]
+fn what_was_sent_by_an_instance_that_ended_counts_for_the_window() {
+    const WINDOW_MS: u64 = 10_000;
+    let sum = |peers: &Peers, now_ms| -> u64 {
+        peers.sent(WINDOW_MS, now_ms).map(|sent| sent.repeats).sum()
+    };
+    let sending = |incarnation, count, repeats| {
+        let mut sending = beat("a", 1, count);
+        sending.from.incarnation = incarnation;
+        let service = "plan".into();
+        sending.own.sent.push(Sent { service, requests: 10, repeats });
+        sending
+    };
+    let mut peers = Peers::default();
+    peers.hear(sending(1, 1, 4), 0);
+    peers.hear(sending(1, 2, 5), 500);
+    assert_eq!(sum(&peers, 500), 5);
+    peers.hear(sending(2, 1, 1), 2_000);
+    assert_eq!(sum(&peers, 2_000), 6, "started again");
+    assert_eq!(sum(&peers, 9_000), 6, "silent");
+    assert_eq!(sum(&peers, 10_600), 1, "out of the window");
+    assert_eq!(sum(&peers, 12_100), 0);
+}
+
 #[test]
 fn a_late_or_unknown_message_changes_nothing() {
     let mut peers = Peers::default();
