Soak of a hundred gateways: services answer for their state, shares of connections suffice, seeds leave nothing behind

All were GET /siskinrock/report to a service: a gateway that has a call at a service which it finds doubtful asks for its state, and the fake ran the question as a call. With four gateways no seed did so; with a hundred, 110 connections leave each gateway one, and services are doubted. A service that is mute stays mute. What is not known: whether plain services of the platform answer that question.

--- a/tests/fakes/src/service.rs
+++ b/tests/fakes/src/service.rs
@@ -49,6 +49,8 @@
     state: Arc<Mutex<State>>,
 }
 
+/// What a service says of its state, to whoever asks whether it lives: no call runs for that.
+const REPORT: &str = r#"{"stage": "both", "models": [], "queued": 0, "active": 0}"#;
 /// How long a call takes at first.
 const WORK_MS: u64 = 5;
 /// How long after an answer the extra one comes.
@@ -93,6 +95,16 @@
     async fn serve(self, mut connection: Connection) {
         while let Ok(Some(request)) = connection.read_request().await {
             let fault = self.lock().fault;
+            if request.path() == "/siskinrock/report" {
+                let answered = match fault {
+                    Fault::Mute => return std::future::pending().await,
+                    _ => connection.answer(200, &[], REPORT.as_bytes()).await,
+                };
+                if answered.is_err() {
+                    return;
+                }
+                continue;
+            }
             let id = request.header("x-request-id").unwrap_or_default().to_owned();
             let expected = request.header("x-expect-instance");
             let refused = match expected {
--- a/tests/soak/src/checks.rs
+++ b/tests/soak/src/checks.rs
@@ -48,6 +48,8 @@
 pub struct Run {
     /// The request's name.
     pub id: String,
+    /// What it asked for.
+    pub path: String,
     /// Who ran it.
     pub upstream: Target,
 }
@@ -79,13 +81,13 @@
 
 /// Checks every outcome against what upstreams saw.
 pub fn check(outcomes: &[Outcome], runs: &[Run], history: &History, report: &mut Report) {
-    let mut ran_on: BTreeMap<&str, Vec<Target>> = BTreeMap::new();
-    for run in runs {
-        ran_on.entry(&run.id).or_default().push(run.upstream);
-    }
     let sent: BTreeSet<&str> = outcomes.iter().map(|outcome| &*outcome.id).collect();
-    for id in ran_on.keys().filter(|id| !sent.contains(*id)) {
-        report.broken.push(format!("{id} ran and nobody sent it"));
+    let mut ran_on: BTreeMap<&str, Vec<Target>> = BTreeMap::new();
+    for Run { id, path, upstream } in runs {
+        ran_on.entry(id).or_default().push(*upstream);
+        if !sent.contains(&**id) {
+            report.broken.push(format!("{id:?} {path} ran on {upstream:?} and nobody sent it"));
+        }
     }
     for outcome in outcomes {
         let ran_on = ran_on.get(&*outcome.id).map_or(&[][..], Vec::as_slice);
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -7,6 +7,7 @@
 
 use siskinrock_soak::checks::Report;
 use siskinrock_soak::world::{self, Setup};
+use tokio::runtime::Runtime;
 use tokio::task::{self, LocalSet};
 
 /// The most gateways: each is a process, and their addresses end in one byte.
@@ -58,9 +59,10 @@
             return ExitCode::from(2);
         }
     };
-    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be started");
     let mut failed = 0;
     for seed in plan.first..plan.first + plan.seeds {
+        // With its runtime end the fakes and proxies of a seed, and all that they remember.
+        let runtime = Runtime::new().expect("a runtime can be started");
         let report = LocalSet::new().block_on(&runtime, run(plan.setup.clone(), seed));
         print(seed, &report);
         failed += u64::from(!report.broken.is_empty());
--- a/tests/soak/src/world.rs
+++ b/tests/soak/src/world.rs
@@ -6,9 +6,10 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use serde_json::{Value, json};
 use siskinrock_fakes::process::{GRACE, Process, wait_for};
 use siskinrock_fakes::proxy::{Harm, Proxy};
-use siskinrock_fakes::site::{self, KEY, Place, SECOND_KEY, Site, config};
+use siskinrock_fakes::site::{self, KEY, Place, SECOND_KEY, Site};
 use siskinrock_fakes::{engine, service, store};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -30,6 +31,8 @@
 const CALM: Duration = Duration::from_millis(1_500);
 /// The range of the services' time for a call: some calls outlast a step of a planned stop.
 const WORK_MS: std::ops::Range<u64> = 5..40;
+/// Connections to a service for each gateway, enough for the calls that meet by chance.
+const CONNECTIONS_A_GATEWAY: usize = 8;
 /// How often the memory in use is looked at.
 const MEMORY_LOOK: Duration = Duration::from_millis(500);
 
@@ -108,6 +111,7 @@
 
 async fn start(binary: &Path, seed: u64, folder: &Path, count: u8) -> World {
     let site = Site::start(2, 20).await;
+    site.store.put("op/config", &config_for(usize::from(count), 3, &[]));
     let mut engine_links = Vec::new();
     for (index, engine) in site.engines.iter().enumerate() {
         let link = Proxy::start(engine.addr).await;
@@ -147,6 +151,17 @@
     }
 }
 
+/// A configuration under which each gateway's share of a service's connections serves its callers.
+fn config_for(gateways: usize, version: u64, more: &[&str]) -> Value {
+    let mut config = site::config(version, &[KEY, SECOND_KEY], more);
+    for service in config["backends"].as_array_mut().into_iter().flatten() {
+        let least = (gateways * CONNECTIONS_A_GATEWAY) as u64;
+        let most = service["max-connections"].as_u64().unwrap_or_default().max(least);
+        service["max-connections"] = json!(most);
+    }
+    config
+}
+
 /// Begins and ends each fault at its time; a fault may begin while others last. Returns what went
 /// wrong with that.
 async fn play(world: &Arc<World>, faults: &[Timed]) -> Vec<String> {
@@ -276,7 +291,7 @@
     fn configure(&self) {
         let version = self.version.fetch_add(3, Ordering::SeqCst);
         let name = format!("more-{version}");
-        self.site.store.put("op/config", &config(version, &[KEY, SECOND_KEY], &[&name]));
+        self.site.store.put("op/config", &config_for(self.fronts.len(), version, &[&name]));
     }
 
     /// Starts a gateway again once its old process has ended, also one that ends as planned;
@@ -351,7 +366,7 @@
         seen.flat_map(|(upstream, seen)| {
             seen.into_iter().filter(|seen| seen.ran).map(move |seen| {
                 let id = seen.request.header("x-request-id").unwrap_or_default().to_owned();
-                Run { id, upstream }
+                Run { id, path: seen.request.path().to_owned(), upstream }
             })
         })
         .collect()
