Split the ledger by job: slots, records, requests

Behaviour, messages and public names are unchanged.

Change: src/ledger/mod.rs (events, actions, handover; 222 lines), slots.rs (table, epochs, questions to earlier holders), records.rs (merge, eviction, horizon), requests.rs (claims, appends, ends, take-overs). Slots and Records are types of their own, so that a request can't touch the epochs and a handover can't touch the bounds.

Ruled out: impl blocks of one struct spread over files (shorter diff, but every part still reaches every field).

--- /dev/null
+++ b/src/ledger/mod.rs
@@ -0,0 +1,222 @@
+//! A holder's records: who may run a request, how far it got and how it ended.
+//!
+//! The ledger is a pure decision ([`Decide`]). It never lets two runs of one key both be granted
+//! by a majority, refuses owners of older terms, and after a change of the table answers only for
+//! keys whose older claims it can know ([docs/DESIGN.md](../../docs/DESIGN.md#claims)).
+
+mod records;
+mod requests;
+mod slots;
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::decide::{Decide, Random};
+use crate::membership::{self, Member, Table};
+use crate::record::{Record, Reply, Request};
+
+/// What the ledger needs to know from the settings.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// How long a caller may retry with the same key; records are kept for as long.
+    pub horizon_ms: u64,
+    /// How many bytes of answers are kept for one organisation.
+    pub organisation_bytes: usize,
+}
+
+/// The records that an earlier holder hands to a new one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// Who sends it.
+    pub from: Member,
+    /// The sender's epoch; it answers in no earlier one any more.
+    pub epoch: u64,
+    /// What the sender knows of each slot that it was asked for.
+    pub slots: Vec<SlotWord>,
+    /// The records of those slots.
+    pub records: Vec<Record>,
+}
+
+/// What an earlier holder knows of one slot.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotWord {
+    /// Which slot.
+    pub slot: u16,
+    /// The epochs in which it answered for the slot.
+    pub answered: Vec<u64>,
+    /// For how long it refuses calls, since it could not know all earlier claims.
+    pub barred_ms: u64,
+}
+
+/// What happens to a ledger.
+#[derive(Debug)]
+pub enum Event {
+    /// A newer table is in force.
+    Table(Arc<Table>),
+    /// A batch from one sender; the replies carry `batch`.
+    Batch {
+        /// Names the batch in the action that answers it.
+        batch: u64,
+        /// The requests, in order.
+        requests: Vec<Request>,
+    },
+    /// A new holder asks for records under a table that the caller has put into force here first.
+    AskHandover {
+        /// Names the question in the action that answers it.
+        batch: u64,
+        /// The asker's epoch.
+        epoch: u64,
+        /// The slots that it asks for.
+        slots: Vec<u16>,
+    },
+    /// An earlier holder sent its records.
+    Handover(Handover),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a ledger wants done.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Answer a batch.
+    Reply {
+        /// Which batch.
+        batch: u64,
+        /// One reply a request.
+        replies: Vec<Reply>,
+    },
+    /// Answer a question for records; `None` tells the asker that this holder's epoch is older.
+    Answer {
+        /// Which question.
+        batch: u64,
+        /// The records.
+        handover: Option<Handover>,
+    },
+    /// Ask an earlier holder for its records.
+    Ask {
+        /// Whom to ask.
+        member: Member,
+        /// Under which epoch.
+        epoch: u64,
+        /// For which slots.
+        slots: Vec<u16>,
+    },
+}
+
+/// The records and what is known about older ones.
+#[derive(Debug)]
+pub struct Ledger {
+    slots: slots::Slots,
+    records: records::Records,
+    ignored_events: u64,
+}
+
+impl Ledger {
+    /// An empty ledger of the instance `me`.
+    pub fn new(me: Member, limits: Limits) -> Ledger {
+        Ledger {
+            slots: slots::Slots::new(me, limits.horizon_ms),
+            records: records::Records::new(limits),
+            ignored_events: 0,
+        }
+    }
+
+    /// The instance that keeps it.
+    pub fn me(&self) -> &Member {
+        self.slots.me()
+    }
+
+    /// Whether this holder answers for all of its slots in the epoch in force.
+    pub fn is_ready(&self) -> bool {
+        self.slots.is_ready()
+    }
+
+    /// How many events came late, twice or from strangers.
+    pub fn ignored_events(&self) -> u64 {
+        self.ignored_events
+    }
+
+    /// How many records are kept.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no record is kept.
+    pub fn is_empty(&self) -> bool {
+        self.records.len() == 0
+    }
+
+    /// The record of `key`, if this instance holds one.
+    pub fn record(&self, key: &str) -> Option<&Record> {
+        self.records.get(key)
+    }
+
+    fn adopt(&mut self, table: Arc<Table>, now_ms: u64, out: &mut Vec<Action>) {
+        if !self.slots.adopt(table, now_ms, out) {
+            self.ignored_events += 1;
+        }
+    }
+
+    fn hand_over(&self, slots: &[u16], now_ms: u64) -> Handover {
+        let is_wanted =
+            |record: &&Record| slots.contains(&membership::slot_of(&record.identity.key));
+        let travelling = |record: &Record| {
+            let mut record = record.clone();
+            record.claimed_ms = now_ms.saturating_sub(record.claimed_ms);
+            record
+        };
+        Handover {
+            from: self.me().clone(),
+            epoch: self.slots.epoch(),
+            slots: slots.iter().map(|number| self.slots.word(*number, now_ms)).collect(),
+            records: self.records.iter().filter(is_wanted).map(travelling).collect(),
+        }
+    }
+
+    fn take_handover(&mut self, handover: Handover, now_ms: u64) {
+        let Handover { from, epoch, slots, records } = handover;
+        let is_of_this_epoch = epoch == self.slots.epoch();
+        let mut is_news = false;
+        for word in slots.into_iter().filter(|_| is_of_this_epoch) {
+            is_news |= self.slots.hear(&from, word, now_ms);
+        }
+        if !is_news {
+            self.ignored_events += 1;
+            return;
+        }
+        for mut record in records {
+            record.claimed_ms = now_ms.saturating_sub(record.claimed_ms);
+            self.records.merge(record);
+        }
+        self.slots.conclude(now_ms);
+    }
+
+    fn tick(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        self.slots.tick(now_ms, out);
+        self.records.forget_old(now_ms);
+    }
+}
+
+impl Decide for Ledger {
+    type Event = Event;
+    type Action = Action;
+
+    fn step(&mut self, event: Event, now_ms: u64, _random: &mut dyn Random, out: &mut Vec<Action>) {
+        match event {
+            Event::Table(table) => self.adopt(table, now_ms, out),
+            Event::Batch { batch, requests } => {
+                let answer = |request| self.answer(request, now_ms);
+                let replies = requests.into_iter().map(answer).collect();
+                out.push(Action::Reply { batch, replies });
+            }
+            Event::AskHandover { batch, epoch, slots } => {
+                let is_known = self.slots.epoch() >= epoch;
+                let handover = is_known.then(|| self.hand_over(&slots, now_ms));
+                out.push(Action::Answer { batch, handover });
+            }
+            Event::Handover(handover) => self.take_handover(handover, now_ms),
+            Event::Tick => self.tick(now_ms, out),
+        }
+    }
+}
