One loop for the tasks that own a decision

Cause: door.rs and ledger_task.rs each had the same loop (take a message, tick every 100 ms, step, act).

Change: driver::run is that loop, and Driver::step the feeding of the decision; both tasks keep only what differs, their messages and actions. No behaviour changes.

--- a/src/door.rs
+++ b/src/door.rs
@@ -3,13 +3,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
 
 use crate::admission::{Action, Admission, Arrival, Depth, Event, Reason};
 use crate::clock::Clock;
-use crate::decide::Decide;
+use crate::driver::{self, Driver};
 use crate::error::{Error, Kind, Result};
 
 /// How often waiting requests are checked against their deadlines.
@@ -70,7 +69,7 @@
             waiting: HashMap::new(),
             door: door.clone(),
         };
-        tokio::spawn(task.run(inbox));
+        tokio::spawn(driver::run(task, inbox, TICK_MS));
         door
     }
 
@@ -119,19 +118,16 @@
     reply: oneshot::Sender<Result<Permit>>,
 }
 
-impl Task {
-    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
-        let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                message = inbox.recv() => match message {
-                    Some(message) => self.take(message),
-                    None => return,
-                },
-                _ = ticks.tick() => self.step(Event::Tick),
-            }
-        }
+impl Driver for Task {
+    type Decision = Admission;
+    type Message = Message;
+
+    fn decision(&mut self) -> (&mut Admission, u64) {
+        (&mut self.admission, self.clock.now_ms())
+    }
+
+    fn tick() -> Event {
+        Event::Tick
     }
 
     fn take(&mut self, message: Message) {
@@ -153,15 +149,6 @@
         }
     }
 
-    fn step(&mut self, event: Event) {
-        let mut actions = Vec::new();
-        let now_ms = self.clock.now_ms();
-        self.admission.step(event, now_ms, &mut fastrand::Rng::new(), &mut actions);
-        for action in actions {
-            self.act(action);
-        }
-    }
-
     fn act(&mut self, action: Action) {
         match action {
             Action::Admit { id } => {
--- a/src/ledger_task.rs
+++ b/src/ledger_task.rs
@@ -3,12 +3,11 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::Clock;
-use crate::decide::Decide;
+use crate::driver::{self, Driver};
 use crate::ledger::{Action, Event, Handover, Ledger};
 use crate::membership::{Member, Table};
 use crate::peer;
@@ -62,7 +61,7 @@
             questions: HashMap::new(),
             next: 0,
         };
-        tokio::spawn(task.run(inbox));
+        tokio::spawn(driver::run(task, inbox, TICK_MS));
         handle
     }
 
@@ -109,19 +108,16 @@
     next: u64,
 }
 
-impl Task {
-    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
-        let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                message = inbox.recv() => match message {
-                    Some(message) => self.take(message),
-                    None => return,
-                },
-                _ = ticks.tick() => self.step(Event::Tick),
-            }
-        }
+impl Driver for Task {
+    type Decision = Ledger;
+    type Message = Message;
+
+    fn decision(&mut self) -> (&mut Ledger, u64) {
+        (&mut self.ledger, self.clock.now_ms())
+    }
+
+    fn tick() -> Event {
+        Event::Tick
     }
 
     fn take(&mut self, message: Message) {
@@ -154,22 +150,6 @@
         }
     }
 
-    fn adopt(&mut self, table: Arc<Table>) {
-        if table.epoch() > self.table.epoch() {
-            self.table = Arc::clone(&table);
-            self.step(Event::Table(table));
-        }
-    }
-
-    fn step(&mut self, event: Event) {
-        let mut actions = Vec::new();
-        let now_ms = self.clock.now_ms();
-        self.ledger.step(event, now_ms, &mut fastrand::Rng::new(), &mut actions);
-        for action in actions {
-            self.act(action);
-        }
-    }
-
     fn act(&mut self, action: Action) {
         match action {
             Action::Reply { batch, replies } => {
@@ -191,6 +171,15 @@
     }
 }
 
+impl Task {
+    fn adopt(&mut self, table: Arc<Table>) {
+        if table.epoch() > self.table.epoch() {
+            self.table = Arc::clone(&table);
+            self.step(Event::Table(table));
+        }
+    }
+}
+
 async fn ask(client: peer::Client, handle: LedgerTask, member: Member, question: AskHandover) {
     let path = "/peer/handover";
     let answer = client.post(&member.addr, path, &question, HANDOVER_TIMEOUT_MS).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod decide;
 pub mod document;
 pub mod door;
+pub mod driver;
 pub mod engine;
 pub mod error;
 pub mod evidence;
