Split generate.rs, which ends its circle with follow.rs

Cause: generate.rs (538 lines) opened generations, drove the owner's decision and ran attempts; follow.rs needed its runner and its request, and it needed follow.rs. call.rs took its guard of requests in flight from it, and both built the same sample and chose upstreams by the same lines.

Change: generate.rs opens or joins a run (105 lines), runner.rs drives a run that this instance owns (266), attempt.rs is one attempt at an engine (109), wanted.rs is the caller's request (56). Now generate uses follow and runner, follow uses runner, and neither of these uses generate. No behaviour changes.

Ruled out: one loop for the tries of calls and of attempts: what a try may do next differs (a claimed call is never sent again, a repeatable one spends its budget, an attempt goes on with the stream), only the choice is the same.

--- /dev/null
+++ b/src/attempt.rs
@@ -0,0 +1,109 @@
+//! One attempt of a generation: attaching to a stream, or finding an engine that takes it.
+
+use std::sync::Arc;
+
+use futures_util::StreamExt;
+use tokio::sync::mpsc;
+
+use crate::blackboard::InFlight;
+use crate::engine::{self, Failure, Start};
+use crate::generation::{Attempt, Event};
+use crate::health::Sign;
+use crate::node::Node;
+use crate::record::Stream;
+
+/// How many upstreams one attempt asks.
+const UPSTREAMS_PER_ATTEMPT: usize = 3;
+
+/// Work on one attempt.
+pub struct Job {
+    /// The instance.
+    pub node: Arc<Node>,
+    /// What to ask of an engine; its stream's name is set for each upstream.
+    pub start: Start,
+    /// The service that serves the model.
+    pub service: Arc<str>,
+    /// The run that the attempt belongs to.
+    pub nonce: u64,
+    /// What the decision wants.
+    pub attempt: Attempt,
+    /// Where to send what comes of it.
+    pub events: mpsc::Sender<Event>,
+}
+
+impl Job {
+    /// Runs until the attempt has ended or broken off.
+    pub async fn run(mut self) {
+        let was_placed = self.attach().await || self.place().await;
+        let number = self.attempt.number;
+        let _ = self.events.send(Event::Lost { attempt: number, was_placed }).await;
+    }
+
+    /// Attaches to a stream that may still run; `true` if that worked.
+    async fn attach(&mut self) -> bool {
+        let Some(stream) = self.attempt.attach.take() else { return false };
+        self.send(Event::Placed { attempt: self.attempt.number, stream: stream.clone() }).await;
+        let engine = Arc::clone(&self.node.engine);
+        let from = self.attempt.from;
+        match engine.attach(&stream.upstream, &stream.stream_id, from).await {
+            Ok(events) => {
+                self.pass_on(&stream.upstream, events).await;
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Asks upstreams until one takes the work; `true` if one did.
+    async fn place(&mut self) -> bool {
+        let mut avoid = std::mem::take(&mut self.attempt.avoid);
+        for again in 0..UPSTREAMS_PER_ATTEMPT {
+            let Some(addr) = self.choose(&avoid) else { return false };
+            let name =
+                format!("{:x}-{}-{again}-{:x}", self.nonce, self.attempt.number, fastrand::u32(..));
+            self.start.stream_id = Arc::from(name);
+            let stream = Stream {
+                upstream: Arc::clone(&addr),
+                stream_id: Arc::clone(&self.start.stream_id),
+                model: Arc::clone(&self.start.model),
+            };
+            self.send(Event::Placed { attempt: self.attempt.number, stream }).await;
+            let engine = Arc::clone(&self.node.engine);
+            match engine.start(&addr, &self.start).await {
+                Ok(events) => {
+                    self.pass_on(&addr, events).await;
+                    return true;
+                }
+                Err(Failure::Leaving) => self.node.notice(&addr, Sign::Leaving),
+                Err(_) => self.node.notice(&addr, Sign::Refused),
+            }
+            avoid.push(addr);
+        }
+        false
+    }
+
+    fn choose(&self, avoid: &[Arc<str>]) -> Option<Arc<str>> {
+        let Start { model, prompt, .. } = &self.start;
+        self.node.snapshot().choose(&self.service, Some(model), prompt, avoid)
+    }
+
+    async fn pass_on(&self, upstream: &str, mut events: engine::Events) {
+        let snapshot = self.node.snapshot();
+        let _in_flight = snapshot.upstream(upstream).map(|entry| InFlight::new(&entry.counters));
+        let attempt = self.attempt.number;
+        while let Some(event) = events.next().await {
+            let event = match event {
+                engine::Event::Token { index, text } => Event::Token { attempt, index, text },
+                engine::Event::End { tokens, reason } => {
+                    Event::End { attempt, tokens, reason: Arc::from(reason) }
+                }
+            };
+            self.send(event).await;
+        }
+    }
+
+    async fn send(&self, event: Event) {
+        // The receiver goes only after the generation has ended.
+        let _ = self.events.send(event).await;
+    }
+}
--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -123,6 +123,41 @@
     pub late: AtomicU32,
 }
 
+/// Counts a request as running on an upstream for as long as it lives.
+pub struct InFlight(Arc<Counters>);
+
+impl InFlight {
+    /// Counts one more.
+    pub fn new(counters: &Arc<Counters>) -> InFlight {
+        let in_flight = counters.in_flight.fetch_add(1, Ordering::Relaxed) + 1;
+        counters.peak.fetch_max(in_flight, Ordering::Relaxed);
+        InFlight(Arc::clone(counters))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts an upstream as late for as long as it lives.
+pub struct Late(Arc<Counters>);
+
+impl Late {
+    /// Counts one more.
+    pub fn new(counters: &Arc<Counters>) -> Late {
+        counters.late.fetch_add(1, Ordering::Relaxed);
+        Late(Arc::clone(counters))
+    }
+}
+
+impl Drop for Late {
+    fn drop(&mut self) {
+        self.0.late.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// The state that the controllers read and write; only the control thread has it.
 #[derive(Debug)]
 pub struct Board {
@@ -278,6 +313,19 @@
         })
     }
 
+    /// The upstream that new work with this `prefix` should go to, if one takes work; those to
+    /// `avoid` are taken only if there is no other.
+    pub fn choose(
+        &self,
+        service: &str,
+        model: Option<&str>,
+        prefix: &str,
+        avoid: &[Arc<str>],
+    ) -> Option<Arc<str>> {
+        let candidates: Vec<_> = self.live(service, model).map(Entry::candidate).collect();
+        placement::choose(&candidates, prefix, avoid, &mut fastrand::Rng::new())
+    }
+
     /// The upstream at `addr`.
     pub fn upstream(&self, addr: &str) -> Option<&Entry> {
         self.upstreams.iter().find(|entry| *entry.report.addr == *addr)
--- a/src/call.rs
+++ b/src/call.rs
@@ -7,14 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::blackboard::Entry;
+use crate::blackboard::InFlight;
 use crate::claim::{self, Ask, Claimed};
 use crate::error::{Error, Kind, Result};
-use crate::generate::InFlight;
 use crate::health::Sign;
 use crate::metrics::Sample;
 use crate::node::Node;
-use crate::placement;
 use crate::record::{Answer, Identity, Kind as RecordKind, Op, Outcome, Record};
 use crate::registry::{Note, Row};
 use crate::vote::Verdict;
@@ -102,16 +100,7 @@
             "organisation" => &*call.organisation, "service" => &*call.service,
             "outcome" => outcome, "total_ms" => total_ms);
     }
-    let sample = Sample {
-        organisation: Arc::clone(&call.organisation),
-        service: Arc::clone(&call.service),
-        outcome,
-        first_ms: None,
-        total_ms,
-        tokens: 0,
-        extra_attempts: 0,
-        resume_ms: 0,
-    };
+    let sample = Sample::without_answer(&call.organisation, &call.service, outcome, total_ms);
     node.registry.record(sample);
     served
 }
@@ -304,11 +293,8 @@
 }
 
 fn choose(node: &Node, call: &Call, avoid: &[Arc<str>]) -> Option<Arc<str>> {
-    let snapshot = node.snapshot();
-    let live = snapshot.live(&call.service, None);
-    let candidates: Vec<_> = live.map(Entry::candidate).collect();
     let spread = call.key.as_deref().unwrap_or(&call.path);
-    placement::choose(&candidates, spread, avoid, &mut fastrand::Rng::new())
+    node.snapshot().choose(&call.service, None, spread, avoid)
 }
 
 async fn send(node: &Node, call: &Call, addr: &Arc<str>) -> Tried {
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -9,13 +9,14 @@
 
 use crate::claim::{self, Claimed};
 use crate::error::Kind;
-use crate::generate::{self, Runner, Wanted};
 use crate::generation::{Generation, Prefix};
 use crate::node::Node;
 use crate::record::{Identity, Op, Outcome, Record};
 use crate::registry::Note;
+use crate::runner::{self, Runner};
 use crate::shared::{Shared, State};
 use crate::vote::{self, Grant, Verdict};
+use crate::wanted::Wanted;
 
 /// How long an owner may be silent; it sends something far more often.
 const SILENCE_MS: u64 = 1_200;
@@ -75,7 +76,7 @@
     /// Passes the generation on until it ends, here or elsewhere.
     pub async fn run(self, record: Record) {
         let mut record = record;
-        let deadline_ms = generate::policy_of(&self.node, &self.wanted.service).deadline_ms;
+        let deadline_ms = runner::policy_of(&self.node, &self.wanted.service).deadline_ms;
         while self.node.clock.now_ms() < deadline_ms {
             let is_elsewhere = record.owner.id != self.node.me.id;
             if is_elsewhere && self.relay(&record).await {
@@ -106,7 +107,7 @@
 
     fn end(&self, outcome: &'static str) {
         let total_ms = self.node.clock.now_ms().saturating_sub(self.since_ms);
-        let sample = generate::sample(&self.wanted, outcome, total_ms);
+        let sample = self.wanted.sample(outcome, total_ms);
         self.node.registry.end(self.shared.nonce, sample);
     }
 
@@ -171,7 +172,7 @@
         let event = format!("taken over by {} in term {term}", self.node.me.id);
         self.node.registry.note(self.shared.nonce, Note::Event(Arc::from(event)));
         let prefix = Prefix { journal: best.journal.clone(), stream: best.stream.clone() };
-        let policy = generate::policy_of(&self.node, &self.wanted.service);
+        let policy = runner::policy_of(&self.node, &self.wanted.service);
         let owner = self.node.owner();
         let mut generation = Generation::resume(identity, owner, policy, term, prefix);
         let table = self.node.tables.borrow().clone();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 //! ```
 
 pub mod admission;
+pub mod attempt;
 pub mod auth;
 pub mod blackboard;
 pub mod budget;
@@ -101,11 +102,13 @@
 pub mod registry;
 pub mod reply;
 pub mod router;
+pub mod runner;
 pub mod server;
 pub mod settings;
 pub mod shared;
 pub mod store;
 pub mod vote;
+pub mod wanted;
 pub mod wire;
 
 pub use error::{Category, Error, Result};
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -35,6 +35,27 @@
     pub resume_ms: u64,
 }
 
+impl Sample {
+    /// A request that ended without a token.
+    pub fn without_answer(
+        organisation: &Arc<str>,
+        service: &Arc<str>,
+        outcome: &'static str,
+        total_ms: u64,
+    ) -> Sample {
+        Sample {
+            organisation: Arc::clone(organisation),
+            service: Arc::clone(service),
+            outcome,
+            first_ms: None,
+            total_ms,
+            tokens: 0,
+            extra_attempts: 0,
+            resume_ms: 0,
+        }
+    }
+}
+
 /// What the histograms are kept by.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct Series {
--- a/src/reply.rs
+++ b/src/reply.rs
@@ -14,9 +14,9 @@
 
 use crate::error::{Body, Error};
 use crate::follow::{self, Line};
-use crate::generate::EventId;
 use crate::node;
 use crate::shared::{Failed, Progress, Shared, State};
+use crate::wanted::EventId;
 
 /// How often a caller without news is shown that the connection lives.
 const KEEP_ALIVE_MS: u64 = 1_000;
--- /dev/null
+++ b/src/runner.rs
@@ -0,0 +1,266 @@
+//! Driving a generation that this instance owns: the shell around the owner's decision.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use tokio::sync::mpsc;
+
+use crate::attempt::Job;
+use crate::blackboard::{Late, Snapshot};
+use crate::copies::Copied;
+use crate::decide::Decide;
+use crate::document::{Service, ServiceKind};
+use crate::door::Permit;
+use crate::engine::Start;
+use crate::error::Kind;
+use crate::generation::{Action, Attempt, Event, Generation, Policy};
+use crate::health::Sign;
+use crate::membership::Member;
+use crate::metrics::Sample;
+use crate::node::Node;
+use crate::peer::Holders;
+use crate::record::{Op, Request, Stream};
+use crate::registry::Note;
+use crate::shared::{Shared, State};
+use crate::wanted::Wanted;
+
+/// How often a running generation is looked at.
+const TICK_MS: u64 = 50;
+/// What an engine is told of new work.
+const PRIORITY_NEW: u8 = 1;
+/// What an engine is told of resumed work.
+const PRIORITY_RESUMED: u8 = 9;
+/// Events that wait for the decision, after which an upstream is slowed down.
+const EVENT_BUFFER: usize = 256;
+
+/// How a service wants its generations treated from now on.
+pub fn policy_of(node: &Node, service: &str) -> Policy {
+    let snapshot = node.snapshot();
+    let default = Service::new(ServiceKind::Generation);
+    let service = snapshot.service(service).unwrap_or(&default);
+    Policy {
+        hedge: service.hedge,
+        gap_floor_ms: service.gap_floor_ms,
+        gap_ceiling_ms: service.gap_ceiling_ms,
+        first_token_ms: service.first_token_ms,
+        resumed_token_ms: service.resumed_token_ms,
+        deadline_ms: node.clock.now_ms() + service.deadline_ms,
+    }
+}
+
+/// Drives one generation that this instance owns.
+pub struct Runner {
+    node: Arc<Node>,
+    wanted: Wanted,
+    shared: Arc<Shared>,
+    generation: Generation,
+    since_ms: u64,
+    first_ms: Option<u64>,
+    events: mpsc::Sender<Event>,
+    inbox: mpsc::Receiver<Event>,
+    attempts: HashMap<u32, Running>,
+    late: Option<Late>,
+    noted_tokens: u32,
+}
+
+struct Running {
+    task: tokio::task::AbortHandle,
+    stream: Option<Stream>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+type Copying = FuturesUnordered<futures_util::future::BoxFuture<'static, Event>>;
+
+impl Runner {
+    /// A runner of `generation`, whose caller came at `since_ms`.
+    pub fn new(
+        node: Arc<Node>,
+        wanted: Wanted,
+        shared: Arc<Shared>,
+        generation: Generation,
+        since_ms: u64,
+    ) -> Runner {
+        let (events, inbox) = mpsc::channel(EVENT_BUFFER);
+        Runner {
+            node,
+            wanted,
+            shared,
+            generation,
+            since_ms,
+            first_ms: None,
+            events,
+            inbox,
+            attempts: HashMap::new(),
+            late: None,
+            noted_tokens: 0,
+        }
+    }
+
+    /// Runs to the end; the permit is held until then.
+    pub async fn run(mut self, permit: Option<Permit>) {
+        self.shared.set(State::Running);
+        let mut tables = self.node.tables.subscribe();
+        let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut copying = Copying::new();
+        let roster = Arc::new(tables.borrow_and_update().roster.clone());
+        let mut ended = self.step(Event::Roster(roster), &mut copying);
+        while ended.is_none() {
+            let event = tokio::select! {
+                Some(event) = self.inbox.recv() => event,
+                Some(event) = copying.next() => event,
+                _ = ticks.tick() => self.tick(),
+                Ok(()) = tables.changed() => {
+                    Event::Roster(Arc::new(tables.borrow_and_update().roster.clone()))
+                }
+            };
+            ended = self.step(event, &mut copying);
+        }
+        drop(permit);
+        self.close(ended.unwrap_or("ended"));
+    }
+
+    fn tick(&mut self) -> Event {
+        let snapshot = self.node.snapshot();
+        self.mark_late(&snapshot);
+        let tokens = self.generation.journal().len();
+        if tokens != self.noted_tokens {
+            self.noted_tokens = tokens;
+            self.node.registry.note(self.shared.nonce, Note::Tokens(tokens));
+        }
+        Event::Tick { suspect_ourselves: snapshot.suspects_itself() }
+    }
+
+    fn mark_late(&mut self, snapshot: &Snapshot) {
+        let limit_ms = policy_of(&self.node, &self.wanted.service).gap_floor_ms;
+        let silence = self.generation.silence(self.node.clock.now_ms());
+        let silent = silence.filter(|silence| silence.since_ms >= limit_ms);
+        self.late = silent.and_then(|silence| {
+            let entry = snapshot.upstream(&silence.upstream)?;
+            Some(Late::new(&entry.counters))
+        });
+    }
+
+    /// Feeds the decision; the outcome's name once the generation has ended here.
+    fn step(&mut self, event: Event, copying: &mut Copying) -> Option<&'static str> {
+        if let Event::Placed { attempt, stream } = &event {
+            self.note_placed(*attempt, stream);
+        }
+        let mut actions = Vec::new();
+        let now_ms = self.node.clock.now_ms();
+        self.generation.step(event, now_ms, &mut fastrand::Rng::new(), &mut actions);
+        let mut ended = None;
+        for action in actions {
+            ended = self.act(action, copying).or(ended);
+        }
+        ended
+    }
+
+    fn note_placed(&mut self, attempt: u32, stream: &Stream) {
+        if let Some(running) = self.attempts.get_mut(&attempt) {
+            running.stream = Some(stream.clone());
+        }
+        let upstream = Arc::clone(&stream.upstream);
+        self.node.registry.note(self.shared.nonce, Note::Placed { upstream, attempt });
+        slog::debug!(self.node.log, "an attempt was placed";
+            "request" => &*self.wanted.ask.key, "attempt" => attempt,
+            "organisation" => &*self.wanted.organisation, "upstream" => &*stream.upstream);
+    }
+
+    fn act(&mut self, action: Action, copying: &mut Copying) -> Option<&'static str> {
+        match action {
+            Action::Begin(attempt) => self.begin(attempt),
+            Action::Cancel { attempt } => self.cancel(attempt),
+            Action::Suspect { upstream } => self.node.notice(&upstream, Sign::Silent),
+            Action::Copy { epoch, member, op } => {
+                let holders = Arc::clone(&self.node.copiers);
+                copying.push(Box::pin(copy(holders, epoch, member, op)));
+            }
+            Action::Release { to } => {
+                let now_ms = self.node.clock.now_ms();
+                self.first_ms.get_or_insert(now_ms.saturating_sub(self.since_ms));
+                self.shared.release(self.generation.journal(), to);
+            }
+            Action::Finish { tokens: _, reason } => {
+                self.shared.set(State::Finished { reason });
+                return Some("done");
+            }
+            Action::Yield => {
+                self.shared.fail(&Kind::Moved.into());
+                return Some("moved");
+            }
+            Action::GiveUp => {
+                let deadline_ms = self.node.clock.now_ms() - self.since_ms;
+                self.shared.fail(&Kind::DeadlinePassed { deadline_ms }.into());
+                return Some("late");
+            }
+        }
+        None
+    }
+
+    fn begin(&mut self, attempt: Attempt) {
+        let number = attempt.number;
+        if number > 1 {
+            slog::info!(self.node.log, "going on with another attempt";
+                "request" => &*self.wanted.ask.key, "attempt" => number,
+                "organisation" => &*self.wanted.organisation, "from" => attempt.from);
+        }
+        let job = Job {
+            node: Arc::clone(&self.node),
+            start: Start {
+                stream_id: Arc::from(""),
+                model: Arc::clone(&self.wanted.model),
+                prompt: Arc::clone(&self.wanted.prompt),
+                max_tokens: self.wanted.max_tokens,
+                priority: if attempt.is_resumed { PRIORITY_RESUMED } else { PRIORITY_NEW },
+                prefix: self.generation.journal().since(0).map(str::to_owned).collect(),
+            },
+            service: Arc::clone(&self.wanted.service),
+            nonce: self.shared.nonce,
+            attempt,
+            events: self.events.clone(),
+        };
+        let task = tokio::spawn(job.run()).abort_handle();
+        self.attempts.insert(number, Running { task, stream: None });
+    }
+
+    fn cancel(&mut self, attempt: u32) {
+        let Some(mut running) = self.attempts.remove(&attempt) else { return };
+        if let Some(stream) = running.stream.take() {
+            let engine = Arc::clone(&self.node.engine);
+            tokio::spawn(async move { engine.cancel(&stream.upstream, &stream.stream_id).await });
+        }
+    }
+
+    fn close(&mut self, outcome: &'static str) {
+        let extra = self.generation.extra();
+        let total_ms = self.node.clock.now_ms().saturating_sub(self.since_ms);
+        let sample = Sample {
+            first_ms: self.first_ms,
+            tokens: self.generation.journal().len(),
+            extra_attempts: extra.attempts,
+            resume_ms: extra.longest_resume_ms,
+            ..self.wanted.sample(outcome, total_ms)
+        };
+        slog::info!(self.node.log, "a generation has ended";
+            "request" => &*self.wanted.ask.key, "organisation" => &*self.wanted.organisation,
+            "outcome" => outcome, "tokens" => sample.tokens, "total_ms" => total_ms,
+            "extra_attempts" => extra.attempts, "resume_ms" => extra.longest_resume_ms);
+        self.node.registry.end(self.shared.nonce, sample);
+    }
+}
+
+async fn copy(holders: Arc<dyn Holders>, epoch: u64, member: Member, op: Op) -> Event {
+    let is_end = matches!(op, Op::Settle { .. });
+    let reply = holders.ask(&member, Request { epoch, op }).await;
+    let copied = Copied { epoch, member, reply };
+    if is_end { Event::Settled(copied) } else { Event::Appended(copied) }
+}
--- a/src/server.rs
+++ b/src/server.rs
@@ -16,13 +16,14 @@
 use crate::control_loop;
 use crate::document::{Document, ServiceKind};
 use crate::error::{Error, Kind, Result};
-use crate::generate::{self, EventId, Wanted};
+use crate::generate;
 use crate::membership::Member;
 use crate::node::Node;
 use crate::operate;
 use crate::peers::Exchange;
 use crate::record::Kind as RecordKind;
 use crate::reply;
+use crate::wanted::{EventId, Wanted};
 use crate::wire::{self, AskHandover, Batch, Inquiry, Replies, Status, Witness};
 
 /// The longest body of a caller.
