End the circle of operate.rs and query.rs

Cause: query::explain took the row of a held record from operate.rs, which answers by query.rs.

Change: the row is made in query.rs, the only place that needs it. No behaviour changes.

--- a/src/operate.rs
+++ b/src/operate.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use serde_json::json;
 
 use crate::change;
 use crate::clock;
@@ -255,17 +254,3 @@
             + copies.received_bytes.load(Ordering::Relaxed),
     }
 }
-
-/// What this instance holds about a request, as a row.
-pub async fn held_record(node: &Node, key: &str) -> Option<Row> {
-    let record = node.ledger.record(key).await?;
-    let value = json!({
-        "request": key,
-        "router": node.me.id,
-        "state": if record.outcome.is_some() { "settled" } else { "claimed" },
-        "tokens": record.journal.len(),
-        "attempts": record.term,
-        "course": format!("record held here; owner {}, term {}", record.owner.id, record.term),
-    });
-    value.as_object().cloned()
-}
--- a/src/query.rs
+++ b/src/query.rs
@@ -11,7 +11,6 @@
 use crate::membership::Member;
 use crate::metrics::{self, Points};
 use crate::node::Node;
-use crate::operate;
 use crate::registry::Row as Request;
 use crate::wire::Status;
 
@@ -325,6 +324,19 @@
             })));
         }
     }
-    rows.extend(operate::held_record(node, request).await);
+    rows.extend(held_record(node, request).await);
     rows
 }
+
+/// What this instance holds about a request.
+async fn held_record(node: &Node, key: &str) -> Option<Row> {
+    let record = node.ledger.record(key).await?;
+    Some(row(json!({
+        "request": key,
+        "router": node.me.id,
+        "state": if record.outcome.is_some() { "settled" } else { "claimed" },
+        "tokens": record.journal.len(),
+        "attempts": record.term,
+        "course": format!("record held here; owner {}, term {}", record.owner.id, record.term),
+    })))
+}
