Split the generation's messages and patience from its decision

Cause: generation.rs had 571 lines, a quarter of them the types of its events and actions.

Change: generation/message.rs (129 lines) has what goes in and comes out, generation/patience.rs (51) how long an attempt may be silent, generation/mod.rs (422) the decision; the two impl blocks of Generation are one. Public names and behaviour are unchanged.

--- a/src/generation/mod.rs
+++ b/src/generation/mod.rs
@@ -3,151 +3,31 @@
 //!
 //! A token is accepted only from a current attempt and only at the journal's end, so that a late
 //! token of an older attempt never shows. Each new attempt continues from the accepted prefix.
-//! See [docs/DESIGN.md](../docs/DESIGN.md#generations).
+//! See [docs/DESIGN.md](../../docs/DESIGN.md#generations).
+
+mod message;
+mod patience;
 
 use std::sync::Arc;
 
-use crate::copies::{Copied, Copies, Due};
+use crate::copies::{Copies, Due};
 use crate::decide::{Decide, Random};
 use crate::journal::Journal;
-use crate::membership::{Member, Roster};
+use crate::membership::Roster;
 use crate::record::{Identity, Op, Outcome, Owner, Stream};
 
+pub use message::{Action, Attempt, Event, Policy};
+
+use patience::Patience;
+
 /// Two ticks further apart than this mean that this process itself stood still.
 const OWN_PAUSE_MS: u64 = 400;
-/// A silence is suspicious after this many usual gaps.
-const SUSPICIOUS_GAPS: u64 = 6;
-/// A hedge starts after one part in this many of the silence that is suspicious otherwise.
-const HEDGE_PART: u64 = 2;
-/// The weight of the newest gap in the average: one part in this many.
-const GAP_SMOOTHING: u64 = 8;
 /// The longest wait before another try when no upstream takes the work.
 const MAX_BACK_OFF_MS: u64 = 1_000;
 /// The first wait before another try.
 const MIN_BACK_OFF_MS: u64 = 20;
 
-/// How a service wants its generations treated.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Policy {
-    /// Whether a suspicious silence starts a second attempt beside the first.
-    pub hedge: bool,
-    /// The shortest silence that is suspicious.
-    pub gap_floor_ms: u64,
-    /// The longest silence that is not.
-    pub gap_ceiling_ms: u64,
-    /// How long new work may wait for its first token.
-    pub first_token_ms: u64,
-    /// How long resumed work may wait for its first token.
-    pub resumed_token_ms: u64,
-    /// When the caller's patience ends.
-    pub deadline_ms: u64,
-}
-
-/// What happens to a generation.
-#[derive(Debug, Clone)]
-pub enum Event {
-    /// The roster in force; the first one starts the work.
-    Roster(Arc<Roster>),
-    /// An upstream was chosen for an attempt.
-    Placed {
-        /// Which attempt.
-        attempt: u32,
-        /// Where it runs.
-        stream: Stream,
-    },
-    /// A token arrived.
-    Token {
-        /// Which attempt sent it.
-        attempt: u32,
-        /// Its index in the answer.
-        index: u32,
-        /// Its text.
-        text: String,
-    },
-    /// An attempt's explicit end arrived.
-    End {
-        /// Which attempt sent it.
-        attempt: u32,
-        /// How many tokens the answer has.
-        tokens: u32,
-        /// Why the engine stopped.
-        reason: Arc<str>,
-    },
-    /// An attempt broke off, or no upstream took it.
-    Lost {
-        /// Which attempt.
-        attempt: u32,
-        /// Whether some upstream had taken it.
-        was_placed: bool,
-    },
-    /// A holder answered an append.
-    Appended(Copied),
-    /// A holder answered the end.
-    Settled(Copied),
-    /// Time has passed.
-    Tick {
-        /// Whether so many upstreams are silent at once that the fault is likely on this side.
-        suspect_ourselves: bool,
-    },
-}
-
-/// What a generation wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Start an attempt.
-    Begin(Attempt),
-    /// Cancel an attempt's stream.
-    Cancel {
-        /// Which attempt.
-        attempt: u32,
-    },
-    /// Keep work away from an upstream that has fallen silent.
-    Suspect {
-        /// Which upstream.
-        upstream: Arc<str>,
-    },
-    /// Send an operation to a holder.
-    Copy {
-        /// Under which epoch.
-        epoch: u64,
-        /// To whom.
-        member: Member,
-        /// What.
-        op: Op,
-    },
-    /// Everything before this index may be shown to the caller.
-    Release {
-        /// The number of tokens.
-        to: u32,
-    },
-    /// The answer is whole and its end is recorded.
-    Finish {
-        /// How many tokens it has.
-        tokens: u32,
-        /// Why the engine stopped.
-        reason: Arc<str>,
-    },
-    /// Another instance has taken over: nothing may be released any more.
-    Yield,
-    /// The deadline has passed without an end.
-    GiveUp,
-}
-
-/// An attempt to be started.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Attempt {
-    /// Grows within one owner.
-    pub number: u32,
-    /// The accepted tokens it has to continue from.
-    pub from: u32,
-    /// A running stream to attach to, before anything else is tried.
-    pub attach: Option<Stream>,
-    /// Upstreams to avoid if others can be had.
-    pub avoid: Vec<Arc<str>>,
-    /// Whether it resumes lost work and goes ahead of new work.
-    pub is_resumed: bool,
-}
-
+/// An attempt that may still send tokens.
 #[derive(Debug)]
 struct Live {
     number: u32,
@@ -169,6 +49,24 @@
     pub longest_resume_ms: u64,
 }
 
+/// What the holders of a lost owner's generation had.
+#[derive(Debug, Clone, Default)]
+pub struct Prefix {
+    /// The accepted tokens.
+    pub journal: Journal,
+    /// The stream that may still run.
+    pub stream: Option<Stream>,
+}
+
+/// How long the upstream that should send the next token has been silent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Silence {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// For how long.
+    pub since_ms: u64,
+}
+
 /// One generation as its owner sees it.
 #[derive(Debug)]
 pub struct Generation {
@@ -184,7 +82,7 @@
     attach: Option<Stream>,
     retry_ms: Option<u64>,
     back_off_ms: u64,
-    usual_gap_ms: u64,
+    patience: Patience,
     last_token_ms: u64,
     lost_ms: Option<u64>,
     last_tick_ms: u64,
@@ -210,7 +108,7 @@
             attach: None,
             retry_ms: None,
             back_off_ms: MIN_BACK_OFF_MS,
-            usual_gap_ms: 0,
+            patience: Patience::default(),
             last_token_ms: 0,
             lost_ms: None,
             last_tick_ms: 0,
@@ -252,6 +150,13 @@
         self.extra
     }
 
+    /// The silence after a stream's first token, if there is one.
+    pub fn silence(&self, now_ms: u64) -> Option<Silence> {
+        let live = self.live.first().filter(|live| live.has_token && self.ending.is_none())?;
+        let upstream = Arc::clone(&live.stream.as_ref()?.upstream);
+        Some(Silence { upstream, since_ms: now_ms.saturating_sub(live.heard_ms) })
+    }
+
     fn begin(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let number = self.next_attempt;
         self.next_attempt += 1;
@@ -299,7 +204,7 @@
         let live = &mut self.live[0];
         if live.has_token {
             let gap_ms = now_ms.saturating_sub(live.heard_ms);
-            self.usual_gap_ms = smooth(self.usual_gap_ms, gap_ms);
+            self.patience.hear_gap(gap_ms);
         }
         live.heard_ms = now_ms;
         live.has_token = true;
@@ -369,26 +274,6 @@
         }
     }
 
-    fn patience_ms(&self, live: &Live, suspect_ourselves: bool) -> u64 {
-        let patience_ms = match (live.has_token, live.is_resumed) {
-            (true, _) => {
-                let (floor_ms, ceiling_ms) = (self.policy.gap_floor_ms, self.policy.gap_ceiling_ms);
-                let patience_ms = match self.usual_gap_ms {
-                    // Before the second token nothing is known of the engine's step.
-                    0 => ceiling_ms,
-                    usual_ms => {
-                        usual_ms.saturating_mul(SUSPICIOUS_GAPS).clamp(floor_ms, ceiling_ms)
-                    }
-                };
-                // A hedge gives nothing up, so that it may start sooner.
-                if self.policy.hedge { patience_ms / HEDGE_PART } else { patience_ms }
-            }
-            (false, true) => self.policy.resumed_token_ms,
-            (false, false) => self.policy.first_token_ms,
-        };
-        if suspect_ourselves { patience_ms.max(self.policy.gap_ceiling_ms) } else { patience_ms }
-    }
-
     fn tick(&mut self, suspect_ourselves: bool, now_ms: u64, out: &mut Vec<Action>) {
         let stood_still_ms = now_ms.saturating_sub(self.last_tick_ms);
         if self.last_tick_ms > 0 && stood_still_ms > OWN_PAUSE_MS {
@@ -412,7 +297,7 @@
     fn suspect(&mut self, suspect_ourselves: bool, now_ms: u64, out: &mut Vec<Action>) {
         let is_silent = |live: &Live| {
             let silent_ms = now_ms.saturating_sub(live.heard_ms);
-            silent_ms > self.patience_ms(live, suspect_ourselves)
+            silent_ms > self.patience.limit_ms(&self.policy, live, suspect_ourselves)
         };
         if self.live.is_empty() || !self.live.iter().all(is_silent) {
             return;
@@ -495,22 +380,6 @@
     }
 }
 
-/// What the holders of a lost owner's generation had.
-#[derive(Debug, Clone, Default)]
-pub struct Prefix {
-    /// The accepted tokens.
-    pub journal: Journal,
-    /// The stream that may still run.
-    pub stream: Option<Stream>,
-}
-
-fn smooth(usual_ms: u64, gap_ms: u64) -> u64 {
-    if usual_ms == 0 {
-        return gap_ms.max(1);
-    }
-    ((usual_ms * (GAP_SMOOTHING - 1) + gap_ms) / GAP_SMOOTHING).max(1)
-}
-
 impl Decide for Generation {
     type Event = Event;
     type Action = Action;
@@ -551,21 +420,3 @@
         }
     }
 }
-
-/// How long the upstream that should send the next token has been silent.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Silence {
-    /// The upstream.
-    pub upstream: Arc<str>,
-    /// For how long.
-    pub since_ms: u64,
-}
-
-impl Generation {
-    /// The silence after a stream's first token, if there is one.
-    pub fn silence(&self, now_ms: u64) -> Option<Silence> {
-        let live = self.live.first().filter(|live| live.has_token && self.ending.is_none())?;
-        let upstream = Arc::clone(&live.stream.as_ref()?.upstream);
-        Some(Silence { upstream, since_ms: now_ms.saturating_sub(live.heard_ms) })
-    }
-}
