Split the control decision's messages and its view of the store

The view keeps its flags to itself, so that a read, watch or write can't be begun twice. Public names and behaviour are unchanged.

--- a/src/control.rs
+++ b/src/control/mod.rs
@@ -1,184 +1,22 @@
 //! The decision of the control thread: it hands each event to the controllers, which read and
 //! write the blackboard, and collects what they want done.
 
+mod message;
+mod store_view;
+
 use std::sync::Arc;
 
-use crate::blackboard::{Board, Load, Snapshot};
+use crate::blackboard::Board;
 use crate::decide::{Decide, Random};
 use crate::document::Document;
-use crate::health::{Health, Listed, Sign};
+use crate::health::{Health, Sign};
 use crate::membership::{Member, Table};
-use crate::orders::{self, Lease, Orders};
+use crate::orders::{self, Orders};
 use crate::peers::{self, Exchange, Peers, Route, Spread};
 
-/// Instances that watch nothing read the store this often, as a safety net.
-const SAFETY_READ_MS: u64 = 30_000;
-/// An instance outside the table tries to join this often.
-const JOIN_MS: u64 = 300;
-
-/// A key of the platform's store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Key {
-    /// The table of instances.
-    Table,
-    /// The operators' configuration.
-    Document,
-}
-
-/// A value that the store answered.
-#[derive(Debug, Clone)]
-pub enum Value {
-    /// No such key.
-    Absent,
-    /// The table.
-    Table(Arc<Table>),
-    /// The configuration.
-    Document(Arc<Document>),
-}
-
-/// What happens to the control state.
-#[derive(Debug)]
-pub enum Event {
-    /// Time has passed.
-    Tick,
-    /// A read or watch of the store ended; `None` if it failed or nothing changed.
-    Read {
-        /// Which key.
-        key: Key,
-        /// The value and the store's revision of it.
-        found: Option<Found>,
-        /// Whether this ends a watch.
-        was_watch: bool,
-    },
-    /// A write of the table ended.
-    TableWritten {
-        /// The table that was written.
-        table: Arc<Table>,
-        /// Whether it was applied; `None` if that isn't known.
-        applied: Option<bool>,
-        /// The store's revision of it.
-        revision: u64,
-    },
-    /// A configuration was accepted through this instance.
-    Accepted(Arc<Document>),
-    /// A peer asks for an exchange.
-    Asked {
-        /// Names the question in the action that answers it.
-        id: u64,
-        /// What the peer says.
-        exchange: Exchange,
-    },
-    /// An exchange ended.
-    Answered {
-        /// Whom it was with.
-        from: Member,
-        /// What the peer said, `None` if nothing in time.
-        answer: Option<Exchange>,
-    },
-    /// A witness told whether it reaches a suspect.
-    Witnessed {
-        /// The suspect.
-        suspect: Member,
-        /// The witness's view, `None` if it did not answer.
-        reaches: Option<bool>,
-    },
-    /// The platform's list arrived.
-    Listed(Vec<Listed>),
-    /// A poll of an upstream ended.
-    Polled {
-        /// Which upstream.
-        addr: Arc<str>,
-        /// Its load, `None` if it did not answer.
-        load: Option<Load>,
-        /// The wall clock, for versions that instances compare.
-        wall_ms: u64,
-    },
-    /// Traffic noticed something about an upstream.
-    Noticed {
-        /// Which upstream.
-        addr: Arc<str>,
-        /// What.
-        sign: Sign,
-    },
-    /// A try to take or renew the lease of orders ended.
-    Leased(Option<Lease>),
-    /// An order ended.
-    Ordered {
-        /// The upstream.
-        addr: Arc<str>,
-    },
-    /// A peer goes by another epoch.
-    Differs(Member),
-    /// A planned stop begins.
-    Stop,
-}
-
-/// A value with the store's revision.
-#[derive(Debug, Clone)]
-pub struct Found {
-    /// The value.
-    pub value: Value,
-    /// The store's revision, 0 for an absent key.
-    pub revision: u64,
-}
+pub use message::{Action, Event, Found, Key, Value};
 
-/// What the control state wants done.
-#[derive(Debug)]
-pub enum Action {
-    /// Show traffic this snapshot.
-    Publish(Arc<Snapshot>),
-    /// Read a key.
-    Read(Key),
-    /// Wait for a change of a key.
-    Watch {
-        /// Which key.
-        key: Key,
-        /// The revision that is known.
-        after: u64,
-    },
-    /// Write the table if the store still has `expect`.
-    WriteTable {
-        /// The new table.
-        table: Arc<Table>,
-        /// The store's revision that it was made from.
-        expect: u64,
-    },
-    /// Read the platform's list of upstreams.
-    List,
-    /// Ask an upstream for its load.
-    Poll(Arc<str>),
-    /// Send an exchange.
-    Send {
-        /// To whom.
-        to: Member,
-        /// What.
-        exchange: Exchange,
-    },
-    /// Answer a peer's exchange.
-    Answer {
-        /// Which question.
-        id: u64,
-        /// What to say.
-        exchange: Exchange,
-    },
-    /// Ask a seed for everything it knows.
-    AskSeeds(Exchange),
-    /// Ask a witness about a suspect.
-    AskWitness {
-        /// Whom to ask.
-        witness: Member,
-        /// About whom.
-        suspect: Member,
-    },
-    /// Try to take the lease of orders.
-    TakeLease,
-    /// Renew it.
-    RenewLease(Lease),
-    /// Send an order to an upstream.
-    Order(orders::Order),
-    /// A newer table is in force.
-    Adopted(Arc<Table>),
-}
+use store_view::StoreView;
 
 /// The control state and its controllers.
 pub struct Control {
@@ -189,18 +27,6 @@
     store: StoreView,
 }
 
-/// What is known of the store.
-#[derive(Debug, Default)]
-struct StoreView {
-    table_revision: u64,
-    document_revision: u64,
-    is_reading_table: bool,
-    is_writing_table: bool,
-    is_watching: [bool; 2],
-    read_ms: u64,
-    join_ms: u64,
-}
-
 impl Control {
     /// The control state of the instance `me`.
     pub fn new(me: Member) -> Control {
@@ -241,24 +67,18 @@
         let wants_change = is_outside
             || !self.peers.removals.is_empty()
             || (self.board.is_stopping && self.board.is_member());
-        let is_join_due = now_ms.saturating_sub(self.store.join_ms) >= JOIN_MS;
-        if wants_change && is_join_due && !self.store.is_writing_table {
-            self.store.join_ms = now_ms;
-            self.read_table(out);
+        if wants_change {
+            self.store.read_to_change(now_ms, out);
         }
         if is_outside {
             out.push(Action::Read(Key::Document));
             out.push(Action::AskSeeds(self.greeting()));
         }
-        let is_safety_due = now_ms.saturating_sub(self.store.read_ms) >= SAFETY_READ_MS;
         if self.is_watcher() {
             out.push(Action::List);
-            self.watch(Key::Table, self.store.table_revision, out);
-            self.watch(Key::Document, self.store.document_revision, out);
-        } else if is_safety_due {
-            self.store.read_ms = now_ms;
-            out.push(Action::Read(Key::Document));
-            self.read_table(out);
+            self.store.watch_all(out);
+        } else {
+            self.store.read_for_safety(now_ms, out);
         }
     }
 
@@ -270,21 +90,6 @@
         first.is_some_and(|member| member.is_same(me))
     }
 
-    fn watch(&mut self, key: Key, after: u64, out: &mut Vec<Action>) {
-        let is_watching = &mut self.store.is_watching[key as usize];
-        if !*is_watching {
-            *is_watching = true;
-            out.push(Action::Watch { key, after });
-        }
-    }
-
-    fn read_table(&mut self, out: &mut Vec<Action>) {
-        if !self.store.is_reading_table {
-            self.store.is_reading_table = true;
-            out.push(Action::Read(Key::Table));
-        }
-    }
-
     fn greeting(&self) -> Exchange {
         Exchange {
             from: self.board.me.clone(),
@@ -306,20 +111,16 @@
         now_ms: u64,
         out: &mut Vec<Action>,
     ) {
-        if was_watch {
-            self.store.is_watching[key as usize] = false;
-        } else if key == Key::Table {
-            self.store.is_reading_table = false;
-        }
+        self.store.hear_end(key, was_watch);
         let Some(found) = found else { return };
         let route = was_watch.then(|| self.route_in_domain());
         match found.value {
             Value::Table(table) => {
-                self.store.table_revision = self.store.table_revision.max(found.revision);
+                self.store.hear_revision(Key::Table, found.revision);
                 self.adopt(Some(table), None, route, now_ms, out);
             }
             Value::Document(document) => {
-                self.store.document_revision = self.store.document_revision.max(found.revision);
+                self.store.hear_revision(Key::Document, found.revision);
                 self.adopt(None, Some(document), route, now_ms, out);
             }
             Value::Absent => {}
@@ -344,11 +145,10 @@
         } else if !board.is_stopping && !is_listed {
             table = table.with(board.me.clone());
         }
-        if table.epoch() == board.table.epoch() || self.store.is_writing_table {
-            return;
+        let is_changed = table.epoch() != board.table.epoch();
+        if is_changed && self.store.begin_write() {
+            out.push(Action::WriteTable { table: Arc::new(table), expect });
         }
-        self.store.is_writing_table = true;
-        out.push(Action::WriteTable { table: Arc::new(table), expect });
     }
 
     fn hear_written(
@@ -359,14 +159,14 @@
         now_ms: u64,
         out: &mut Vec<Action>,
     ) {
-        self.store.is_writing_table = false;
-        if applied == Some(true) {
-            self.store.table_revision = revision;
+        let is_applied = applied == Some(true);
+        self.store.hear_written(is_applied.then_some(revision));
+        if is_applied {
             let route = self.route_from_here();
             self.adopt(Some(table), None, Some(route), now_ms, out);
         } else {
             // Another instance was first, or the reply was lost: what the store has now decides.
-            self.read_table(out);
+            self.store.read_table(out);
         }
     }
 
--- /dev/null
+++ b/src/control/store_view.rs
@@ -0,0 +1,93 @@
+//! What the control thread knows of the store, and which calls to it are under way.
+
+use crate::control::{Action, Key};
+
+/// Instances that watch nothing read the store this often, as a safety net.
+const SAFETY_READ_MS: u64 = 30_000;
+/// An instance outside the table tries to join this often.
+const JOIN_MS: u64 = 300;
+
+/// The revisions that are known, and the calls under way.
+#[derive(Debug, Default)]
+pub(super) struct StoreView {
+    table_revision: u64,
+    document_revision: u64,
+    is_reading_table: bool,
+    is_writing_table: bool,
+    is_watching: [bool; 2],
+    read_ms: u64,
+    join_ms: u64,
+}
+
+impl StoreView {
+    /// Reads the table in order to write it anew, unless a write is under way.
+    pub(super) fn read_to_change(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let is_due = now_ms.saturating_sub(self.join_ms) >= JOIN_MS;
+        if is_due && !self.is_writing_table {
+            self.join_ms = now_ms;
+            self.read_table(out);
+        }
+    }
+
+    /// Waits for changes of both keys.
+    pub(super) fn watch_all(&mut self, out: &mut Vec<Action>) {
+        self.watch(Key::Table, self.table_revision, out);
+        self.watch(Key::Document, self.document_revision, out);
+    }
+
+    fn watch(&mut self, key: Key, after: u64, out: &mut Vec<Action>) {
+        let is_watching = &mut self.is_watching[key as usize];
+        if !*is_watching {
+            *is_watching = true;
+            out.push(Action::Watch { key, after });
+        }
+    }
+
+    /// Reads both keys once in a while, for instances that watch nothing.
+    pub(super) fn read_for_safety(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        if now_ms.saturating_sub(self.read_ms) >= SAFETY_READ_MS {
+            self.read_ms = now_ms;
+            out.push(Action::Read(Key::Document));
+            self.read_table(out);
+        }
+    }
+
+    /// Reads the table, unless that is under way.
+    pub(super) fn read_table(&mut self, out: &mut Vec<Action>) {
+        if !self.is_reading_table {
+            self.is_reading_table = true;
+            out.push(Action::Read(Key::Table));
+        }
+    }
+
+    /// Takes in that a read or watch has ended.
+    pub(super) fn hear_end(&mut self, key: Key, was_watch: bool) {
+        if was_watch {
+            self.is_watching[key as usize] = false;
+        } else if key == Key::Table {
+            self.is_reading_table = false;
+        }
+    }
+
+    /// Takes in the revision of a key that was read.
+    pub(super) fn hear_revision(&mut self, key: Key, revision: u64) {
+        let known = match key {
+            Key::Table => &mut self.table_revision,
+            Key::Document => &mut self.document_revision,
+        };
+        *known = revision.max(*known);
+    }
+
+    /// Notes that the table is being written; `false` if it is already.
+    pub(super) fn begin_write(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_writing_table, true)
+    }
+
+    /// Takes in that a write of the table has ended, with the store's revision if it was applied.
+    pub(super) fn hear_written(&mut self, applied: Option<u64>) {
+        self.is_writing_table = false;
+        if let Some(revision) = applied {
+            self.table_revision = revision;
+        }
+    }
+}
