Group the router's files by what a newcomer looks for

Cause: src/ held over forty files of the router side by side, and nothing told which of them belong together.

Change: request/ (the path of a request), records/ (claims, journals, outcomes and their holders), control/ (the control thread and what it knows), operators/ (commands, queries, the configuration); at the root what several of them share or what starts a process.

Ruled out: one folder router/ beside gateway/ (forty files side by side again, or two levels in every path); folders by layer (decisions, data, shell), which part a decision from the task around it. Old paths are not re-exported, so that each item has one name: code elsewhere that imports, say, siskinrock::ledger has to say siskinrock::records::ledger.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use siskinrock::auth;
-use siskinrock::document::{AddedUpstream, Document, Model, Organisation, Service, ServiceKind};
-use siskinrock::operate::{Answer, Question};
+use siskinrock::operators::document::{
+    AddedUpstream, Document, Model, Organisation, Service, ServiceKind,
+};
+use siskinrock::operators::operate::{Answer, Question};
+use siskinrock::request::auth;
 use siskinrock::wire::{self, Status};
 use siskinrock_standin::caller::{self, Plan};
 use siskinrock_standin::host::{self, Host};
--- a/src/blackboard.rs
+++ b/src/control/blackboard.rs
@@ -6,9 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::document::{Document, Service};
-use crate::membership::{Member, Table};
-use crate::placement;
+use crate::control::membership::{Member, Table};
+use crate::operators::document::{Document, Service};
+use crate::request::placement;
 
 /// What an upstream says about itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -8,16 +8,16 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::blackboard::Snapshot;
 use crate::clock::{self, Clock};
+use crate::control::blackboard::Snapshot;
+use crate::control::membership::{Member, Table};
+use crate::control::orders::{self, Lease, Order};
+use crate::control::peers::Exchange;
 use crate::control::{Action, Control, Event, Found, Key, Value};
 use crate::decide::Decide;
-use crate::engine::{self, Engine};
 use crate::error::Result;
-use crate::membership::{Member, Table};
-use crate::orders::{self, Lease, Order};
 use crate::peer;
-use crate::peers::Exchange;
+use crate::request::engine::{self, Engine};
 use crate::store::{Entry, Store, Write, Written};
 use crate::wire::Witness;
 
--- a/src/health.rs
+++ b/src/control/health.rs
@@ -2,7 +2,7 @@
 //!
 //! Each upstream is polled by one instance, which all compute alike; reports then spread by
 //! exchanges between instances. Once an upstream is known to be leaving, only a new incarnation
-//! takes that back ([docs/DESIGN.md](../docs/DESIGN.md#upstreams)).
+//! takes that back ([docs/DESIGN.md](../../docs/DESIGN.md#upstreams)).
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::blackboard::{Board, Brief, Load, Report, Upstream};
+use crate::control::blackboard::{Board, Brief, Load, Report, Upstream};
 use crate::decide::Random;
 
 /// How long a refused connection or a silence keeps work away, so that a poll under way can confirm it.
--- a/src/membership.rs
+++ b/src/control/membership.rs
@@ -3,7 +3,7 @@
 //! The table says which three instances hold the record of a key. It changes only by
 //! compare-and-swap in the store and every change raises its epoch; the tables before it travel
 //! with it, so that a new holder knows whom to ask for older records
-//! ([docs/DESIGN.md](../docs/DESIGN.md#claims)).
+//! ([docs/DESIGN.md](../../docs/DESIGN.md#claims)).
 
 use std::sync::Arc;
 
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use crate::blackboard::{Load, Snapshot};
-use crate::document::Document;
-use crate::health::{Listed, Sign};
-use crate::membership::{Member, Table};
-use crate::orders::{self, Lease};
-use crate::peers::Exchange;
+use crate::control::blackboard::{Load, Snapshot};
+use crate::control::health::{Listed, Sign};
+use crate::control::membership::{Member, Table};
+use crate::control::orders::{self, Lease};
+use crate::control::peers::Exchange;
+use crate::operators::document::Document;
 
 /// A key of the platform's store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,18 +1,25 @@
 //! The decision of the control thread: it hands each event to the controllers, which read and
 //! write the blackboard, and collects what they want done.
 
+pub mod blackboard;
+pub mod control_loop;
+pub mod health;
+pub mod membership;
+pub mod orders;
+pub mod peers;
+
 mod message;
 mod store_view;
 
 use std::sync::Arc;
 
-use crate::blackboard::Board;
+use crate::control::blackboard::Board;
+use crate::control::health::{Health, Sign};
+use crate::control::membership::{Member, Table};
+use crate::control::orders::Orders;
+use crate::control::peers::{Exchange, Peers, Route, Spread};
 use crate::decide::{Decide, Random};
-use crate::document::Document;
-use crate::health::{Health, Sign};
-use crate::membership::{Member, Table};
-use crate::orders::{self, Orders};
-use crate::peers::{self, Exchange, Peers, Route, Spread};
+use crate::operators::document::Document;
 
 pub use message::{Action, Event, Found, Key, Value};
 
--- a/src/orders.rs
+++ b/src/control/orders.rs
@@ -3,12 +3,12 @@
 //! Orders state what has to be loaded, so that a repeated one does no harm. Only the holder of a
 //! lease in the store sends them, with a fencing number that the store made. For upstreams that
 //! ignore the number, an order is sent only while the lease outlasts the order's whole timeout,
-//! and what is loaded is checked again afterwards ([docs/DESIGN.md](../docs/DESIGN.md#orders)).
+//! and what is loaded is checked again afterwards ([docs/DESIGN.md](../../docs/DESIGN.md#orders)).
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crate::blackboard::Board;
+use crate::control::blackboard::Board;
 
 /// How long the lease lasts without renewal.
 pub const LEASE_MS: u64 = 8_000;
--- a/src/peers.rs
+++ b/src/control/peers.rs
@@ -3,17 +3,17 @@
 //! Each instance exchanges state with the next one on the ring and with one at random, so that
 //! the cost of a node does not grow with the fleet. A peer that stays silent is taken out of the
 //! table only after others, asked for their view, can't reach it either
-//! ([docs/DESIGN.md](../docs/DESIGN.md#membership)).
+//! ([docs/DESIGN.md](../../docs/DESIGN.md#membership)).
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-use crate::blackboard::{Board, Brief, Report, Upstream};
+use crate::control::blackboard::{Board, Brief, Report, Upstream};
+use crate::control::membership::{Member, Table};
 use crate::decide::Random;
-use crate::document::Document;
-use crate::membership::{Member, Table};
+use crate::operators::document::Document;
 
 /// So many exchanges in a row have to fail before a peer is suspected.
 const FAILURES: u32 = 3;
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -6,8 +6,8 @@
 use serde::Deserialize;
 
 use crate::error::{Body, Error, Kind, Result};
-use crate::operate::{Answer, Question};
-use crate::query;
+use crate::operators::operate::{Answer, Question};
+use crate::operators::query;
 use crate::settings::Environment;
 
 /// The help of `siskinrock ctl`.
@@ -108,7 +108,7 @@
     let missing = "--operator-key is missing; give it, or set SISKINROCK_OPERATOR_KEY";
     let key = key.ok_or_else(|| bad_call(missing))?;
     // Misspelt words are found here, also when no instance can be reached.
-    crate::command::parse(&words.join(" "))?;
+    crate::operators::command::parse(&words.join(" "))?;
     Ok(Call {
         router: router.unwrap_or_else(|| "127.0.0.1:7400".to_owned()),
         key,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,7 +29,7 @@
 //! random source:
 //!
 //! ```
-//! use siskinrock::admission::{Action, Admission, Arrival, Event};
+//! use siskinrock::request::admission::{Action, Admission, Arrival, Event};
 //! use siskinrock::decide::Decide;
 //!
 //! let mut admission = Admission::default();
@@ -52,63 +52,30 @@
 //! # Reading a command
 //!
 //! ```
-//! let error = siskinrock::command::parse("drian upstream 10.0.1.7:8000").unwrap_err();
+//! let error = siskinrock::operators::command::parse("drian upstream 10.0.1.7:8000").unwrap_err();
 //! assert!(error.to_string().contains("did you mean \"drain\"?"));
 //! ```
 
-pub mod admission;
-pub mod attempt;
-pub mod auth;
-pub mod blackboard;
-pub mod budget;
-pub mod call;
-pub mod change;
-pub mod claim;
 pub mod clock;
-pub mod command;
 pub mod control;
-pub mod control_loop;
-pub mod copies;
 pub mod ctl;
 pub mod decide;
-pub mod document;
-pub mod door;
 pub mod driver;
-pub mod engine;
 pub mod error;
-pub mod evidence;
-pub mod follow;
 pub mod gateway;
-pub mod generate;
-pub mod generation;
-pub mod health;
-pub mod journal;
-pub mod ledger;
-pub mod ledger_task;
 pub mod log;
-pub mod membership;
 pub mod metrics;
 pub mod node;
-pub mod operate;
-pub mod orders;
+pub mod operators;
 pub mod peer;
-pub mod peers;
-pub mod placement;
 /// The users' platform, in a folder of its own beside the sources.
 #[path = "../platform/mod.rs"]
 pub mod platform;
-pub mod query;
-pub mod record;
-pub mod registry;
-pub mod reply;
+pub mod records;
+pub mod request;
 pub mod router;
-pub mod runner;
-pub mod server;
 pub mod settings;
-pub mod shared;
 pub mod store;
-pub mod vote;
-pub mod wanted;
 pub mod wire;
 
 pub use error::{Category, Error, Result};
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,24 +11,24 @@
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 
-use crate::admission::Arrival;
-use crate::blackboard::Snapshot;
-use crate::budget::Budget;
 use crate::clock::Clock;
 use crate::control;
-use crate::control_loop;
-use crate::door::{Door, Permit};
-use crate::engine::Engine;
+use crate::control::blackboard::Snapshot;
+use crate::control::control_loop;
+use crate::control::health::Sign;
+use crate::control::membership::{Member, Table};
 use crate::error::Result;
-use crate::health::Sign;
-use crate::ledger_task::LedgerTask;
-use crate::membership::{Member, Table};
 use crate::peer::{self, Holders};
-use crate::record::{Op, Owner, Reply, Request};
-use crate::registry::Registry;
+use crate::records::ledger_task::LedgerTask;
+use crate::records::record::{Op, Owner, Reply, Request};
+use crate::records::vote::{Verdict, Vote};
+use crate::request::admission::Arrival;
+use crate::request::budget::Budget;
+use crate::request::door::{Door, Permit};
+use crate::request::engine::Engine;
+use crate::request::registry::Registry;
 use crate::settings::Settings;
 use crate::store::Store;
-use crate::vote::{Verdict, Vote};
 
 /// How long a vote goes on while epochs differ.
 const CATCH_UP_MS: u64 = 2_000;
--- a/src/change.rs
+++ b/src/operators/change.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::auth;
-use crate::command::{Command, Field, Target};
-use crate::document::{AddedUpstream, Document, Model, Organisation, Service, ServiceKind};
 use crate::error::{self, Error, Result};
+use crate::operators::command::{Command, Field, Target};
+use crate::operators::document::{
+    AddedUpstream, Document, Model, Organisation, Service, ServiceKind,
+};
+use crate::request::auth;
 
 /// What a command would do.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/command.rs
+++ b/src/operators/command.rs
@@ -1,7 +1,7 @@
 //! The operators' language: its words, and how a command reads.
 //!
 //! ```
-//! use siskinrock::command::{self, Command};
+//! use siskinrock::operators::command::{self, Command};
 //!
 //! let command = command::parse("show upstreams where service = planning and state = leaving");
 //! assert!(matches!(command, Ok(Command::Show(_))));
--- a/src/document.rs
+++ b/src/operators/document.rs
@@ -1,7 +1,7 @@
 //! The operators' configuration: one versioned document in the platform's store.
 //!
 //! It changes only by compare-and-swap, and instances take on only growing revisions, so that an
-//! accepted change never reverts ([docs/DESIGN.md](../docs/DESIGN.md#configuration)).
+//! accepted change never reverts ([docs/DESIGN.md](../../docs/DESIGN.md#configuration)).
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- a/src/operate.rs
+++ b/src/operators/operate.rs
@@ -2,7 +2,7 @@
 //!
 //! A change is a compare-and-swap of the whole configuration in the store. It is answered as
 //! accepted only when the store has it, together with how many instances have it in force
-//! ([docs/DESIGN.md](../docs/DESIGN.md#configuration)).
+//! ([docs/DESIGN.md](../../docs/DESIGN.md#configuration)).
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -10,15 +10,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::change;
 use crate::clock;
-use crate::command::{self, Command};
 use crate::control;
-use crate::control_loop::DOCUMENT_KEY;
-use crate::document::{Change, Document};
+use crate::control::control_loop::DOCUMENT_KEY;
 use crate::error::{Error, Kind, Result};
 use crate::node::Node;
-use crate::query::{self, Row};
+use crate::operators::change;
+use crate::operators::command::{self, Command};
+use crate::operators::document::{Change, Document};
+use crate::operators::query::{self, Row};
 use crate::store::{Entry, Write, Written};
 use crate::wire::Status;
 
--- a/src/query.rs
+++ b/src/operators/query.rs
@@ -6,12 +6,12 @@
 use serde_json::{Map, Value, json};
 
 use crate::clock;
-use crate::command::Show;
+use crate::control::membership::Member;
 use crate::error::{self, Kind, Result};
-use crate::membership::Member;
 use crate::metrics::{self, Points};
 use crate::node::Node;
-use crate::registry::Row as Request;
+use crate::operators::command::Show;
+use crate::request::registry::Row as Request;
 use crate::wire::Status;
 
 /// How long a peer may take to answer a query.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -11,8 +11,8 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
-use crate::membership::Member;
-use crate::record::{Reply, Request};
+use crate::control::membership::Member;
+use crate::records::record::{Reply, Request};
 use crate::wire::{self, Batch, Replies};
 
 /// How long a holder may take to answer.
--- a/src/copies.rs
+++ b/src/records/copies.rs
@@ -3,9 +3,9 @@
 //! A token is released to the caller only once a majority of the key's holders has it. The third
 //! holder is spared until one of the first two is late, which saves a third of the copying.
 
-use crate::journal::Journal;
-use crate::membership::{self, Member, Roster};
-use crate::record::Reply;
+use crate::control::membership::{self, Member, Roster};
+use crate::records::journal::Journal;
+use crate::records::record::Reply;
 
 /// A holder's answer.
 #[derive(Debug, Clone)]
--- a/src/evidence.rs
+++ b/src/records/evidence.rs
@@ -3,9 +3,9 @@
 //! A claim counts once a majority of the slot's holders has it. After a change of the table, a new
 //! holder asks the earlier ones for their records. It may answer only if what it heard covers every
 //! majority that could have granted a claim; else it refuses calls until the retry horizon has
-//! passed, rather than guess ([docs/DESIGN.md](../docs/DESIGN.md#claims)).
+//! passed, rather than guess ([docs/DESIGN.md](../../docs/DESIGN.md#claims)).
 
-use crate::membership::{self, Member, Roster, Table};
+use crate::control::membership::{self, Member, Roster, Table};
 
 /// An earlier holder that sent its records of a slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/ledger/mod.rs
+++ b/src/records/ledger/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The ledger is a pure decision ([`Decide`]). It never lets two runs of one key both be granted
 //! by a majority, refuses owners of older terms, and after a change of the table answers only for
-//! keys whose older claims it can know ([docs/DESIGN.md](../../docs/DESIGN.md#claims)).
+//! keys whose older claims it can know ([docs/DESIGN.md](../../../docs/DESIGN.md#claims)).
 
 mod records;
 mod requests;
@@ -12,9 +12,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::control::membership::{self, Member, Table};
 use crate::decide::{Decide, Random};
-use crate::membership::{self, Member, Table};
-use crate::record::{Record, Reply, Request};
+use crate::records::record::{Record, Reply, Request};
 
 /// What the ledger needs to know from the settings.
 #[derive(Debug, Clone)]
--- a/src/ledger/records.rs
+++ b/src/records/ledger/records.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use crate::journal::Journal;
-use crate::ledger::Limits;
-use crate::record::{Identity, Outcome, Owner, Record, Reply};
+use crate::records::journal::Journal;
+use crate::records::ledger::Limits;
+use crate::records::record::{Identity, Outcome, Owner, Record, Reply};
 
 /// Records by key, and how many bytes of answers each organisation has in them.
 #[derive(Debug)]
--- a/src/ledger/requests.rs
+++ b/src/records/ledger/requests.rs
@@ -1,8 +1,8 @@
 //! How a holder answers the requests of owners: claims, appends, ends and take-overs.
 
-use crate::journal::Journal;
-use crate::ledger::Ledger;
-use crate::record::{Identity, Kind, Op, Outcome, Owner, Record, Reply, Request, Stream};
+use crate::records::journal::Journal;
+use crate::records::ledger::Ledger;
+use crate::records::record::{Identity, Kind, Op, Outcome, Owner, Record, Reply, Request, Stream};
 
 impl Ledger {
     /// Answers one request of an owner.
--- a/src/ledger/slots.rs
+++ b/src/records/ledger/slots.rs
@@ -1,14 +1,14 @@
 //! Which slots a holder answers for, and what it hears first from their earlier holders.
 //!
 //! After a change of the table a new holder answers only once no granted claim can be unknown to
-//! it ([docs/DESIGN.md](../../docs/DESIGN.md#claims)).
+//! it ([docs/DESIGN.md](../../../docs/DESIGN.md#claims)).
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::evidence::{self, Heard};
-use crate::ledger::{Action, SlotWord};
-use crate::membership::{self, Member, Roster, Table};
+use crate::control::membership::{self, Member, Roster, Table};
+use crate::records::evidence::{self, Heard};
+use crate::records::ledger::{Action, SlotWord};
 
 /// How long a new holder waits for the records of earlier ones.
 const SYNC_TIMEOUT_MS: u64 = 1_500;
--- a/src/ledger_task.rs
+++ b/src/records/ledger_task.rs
@@ -7,11 +7,11 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::Clock;
+use crate::control::membership::{Member, Table};
 use crate::driver::{self, Driver};
-use crate::ledger::{Action, Event, Handover, Ledger};
-use crate::membership::{Member, Table};
 use crate::peer;
-use crate::record::{Record, Reply, Request};
+use crate::records::ledger::{Action, Event, Handover, Ledger};
+use crate::records::record::{Record, Reply, Request};
 use crate::wire::AskHandover;
 
 /// How often time passes for the ledger.
--- a/src/record.rs
+++ b/src/records/record.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::journal::Journal;
+use crate::records::journal::Journal;
 
 /// What kind of request a record stands for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/vote.rs
+++ b/src/records/vote.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use crate::membership;
-use crate::record::{Record, Reply};
+use crate::control::membership;
+use crate::records::record::{Record, Reply};
 
 /// What the answers amount to.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/admission.rs
+++ b/src/request/admission.rs
@@ -3,7 +3,7 @@
 //! Each service has its own slots and queue, so that a full queue of long generations never holds
 //! up quick calls. Within a queue, organisations take turns by weight. A request that can't be
 //! served in time is refused as soon as that is known, with the time to come back
-//! ([docs/DESIGN.md](../docs/DESIGN.md#overload)).
+//! ([docs/DESIGN.md](../../docs/DESIGN.md#overload)).
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
--- a/src/attempt.rs
+++ b/src/request/attempt.rs
@@ -5,12 +5,12 @@
 use futures_util::StreamExt;
 use tokio::sync::mpsc;
 
-use crate::blackboard::InFlight;
-use crate::engine::{self, Failure, Start};
-use crate::generation::{Attempt, Event};
-use crate::health::Sign;
+use crate::control::blackboard::InFlight;
+use crate::control::health::Sign;
 use crate::node::Node;
-use crate::record::Stream;
+use crate::records::record::Stream;
+use crate::request::engine::{self, Failure, Start};
+use crate::request::generation::{Attempt, Event};
 
 /// How many upstreams one attempt asks.
 const UPSTREAMS_PER_ATTEMPT: usize = 3;
--- a/src/call.rs
+++ b/src/request/call.rs
@@ -2,20 +2,20 @@
 //!
 //! A call that may be repeated goes to another upstream when one fails, within a budget. One that
 //! may not is claimed first, sent at most once, and its answer is recorded before the caller gets
-//! it ([docs/DESIGN.md](../docs/DESIGN.md#claims)).
+//! it ([docs/DESIGN.md](../../docs/DESIGN.md#claims)).
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::blackboard::InFlight;
-use crate::claim::{self, Ask, Claimed};
+use crate::control::blackboard::InFlight;
+use crate::control::health::Sign;
 use crate::error::{Error, Kind, Result};
-use crate::health::Sign;
 use crate::metrics::Sample;
 use crate::node::Node;
-use crate::record::{Answer, Identity, Kind as RecordKind, Op, Outcome, Record};
-use crate::registry::{Note, Row};
-use crate::vote::Verdict;
+use crate::records::record::{Answer, Identity, Kind as RecordKind, Op, Outcome, Record};
+use crate::records::vote::Verdict;
+use crate::request::claim::{self, Ask, Claimed};
+use crate::request::registry::{Note, Row};
 use crate::wire::{Inquiry, RunState};
 
 /// How many upstreams are tried.
--- a/src/claim.rs
+++ b/src/request/claim.rs
@@ -5,8 +5,8 @@
 
 use crate::error::{Kind, Result};
 use crate::node::Node;
-use crate::record::{Identity, Kind as RecordKind, Op, Record};
-use crate::vote::Verdict;
+use crate::records::record::{Identity, Kind as RecordKind, Op, Record};
+use crate::records::vote::Verdict;
 
 /// How long a claim is tried anew while epochs change, runs collide or holders sync.
 const PATIENCE_MS: u64 = 2_000;
--- a/src/door.rs
+++ b/src/request/door.rs
@@ -6,10 +6,10 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use crate::admission::{Action, Admission, Arrival, Depth, Event, Reason};
 use crate::clock::Clock;
 use crate::driver::{self, Driver};
 use crate::error::{Error, Kind, Result};
+use crate::request::admission::{Action, Admission, Arrival, Depth, Event, Reason};
 
 /// How often waiting requests are checked against their deadlines.
 const TICK_MS: u64 = 100;
--- a/src/engine.rs
+++ b/src/request/engine.rs
@@ -9,7 +9,7 @@
 use futures_util::stream::{Stream, StreamExt};
 use serde::{Deserialize, Serialize};
 
-use crate::blackboard::Load;
+use crate::control::blackboard::Load;
 use crate::peer;
 
 /// How long a poll or a cancellation may take.
--- a/src/follow.rs
+++ b/src/request/follow.rs
@@ -7,16 +7,16 @@
 use futures_util::StreamExt;
 use serde::{Deserialize, Serialize};
 
-use crate::claim::{self, Claimed};
 use crate::error::Kind;
-use crate::generation::{Generation, Prefix};
 use crate::node::Node;
-use crate::record::{Identity, Op, Outcome, Record};
-use crate::registry::Note;
-use crate::runner::{self, Runner};
-use crate::shared::{Shared, State};
-use crate::vote::{self, Grant, Verdict};
-use crate::wanted::Wanted;
+use crate::records::record::{Identity, Op, Outcome, Record};
+use crate::records::vote::{self, Grant, Verdict};
+use crate::request::claim::{self, Claimed};
+use crate::request::generation::{Generation, Prefix};
+use crate::request::registry::Note;
+use crate::request::runner::{self, Runner};
+use crate::request::shared::{Shared, State};
+use crate::request::wanted::Wanted;
 
 /// How long an owner may be silent; it sends something far more often.
 const SILENCE_MS: u64 = 1_200;
--- a/src/generate.rs
+++ b/src/request/generate.rs
@@ -2,17 +2,17 @@
 
 use std::sync::Arc;
 
-use crate::blackboard::Snapshot;
-use crate::claim::{self, Claimed};
+use crate::control::blackboard::Snapshot;
 use crate::error::{self, Error, Kind, Result};
-use crate::follow;
-use crate::generation::Generation;
 use crate::node::Node;
-use crate::record::{Identity, Outcome, Record};
-use crate::registry::Row;
-use crate::runner::{self, Runner};
-use crate::shared::{Shared, State};
-use crate::wanted::Wanted;
+use crate::records::record::{Identity, Outcome, Record};
+use crate::request::claim::{self, Claimed};
+use crate::request::follow;
+use crate::request::generation::Generation;
+use crate::request::registry::Row;
+use crate::request::runner::{self, Runner};
+use crate::request::shared::{Shared, State};
+use crate::request::wanted::Wanted;
 
 /// Finds or starts the generation that a caller asks for.
 ///
--- a/src/generation/message.rs
+++ b/src/request/generation/message.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use crate::copies::Copied;
-use crate::membership::{Member, Roster};
-use crate::record::{Op, Stream};
+use crate::control::membership::{Member, Roster};
+use crate::records::copies::Copied;
+use crate::records::record::{Op, Stream};
 
 /// How a service wants its generations treated.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/generation/mod.rs
+++ b/src/request/generation/mod.rs
@@ -3,18 +3,18 @@
 //!
 //! A token is accepted only from a current attempt and only at the journal's end, so that a late
 //! token of an older attempt never shows. Each new attempt continues from the accepted prefix.
-//! See [docs/DESIGN.md](../../docs/DESIGN.md#generations).
+//! See [docs/DESIGN.md](../../../docs/DESIGN.md#generations).
 
 mod message;
 mod patience;
 
 use std::sync::Arc;
 
-use crate::copies::{Copies, Due};
+use crate::control::membership::Roster;
 use crate::decide::{Decide, Random};
-use crate::journal::Journal;
-use crate::membership::Roster;
-use crate::record::{Identity, Op, Outcome, Owner, Stream};
+use crate::records::copies::{Copies, Due};
+use crate::records::journal::Journal;
+use crate::records::record::{Identity, Op, Outcome, Owner, Stream};
 
 pub use message::{Action, Attempt, Event, Policy};
 
--- a/src/generation/patience.rs
+++ b/src/request/generation/patience.rs
@@ -1,6 +1,6 @@
 //! How long an attempt may be silent before it is suspected.
 
-use crate::generation::{Live, Policy};
+use crate::request::generation::{Live, Policy};
 
 /// A silence is suspicious after this many usual gaps.
 const SUSPICIOUS_GAPS: u64 = 6;
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,20 @@
+//! The path of a request: from the socket through admission and placement to an engine or service.
+
+pub mod admission;
+pub mod attempt;
+pub mod auth;
+pub mod budget;
+pub mod call;
+pub mod claim;
+pub mod door;
+pub mod engine;
+pub mod follow;
+pub mod generate;
+pub mod generation;
+pub mod placement;
+pub mod registry;
+pub mod reply;
+pub mod runner;
+pub mod server;
+pub mod shared;
+pub mod wanted;
--- a/src/placement.rs
+++ b/src/request/placement.rs
@@ -5,7 +5,7 @@
 //! candidates, one is the upstream that every instance prefers for this prompt prefix, which
 //! makes cache hits likely without any exchange of cache events; the other is drawn at random.
 //! The preferred one loses its preference when it is busier by more than a hit is worth
-//! ([docs/DESIGN.md](../docs/DESIGN.md#placement)).
+//! ([docs/DESIGN.md](../../docs/DESIGN.md#placement)).
 
 use std::sync::Arc;
 
--- a/src/registry.rs
+++ b/src/request/registry.rs
@@ -8,7 +8,7 @@
 
 use crate::clock;
 use crate::metrics::{Metrics, Points, Sample};
-use crate::shared::Shared;
+use crate::request::shared::Shared;
 use crate::wire::RunState;
 
 /// How many ended requests are remembered for queries.
--- a/src/reply.rs
+++ b/src/request/reply.rs
@@ -13,10 +13,10 @@
 use tokio::sync::watch;
 
 use crate::error::{Body, Error};
-use crate::follow::{self, Line};
 use crate::node;
-use crate::shared::{Failed, Progress, Shared, State};
-use crate::wanted::EventId;
+use crate::request::follow::{self, Line};
+use crate::request::shared::{Failed, Progress, Shared, State};
+use crate::request::wanted::EventId;
 
 /// How often a caller without news is shown that the connection lives.
 const KEEP_ALIVE_MS: u64 = 1_000;
--- a/src/runner.rs
+++ b/src/request/runner.rs
@@ -8,24 +8,24 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::mpsc;
 
-use crate::attempt::Job;
-use crate::blackboard::{Late, Snapshot};
-use crate::copies::Copied;
+use crate::control::blackboard::{Late, Snapshot};
+use crate::control::health::Sign;
+use crate::control::membership::Member;
 use crate::decide::Decide;
-use crate::document::{Service, ServiceKind};
-use crate::door::Permit;
-use crate::engine::Start;
 use crate::error::Kind;
-use crate::generation::{Action, Attempt, Event, Generation, Policy};
-use crate::health::Sign;
-use crate::membership::Member;
 use crate::metrics::Sample;
 use crate::node::Node;
+use crate::operators::document::{Service, ServiceKind};
 use crate::peer::Holders;
-use crate::record::{Op, Request, Stream};
-use crate::registry::Note;
-use crate::shared::{Shared, State};
-use crate::wanted::Wanted;
+use crate::records::copies::Copied;
+use crate::records::record::{Op, Request, Stream};
+use crate::request::attempt::Job;
+use crate::request::door::Permit;
+use crate::request::engine::Start;
+use crate::request::generation::{Action, Attempt, Event, Generation, Policy};
+use crate::request::registry::Note;
+use crate::request::shared::{Shared, State};
+use crate::request::wanted::Wanted;
 
 /// How often a running generation is looked at.
 const TICK_MS: u64 = 50;
--- a/src/server.rs
+++ b/src/request/server.rs
@@ -10,20 +10,20 @@
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::auth;
-use crate::call::{self, Call};
-use crate::claim::Ask;
-use crate::control_loop;
-use crate::document::{Document, ServiceKind};
+use crate::control::control_loop;
+use crate::control::membership::Member;
+use crate::control::peers::Exchange;
 use crate::error::{Error, Kind, Result};
-use crate::generate;
-use crate::membership::Member;
 use crate::node::Node;
-use crate::operate;
-use crate::peers::Exchange;
-use crate::record::Kind as RecordKind;
-use crate::reply;
-use crate::wanted::{EventId, Wanted};
+use crate::operators::document::{Document, ServiceKind};
+use crate::operators::operate;
+use crate::records::record::Kind as RecordKind;
+use crate::request::auth;
+use crate::request::call::{self, Call};
+use crate::request::claim::Ask;
+use crate::request::generate;
+use crate::request::reply;
+use crate::request::wanted::{EventId, Wanted};
 use crate::wire::{self, AskHandover, Batch, Inquiry, Replies, Status, Witness};
 
 /// The longest body of a caller.
@@ -207,7 +207,10 @@
     Ok(())
 }
 
-fn find_plain<'a>(document: &'a Document, name: &str) -> Result<&'a crate::document::Service> {
+fn find_plain<'a>(
+    document: &'a Document,
+    name: &str,
+) -> Result<&'a crate::operators::document::Service> {
     let plain = |kind| kind == ServiceKind::Plain;
     let found = document.services.get(name).filter(|service| plain(service.kind));
     found.ok_or_else(|| {
--- a/src/shared.rs
+++ b/src/request/shared.rs
@@ -5,7 +5,7 @@
 use tokio::sync::watch;
 
 use crate::error::Body;
-use crate::journal::Journal;
+use crate::records::journal::Journal;
 
 /// Where a generation stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/wanted.rs
+++ b/src/request/wanted.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 use std::sync::Arc;
 
-use crate::claim::Ask;
 use crate::metrics::Sample;
+use crate::request::claim::Ask;
 
 /// A caller's request for a generation.
 #[derive(Debug, Clone)]
--- a/src/store.rs
+++ b/src/store.rs
@@ -5,8 +5,8 @@
 use futures_util::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 
+use crate::control::health::Listed;
 use crate::error::{Kind, Result};
-use crate::health::Listed;
 
 /// How long an ordinary call may take.
 const TIMEOUT_MS: u64 = 1_500;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -7,9 +7,9 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::control::membership::Member;
 use crate::error::{Kind, Result};
-use crate::membership::Member;
-use crate::record::{Reply, Request};
+use crate::records::record::{Reply, Request};
 
 /// The header that carries the key between instances.
 pub const PEER_KEY: &str = "x-peer-key";
@@ -37,7 +37,7 @@
     /// The slots that it asks for.
     pub slots: Vec<u16>,
     /// The asker's table, which the receiver takes on first.
-    pub table: Arc<crate::membership::Table>,
+    pub table: Arc<crate::control::membership::Table>,
 }
 
 /// A question whether an instance can be reached, and the answer.
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -6,11 +6,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use siskinrock::control::membership::{Member, Table};
 use siskinrock::decide::Decide;
-use siskinrock::ledger::{Action, Event, Handover, Ledger, Limits};
-use siskinrock::membership::{Member, Table};
-use siskinrock::record::{Identity, Kind, Op, Owner, Reply, Request};
-use siskinrock::vote::{Verdict, Vote};
+use siskinrock::records::ledger::{Action, Event, Handover, Ledger, Limits};
+use siskinrock::records::record::{Identity, Kind, Op, Owner, Reply, Request};
+use siskinrock::records::vote::{Verdict, Vote};
 
 const SEEDS: u64 = 600;
 const THREADS: u64 = 4;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -3,16 +3,16 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use siskinrock::admission::{self, Admission, Arrival, Reason};
-use siskinrock::blackboard::{Board, Load, Report, State};
+use siskinrock::control::blackboard::{Board, Load, Report, State};
+use siskinrock::control::health::{Health, Listed, Sign};
+use siskinrock::control::membership::{self, Member, Roster, Table};
+use siskinrock::control::orders::{self, Lease, Orders};
+use siskinrock::control::peers::{Peers, Wish};
 use siskinrock::decide::Decide;
-use siskinrock::document::{Document, Model, Service, ServiceKind};
-use siskinrock::evidence::{self, Heard};
-use siskinrock::health::{Health, Listed, Sign};
-use siskinrock::membership::{self, Member, Roster, Table};
-use siskinrock::orders::{self, Lease, Orders};
-use siskinrock::peers::{Peers, Wish};
-use siskinrock::placement::{self, Candidate};
+use siskinrock::operators::document::{Document, Model, Service, ServiceKind};
+use siskinrock::records::evidence::{self, Heard};
+use siskinrock::request::admission::{self, Admission, Arrival, Reason};
+use siskinrock::request::placement::{self, Candidate};
 use siskinrock::settings::Settings;
 use yare::parameterized;
 
--- a/tests/generations.rs
+++ b/tests/generations.rs
@@ -7,13 +7,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use siskinrock::copies::Copied;
+use siskinrock::control::membership::{Member, Roster, Table};
 use siskinrock::decide::Decide;
-use siskinrock::generation::{Action, Attempt, Event, Generation, Policy, Prefix};
-use siskinrock::ledger::{self, Ledger, Limits};
-use siskinrock::membership::{Member, Roster, Table};
-use siskinrock::record::{Identity, Kind, Op, Owner, Reply, Request, Stream};
-use siskinrock::vote::{self, Verdict, Vote};
+use siskinrock::records::copies::Copied;
+use siskinrock::records::ledger::{self, Ledger, Limits};
+use siskinrock::records::record::{Identity, Kind, Op, Owner, Reply, Request, Stream};
+use siskinrock::records::vote::{self, Verdict, Vote};
+use siskinrock::request::generation::{Action, Attempt, Event, Generation, Policy, Prefix};
 
 const SEEDS: u64 = 500;
 const STEPS: u32 = 3_000;
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
+use siskinrock::control::membership::{self, Member, Table};
 use siskinrock::decide::Decide;
-use siskinrock::ledger::{Action, Event, Handover, Ledger, Limits, SlotWord};
-use siskinrock::membership::{self, Member, Table};
-use siskinrock::record::{Identity, Kind, Op, Owner, Record, Reply, Request};
+use siskinrock::records::ledger::{Action, Event, Handover, Ledger, Limits, SlotWord};
+use siskinrock::records::record::{Identity, Kind, Op, Owner, Record, Reply, Request};
 
 /// The epoch in which the newcomer has joined.
 const EPOCH: u64 = 4;
--- a/tests/regression/claim_under_way.rs
+++ b/tests/regression/claim_under_way.rs
@@ -2,7 +2,7 @@
 //! whose caller then heard 'outcome unknown' of a booking that was just being made.
 
 use siskinrock::metrics::Metrics;
-use siskinrock::registry::Registry;
+use siskinrock::request::registry::Registry;
 use siskinrock::wire::RunState;
 
 #[tokio::test]
--- a/tests/regression/removed_twice.rs
+++ b/tests/regression/removed_twice.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use siskinrock::control::membership::{Member, Table};
 use siskinrock::control::{Action, Control, Event, Found, Key, Value};
 use siskinrock::decide::Decide;
-use siskinrock::membership::{Member, Table};
 
 fn member(id: &str) -> Member {
     Member {
--- a/tests/regression/repeated_answer.rs
+++ b/tests/regression/repeated_answer.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use siskinrock::record::{Identity, Kind, Owner, Record, Reply};
-use siskinrock::vote::Vote;
+use siskinrock::records::record::{Identity, Kind, Owner, Record, Reply};
+use siskinrock::records::vote::Vote;
 
 #[test]
 fn a_holder_counts_once() {
--- a/tests/regression/slow_first_gap.rs
+++ b/tests/regression/slow_first_gap.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
+use siskinrock::control::membership::{Member, Roster};
 use siskinrock::decide::Decide;
-use siskinrock::generation::{Action, Event, Generation, Policy};
-use siskinrock::membership::{Member, Roster};
-use siskinrock::record::{Identity, Kind, Owner};
+use siskinrock::records::record::{Identity, Kind, Owner};
+use siskinrock::request::generation::{Action, Event, Generation, Policy};
 
 #[test]
 fn an_unknown_step_is_waited_for() {
