--- a/src/operate.rs
+++ b/src/operators/operate.rs
@@ -2,24 +2,23 @@
 //!
 //! A change is a compare-and-swap of the whole configuration in the store. It is answered as
 //! accepted only when the store has it, together with how many instances have it in force
-//! ([docs/DESIGN.md](../docs/DESIGN.md#configuration)).
+//! ([docs/DESIGN.md](../../docs/DESIGN.md#configuration)).
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use serde_json::json;
 
-use crate::change;
 use crate::clock;
-use crate::command::{self, Command};
 use crate::control;
-use crate::control_loop::DOCUMENT_KEY;
-use crate::document::{Change, Document};
+use crate::control::control_loop::DOCUMENT_KEY;
 use crate::error::{Error, Kind, Result};
 use crate::node::Node;
-use crate::query::{self, Row};
+use crate::operators::change;
+use crate::operators::command::{self, Command};
+use crate::operators::document::{Change, Document};
+use crate::operators::query::{self, Row};
 use crate::store::{Entry, Write, Written};
 use crate::wire::Status;
 
@@ -255,17 +254,3 @@
             + copies.received_bytes.load(Ordering::Relaxed),
     }
 }
-
-/// What this instance holds about a request, as a row.
-pub async fn held_record(node: &Node, key: &str) -> Option<Row> {
-    let record = node.ledger.record(key).await?;
-    let value = json!({
-        "request": key,
-        "router": node.me.id,
-        "state": if record.outcome.is_some() { "settled" } else { "claimed" },
-        "tokens": record.journal.len(),
-        "attempts": record.term,
-        "course": format!("record held here; owner {}, term {}", record.owner.id, record.term),
-    });
-    value.as_object().cloned()
-}
--- /dev/null
+++ b/src/request/generate.rs
@@ -0,0 +1,105 @@
+//! Opening a generation for a caller: joining a run that exists, or starting one.
+
+use std::sync::Arc;
+
+use crate::control::blackboard::Snapshot;
+use crate::error::{self, Error, Kind, Result};
+use crate::node::Node;
+use crate::records::record::{Identity, Outcome, Record};
+use crate::request::claim::{self, Claimed};
+use crate::request::follow;
+use crate::request::generation::Generation;
+use crate::request::registry::Row;
+use crate::request::runner::{self, Runner};
+use crate::request::shared::{Shared, State};
+use crate::request::wanted::Wanted;
+
+/// Finds or starts the generation that a caller asks for.
+///
+/// # Errors
+///
+/// `key_reused`, `claim_unavailable`, `answer_expired` or `answer_lost`.
+pub async fn open(node: &Arc<Node>, wanted: Wanted) -> Result<Arc<Shared>> {
+    if let Some(shared) = node.registry.find(&wanted.ask.key).await {
+        if shared.body_hash != wanted.ask.body_hash {
+            return Err(Kind::KeyReused.into());
+        }
+        check_event(&wanted, shared.nonce)?;
+        return Ok(shared);
+    }
+    match claim::take(node, &wanted.ask).await? {
+        Claimed::Granted(identity) => start(node, wanted, identity).await,
+        Claimed::Held(record) => join(node, wanted, *record),
+    }
+}
+
+/// A caller may go on only with the run that it has seen tokens of.
+fn check_event(wanted: &Wanted, nonce: u64) -> Result<()> {
+    match wanted.last_event {
+        Some(event) if event.nonce != nonce => Err(Kind::AnswerLost.into()),
+        _ => Ok(()),
+    }
+}
+
+async fn start(node: &Arc<Node>, wanted: Wanted, identity: Identity) -> Result<Arc<Shared>> {
+    if wanted.last_event.is_some() {
+        claim::give_back(node, identity).await;
+        return Err(Kind::AnswerLost.into());
+    }
+    let shared = Arc::new(Shared::new(identity.nonce, identity.body_hash));
+    register(node, &wanted, &shared);
+    let node = Arc::clone(node);
+    let for_task = Arc::clone(&shared);
+    let streams = node.streams.clone();
+    streams.spawn(wait_and_run(node, wanted, identity, for_task));
+    Ok(shared)
+}
+
+fn join(node: &Arc<Node>, wanted: Wanted, record: Record) -> Result<Arc<Shared>> {
+    check_event(&wanted, record.identity.nonce)?;
+    let shared = Arc::new(Shared::new(record.identity.nonce, record.identity.body_hash));
+    match record.outcome {
+        Some(Outcome::Finished { tokens, reason }) => {
+            shared.release(&record.journal, tokens);
+            shared.set(State::Finished { reason });
+        }
+        Some(_) => return Err(Kind::AnswerExpired.into()),
+        None => {
+            register(node, &wanted, &shared);
+            let follower = follow::Follower::new(Arc::clone(node), wanted, Arc::clone(&shared));
+            node.streams.spawn(follower.run(record));
+        }
+    }
+    Ok(shared)
+}
+
+/// Makes the generation known to peers, operators and further callers with the same key.
+fn register(node: &Node, wanted: &Wanted, shared: &Arc<Shared>) {
+    let Wanted { ask, organisation, service, .. } = wanted;
+    let row = Row::new(&ask.key, shared.nonce, organisation, service);
+    node.registry.begin(row, Some(Arc::clone(shared)));
+}
+
+async fn wait_and_run(node: Arc<Node>, wanted: Wanted, identity: Identity, shared: Arc<Shared>) {
+    let since_ms = node.clock.now_ms();
+    let policy = runner::policy_of(&node, &wanted.service);
+    match node.enter(&wanted.service, &wanted.organisation, policy.deadline_ms).await {
+        Ok(permit) => {
+            let generation = Generation::new(identity, node.owner(), policy);
+            Runner::new(node, wanted, shared, generation, since_ms).run(Some(permit)).await;
+        }
+        Err(error) => {
+            claim::give_back(&node, identity).await;
+            shared.fail(&error);
+            let sample = wanted.sample("refused", node.clock.now_ms() - since_ms);
+            node.registry.end(shared.nonce, sample);
+        }
+    }
+}
+
+/// The error of a model that has no version in force.
+pub fn no_model(snapshot: &Snapshot, name: &str) -> Error {
+    let known = snapshot.document.models.keys().map(|key| &**key);
+    let hint = error::did_you_mean(name, known);
+    Kind::NoModel { name: name.to_owned(), hint }.into()
+}
