--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod native;
 pub mod news;
 pub mod open;
+pub mod outages;
 pub mod peers;
 pub mod placement;
 pub mod route;
