Handle signals before a gateway starts anything

Cause, found by reading in the search for the class: the handlers were set after the gateway had started, so a SIGHUP or SIGTERM in that moment ended the process with what it had taken. Now they stand first. No test of its own: a signal that comes before the program's own code ends the process whatever it does, so a test would race with the start.

--- a/src/main.rs
+++ b/src/main.rs
@@ -7,6 +7,7 @@
 use siskinrock::gateway::{native, server};
 use siskinrock::settings::{self, Settings};
 use siskinrock::{ctl, log, platform, router};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// A request was refused, or something can't be reached.
 const EXIT_FAILED: u8 = 1;
@@ -103,6 +104,17 @@
 
 /// Runs a gateway until it is stopped: with flags by them, else as the platform says.
 fn forward(arguments: Vec<OsString>) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let Ok(runtime) = runtime else { return ExitCode::from(EXIT_FAILED) };
+    // Before anything starts: a signal without a handler ends the process, with all it has taken.
+    let signals = {
+        let _guard = runtime.enter();
+        Signals::new()
+    };
+    let signals = match signals {
+        Ok(signals) => signals,
+        Err(error) => return fail(&error, EXIT_FAILED),
+    };
     let started = if arguments.is_empty() {
         platform::start().map(|started| (started, platform::reload as Reload))
     } else {
@@ -112,9 +124,7 @@
         Ok(started) => started,
         Err(error) => return fail(&error, EXIT_USAGE),
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let Ok(runtime) = runtime else { return ExitCode::from(EXIT_FAILED) };
-    match runtime.block_on(run_gateway(gateway, logger, reload)) {
+    match runtime.block_on(run_gateway(gateway, logger, signals, reload)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error, EXIT_FAILED),
     }
@@ -123,21 +133,36 @@
 /// Says whether the next start will take the settings as they are now.
 type Reload = fn() -> Result<(), Error>;
 
+/// The signals that a gateway obeys.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    /// Handles them from now on.
+    fn new() -> Result<Signals, Error> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate()).map_err(cannot_listen)?,
+            interrupt: signal(SignalKind::interrupt()).map_err(cannot_listen)?,
+            reload: signal(SignalKind::hangup()).map_err(cannot_listen)?,
+        })
+    }
+}
+
 async fn run_gateway(
     mut gateway: server::Gateway,
     logger: slog::Logger,
+    mut signals: Signals,
     read_again: Reload,
 ) -> Result<(), Error> {
-    use tokio::signal::unix::{SignalKind, signal};
-    let mut terminate = signal(SignalKind::terminate()).map_err(cannot_listen)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(cannot_listen)?;
-    let mut reload = signal(SignalKind::hangup()).map_err(cannot_listen)?;
     loop {
         tokio::select! {
             ended = gateway.ended() => return ended,
-            _ = terminate.recv() => gateway.stop(),
-            _ = interrupt.recv() => gateway.stop(),
-            _ = reload.recv() => match read_again() {
+            _ = signals.terminate.recv() => gateway.stop(),
+            _ = signals.interrupt.recv() => gateway.stop(),
+            _ = signals.reload.recv() => match read_again() {
                 Ok(()) => slog::info!(logger, "settings read again; all of them need a restart"),
                 Err(error) => slog::warn!(logger, "settings refused; the old ones stay in force";
                     "why" => %error),
@@ -147,7 +172,6 @@
 }
 
 async fn run_router(settings: Settings, logger: slog::Logger) -> Result<(), Error> {
-    use tokio::signal::unix::{SignalKind, signal};
     let mut terminate = signal(SignalKind::terminate()).map_err(cannot_listen)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(cannot_listen)?;
     let router = router::Router::start(settings, logger.clone()).await?;
