A stop does not wait for a listener that can't accept

Found in reading the diff once more: since the stop waits for the listener's task, a process without a descriptor left would have gone on trying to accept the caller that waits, until it was killed with all that was open. The failing branch now looks whether the listener has to close.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -52,6 +52,9 @@
             }
             Err(error) => {
                 slog::warn!(traffic.log, "can't accept"; "detail" => %error);
+                if *close.borrow() {
+                    return;
+                }
                 tokio::time::sleep(Duration::from_millis(ACCEPT_AGAIN_MS)).await;
             }
         }
--- a/tests/gateway/stops.rs
+++ b/tests/gateway/stops.rs
@@ -181,6 +181,25 @@
     assert!(!registered.iter().any(|key| key.ends_with("edge-2")), "{registered:?}");
 }
 
+/// A stop waited for the listener, which went on trying to take in a caller for whom the process had
+/// no descriptor left, and would have been killed with all that was open.
+#[tokio::test]
+async fn a_stop_ends_though_no_descriptor_is_left() {
+    let mut running = support::start(1).await;
+    let pid = running.gateways[0].pid().expect("it runs") as i32;
+    let none = libc::rlimit { rlim_cur: 3, rlim_max: 3 };
+    // SAFETY: the process was started here and has not been waited for; the limit is read only.
+    let limited = unsafe { libc::prlimit(pid, libc::RLIMIT_NOFILE, &none, std::ptr::null_mut()) };
+    assert_eq!(limited, 0);
+    let _waiting = TcpStream::connect(running.front(0)).await.unwrap();
+    wait_for("it can't accept", async || running.gateways[0].logged().contains("can't accept"))
+        .await;
+    let start = Instant::now();
+    running.gateways[0].signal(libc::SIGTERM);
+    wait_for("the process has ended", async || running.gateways[0].has_ended()).await;
+    assert!(start.elapsed() < GRACE, "it took {:?}", start.elapsed());
+}
+
 #[parameterized(
     a_stream_early = { Repeat::Resumable, 60_000, 1_100, true },
     a_stream_later = { Repeat::Resumable, 60_000, 1_300, false },
