Tests of stops use the fakes' grace instead of a copy of it

Found in reading the change once more: the fakes name the grace that their settings files give, and the tests of stops had the same figure again, so that the two could part. No assertion changes (both were 4 s).

--- a/tests/gateway/stops.rs
+++ b/tests/gateway/stops.rs
@@ -7,7 +7,7 @@
 use siskinrock::gateway::stop::Stop;
 use siskinrock_fakes::caller::{self, Call};
 use siskinrock_fakes::http::Connection;
-use siskinrock_fakes::process::wait_for;
+use siskinrock_fakes::process::{GRACE, wait_for};
 use siskinrock_fakes::{service, store};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinSet;
@@ -18,8 +18,6 @@
 
 /// How long callers may keep an address that they were told: the stop ends after that at the earliest.
 const KEEP: Duration = Duration::from_millis(2_000);
-/// How long after the signal an instance of these tests is killed.
-const GRACE: Duration = Duration::from_millis(4_000);
 
 /// What a caller heard.
 #[derive(Debug, PartialEq, Eq)]
