The gateway's decisions stand in a folder of their own, and the circle of seven files is gone

Cause: budget, found, losses, outages, placement and stop lay among 35 files of sockets and tasks, and call, connection, front, open, stream, stream/copy and traffic imported each other in a circle, since a job knew the traffic that serves it. Change: src/gateway/policy/ holds the pure steps. Job has a file of its own that knows no traffic; what ends a request with a failure belongs to the traffic; small questions and the headers of one connection have files. tests/gateway/layers.rs fails when the folder imports the shell, or the shell imports upwards (on the code before, traffic imported front).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,9 +12,9 @@
 use super::channel::Fault;
 use super::dialect::{Dispatch, Marks};
 use super::failure::Failure;
-use super::front::Job;
+use super::job::Job;
 use super::metrics::Time;
-use super::placement::Wish;
+use super::policy::placement::Wish;
 use super::route::Repeat;
 use super::traffic::Traffic;
 use super::worker::{Lease, What, Worker};
@@ -158,14 +158,14 @@
         last_event: job.demand.last_event,
         ..Dispatch::default()
     };
-    let request = job.request(traffic, &dispatch);
+    let request = job.request(&*traffic.dialect, &dispatch);
     let limit = Duration::from_millis(left_ms);
     let exchange = exchange(traffic, &mut lease, request);
     let Ok(result) = tokio::time::timeout(limit, exchange).await else {
         worker.ended(true, traffic.now_ms());
         return if lease.channel.written() == 0 { unsent() } else { Outcome::TimeOver };
     };
-    job.record_time(traffic, Time::Upstream, traffic.now_ms() - now_ms);
+    job.record_time(&traffic.metrics, Time::Upstream, traffic.now_ms() - now_ms);
     judge(traffic, job, worker, lease, result)
 }
 
@@ -242,11 +242,11 @@
 
 fn deliver(traffic: &Traffic, job: &Job, worker: &Worker, whole: Whole) -> Answer {
     let now_ms = traffic.now_ms();
-    job.record(traffic, now_ms - job.since_ms, None);
+    job.record(&traffic.metrics, now_ms - job.since_ms, None);
     slog::info!(traffic.log, "answered"; "request" => job.id(), "route" => &*job.route.name,
         "upstream" => &*worker.upstream.id, "status" => whole.status,
         "ms" => now_ms - job.since_ms);
-    let headers = super::front::end_to_end(whole.headers);
+    let headers = super::headers::end_to_end(whole.headers);
     answer::whole(whole.status, headers, whole.body)
 }
 
@@ -259,8 +259,8 @@
     retry_after_ms: Option<u64>,
 ) -> Answer {
     let failure = if may_have_run { Failure::Unknown } else { failure };
-    let retry_after_ms = retry_after_ms.or_else(|| job.retry_after_ms(traffic, &failure));
-    job.refuse(traffic, &failure, retry_after_ms)
+    let retry_after_ms = retry_after_ms.or_else(|| traffic.comes_back_ms(job, &failure));
+    traffic.refuse(job, &failure, retry_after_ms)
 }
 
 fn log_attempt(traffic: &Traffic, job: &Job, worker: &Worker, what: &'static str) {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -1,115 +1,28 @@
 //! Callers' connections: reading requests within the limits, and passing each to its service.
 
-use std::convert::Infallible;
-use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING,
-    UPGRADE,
-};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Request};
 
 use super::answer::{self, Answer};
-use super::dialect::{Demand, Dispatch};
+use super::dialect::Demand;
 use super::failure::Failure;
-use super::metrics::Time;
+use super::headers;
+use super::job::Job;
 use super::route::{Config, Limits, Route};
 use super::traffic::Traffic;
-use super::{call, connection, stream};
+use super::{call, stream};
 
 /// The time that a caller has if it names none and the route has no bound either.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 /// The most of a refused body that is read, so that the caller sees the answer and not a reset.
 const DISCARD_BYTES: usize = 8 << 20;
-/// A request on its way through this instance.
-#[derive(Debug)]
-pub struct Job {
-    /// What the caller says of it.
-    pub demand: Demand,
-    /// Where it goes.
-    pub route: Arc<Route>,
-    /// The service that takes it.
-    pub service: Arc<str>,
-    /// Whose it is, where the caller showed a key.
-    pub organisation: Option<Arc<str>>,
-    /// The rank of the organisation or the route.
-    pub priority: u8,
-    /// When it arrived.
-    pub since_ms: u64,
-    /// When the caller must have its answer: its deadline or the route's bound.
-    pub until_ms: u64,
-    method: Method,
-    target: String,
-    headers: HeaderMap,
-    /// Its whole body.
-    pub body: Bytes,
-}
-
-impl Job {
-    /// The caller's name for it, for logs.
-    pub fn id(&self) -> &str {
-        self.demand.id.as_deref().unwrap_or("-")
-    }
-
-    /// How much time an upstream has from now on.
-    pub fn left_ms(&self, now_ms: u64) -> u64 {
-        self.until_ms.saturating_sub(now_ms).max(1)
-    }
-
-    /// The request as an upstream gets it.
-    pub fn request(&self, traffic: &Traffic, dispatch: &Dispatch) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        // The target was read as one, so it can be read again.
-        *request.uri_mut() = self.target.parse().unwrap_or_default();
-        *request.headers_mut() = self.headers.clone();
-        traffic.dialect.dispatch(request.headers_mut(), dispatch);
-        request
-    }
-
-    /// Records a time under its organisation and route.
-    pub fn record_time(&self, traffic: &Traffic, time: Time, value_ms: u64) {
-        let nobody: Arc<str> = Arc::from("-");
-        let organisation = self.organisation.as_ref().unwrap_or(&nobody);
-        traffic.metrics.record(time, organisation, &self.route.name, value_ms);
-    }
-
-    /// Records how long it took.
-    pub fn record(&self, traffic: &Traffic, whole_ms: u64, first_ms: Option<u64>) {
-        self.record_time(traffic, Time::Whole, whole_ms);
-        if let Some(first_ms) = first_ms {
-            self.record_time(traffic, Time::First, first_ms);
-        }
-        traffic.metrics.count("answered");
-    }
-
-    /// When to come back after a failure, where that follows from how its service stands.
-    pub fn retry_after_ms(&self, traffic: &Traffic, failure: &Failure) -> Option<u64> {
-        let now_ms = traffic.now_ms();
-        let is_down = *failure == Failure::NoUpstream;
-        is_down.then(|| traffic.retry_after_ms(&self.service, self.left_ms(now_ms))).flatten()
-    }
-
-    /// Ends it with a failure.
-    pub fn refuse(&self, traffic: &Traffic, failure: &Failure, after_ms: Option<u64>) -> Answer {
-        slog::warn!(traffic.log, "refused"; "request" => self.id(), "route" => &*self.route.name,
-            "status" => failure.status(), "why" => %failure,
-            "ms" => traffic.now_ms() - self.since_ms);
-        traffic.metrics.count("refused");
-        answer::failed(failure, after_ms)
-    }
-}
-
 /// Serves a request; it has its answer before a planned stop ends, whichever it is.
 pub async fn serve(traffic: &Rc<Traffic>, demand: Demand, request: Request<Incoming>) -> Answer {
     let mut answer = dispatch(traffic, demand, request).await;
@@ -135,12 +48,12 @@
         }
     };
     match read {
-        Ok(job) if !traffic.takes(&job) => job.refuse(traffic, &Failure::Stopping, None),
+        Ok(job) if !traffic.takes(&job) => traffic.refuse(&job, &Failure::Stopping, None),
         Ok(job) if job.route.repeat.is_stream() => stream::serve(traffic, job).await,
         Ok(job) => tokio::select! {
             biased;
             answer = call::serve(traffic, &job) => answer,
-            () = traffic.gives_last_answers() => job.refuse(traffic, &Failure::Stopped, None),
+            () = traffic.gives_last_answers() => traffic.refuse(&job, &Failure::Stopped, None),
         },
         Err(rejected) => {
             traffic.metrics.count("rejected");
@@ -200,7 +113,7 @@
     let priority = organisation.as_ref().and_then(|known| known.priority);
     let patience_ms = demand.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let bound_ms = if route.timeout_ms > 0 { route.timeout_ms } else { DEFAULT_DEADLINE_MS };
-    let mut headers = end_to_end(head.headers);
+    let mut headers = headers::end_to_end(head.headers);
     traffic.dialect.strip(&mut headers);
     headers.remove(CONTENT_LENGTH);
     Ok(Job {
@@ -270,48 +183,3 @@
     let read = Limited::new(body, DISCARD_BYTES).collect();
     let _ = tokio::time::timeout(Duration::from_millis(limits.head_timeout_ms), read).await;
 }
-
-/// The headers without those that concern one connection only.
-pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
-    let mut named: Vec<HeaderName> = Vec::new();
-    for value in headers.get_all(CONNECTION) {
-        let words = value.to_str().unwrap_or_default().split(',');
-        named.extend(words.filter_map(|word| word.trim().parse().ok()));
-    }
-    let kept_alive = HeaderName::from_static("keep-alive");
-    let of_proxies = HeaderName::from_static("proxy-connection");
-    for name in [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE, kept_alive, of_proxies] {
-        headers.remove(name);
-    }
-    for name in named {
-        headers.remove(name);
-    }
-    headers
-}
-
-/// Serves small questions on a listener of their own, each answered by `reply`.
-pub async fn serve_questions<F, R>(listener: TcpListener, reply: F)
-where
-    F: Fn(Request<Incoming>) -> R + Clone + 'static,
-    R: Future<Output = Answer> + 'static,
-{
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let reply = reply.clone();
-        tokio::task::spawn_local(async move {
-            let _ = stream.set_nodelay(true);
-            let service = service_fn(move |request| {
-                let answer = reply(request);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            // A broken connection concerns its asker only.
-            let _ = http1::Builder::new()
-                .max_buf_size(connection::LEAST_BUFFER_BYTES)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,13 +5,12 @@
 //! answer, a call that may not be repeated is sent again only if it certainly did not run.
 //!
 //! The parts, in the order of a request: [`connection`] accepts it, [`front`] reads it, [`route`] finds where it goes,
-//! [`placement`] picks the upstream, [`call`] or [`stream`] carries it over a channel of
+//! [`policy::placement`] picks the upstream, [`call`] or [`stream`] carries it over a channel of
 //! [`channel`]. Beside them [`control`] keeps the configuration and the list of upstreams new,
 //! over a [`directory`] and with its [`peers`]. How requests look on the wire is the business of a
 //! [`dialect`]. See [docs/PLATFORM.md](../../docs/PLATFORM.md).
 
 pub mod answer;
-pub mod budget;
 pub mod call;
 pub mod caller;
 pub mod channel;
@@ -22,21 +21,20 @@
 pub mod events;
 pub mod failure;
 pub mod fleet;
-pub mod found;
 pub mod front;
+pub mod headers;
 pub mod instance;
-pub mod losses;
+pub mod job;
 pub mod metrics;
 pub mod native;
 pub mod news;
 pub mod open;
-pub mod outages;
 pub mod peers;
-pub mod placement;
+pub mod policy;
+pub mod questions;
 pub mod route;
 pub mod server;
 pub mod settings;
-pub mod stop;
 pub mod stream;
 pub mod traffic;
 pub mod view;
--- a/src/gateway/found.rs
+++ b/src/gateway/policy/found.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::fleet::Upstream;
+use super::super::fleet::Upstream;
 use crate::decide::Random;
 
 /// How long what was found is kept after the directory's return: upstreams that lapsed meanwhile
--- /dev/null
+++ b/src/gateway/policy/mod.rs
@@ -0,0 +1,12 @@
+//! The gateway's decisions: pure steps from what is known to what is done, and why.
+//!
+//! Nothing here knows a socket, a clock, a task or a log, so each decision can be driven by a test
+//! that owns time. The shell ([`super::traffic`], [`super::call`], [`super::stream`]) turns what
+//! arrives into their inputs and their outputs into calls; see [docs/DESIGN.md](../../../docs/DESIGN.md).
+
+pub mod budget;
+pub mod found;
+pub mod losses;
+pub mod outages;
+pub mod placement;
+pub mod stop;
--- a/src/gateway/stop.rs
+++ b/src/gateway/policy/stop.rs
@@ -1,6 +1,6 @@
 //! When a planned stop takes requests, answers them and ends: pure, from the moment of the order.
 
-use super::route::Repeat;
+use super::super::route::Repeat;
 
 /// The part of the grace in which everything is taken: callers still hold the address, and most of
 /// the grace is left for what they send.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -21,11 +21,11 @@
 use super::directory::Directory;
 use super::metrics::Metrics;
 use super::peers::Phase;
+use super::policy::stop::Stop;
 use super::settings::Settings;
-use super::stop::Stop;
 use super::traffic::Traffic;
 use super::view::{Shared, View};
-use super::{connection, front};
+use super::{connection, questions};
 use crate::clock::Clock;
 use crate::error::{Error, Kind, Result};
 
@@ -277,7 +277,7 @@
             }
         }
     };
-    tokio::task::spawn_local(front::serve_questions(listener, reply));
+    tokio::task::spawn_local(questions::serve(listener, reply));
     Ok(())
 }
 
@@ -299,7 +299,7 @@
             };
             std::future::ready(answer)
         };
-        tokio::task::spawn_local(front::serve_questions(listener, reply));
+        tokio::task::spawn_local(questions::serve(listener, reply));
     }
     Ok(())
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,8 +19,8 @@
 use super::answer::{self, Answer, Cut, Part};
 use super::dialect::Copy;
 use super::failure::Failure;
-use super::front::Job;
-use super::placement::Wish;
+use super::job::Job;
+use super::policy::placement::Wish;
 use super::route::Repeat;
 use super::traffic::Traffic;
 use super::worker::Worker;
@@ -243,8 +243,8 @@
             Failure::TimeOver if self.sent == 0 => Failure::TimeOverUnsent,
             failure => failure,
         };
-        let after_ms = self.job.retry_after_ms(&self.traffic, &failure);
-        let answer = self.job.refuse(&self.traffic, &failure, after_ms);
+        let after_ms = self.traffic.comes_back_ms(&self.job, &failure);
+        let answer = self.traffic.refuse(&self.job, &failure, after_ms);
         if let Some(body) = self.body.take() {
             // Without its last chunk, the answer can't be taken for a complete one.
             tokio::task::spawn_local(async move {
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -13,7 +13,7 @@
 use super::super::answer;
 use super::super::channel::Fault;
 use super::super::dialect::{Copy, Dispatch, Marks};
-use super::super::front;
+use super::super::headers;
 use super::super::metrics::Time;
 use super::super::route::Repeat;
 use super::super::worker::{Lease, What, Worker};
@@ -53,8 +53,9 @@
         let copy = self.place_copy(worker);
         let _run = worker.count(What::Run);
         let reading = from.is_none().then(|| worker.count(What::Reading));
-        let request =
-            self.job.request(&traffic, &self.dispatch(worker, copy.as_ref(), from.as_ref()));
+        let request = self
+            .job
+            .request(&*traffic.dialect, &self.dispatch(worker, copy.as_ref(), from.as_ref()));
         let seen = traffic.standing(worker);
         slog::info!(traffic.log, "sent"; "request" => self.job.id(),
             "upstream" => &*worker.upstream.id, "domain" => &*worker.upstream.domain,
@@ -73,7 +74,7 @@
             Err(outcome) => return outcome,
         };
         self.sent += 1;
-        self.job.record_time(&traffic, Time::Upstream, traffic.now_ms() - sent_ms);
+        self.job.record_time(&traffic.metrics, Time::Upstream, traffic.now_ms() - sent_ms);
         let marks = traffic.dialect.marks(response.headers());
         if let Some(outcome) = self.check_head(worker, &response, &marks) {
             return outcome;
@@ -192,7 +193,7 @@
             return lost(format!("status {status}"), false);
         }
         self.copy = None;
-        let headers = front::end_to_end(response.headers().clone());
+        let headers = headers::end_to_end(response.headers().clone());
         let Ok(body) = response.into_body().collect().await else {
             return lost(format!("status {status} with a broken body"), false);
         };
@@ -208,10 +209,10 @@
         let (head, body) = response.into_parts();
         if self.body.is_none() {
             let (parts, growing) = mpsc::channel(WAITING_EVENTS);
-            let mut headers: HeaderMap = front::end_to_end(head.headers);
-            headers.remove(CONTENT_LENGTH);
+            let mut kept: HeaderMap = headers::end_to_end(head.headers);
+            kept.remove(CONTENT_LENGTH);
             self.body = Some(parts);
-            self.answer(answer::growing(head.status.as_u16(), headers, growing));
+            self.answer(answer::growing(head.status.as_u16(), kept, growing));
         }
         body
     }
--- a/src/gateway/stream/copy.rs
+++ b/src/gateway/stream/copy.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::super::dialect::Copy;
-use super::super::placement::Wish;
+use super::super::policy::placement::Wish;
 use super::super::route::{Engine, Repeat};
 use super::super::traffic::Traffic;
 use super::super::worker::{Count, What, Worker};
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -173,15 +173,15 @@
             let resume_ms = now_ms - lost_ms;
             slog::info!(self.traffic.log, "went on"; "request" => self.job.id(),
                 "resume_ms" => resume_ms, "pause_ms" => now_ms - self.last_event_ms);
-            self.job.record_time(&self.traffic, Time::Resume, resume_ms);
+            self.job.record_time(&self.traffic.metrics, Time::Resume, resume_ms);
         }
         self.last_event_ms = now_ms;
     }
 
     pub(super) fn complete(&mut self, worker: &Worker) {
         let whole_ms = self.traffic.now_ms() - self.job.since_ms;
-        self.job.record(&self.traffic, whole_ms, self.first_ms);
-        self.job.record_time(&self.traffic, Time::Gap, self.longest_gap_ms);
+        self.job.record(&self.traffic.metrics, whole_ms, self.first_ms);
+        self.job.record_time(&self.traffic.metrics, Time::Gap, self.longest_gap_ms);
         slog::info!(self.traffic.log, "complete"; "request" => self.job.id(),
             "route" => &*self.job.route.name, "upstream" => &*worker.upstream.id,
             "first_ms" => self.first_ms, "gap_ms" => self.longest_gap_ms, "ms" => whole_ms,
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -17,17 +17,19 @@
 use tokio::sync::watch;
 
 use self::places::Place;
-use super::budget::{Bound, Budget};
+use super::answer::{self, Answer};
 use super::dialect::Dialect;
+use super::failure::Failure;
 use super::fleet::Fleet;
-use super::front::Job;
-use super::losses::Losses;
+use super::job::Job;
 use super::metrics::Metrics;
 use super::news::{Held, Own, Sent};
-use super::outages::Outages;
-use super::placement::{self, Candidate, Wish};
+use super::policy::budget::{Bound, Budget};
+use super::policy::losses::Losses;
+use super::policy::outages::Outages;
+use super::policy::placement::{self, Candidate, Wish};
+use super::policy::stop::Stop;
 use super::settings::Settings;
-use super::stop::Stop;
 use super::view::{Shared, View};
 use super::worker::Worker;
 use crate::clock::Clock;
@@ -106,6 +108,23 @@
         self.stop.get().is_none_or(|stop| stop.takes(job.route.repeat, job.until_ms, now_ms))
     }
 
+    /// When the caller of a request should come back after a failure, where that follows from how
+    /// its service stands.
+    pub fn comes_back_ms(&self, job: &Job, failure: &Failure) -> Option<u64> {
+        let left_ms = job.left_ms(self.now_ms());
+        let is_down = *failure == Failure::NoUpstream;
+        is_down.then(|| self.retry_after_ms(&job.service, left_ms)).flatten()
+    }
+
+    /// Ends a request with a failure.
+    pub fn refuse(&self, job: &Job, failure: &Failure, after_ms: Option<u64>) -> Answer {
+        slog::warn!(self.log, "refused"; "request" => job.id(), "route" => &*job.route.name,
+            "status" => failure.status(), "why" => %failure,
+            "ms" => self.now_ms() - job.since_ms);
+        self.metrics.count("refused");
+        answer::failed(failure, after_ms)
+    }
+
     /// Waits until a planned stop gives its last answers, which may be never.
     pub async fn gives_last_answers(&self) {
         let mut last_answers = self.last_answers.subscribe();
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -11,7 +11,7 @@
 
 use super::super::channel;
 use super::super::fleet::Upstream;
-use super::super::losses::{Loss, Subject};
+use super::super::policy::losses::{Loss, Subject};
 use super::super::view::View;
 use super::super::worker::Worker;
 use super::Traffic;
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -3,16 +3,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use siskinrock::gateway::budget::{Bound, Budget};
 use siskinrock::gateway::events::Splitter;
 use siskinrock::gateway::fleet::{Change, Fleet, Upstream};
-use siskinrock::gateway::found::Found;
 use siskinrock::gateway::instance::Registration;
-use siskinrock::gateway::losses::{Loss, Losses, Subject};
 use siskinrock::gateway::news::{Held, News, Own, Sent, Told};
-use siskinrock::gateway::outages::Outages;
 use siskinrock::gateway::peers::{BEAT_MS, Beat, Peers, Phase, Update, Versions};
-use siskinrock::gateway::placement::{Candidate, Wish, choose};
+use siskinrock::gateway::policy::budget::{Bound, Budget};
+use siskinrock::gateway::policy::found::Found;
+use siskinrock::gateway::policy::losses::{Loss, Losses, Subject};
+use siskinrock::gateway::policy::outages::Outages;
+use siskinrock::gateway::policy::placement::{Candidate, Wish, choose};
 use siskinrock::platform::document;
 use yare::parameterized;
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod decisions;
 mod explain;
 mod front;
+mod layers;
 mod lost_instances;
 mod stops;
 mod store;
--- a/tests/gateway/stops.rs
+++ b/tests/gateway/stops.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use siskinrock::gateway::policy::stop::Stop;
 use siskinrock::gateway::route::Repeat;
-use siskinrock::gateway::stop::Stop;
 use siskinrock_fakes::caller::{self, Call};
 use siskinrock_fakes::http::Connection;
 use siskinrock_fakes::process::{GRACE, wait_for};
