--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -32,6 +32,8 @@
     Answered(Whole),
     /// It certainly did not run.
     NotRun { answered: Option<Whole>, retry_after_ms: Option<u64>, was_sent: bool },
+    /// Another upstream has the address, so it did not run; that says nothing of its service.
+    Replaced,
     /// It may have run.
     Unknown { detail: String },
     /// The time was over.
@@ -51,21 +53,23 @@
 /// Serves a call that isn't a stream.
 pub async fn serve(traffic: &Rc<Traffic>, job: &Job) -> Answer {
     let mut wish = Wish { near: Some(Arc::clone(&traffic.settings.domain)), ..Wish::default() };
+    // Attempts that count against the route's bound, and all that reached an upstream.
     let mut sent = 0;
+    let mut arrived = 0;
     let mut unsent = 0;
     let mut last = Failure::NoUpstream;
     let mut may_have_run = false;
     let mut retry_after_ms = None;
     loop {
         if traffic.now_ms() >= job.until_ms {
-            let failure = if sent == 0 { Failure::TimeOverUnsent } else { last };
+            let failure = if arrived == 0 { Failure::TimeOverUnsent } else { last };
             return finish(job, traffic, failure, may_have_run, retry_after_ms);
         }
         let Some(worker) = traffic.choose(&job.service, &wish) else {
             return finish(job, traffic, last, may_have_run, retry_after_ms);
         };
         wish.not.push(Arc::clone(&worker.upstream.id));
-        match attempt(traffic, job, &worker, sent == 0).await {
+        match attempt(traffic, job, &worker, arrived == 0).await {
             Outcome::OverBudget => {
                 traffic.metrics.count("repeats_over_budget");
                 return finish(job, traffic, last, may_have_run, retry_after_ms);
@@ -85,6 +89,7 @@
             Outcome::NotRun { answered, retry_after_ms: after, was_sent } => {
                 retry_after_ms = after.or(retry_after_ms);
                 if was_sent {
+                    arrived += 1;
                     sent += 1;
                     last = Failure::Full;
                 } else {
@@ -99,7 +104,12 @@
                     return finish(job, traffic, last, may_have_run, retry_after_ms);
                 }
             }
+            Outcome::Replaced => {
+                arrived += 1;
+                log_attempt(traffic, job, &worker, "another upstream has its address");
+            }
             Outcome::Unknown { detail } => {
+                arrived += 1;
                 sent += 1;
                 slog::warn!(traffic.log, "outcome unknown"; "request" => job.id(),
                     "upstream" => &*worker.upstream.id, "detail" => detail);
@@ -223,7 +233,11 @@
     if is_success || job.body.is_empty() {
         worker.give_back(lease, marks.keep_ms, now_ms);
     }
-    if marks.not_run || whole.status == 421 {
+    if whole.status == 421 {
+        worker.ended(true, now_ms);
+        return Outcome::Replaced;
+    }
+    if marks.not_run {
         let retry_after_ms = marks.retry_after_ms;
         worker.ended(true, now_ms);
         return Outcome::NotRun { answered: Some(whole), retry_after_ms, was_sent: true };
--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -185,16 +185,21 @@
     pub(super) fn take_listing(&self, listing: Listing) {
         let now_ms = self.clock.now_ms();
         let mut upstreams = Vec::new();
+        let mut foreign = Vec::new();
         for record in listing.records {
             match record {
                 Record::Upstream(upstream) => upstreams.push(upstream),
+                Record::ForeignUpstream { id, detail } => {
+                    self.log_foreign(&id, &detail);
+                    foreign.push(id);
+                }
                 record => self.take_record(record, now_ms),
             }
         }
         let mut board = self.board.borrow_mut();
         slog::info!(self.log, "directory listed"; "revision" => listing.revision,
             "upstreams" => upstreams.len());
-        if board.fleet.replace(listing.revision, upstreams, now_ms) {
+        if board.fleet.replace(listing.revision, upstreams, &foreign, now_ms) {
             board.has_fleet = true;
         }
         drop(board);
@@ -207,6 +212,10 @@
         for record in changes.records {
             match record {
                 Record::Upstream(upstream) => of_upstreams.push(Change::Put(upstream)),
+                Record::ForeignUpstream { id, detail } => {
+                    self.log_foreign(&id, &detail);
+                    of_upstreams.push(Change::Foreign(id));
+                }
                 record => self.take_record(record, now_ms),
             }
         }
@@ -219,7 +228,7 @@
         }
         for change in &of_upstreams {
             self.log_change(change);
-            if let Change::Gone(id) = change {
+            if let Change::Gone(id) | Change::Foreign(id) = change {
                 self.board.borrow_mut().found.remove(id);
             }
         }
@@ -232,10 +241,17 @@
             Change::Put(upstream) => slog::debug!(self.log, "upstream listed";
                 "upstream" => &*upstream.id, "service" => &*upstream.service,
                 "address" => %upstream.addr, "leaving" => upstream.is_leaving),
-            Change::Gone(id) => slog::debug!(self.log, "upstream gone"; "upstream" => &**id),
+            Change::Gone(id) | Change::Foreign(id) => {
+                slog::debug!(self.log, "upstream gone"; "upstream" => &**id);
+            }
         }
     }
 
+    fn log_foreign(&self, id: &str, detail: &str) {
+        slog::warn!(self.log, "entry names no upstream to use"; "upstream" => id,
+            "detail" => detail);
+    }
+
     pub(super) fn take_record(&self, record: Record, now_ms: u64) {
         match record {
             Record::Config(config) => self.take_config(config, "directory"),
@@ -248,7 +264,7 @@
                 slog::warn!(self.log, "record refused; what is in force stays";
                     "key" => key, "detail" => detail);
             }
-            Record::Upstream(_) => {}
+            Record::Upstream(_) | Record::ForeignUpstream { .. } => {}
         }
     }
 
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -46,6 +46,13 @@
     Upstream(Upstream),
     /// An instance of ours.
     Instance(Registration),
+    /// An entry among the upstreams that names none to use: another writer made it.
+    ForeignUpstream {
+        /// The id under which it stands.
+        id: Arc<str>,
+        /// What is wrong with it.
+        detail: String,
+    },
     /// A record that can't be read, with its key and the fault.
     Unreadable {
         /// The record's key.
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -55,6 +55,12 @@
     /// All upstreams that were asked said that they did not run it.
     #[display("the upstreams are full; the request has not run, send it again after Retry-After")]
     Full,
+    /// Upstreams refused it, and the bound on repeats over all instances allows no other attempt.
+    #[display(
+        "too many repeats to the service are under way; the request has not run, send it again \
+         after Retry-After"
+    )]
+    TooManyRepeats,
     /// The request was sent and its outcome is unknown.
     #[display("the upstream did not answer after the request was sent; check its effect first")]
     Unknown,
@@ -86,6 +92,7 @@
             | Failure::Stopping
             | Failure::NoUpstream
             | Failure::Full
+            | Failure::TooManyRepeats
             | Failure::TimeOverUnsent => 503,
             Failure::TimeOver => 504,
         }
@@ -96,7 +103,10 @@
         match self {
             Failure::Starting => Some(STARTING_MS),
             Failure::Stopping => Some(ELSEWHERE_MS),
-            Failure::NoUpstream | Failure::Full | Failure::TimeOverUnsent => Some(SOON_MS),
+            Failure::NoUpstream
+            | Failure::Full
+            | Failure::TooManyRepeats
+            | Failure::TimeOverUnsent => Some(SOON_MS),
             _ => None,
         }
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -14,10 +14,10 @@
 /// a little is kept back for requests under way.
 const RETURN_MS: u64 = 1_900;
 
-/// One life of a server of a service.
+/// One incarnation of a server of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Upstream {
-    /// Unique to this life; a restart has another.
+    /// Its name; a restart has another one, or the same with another birth.
     pub id: Arc<str>,
     /// The service.
     pub service: Arc<str>,
@@ -27,6 +27,23 @@
     pub domain: Arc<str>,
     /// Whether it said that it is leaving.
     pub is_leaving: bool,
+    /// When its process started, as it says itself: under the same id, another birth is another
+    /// incarnation, which holds nothing of what was sent before.
+    #[serde(default)]
+    pub born_ms: Option<u64>,
+    /// The directory's revision at which its entry was created. Of several entries with one
+    /// address, the youngest names who is there. One that was found has that of the entry it
+    /// stands for.
+    #[serde(default)]
+    pub listed_at: u64,
+}
+
+impl Upstream {
+    /// Whether both name the same incarnation at the same place.
+    pub fn is_same_life(&self, other: &Upstream) -> bool {
+        let is_reborn = matches!((self.born_ms, other.born_ms), (Some(a), Some(b)) if a != b);
+        self.id == other.id && self.addr == other.addr && !is_reborn
+    }
 }
 
 /// What the directory says of one upstream.
@@ -36,6 +53,8 @@
     Put(Upstream),
     /// Its entry is gone.
     Gone(Arc<str>),
+    /// Its entry is there and names no upstream that can be used: another writer made it.
+    Foreign(Arc<str>),
 }
 
 /// All upstreams, with the directory's revision that they were read at.
@@ -101,7 +120,7 @@
             return false;
         }
         if delta.is_whole {
-            self.replace(delta.revision, delta.upstreams, now_ms);
+            self.replace(delta.revision, delta.upstreams, &[], now_ms);
         } else {
             let put = delta.upstreams.into_iter().map(Change::Put);
             let gone = delta.gone.into_iter().map(Change::Gone);
@@ -135,7 +154,15 @@
     }
 
     /// Takes in a whole list; an older one than what is known changes nothing.
-    pub fn replace(&mut self, revision: u64, listed: Vec<Upstream>, now_ms: u64) -> bool {
+    ///
+    /// `foreign` names entries that are there and can't be used; they get no time to come back.
+    pub fn replace(
+        &mut self,
+        revision: u64,
+        listed: Vec<Upstream>,
+        foreign: &[Arc<str>],
+        now_ms: u64,
+    ) -> bool {
         if revision < self.revision {
             return false;
         }
@@ -145,7 +172,7 @@
         let missing: Vec<Upstream> = self
             .upstreams
             .values()
-            .filter(|known| !listed.contains_key(&known.id))
+            .filter(|known| !listed.contains_key(&known.id) && !foreign.contains(&known.id))
             .cloned()
             .collect();
         for upstream in missing {
@@ -191,6 +218,12 @@
                     self.upstreams.insert(Arc::clone(&id), upstream);
                     self.note_change(&id);
                 }
+                Change::Foreign(id) => {
+                    self.lapsed.remove(&id);
+                    if self.upstreams.remove(&id).is_some() {
+                        self.note_change(&id);
+                    }
+                }
                 Change::Gone(id) => match self.grace(&id, now_ms) {
                     Some(until_ms) => {
                         self.lapsed.insert(id, until_ms);
--- a/src/gateway/native/document.rs
+++ b/src/gateway/native/document.rs
@@ -243,6 +243,8 @@
         addr: entry.address,
         domain: entry.domain,
         is_leaving: entry.leaving,
+        born_ms: None,
+        listed_at: 0,
     });
     Document { config: Arc::new(config), upstreams: upstreams.collect() }
 }
--- a/src/gateway/policy/found.rs
+++ b/src/gateway/policy/found.rs
@@ -81,7 +81,12 @@
         if self.known.is_empty() {
             return Cow::Borrowed(listed);
         }
-        let is_new = |found: &&Upstream| !listed.contains_key(&found.id);
+        // Whoever was listed at the address since then came later.
+        let is_passed = |found: &Upstream| {
+            let mut there = listed.values().filter(|known| known.addr == found.addr);
+            there.any(|known| known.listed_at > found.listed_at)
+        };
+        let is_new = |found: &&Upstream| !listed.contains_key(&found.id) && !is_passed(found);
         let found: Vec<&Upstream> = self.known.values().filter(is_new).collect();
         let is_replaced = |known: &Upstream| found.iter().any(|found| found.addr == known.addr);
         let kept = listed.iter().filter(|(_, known)| !is_replaced(known));
--- a/src/gateway/policy/placement.rs
+++ b/src/gateway/policy/placement.rs
@@ -1,7 +1,10 @@
 //! Which upstream takes a request: a pure choice over what is known of each.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::super::fleet::Upstream;
 use crate::decide::Random;
 
 /// By how many requests a slot's worth of load another failure domain must be better: bytes
@@ -50,6 +53,20 @@
     pub near: Option<Arc<str>>,
 }
 
+/// Upstreams at whose address another one was listed later, so that they are no more.
+///
+/// An engine that crashes is back within a second or two under a new id, while its old entry
+/// lapses only after several missed heartbeats: each request sent to the old one is refused.
+pub fn passed<'a>(upstreams: impl Iterator<Item = &'a Upstream> + Clone) -> Vec<Arc<str>> {
+    let mut youngest: BTreeMap<SocketAddr, u64> = BTreeMap::new();
+    for upstream in upstreams.clone() {
+        let listed_at = youngest.entry(upstream.addr).or_default();
+        *listed_at = upstream.listed_at.max(*listed_at);
+    }
+    let is_passed = |known: &&Upstream| known.listed_at < youngest[&known.addr];
+    upstreams.filter(is_passed).map(|known| Arc::clone(&known.id)).collect()
+}
+
 /// The index of a good candidate; suspects only if nothing else is left.
 ///
 /// The best one is likely and not certain: all instances see nearly the same loads, and after a
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -59,7 +59,7 @@
     /// The caller has left.
     CallerLeft,
     /// It certainly did not run there.
-    NotRun { was_sent: bool, why: String },
+    NotRun { why: Refused },
     /// The engine broke off, or fell silent.
     Lost { why: String, engine_gone: bool },
     /// The engine lives but makes no events.
@@ -70,6 +70,20 @@
     OverBudget,
 }
 
+/// Why an engine certainly did not run a request.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
+enum Refused {
+    /// Nothing of it was sent.
+    #[display("{_0}")]
+    NotSent(String),
+    /// Another engine has the address: that says nothing of how full the service is.
+    #[display("another engine has its address")]
+    Replaced,
+    /// The engine itself said so.
+    #[display("status {_0}")]
+    Status(u16),
+}
+
 struct Run {
     traffic: Rc<Traffic>,
     job: Job,
@@ -81,7 +95,10 @@
     longest_gap_ms: u64,
     lost_ms: Option<u64>,
     may_have_run: bool,
+    /// Attempts that count against the route's bound.
     sent: u32,
+    /// Requests that reached an engine, each of which draws on the budget of repeats but the first.
+    arrived: u32,
     stuck_moves: u32,
     left: Vec<Arc<str>>,
     lost_domains: Vec<(Arc<str>, u64)>,
@@ -104,6 +121,7 @@
             lost_ms: None,
             may_have_run: false,
             sent: 0,
+            arrived: 0,
             stuck_moves: 0,
             left: Vec::new(),
             lost_domains: Vec::new(),
@@ -124,7 +142,7 @@
                 return self.give_up(Failure::TimeOver);
             }
             let Some((worker, copy)) = self.place() else {
-                if self.sent == 0 || !self.wait(LOOK_AGAIN_MS).await {
+                if self.arrived == 0 || !self.wait(LOOK_AGAIN_MS).await {
                     return self.give_up(Failure::NoUpstream);
                 }
                 self.left.clear();
@@ -157,19 +175,15 @@
                 slog::warn!(self.traffic.log, "no repeat left in the budget";
                     "request" => self.job.id(), "service" => &*self.job.service);
                 self.traffic.metrics.count("repeats_over_budget");
-                self.give_up(Failure::Full);
+                self.give_up(Failure::TooManyRepeats);
                 return false;
             }
-            Outcome::NotRun { was_sent, why } => {
+            Outcome::NotRun { why } => {
                 slog::info!(self.traffic.log, "engine did not run it"; "request" => self.job.id(),
-                    "upstream" => &**id, "was_sent" => was_sent, "why" => why);
+                    "upstream" => &**id, "why" => %why);
                 self.left.push(Arc::clone(id));
                 self.copy = None;
-                if was_sent && self.sent >= self.job.route.max_attempts {
-                    self.give_up(Failure::Full);
-                    return false;
-                }
-                return true;
+                return self.goes_on_unrun(&why);
             }
             Outcome::Stuck => {
                 slog::warn!(self.traffic.log, "engine makes no events; the run goes on elsewhere";
@@ -201,6 +215,16 @@
         true
     }
 
+    /// Whether there is another attempt after one that certainly did not run.
+    fn goes_on_unrun(&mut self, why: &Refused) -> bool {
+        let Refused::Status(_) = why else { return true };
+        if self.sent < self.job.route.max_attempts {
+            return true;
+        }
+        self.give_up(Failure::Full);
+        false
+    }
+
     /// The engine for the next attempt: the one with the copy, or the best one.
     fn place(&mut self) -> Option<(Rc<Worker>, Option<Copy>)> {
         self.take_finished_copy(self.traffic.now_ms());
@@ -239,8 +263,8 @@
     /// Ends the run without a complete answer.
     fn give_up(&mut self, failure: Failure) {
         let failure = match failure {
-            Failure::Full | Failure::NoUpstream if self.may_have_run => Failure::Unknown,
-            Failure::TimeOver if self.sent == 0 => Failure::TimeOverUnsent,
+            Failure::Full | Failure::NoUpstream | Failure::TooManyRepeats if self.may_have_run => Failure::Unknown,
+            Failure::TimeOver if self.arrived == 0 => Failure::TimeOverUnsent,
             failure => failure,
         };
         let after_ms = self.traffic.comes_back_ms(&self.job, &failure);
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -18,7 +18,7 @@
 use super::super::route::Repeat;
 use super::super::worker::{Lease, What, Worker};
 use super::copy::Growing;
-use super::{FIRST_QUIET_MS, Outcome, Run, caller_left, lost, until};
+use super::{FIRST_QUIET_MS, Outcome, Refused, Run, caller_left, lost, until};
 
 /// Events that may wait for a slow caller before its engine is slowed.
 const WAITING_EVENTS: usize = 16;
@@ -39,16 +39,16 @@
                 traffic.no_channel(worker, &fault);
                 slog::info!(traffic.log, "no channel"; "request" => self.job.id(),
                     "upstream" => &*worker.upstream.id, "detail" => %fault);
-                return Outcome::NotRun { was_sent: false, why: fault.to_string() };
+                return Outcome::NotRun { why: Refused::NotSent(fault.to_string()) };
             }
         };
         // Only what is really sent again draws on the budget.
-        if self.sent > 0 && !traffic.may_repeat(&self.job.service) {
+        if self.arrived > 0 && !traffic.may_repeat(&self.job.service) {
             worker.give_back(lease, None, traffic.now_ms());
             return Outcome::OverBudget;
         }
         if !traffic.takes_work(&worker.upstream.id) {
-            return Outcome::NotRun { was_sent: false, why: "it is leaving".to_owned() };
+            return Outcome::NotRun { why: Refused::NotSent("it is leaving".to_owned()) };
         }
         let copy = self.place_copy(worker);
         let _run = worker.count(What::Run);
@@ -73,7 +73,7 @@
             Ok(response) => response,
             Err(outcome) => return outcome,
         };
-        self.sent += 1;
+        self.note_arrival();
         self.job.record_time(&traffic.metrics, Time::Upstream, traffic.now_ms() - sent_ms);
         let marks = traffic.dialect.marks(response.headers());
         if let Some(outcome) = self.check_head(worker, &response, &marks) {
@@ -88,6 +88,11 @@
         self.relay(worker, lease, body, marks, silences, reading).await
     }
 
+    fn note_arrival(&mut self) {
+        self.sent += 1;
+        self.arrived += 1;
+    }
+
     /// Sends the request and waits until the engine answers, which it does with the first event.
     async fn wait_for_head(
         &mut self,
@@ -104,13 +109,13 @@
                 response = sending.as_mut() => break response,
                 () = caller_left(&mut self.head, &self.body) => return Err(Outcome::CallerLeft),
                 _ = silences.changed() => {
-                    self.sent += 1;
+                    self.note_arrival();
                     return Err(lost("silent before its answer", true));
                 }
                 () = until(&traffic, wake_ms) => {}
             }
             if traffic.now_ms() >= self.job.until_ms {
-                self.sent += 1;
+                self.note_arrival();
                 return Err(Outcome::TimeOver);
             }
             // An answer to the question, or none, is noticed above.
@@ -119,12 +124,12 @@
         match response {
             Ok(response) => Ok(response),
             Err(Fault::Broken { detail }) => {
-                self.sent += 1;
+                self.note_arrival();
                 worker.broke(traffic.now_ms());
                 worker.ended(true, traffic.now_ms());
                 Err(lost(detail, true))
             }
-            Err(fault) => Err(Outcome::NotRun { was_sent: false, why: fault.to_string() }),
+            Err(fault) => Err(Outcome::NotRun { why: Refused::NotSent(fault.to_string()) }),
         }
     }
 
@@ -168,8 +173,13 @@
             worker.tell(load, now_ms);
         }
         let status = response.status().as_u16();
-        if marks.not_run || status == 421 {
-            return Some(Outcome::NotRun { was_sent: true, why: format!("status {status}") });
+        if status == 421 {
+            // Who is there has nothing to do with the route's bound on upstreams that run it.
+            self.sent -= 1;
+            return Some(Outcome::NotRun { why: Refused::Replaced });
+        }
+        if marks.not_run {
+            return Some(Outcome::NotRun { why: Refused::Status(status) });
         }
         if status == 200 && !marks.is_signed {
             return Some(lost("the answer is not signed", false));
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -152,16 +152,30 @@
         let now_ms = self.now_ms();
         for (id, upstream) in &fleet.upstreams {
             match workers.get(id) {
-                Some(known) if known.upstream.addr == upstream.addr => known.relist(upstream),
-                _ => {
+                Some(known) if known.upstream.is_same_life(upstream) => known.relist(upstream),
+                known => {
+                    if let Some(known) = known {
+                        self.retire(known);
+                    }
                     self.outages.borrow_mut().note_alive(&upstream.service, now_ms);
                     workers.insert(Arc::clone(id), Worker::new(upstream.clone(), now_ms));
                 }
             }
         }
+        let passed = placement::passed(fleet.upstreams.values());
+        passed.iter().filter_map(|id| workers.get(id)).for_each(|worker| worker.replace());
         *self.fleet.borrow_mut() = Arc::clone(fleet);
     }
 
+    /// Leaves an incarnation that another one followed under the same id: nothing of what it held
+    /// is there any more.
+    fn retire(&self, worker: &Worker) {
+        slog::info!(self.log, "upstream born again"; "upstream" => &*worker.upstream.id);
+        worker.replace();
+        worker.lost(self.now_ms());
+        self.places.borrow_mut().retain(|_, place| place.upstream != worker.upstream.id);
+    }
+
     /// The upstream with an id, if it is there.
     pub fn worker(&self, id: &str) -> Option<Rc<Worker>> {
         self.workers.borrow().get(id).map(Rc::clone)
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -23,6 +23,8 @@
         addr: "10.0.0.1:80".parse().unwrap(),
         domain: "hall".into(),
         is_leaving,
+        born_ms: None,
+        listed_at: 0,
     }
 }
 
@@ -53,8 +55,8 @@
 #[test]
 fn an_older_listing_changes_nothing() {
     let mut fleet = Fleet::default();
-    fleet.replace(5, vec![upstream("a", false)], 0);
-    assert!(!fleet.replace(4, vec![], 1));
+    fleet.replace(5, vec![upstream("a", false)], &[], 0);
+    assert!(!fleet.replace(4, vec![], &[], 1));
     fleet.apply(3, vec![Change::Gone("a".into())], 2);
     assert_eq!(ids(&fleet), ["a"]);
 }
@@ -62,7 +64,7 @@
 #[test]
 fn what_lapsed_in_an_outage_has_time_to_come_back() {
     let mut fleet = Fleet::default();
-    fleet.replace(5, vec![upstream("a", false), upstream("b", false)], 0);
+    fleet.replace(5, vec![upstream("a", false), upstream("b", false)], &[], 0);
     fleet.regained(10_000);
     fleet.apply(6, vec![Change::Gone("a".into()), Change::Gone("b".into())], 10_100);
     assert_eq!(ids(&fleet), ["a", "b"]);
@@ -74,11 +76,11 @@
 #[test]
 fn an_empty_listing_after_an_outage_empties_nothing_at_once() {
     let mut fleet = Fleet::default();
-    fleet.replace(5, vec![upstream("a", false), upstream("gone", true)], 0);
+    fleet.replace(5, vec![upstream("a", false), upstream("gone", true)], &[], 0);
     fleet.regained(1_000);
-    fleet.replace(6, vec![], 1_000);
+    fleet.replace(6, vec![], &[], 1_000);
     assert_eq!(ids(&fleet), ["a"], "what was leaving gets no time");
-    fleet.replace(7, vec![], 2_000);
+    fleet.replace(7, vec![], &[], 2_000);
     assert_eq!(ids(&fleet), ["a"], "a second reading doesn't end the time");
     fleet.expire(2_900);
     assert!(fleet.upstreams.is_empty());
@@ -87,7 +89,7 @@
 #[test]
 fn outside_an_outage_a_removed_entry_is_gone_at_once() {
     let mut fleet = Fleet::default();
-    fleet.replace(5, vec![upstream("a", false)], 0);
+    fleet.replace(5, vec![upstream("a", false)], &[], 0);
     fleet.apply(6, vec![Change::Gone("a".into())], 100);
     assert!(fleet.upstreams.is_empty());
 }
@@ -322,7 +324,7 @@
 #[test]
 fn what_was_found_stands_for_whoever_had_the_address_until_the_directory_tells() {
     let mut fleet = Fleet::default();
-    fleet.replace(5, vec![at("old", 80), at("other", 81)], 0);
+    fleet.replace(5, vec![at("old", 80), at("other", 81)], &[], 0);
     let mut found = Found::default();
     assert!(found.add(at("new", 80)));
     assert!(!found.add(at("new", 80)), "found again, it is no news");
@@ -462,7 +464,7 @@
 #[test]
 fn a_delta_brings_another_to_the_same_list() {
     let mut source = Fleet::default();
-    source.replace(5, vec![upstream("a", false), upstream("b", false)], 0);
+    source.replace(5, vec![upstream("a", false), upstream("b", false)], &[], 0);
     let mut others = vec![Fleet::default()];
     for step in 6..40 {
         let mut behind = Fleet::default();
@@ -488,7 +490,7 @@
 #[test]
 fn what_lapsed_elsewhere_expires_here_too() {
     let mut source = Fleet::default();
-    source.replace(5, vec![upstream("a", false), upstream("b", false)], 0);
+    source.replace(5, vec![upstream("a", false), upstream("b", false)], &[], 0);
     source.regained(1_000);
     source.apply(6, vec![Change::Gone("a".into())], 1_100);
     let mut other = Fleet::default();
