--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -42,6 +42,13 @@
     OverBudget,
 }
 
+impl Outcome {
+    /// Whether it is an answer that a caller can use.
+    fn is_good(&self) -> bool {
+        matches!(self, Outcome::Answered(whole) if whole.status < 500)
+    }
+}
+
 /// A whole answer of an upstream.
 #[derive(Debug)]
 struct Whole {
@@ -69,7 +76,17 @@
             return finish(job, traffic, last, may_have_run, retry_after_ms);
         };
         wish.not.push(Arc::clone(&worker.upstream.id));
-        match attempt(traffic, job, &worker, arrived == 0).await {
+        let can_hedge = job.route.repeat == Repeat::Idempotent && sent + 1 < job.route.max_attempts;
+        let (worker, outcome) = if can_hedge {
+            let (worker, outcome, sent_besides) =
+                hedged(traffic, job, &worker, arrived == 0, &mut wish).await;
+            sent += sent_besides;
+            (worker, outcome)
+        } else {
+            let outcome = attempt(traffic, job, &worker, arrived == 0).await;
+            (worker, outcome)
+        };
+        match outcome {
             Outcome::OverBudget => {
                 traffic.metrics.count("repeats_over_budget");
                 return finish(job, traffic, last, may_have_run, retry_after_ms);
@@ -124,6 +141,78 @@
     }
 }
 
+/// An attempt that gets a second one beside it, at another upstream and failure domain, if it is
+/// silent for longer than nearly all are. The first good answer counts; the other attempt is
+/// dropped, which ends its upstream's work.
+///
+/// Returns whose outcome it is, and how many attempts were made besides.
+async fn hedged(
+    traffic: &Rc<Traffic>,
+    job: &Job,
+    worker: &Rc<Worker>,
+    is_first: bool,
+    wish: &mut Wish,
+) -> (Rc<Worker>, Outcome, u32) {
+    let mut first = std::pin::pin!(attempt(traffic, job, worker, is_first));
+    let Some(after_ms) = traffic.hedge_after_ms(job) else {
+        let outcome = first.await;
+        return (Rc::clone(worker), outcome, 0);
+    };
+    let outcome = tokio::select! {
+        outcome = first.as_mut() => Some(outcome),
+        () = tokio::time::sleep(Duration::from_millis(after_ms)) => None,
+    };
+    let other = match outcome {
+        Some(outcome) => return (Rc::clone(worker), outcome, 0),
+        None => second_upstream(traffic, job, worker, wish),
+    };
+    let Some(other) = other else {
+        let outcome = first.await;
+        return (Rc::clone(worker), outcome, 0);
+    };
+    slog::info!(traffic.log, "silent; sent to a second upstream"; "request" => job.id(),
+        "upstream" => &*worker.upstream.id, "second" => &*other.upstream.id,
+        "after_ms" => after_ms, "objective_ms" => job.route.target_latency_ms);
+    traffic.metrics.count("calls_hedged");
+    let mut second = std::pin::pin!(attempt(traffic, job, &other, false));
+    tokio::select! {
+        outcome = first.as_mut() => {
+            if outcome.is_good() {
+                return (Rc::clone(worker), outcome, 1);
+            }
+            let better = second.await;
+            if better.is_good() { (Rc::clone(&other), better, 1) } else { (Rc::clone(worker), outcome, 1) }
+        }
+        outcome = second.as_mut() => {
+            if outcome.is_good() {
+                return (Rc::clone(&other), outcome, 1);
+            }
+            let outcome = first.await;
+            (Rc::clone(worker), outcome, 1)
+        }
+    }
+}
+
+/// Another upstream for a second attempt, rather in another failure domain; none if the budget of
+/// repeats allows none, or only upstreams in doubt are left.
+fn second_upstream(
+    traffic: &Rc<Traffic>,
+    job: &Job,
+    worker: &Worker,
+    wish: &mut Wish,
+) -> Option<Rc<Worker>> {
+    if !traffic.has_repeat(&job.service) {
+        return None;
+    }
+    let apart = Wish { not_domains: vec![Arc::clone(&worker.upstream.domain)], ..wish.clone() };
+    let other = traffic.choose(&job.service, &apart)?;
+    if traffic.is_doubtful(&other, traffic.now_ms()) {
+        return None;
+    }
+    wish.not.push(Arc::clone(&other.upstream.id));
+    Some(other)
+}
+
 /// One more attempt after an upstream's own error, whose answer counts only if it is better.
 async fn second_opinion(
     traffic: &Rc<Traffic>,
@@ -171,14 +260,32 @@
     let request = job.request(&*traffic.dialect, &dispatch);
     let limit = Duration::from_millis(left_ms);
     let exchange = exchange(traffic, &mut lease, request);
+    let timing = Timing { traffic, job, since_ms: now_ms };
     let Ok(result) = tokio::time::timeout(limit, exchange).await else {
         worker.ended(true, traffic.now_ms());
         return if lease.channel.written() == 0 { unsent() } else { Outcome::TimeOver };
     };
+    drop(timing);
     job.record_time(&traffic.metrics, Time::Upstream, traffic.now_ms() - now_ms);
     judge(traffic, job, worker, lease, result)
 }
 
+/// Notes how long an attempt took when it ends, also when it is dropped: what never answers must
+/// not make its route look quick.
+struct Timing<'a> {
+    traffic: &'a Traffic,
+    job: &'a Job,
+    since_ms: u64,
+}
+
+impl Drop for Timing<'_> {
+    fn drop(&mut self) {
+        if self.job.route.repeat == Repeat::Idempotent {
+            self.traffic.note_latency(self.job, self.traffic.now_ms() - self.since_ms);
+        }
+    }
+}
+
 fn unsent() -> Outcome {
     Outcome::NotRun { answered: None, retry_after_ms: None, was_sent: false }
 }
--- a/src/gateway/control/successors.rs
+++ b/src/gateway/control/successors.rs
@@ -103,7 +103,7 @@
         };
         let state = channel.send(ask(self.dialect.state_path())?).await.ok()?;
         let state = state.into_body().collect().await.ok()?.to_bytes();
-        let models = self.dialect.state_models(&state);
+        let models = self.dialect.engine_state(&state)?.models;
         if models.is_empty() || models.iter().any(|model| !engine.models.contains(model)) {
             return None;
         }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -95,6 +95,42 @@
     }
 }
 
+/// What an engine says of itself when it is asked; it is some hundred milliseconds old.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EngineState {
+    /// The models that it has.
+    pub models: Vec<Arc<str>>,
+    /// When its process started.
+    pub born_ms: Option<u64>,
+    /// Requests that wait there.
+    pub waiting: u64,
+    /// Requests that it works on: those that run, and those whose prompts it reads.
+    pub active: u64,
+    /// Tokens in its memory that can't yield.
+    pub tokens: u64,
+    /// What runs there, if it tells.
+    pub runs: Option<Vec<RunState>>,
+}
+
+impl EngineState {
+    /// Requests that have made nothing yet: they wait, or their prompts are being read.
+    pub fn unstarted(&self) -> u64 {
+        let running = self.runs.as_ref().map_or(0, Vec::len) as u64;
+        self.waiting + self.active.saturating_sub(running)
+    }
+}
+
+/// One run in an engine's state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunState {
+    /// The request.
+    pub id: Arc<str>,
+    /// Tokens that it has in memory.
+    pub tokens: u64,
+    /// Events that it has made.
+    pub events: u64,
+}
+
 /// A header's text, if it is one.
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
@@ -170,8 +206,8 @@
     /// The path of an engine's state, for a check whether it lives.
     fn state_path(&self) -> &'static str;
 
-    /// The models that an engine says it has, from its state.
-    fn state_models(&self, body: &[u8]) -> Vec<Arc<str>>;
+    /// Reads the answer to that call; `None` if it is none.
+    fn engine_state(&self, body: &[u8]) -> Option<EngineState>;
 
     /// The path at which an engine lists the prompts that it keeps.
     fn kept_path(&self) -> &'static str;
--- a/src/gateway/native/wire.rs
+++ b/src/gateway/native/wire.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::dialect::{
-    self, Copy, Demand, Dialect, Dispatch, Load, Marks, Question, number, text,
+    self, Copy, Demand, Dialect, Dispatch, EngineState, Load, Marks, Question, number, text,
 };
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("siskinrock-request-id");
@@ -134,8 +134,9 @@
         "/v1/state"
     }
 
-    fn state_models(&self, body: &[u8]) -> Vec<Arc<str>> {
-        serde_json::from_slice::<State>(body).unwrap_or_default().models
+    fn engine_state(&self, body: &[u8]) -> Option<EngineState> {
+        let models = serde_json::from_slice::<State>(body).ok()?.models;
+        Some(EngineState { models, ..EngineState::default() })
     }
 
     fn kept_path(&self) -> &'static str {
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -6,7 +6,10 @@
 
 pub mod budget;
 pub mod found;
+pub mod hedge;
+pub mod latency;
 pub mod losses;
 pub mod outages;
 pub mod placement;
+pub mod silence;
 pub mod stop;
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -15,7 +15,9 @@
 use super::super::dialect::{Copy, Dispatch, Marks};
 use super::super::headers;
 use super::super::metrics::Time;
+use super::super::policy::silence::{Silence, Verdict};
 use super::super::route::Repeat;
+use super::super::traffic::Life;
 use super::super::worker::{Lease, What, Worker};
 use super::copy::Growing;
 use super::{FIRST_QUIET_MS, Outcome, Refused, Run, caller_left, lost, until};
@@ -103,6 +105,7 @@
     ) -> Result<Response<Incoming>, Outcome> {
         let traffic = Rc::clone(&self.traffic);
         let mut sending = std::pin::pin!(lease.channel.send(request));
+        let mut silence = Silence::new(traffic.now_ms());
         let response = loop {
             let wake_ms = (traffic.now_ms() + FIRST_QUIET_MS).min(self.job.until_ms);
             tokio::select! {
@@ -118,8 +121,16 @@
                 self.note_arrival();
                 return Err(Outcome::TimeOver);
             }
-            // An answer to the question, or none, is noticed above.
-            traffic.ask_whether_lives(worker);
+            let asked_ms = traffic.now_ms();
+            let life = tokio::select! {
+                response = sending.as_mut() => break response,
+                () = caller_left(&mut self.head, &self.body) => return Err(Outcome::CallerLeft),
+                life = traffic.life(worker) => life,
+            };
+            if let Some(outcome) = self.judge_silence(&mut silence, &life, asked_ms, worker) {
+                self.note_arrival();
+                return Err(outcome);
+            }
         };
         match response {
             Ok(response) => Ok(response),
@@ -133,6 +144,28 @@
         }
     }
 
+    /// What an engine's answer to the question means for a run that is silent there.
+    pub(super) fn judge_silence(
+        &self,
+        silence: &mut Silence,
+        life: &Life,
+        asked_ms: u64,
+        worker: &Worker,
+    ) -> Option<Outcome> {
+        if matches!(life, Life::Lost) {
+            return Some(lost("silent, and its state can't be read", true));
+        }
+        let sighting = life.sighting(self.job.id());
+        let verdict = silence.see(sighting, asked_ms);
+        slog::info!(self.traffic.log, "silent run asked about"; "request" => self.job.id(),
+            "upstream" => &*worker.upstream.id, "sighting" => ?sighting, "verdict" => ?verdict,
+            "told" => match life { Life::Lives(state) => format!("q{} a{} r{} t{}", state.waiting, state.active, state.runs.as_ref().map_or(0, Vec::len), state.tokens), Life::Lost => String::new() }, "reading" => self.traffic.reading_at(worker), "after" => self.last_event, "quiet_ms" => asked_ms - self.last_event_ms);
+        match verdict {
+            Verdict::Wait => None,
+            Verdict::Leave(why) => Some(lost(why.to_string(), false)),
+        }
+    }
+
     fn dispatch(
         &self,
         worker: &Worker,
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -11,6 +11,7 @@
 use super::super::dialect::Marks;
 use super::super::events::{Event, Splitter};
 use super::super::metrics::Time;
+use super::super::policy::silence::Silence;
 use super::super::traffic::OWN_LAG_MS;
 use super::super::worker::{Count, Lease, Worker};
 use super::{FIRST_QUIET_MS, Outcome, Run, caller_left, lost, until};
@@ -55,6 +56,7 @@
         let mut events = Vec::new();
         let mut reading = reading;
         let mut heard_ms = traffic.now_ms();
+        let mut silence = Silence::new(heard_ms);
         loop {
             let quiet_ms = match reading {
                 Some(_) => FIRST_QUIET_MS,
@@ -74,7 +76,10 @@
                     if now_ms > wake_ms + OWN_LAG_MS {
                         continue;
                     }
-                    match self.check_quiet(worker, &mut body, heard_ms, reading.is_some()).await {
+                    match self
+                        .check_quiet(worker, &mut body, heard_ms, &mut silence, reading.is_some())
+                        .await
+                    {
                         Quiet::Frame(frame) => frame,
                         Quiet::Wait => continue,
                         Quiet::Leave(outcome) => return outcome,
@@ -82,6 +87,7 @@
                 }
             };
             heard_ms = traffic.now_ms();
+            silence = Silence::new(heard_ms);
             let data = match frame {
                 Some(Ok(frame)) => {
                     worker.hear(heard_ms);
@@ -120,16 +126,18 @@
         worker: &Rc<Worker>,
         body: &mut Incoming,
         heard_ms: u64,
+        silence: &mut Silence,
         is_reading: bool,
     ) -> Quiet {
         let traffic = Rc::clone(&self.traffic);
-        let lives = tokio::select! {
+        let asked_ms = traffic.now_ms();
+        let life = tokio::select! {
             frame = body.frame() => return Quiet::Frame(frame),
             () = caller_left(&mut self.head, &self.body) => return Quiet::Leave(Outcome::CallerLeft),
-            lives = traffic.lives(worker) => lives,
+            life = traffic.life(worker) => life,
         };
-        if !lives {
-            return Quiet::Leave(lost("silent, and its state can't be read", true));
+        if let Some(outcome) = self.judge_silence(silence, &life, asked_ms, worker) {
+            return Quiet::Leave(outcome);
         }
         let can_move = self.copy.is_some() && self.stuck_moves < MOST_STUCK_MOVES;
         // Past the budget of repeats the run would be given up, although its engine lives.
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -3,7 +3,7 @@
 mod losses;
 mod places;
 
-pub(super) use self::losses::OWN_LAG_MS;
+pub(super) use self::losses::{Life, OWN_LAG_MS};
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -25,6 +25,8 @@
 use super::metrics::Metrics;
 use super::news::{Held, Own, Sent};
 use super::policy::budget::{Bound, Budget};
+use super::policy::hedge;
+use super::policy::latency::Latencies;
 use super::policy::losses::Losses;
 use super::policy::outages::Outages;
 use super::policy::placement::{self, Candidate, Wish};
@@ -65,9 +67,10 @@
     workers: RefCell<BTreeMap<Arc<str>, Rc<Worker>>>,
     budgets: RefCell<BTreeMap<Arc<str>, Budget>>,
     recalled: RefCell<BTreeMap<Arc<str>, watch::Receiver<bool>>>,
-    probes: RefCell<BTreeMap<Arc<str>, watch::Receiver<Option<bool>>>>,
+    probes: RefCell<BTreeMap<Arc<str>, losses::Probe>>,
     losses: RefCell<Losses>,
     outages: RefCell<Outages>,
+    latencies: RefCell<BTreeMap<Arc<str>, Latencies>>,
 }
 
 impl Traffic {
@@ -99,6 +102,7 @@
             probes: RefCell::default(),
             losses: RefCell::default(),
             outages: RefCell::default(),
+            latencies: RefCell::default(),
         })
     }
 
@@ -125,6 +129,19 @@
         answer::failed(failure, after_ms)
     }
 
+    /// Notes how long an attempt at a repeatable route took, answered or not.
+    pub fn note_latency(&self, job: &Job, value_ms: u64) {
+        let mut latencies = self.latencies.borrow_mut();
+        latencies.entry(Arc::clone(&job.route.name)).or_default().record(value_ms);
+    }
+
+    /// How long a repeatable call may be silent before it is sent to a second upstream.
+    pub fn hedge_after_ms(&self, job: &Job) -> Option<u64> {
+        let mut latencies = self.latencies.borrow_mut();
+        let known = latencies.entry(Arc::clone(&job.route.name)).or_default();
+        hedge::after_ms(known, job.route.target_latency_ms)
+    }
+
     /// Waits until a planned stop gives its last answers, which may be never.
     pub async fn gives_last_answers(&self) {
         let mut last_answers = self.last_answers.subscribe();
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -10,8 +10,10 @@
 use tokio::sync::watch;
 
 use super::super::channel;
+use super::super::dialect::EngineState;
 use super::super::fleet::Upstream;
 use super::super::policy::losses::{Loss, Subject};
+use super::super::policy::silence::Sighting;
 use super::super::view::View;
 use super::super::worker::Worker;
 use super::Traffic;
@@ -25,49 +27,84 @@
 /// How often the question is asked at the most; the second time only after such a standstill.
 const STATE_TRIES: u32 = 2;
 
+/// What an engine was found to be when it was asked.
+#[derive(Debug, Clone)]
+pub enum Life {
+    /// It is gone or silent.
+    Lost,
+    /// It lives, and this is what it told; nothing if only its events came.
+    Lives(Arc<EngineState>),
+}
+
+impl Life {
+    /// What it says of a run.
+    pub fn sighting(&self, id: &str) -> Sighting {
+        let Life::Lives(state) = self else { return Sighting::Untold };
+        let Some(runs) = &state.runs else { return Sighting::Untold };
+        match runs.iter().find(|run| *run.id == *id) {
+            Some(run) => Sighting::Listed { tokens: run.tokens, events: run.events },
+            None if state.unstarted() > 0 => Sighting::MayWait,
+            None => Sighting::Missing,
+        }
+    }
+}
+
+/// A question under way, which serves all who ask meanwhile.
+pub(super) type Probe = watch::Receiver<Option<Life>>;
+
 impl Traffic {
-    /// Asks an engine for its state, to learn whether it lives; one question at a time serves all.
-    pub async fn lives(self: &Rc<Traffic>, worker: &Rc<Worker>) -> bool {
+    /// Asks an engine for its state, to learn whether it lives and what becomes of its runs; one
+    /// question at a time serves all.
+    pub async fn life(self: &Rc<Traffic>, worker: &Rc<Worker>) -> Life {
         let id = Arc::clone(&worker.upstream.id);
         let running = self.probes.borrow().get(&id).cloned();
         let mut answer = running.unwrap_or_else(|| self.start_probe(worker));
         let answered = answer.wait_for(Option::is_some).await;
-        answered.is_ok_and(|answer| *answer == Some(true))
+        answered.map_or(Life::Lost, |answer| answer.clone().unwrap_or(Life::Lost))
     }
 
-    pub(super) fn start_probe(
-        self: &Rc<Traffic>,
-        worker: &Rc<Worker>,
-    ) -> watch::Receiver<Option<bool>> {
+    pub(super) fn start_probe(self: &Rc<Traffic>, worker: &Rc<Worker>) -> Probe {
         let (tell, answer) = watch::channel(None);
         let id = Arc::clone(&worker.upstream.id);
         self.probes.borrow_mut().insert(Arc::clone(&id), answer.clone());
         let traffic = Rc::clone(self);
         let worker = Rc::clone(worker);
         tokio::task::spawn_local(async move {
-            let lives = traffic.shows_life(&worker).await;
+            let life = traffic.shows_life(&worker).await;
             traffic.probes.borrow_mut().remove(&id);
-            slog::info!(traffic.log, "engine asked whether it lives";
-                "upstream" => &*id, "lives" => lives);
-            if lives {
-                worker.answered(traffic.now_ms());
-            } else {
-                traffic.lost(&worker, "its state can't be read");
+            slog::info!(traffic.log, "engine asked whether it lives"; "upstream" => &*id,
+                "lives" => matches!(life, Life::Lives(_)));
+            match &life {
+                Life::Lives(state) => traffic.note_life(&worker, state),
+                Life::Lost => traffic.lost(&worker, "its state can't be read"),
             }
-            tell.send_replace(Some(lives));
+            tell.send_replace(Some(life));
         });
         answer
     }
 
+    /// Takes in what an engine told: that it lives, or that it was born again since it was listed.
+    fn note_life(&self, worker: &Worker, state: &EngineState) {
+        let listed = worker.upstream.born_ms;
+        if matches!((listed, state.born_ms), (Some(listed), Some(born)) if born > listed) {
+            return self.replaced(worker);
+        }
+        worker.answered(self.now_ms());
+    }
+
     /// Whether an engine shows that it lives: it tells its state in time, or makes events of any
     /// run meanwhile. A full engine is late with its state, and this instance may have no
     /// connection left to ask over; the runs there must not leave it for that.
-    async fn shows_life(&self, worker: &Rc<Worker>) -> bool {
-        self.answers_state(worker).await || worker.is_heard(STATE_TIMEOUT_MS, self.now_ms())
+    async fn shows_life(&self, worker: &Rc<Worker>) -> Life {
+        match self.told_state(worker).await {
+            Some(state) => Life::Lives(Arc::new(state)),
+            None if worker.is_heard(STATE_TIMEOUT_MS, self.now_ms()) => Life::Lives(Arc::default()),
+            None => Life::Lost,
+        }
     }
 
-    /// Whether an engine tells its state in time; asked again if this process itself was late.
-    async fn answers_state(&self, worker: &Rc<Worker>) -> bool {
+    /// An engine's state, if it tells it in time; asked again if this process itself was late.
+    async fn told_state(&self, worker: &Rc<Worker>) -> Option<EngineState> {
         let limit = Duration::from_millis(STATE_TIMEOUT_MS);
         for _ in 0..STATE_TRIES {
             let asked_ms = self.now_ms();
@@ -75,22 +112,17 @@
                 return answered;
             }
             if self.now_ms() <= asked_ms + STATE_TIMEOUT_MS + OWN_LAG_MS {
-                return false;
+                return None;
             }
         }
-        false
+        None
     }
 
-    pub(super) async fn ask_state(&self, worker: &Rc<Worker>) -> bool {
+    /// Any answer is a sign of life; one that is no state tells nothing.
+    async fn ask_state(&self, worker: &Rc<Worker>) -> Option<EngineState> {
         let path = self.dialect.state_path();
-        self.ask(worker, Method::GET, path, Bytes::new()).await.is_some()
-    }
-
-    /// Starts asking an engine whether it lives; those who wait for it hear if it doesn't.
-    pub fn ask_whether_lives(self: &Rc<Traffic>, worker: &Rc<Worker>) {
-        if !self.probes.borrow().contains_key(&worker.upstream.id) {
-            self.start_probe(worker);
-        }
+        let (_, body) = self.ask(worker, Method::GET, path, Bytes::new()).await?;
+        Some(self.dialect.engine_state(&body).unwrap_or_default())
     }
 
     /// Notes that an upstream is gone or silent, and tells peers at once.
