--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -209,6 +209,7 @@
             config: board.config.clone(),
             fleet,
             phase: board.phase,
+            is_directory_silent: board.is_directory_lost,
             fronts,
             instances: others.instances + 1,
             others: Arc::new(others.held),
@@ -220,6 +221,9 @@
         let has_news = board.told.is_old(Control::versions(&board), board.phase);
         drop(board);
         self.shared.view.store(Arc::new(view));
+        if is_complete {
+            self.shared.is_configured.send_replace(true);
+        }
         if has_news {
             self.shared.news.notify_one();
         }
--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -179,6 +179,7 @@
             slog::warn!(self.log, "directory lost"; "why" => %fault,
                 "config_version" => board.config.as_ref().map_or(0, |config| config.version),
                 "fleet_revision" => board.fleet.revision);
+            self.dirty.notify_one();
         }
     }
 
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -15,6 +15,7 @@
 use super::failure::Failure;
 use super::headers;
 use super::job::Job;
+use super::policy::outages;
 use super::route::{Config, Limits, Route};
 use super::traffic::Traffic;
 use super::{call, stream};
@@ -44,7 +45,7 @@
         // Nothing of it was sent anywhere, nor will be.
         () = traffic.gives_last_answers() => {
             let failure = Failure::Stopping;
-            Err(Rejected { failure, id, host, path, config_version: 0 })
+            Err(Rejected { failure, id, host, path, config_version: 0, after_ms: None })
         }
     };
     match read {
@@ -58,7 +59,7 @@
         Err(rejected) => {
             traffic.metrics.count("rejected");
             rejected.log(traffic);
-            answer::failed(&rejected.failure, None)
+            answer::failed(&rejected.failure, rejected.after_ms)
         }
     }
 }
@@ -70,6 +71,8 @@
     host: String,
     path: String,
     config_version: u64,
+    /// When to come back, where that follows from how this instance stands.
+    after_ms: Option<u64>,
 }
 
 impl Rejected {
@@ -80,6 +83,15 @@
     }
 }
 
+/// Waits a moment for a configuration, if this instance has none yet.
+async fn wait_for_configuration(traffic: &Traffic, demand: &Demand) {
+    let kept_ms = outages::kept_ms(demand.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS));
+    let mut is_configured = traffic.shared.is_configured.subscribe();
+    let configured = is_configured.wait_for(|is_configured| *is_configured);
+    // Without one in time, the request is refused.
+    let _ = tokio::time::timeout(Duration::from_millis(kept_ms), configured).await;
+}
+
 /// Reads a request to its end, finds its route and checks its key.
 async fn read(
     traffic: &Traffic,
@@ -87,6 +99,7 @@
     request: Request<Incoming>,
 ) -> Result<Job, Rejected> {
     let since_ms = traffic.now_ms();
+    wait_for_configuration(traffic, &demand).await;
     let view = traffic.view();
     let (head, body) = request.into_parts();
     let host = host(&head.headers, &head.uri).to_owned();
@@ -96,8 +109,15 @@
         host: host.clone(),
         path: head.uri.path().to_owned(),
         config_version: view.config.as_ref().map_or(0, |config| config.version),
+        after_ms: None,
+    };
+    let Some(config) = view.config.as_ref() else {
+        let after_ms = view.is_directory_silent.then(|| {
+            let left_ms = demand.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+            outages::starting_after_ms(left_ms, &mut fastrand::Rng::new())
+        });
+        return Err(Rejected { after_ms, ..reject(Failure::Starting) });
     };
-    let Some(config) = view.config.as_ref() else { return Err(reject(Failure::Starting)) };
     let admitted = admit(config, &demand, &head.headers, &host, head.uri.path());
     let (route, organisation) = match admitted {
         Ok(admitted) => admitted,
--- a/src/gateway/policy/latency.rs
+++ b/src/gateway/policy/latency.rs
@@ -22,9 +22,8 @@
 
 impl Default for Latencies {
     fn default() -> Latencies {
-        let empty = || {
-            Histogram::new_with_bounds(1, LONGEST_MS, DIGITS).expect("the bounds are constants")
-        };
+        let empty =
+            || Histogram::new_with_bounds(1, LONGEST_MS, DIGITS).expect("the bounds are constants");
         Latencies { now: empty(), before: empty() }
     }
 }
--- a/src/gateway/policy/outages.rs
+++ b/src/gateway/policy/outages.rs
@@ -28,6 +28,38 @@
 /// Outages that are remembered for each service; the longest of them counts.
 const REMEMBERED: usize = 4;
 
+/// How long it takes until upstreams are listed of which an instance has not heard since its start:
+/// entries that lapsed in an outage of the directory are back within two seconds of its return.
+const UNLISTED_MS: u64 = 2_000;
+/// The part of a caller's patience after which it comes back to an instance that started while the
+/// directory is silent: nothing tells how long that lasts, and callers come back once or a few times
+/// only. A tenth leaves most callers the time for an answer that still serves them, and outlasts
+/// an outage of seconds where a fixed half second did not.
+const STARTING_PART: u64 = 10;
+/// The least such wait, for callers with little patience, as far as they honour it.
+const STARTING_LEAST_MS: u64 = 800;
+
+/// The part of a caller's patience for which an instance that has just started keeps its request
+/// until a configuration is there. Callers whose connections broke when all instances ended come
+/// within a second and have no further try: refused, what they have of an answer is lost. Of a
+/// patience of 25 s it is 1.25 s, in which the store or a peer has usually told; one of a few
+/// seconds gets a tenth of a second, and an answer at once after that.
+const KEPT_PART: u64 = 20;
+
+/// How long an instance that has just started keeps a request of a caller that has `left_ms`, before
+/// it refuses it for want of a configuration.
+pub fn kept_ms(left_ms: u64) -> u64 {
+    left_ms / KEPT_PART
+}
+
+/// When a caller that has `left_ms` should come back to an instance that has no configuration yet
+/// and to which the directory does not answer.
+pub fn starting_after_ms(left_ms: u64, random: &mut dyn Random) -> u64 {
+    let wait_ms = (left_ms / STARTING_PART).max(STARTING_LEAST_MS);
+    let spread_ms = random.below(wait_ms / 4 + 1);
+    (wait_ms + spread_ms).min(left_ms / HONOURED_PART)
+}
+
 /// The outages of all services.
 #[derive(Debug, Default)]
 pub struct Outages {
@@ -38,6 +70,8 @@
 struct Service {
     last_lost_ms: Option<u64>,
     down_since_ms: Option<u64>,
+    /// Whether an upstream of it was ever known here.
+    was_seen: bool,
     lasted_ms: VecDeque<u64>,
 }
 
@@ -57,7 +91,12 @@
 
     /// Notes when an upstream of a service showed that it lives, which ends an outage before that.
     pub fn note_alive(&mut self, service: &str, alive_ms: u64) {
-        let Some(known) = self.services.get_mut(service) else { return };
+        let Some(known) = self.services.get_mut(service) else {
+            let known = Service { was_seen: true, ..Service::default() };
+            self.services.insert(Arc::from(service), known);
+            return;
+        };
+        known.was_seen = true;
         let Some(since_ms) = known.down_since_ms.filter(|since_ms| *since_ms < alive_ms) else {
             return;
         };
@@ -78,7 +117,9 @@
     ) -> Option<u64> {
         let known = self.services.get(service)?;
         let lasts_ms = now_ms.saturating_sub(known.down_since_ms?);
-        let expected_ms = known.lasted_ms.iter().max().copied().unwrap_or(UNSEEN_MS);
+        let expected_ms = known.lasted_ms.iter().max().copied();
+        let unseen_ms = if known.was_seen { UNSEEN_MS } else { UNLISTED_MS };
+        let expected_ms = expected_ms.unwrap_or(unseen_ms);
         // One that has outlasted all others is as likely to last long as it is old.
         let rest_ms = expected_ms.checked_sub(lasts_ms).unwrap_or(lasts_ms / 2);
         let honoured_ms = (left_ms / HONOURED_PART).max(LEAST_MS);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -263,7 +263,9 @@
     /// Ends the run without a complete answer.
     fn give_up(&mut self, failure: Failure) {
         let failure = match failure {
-            Failure::Full | Failure::NoUpstream | Failure::TooManyRepeats if self.may_have_run => Failure::Unknown,
+            Failure::Full | Failure::NoUpstream | Failure::TooManyRepeats if self.may_have_run => {
+                Failure::Unknown
+            }
             Failure::TimeOver if self.arrived == 0 => Failure::TimeOverUnsent,
             failure => failure,
         };
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -176,7 +176,9 @@
     /// Whether an upstream was lost or broke off since it last showed that it lives, as this
     /// instance or a peer found.
     pub fn is_lost(&self, worker: &Worker, now_ms: u64) -> bool {
-        worker.is_replaced() || worker.is_suspect(now_ms) || self.losses.borrow().is_lost(subject(worker))
+        worker.is_replaced()
+            || worker.is_suspect(now_ms)
+            || self.losses.borrow().is_lost(subject(worker))
     }
 
     /// Notes whether all upstreams of a service are lost or gone.
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwap;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::fleet::Fleet;
 use super::news::{Held, Own, Sent};
@@ -21,6 +21,8 @@
     pub fleet: Arc<Fleet>,
     /// Whether this instance takes callers.
     pub phase: Phase,
+    /// Whether the directory does not answer this instance.
+    pub is_directory_silent: bool,
     /// Instances that take callers.
     pub fronts: Vec<Front>,
     /// Instances that live, with this one.
@@ -49,6 +51,8 @@
 pub struct Shared {
     /// The newest picture.
     pub view: ArcSwap<View>,
+    /// Whether a configuration is in force; requests that came before it wait for this.
+    pub is_configured: watch::Sender<bool>,
     /// Wakes the control thread when peers should hear of traffic at once.
     pub news: Notify,
     /// What traffic here has running, and whom it lost.
@@ -62,6 +66,7 @@
             config: None,
             fleet: Arc::default(),
             phase: Phase::Starting,
+            is_directory_silent: false,
             fronts: Vec::new(),
             instances: 1,
             others: Arc::default(),
@@ -70,7 +75,8 @@
             places: Arc::default(),
         };
         let view = ArcSwap::from_pointee(view);
-        Arc::new(Shared { view, news: Notify::new(), own: Mutex::default() })
+        let is_configured = watch::Sender::new(false);
+        Arc::new(Shared { view, is_configured, news: Notify::new(), own: Mutex::default() })
     }
 
     /// Replaces what is told to peers.
