--- a/src/gateway/policy/silence.rs
+++ b/src/gateway/policy/silence.rs
@@ -7,6 +7,49 @@
 //! engine decides: a slow engine that still reads a prompt keeps the run, a quick one that has lost
 //! it does not.
 
+/// The pause that a route which declares none allows between events.
+const USUAL_GAP_MS: u64 = 700;
+/// The objective of a route that declares none.
+const USUAL_OBJECTIVE_MS: u64 = 4_500;
+
+/// How long a stream of a route may be quiet before something is done about it: parts of what the
+/// route declares, since the pause that callers allow holds on every machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// Before its first event, until the engine is asked: a fifth of the objective, so that an
+    /// answer that was lost at once still comes in time from elsewhere.
+    pub first_ms: u64,
+    /// Between events, until the engine is asked: a fifth of the allowed pause. The question takes
+    /// another fifth, going on elsewhere up to two.
+    pub gap_ms: u64,
+    /// The same while prompts are known to be read there, between two chunks of which events come
+    /// further apart: two fifths.
+    pub reading_gap_ms: u64,
+    /// Until a run with a copy elsewhere goes on there, although its engine lives, reads nothing
+    /// and has the run: what is left of the allowed pause suffices to go on.
+    pub stuck_ms: u64,
+    /// The same while it reads prompts: it works, and its events come late from all engines alike.
+    /// The whole pause: leaving earlier, 120 runs were taken from engines that read half as fast as
+    /// the usual ones, and worth fell by a third.
+    pub stuck_reading_ms: u64,
+}
+
+impl Patience {
+    /// For a route that declares these; 0 is no declaration.
+    pub fn of(objective_ms: u64, gap_ms: u64) -> Patience {
+        let or_usual = |declared, usual| if declared == 0 { usual } else { declared };
+        let objective_ms = or_usual(objective_ms, USUAL_OBJECTIVE_MS);
+        let gap_ms = or_usual(gap_ms, USUAL_GAP_MS);
+        Patience {
+            first_ms: objective_ms / 5,
+            gap_ms: gap_ms / 5,
+            reading_gap_ms: gap_ms * 2 / 5,
+            stuck_ms: gap_ms * 2 / 3,
+            stuck_reading_ms: gap_ms,
+        }
+    }
+}
+
 /// How old an engine's state may be: it is gathered now and then, a few times a second. A run that
 /// was sent or heard within this time before the question may be missing from it and be there.
 const STATE_AGE_MS: u64 = 500;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -21,12 +21,11 @@
 use super::failure::Failure;
 use super::job::Job;
 use super::policy::placement::Wish;
+use super::policy::silence::Patience;
 use super::route::Repeat;
 use super::traffic::Traffic;
 use super::worker::Worker;
 
-/// How long the first event may take before the engine is asked whether it lives.
-const FIRST_QUIET_MS: u64 = 900;
 /// The wait before another look when no engine takes work in the middle of an answer.
 const LOOK_AGAIN_MS: u64 = 50;
 /// How long a run keeps away from a failure domain in which it lost an engine: engines that crashed
@@ -139,7 +138,7 @@
         }
         loop {
             if self.traffic.now_ms() >= self.job.until_ms {
-                return self.give_up(Failure::TimeOver);
+                return self.give_up(self.time_over());
             }
             let Some((worker, copy)) = self.place() else {
                 if self.arrived == 0 || !self.wait(LOOK_AGAIN_MS).await {
@@ -155,6 +154,11 @@
         }
     }
 
+    /// The time is over: what every engine refused has certainly not run.
+    fn time_over(&self) -> Failure {
+        if self.may_have_run { Failure::TimeOver } else { Failure::TimeOverUnsent }
+    }
+
     /// What follows from an attempt; whether there is another one.
     async fn goes_on(&mut self, worker: &Rc<Worker>, outcome: Outcome) -> bool {
         let now_ms = self.traffic.now_ms();
@@ -255,6 +259,11 @@
         recent.map(|(domain, _)| Arc::clone(domain)).collect()
     }
 
+    /// How long the route lets the stream be quiet.
+    fn patience(&self) -> Patience {
+        Patience::of(self.job.route.target_latency_ms, self.job.route.target_gap_ms)
+    }
+
     /// The prompt's last part, which is the request's own, as a number.
     fn part(&self) -> Option<u64> {
         self.job.demand.prompt_part.as_ref().map(|part| xxh3_64(part.as_bytes()))
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -20,7 +20,7 @@
 use super::super::traffic::Life;
 use super::super::worker::{Lease, What, Worker};
 use super::copy::Growing;
-use super::{FIRST_QUIET_MS, Outcome, Refused, Run, caller_left, lost, until};
+use super::{Outcome, Refused, Run, caller_left, lost, until};
 
 /// Events that may wait for a slow caller before its engine is slowed.
 const WAITING_EVENTS: usize = 16;
@@ -107,7 +107,7 @@
         let mut sending = std::pin::pin!(lease.channel.send(request));
         let mut silence = Silence::new(traffic.now_ms());
         let response = loop {
-            let wake_ms = (traffic.now_ms() + FIRST_QUIET_MS).min(self.job.until_ms);
+            let wake_ms = (traffic.now_ms() + self.patience().first_ms).min(self.job.until_ms);
             tokio::select! {
                 response = sending.as_mut() => break response,
                 () = caller_left(&mut self.head, &self.body) => return Err(Outcome::CallerLeft),
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -14,19 +14,8 @@
 use super::super::policy::silence::Silence;
 use super::super::traffic::OWN_LAG_MS;
 use super::super::worker::{Count, Lease, Worker};
-use super::{FIRST_QUIET_MS, Outcome, Run, caller_left, lost, until};
+use super::{Outcome, Run, caller_left, lost, until};
 
-/// A pause between events after which an engine is asked whether it lives: events come every 30 to
-/// 70 ms, the allowed pause is several hundred, of which the question may take 130 and a resumption
-/// takes 20 to 300.
-const QUIET_MS: u64 = 140;
-/// The same while a prompt is read beside the run, when events come every 230 ms.
-const QUIET_BESIDE_READING_MS: u64 = 270;
-/// A pause after which a run with a copy elsewhere goes on there, although its engine answers.
-const STUCK_MS: u64 = 450;
-/// How much longer an event takes for each prompt that is read beside it: eight steps, each with
-/// a chunk of the prompt.
-const READING_MS: u64 = 240;
 /// How often a run may leave an engine that lives but makes no events.
 const MOST_STUCK_MOVES: u32 = 2;
 
@@ -52,6 +41,7 @@
         reading: Option<Count>,
     ) -> Outcome {
         let traffic = Rc::clone(&self.traffic);
+        let patience = self.patience();
         let mut splitter = Splitter::default();
         let mut events = Vec::new();
         let mut reading = reading;
@@ -59,9 +49,9 @@
         let mut silence = Silence::new(heard_ms);
         loop {
             let quiet_ms = match reading {
-                Some(_) => FIRST_QUIET_MS,
-                None if traffic.reading_at(worker) > 0 => QUIET_BESIDE_READING_MS,
-                None => QUIET_MS,
+                Some(_) => patience.first_ms,
+                None if traffic.reading_at(worker) > 0 => patience.reading_gap_ms,
+                None => patience.gap_ms,
             };
             let wake_ms = traffic.now_ms() + quiet_ms;
             let frame = tokio::select! {
@@ -144,7 +134,10 @@
         if is_reading || !can_move || !traffic.has_repeat(&self.job.service) {
             return Quiet::Wait;
         }
-        let stuck_ms = heard_ms + STUCK_MS.max(READING_MS * self.traffic.reading_at(worker));
+        let patience = self.patience();
+        let is_at_prompts = life.is_reading();
+        let stuck_ms = if is_at_prompts { patience.stuck_reading_ms } else { patience.stuck_ms };
+        let stuck_ms = heard_ms + stuck_ms;
         tokio::select! {
             frame = body.frame() => Quiet::Frame(frame),
             () = caller_left(&mut self.head, &self.body) => Quiet::Leave(Outcome::CallerLeft),
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -37,6 +37,11 @@
 }
 
 impl Life {
+    /// Whether it works on prompts, as far as it tells.
+    pub fn is_reading(&self) -> bool {
+        matches!(self, Life::Lives(state) if state.unstarted() > 0)
+    }
+
     /// What it says of a run.
     pub fn sighting(&self, id: &str) -> Sighting {
         let Life::Lives(state) = self else { return Sighting::Untold };
