--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{HeaderMap, Request};
 
+use super::ablation::Mechanism;
 use super::answer::{self, Answer};
 use super::channel::Fault;
 use super::dialect::{Dispatch, Marks};
@@ -76,7 +77,9 @@
             return finish(job, traffic, last, may_have_run, retry_after_ms);
         };
         wish.not.push(Arc::clone(&worker.upstream.id));
-        let can_hedge = job.route.repeat == Repeat::Idempotent && sent + 1 < job.route.max_attempts;
+        let can_hedge = Mechanism::Hedge.is_on()
+            && job.route.repeat == Repeat::Idempotent
+            && sent + 1 < job.route.max_attempts;
         let (worker, outcome) = if can_hedge {
             let (worker, outcome, sent_besides) =
                 hedged(traffic, job, &worker, arrived == 0, &mut wish).await;
@@ -94,7 +97,9 @@
             Outcome::Answered(whole) => {
                 sent += 1;
                 let is_failure = whole.status >= 500;
-                let may_repeat = is_failure && job.route.repeat == Repeat::Idempotent;
+                let may_repeat = is_failure
+                    && Mechanism::SecondOpinion.is_on()
+                    && job.route.repeat == Repeat::Idempotent;
                 if may_repeat && sent < job.route.max_attempts {
                     log_attempt(traffic, job, &worker, "answered with an error; tried elsewhere");
                     if let Some((better, by)) = second_opinion(traffic, job, &mut wish).await {
--- a/src/gateway/control/successors.rs
+++ b/src/gateway/control/successors.rs
@@ -10,6 +10,7 @@
 use hyper::Request;
 use hyper::header::HOST;
 
+use super::super::ablation::Mechanism;
 use super::super::channel::Channel;
 use super::super::fleet::Upstream;
 use super::super::peers::Phase;
@@ -47,7 +48,10 @@
     fn is_seeker(&self) -> bool {
         let now_ms = self.clock.now_ms();
         let board = self.board.borrow();
-        if board.phase != Phase::Ready || Control::is_directory_heard(&board, now_ms) {
+        if !Mechanism::Search.is_on()
+            || board.phase != Phase::Ready
+            || Control::is_directory_heard(&board, now_ms)
+        {
             return false;
         }
         let before = board.peers.alive(now_ms).filter(|beat| beat.from.id < self.me.id);
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -10,6 +10,7 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request};
 
+use super::ablation::Mechanism;
 use super::answer::{self, Answer};
 use super::dialect::Demand;
 use super::failure::Failure;
@@ -85,6 +86,9 @@
 
 /// Waits a moment for a configuration, if this instance has none yet.
 async fn wait_for_configuration(traffic: &Traffic, demand: &Demand) {
+    if !Mechanism::KeptAtStart.is_on() {
+        return;
+    }
     let kept_ms = outages::kept_ms(demand.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS));
     let mut is_configured = traffic.shared.is_configured.subscribe();
     let configured = is_configured.wait_for(|is_configured| *is_configured);
@@ -112,7 +116,8 @@
         after_ms: None,
     };
     let Some(config) = view.config.as_ref() else {
-        let after_ms = view.is_directory_silent.then(|| {
+        let is_silent = view.is_directory_silent && Mechanism::RetryAfter.is_on();
+        let after_ms = is_silent.then(|| {
             let left_ms = demand.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
             outages::starting_after_ms(left_ms, &mut fastrand::Rng::new())
         });
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! over a [`directory`] and with its [`peers`]. How requests look on the wire is the business of a
 //! [`dialect`]. See [docs/PLATFORM.md](../../docs/PLATFORM.md).
 
+pub mod ablation;
 pub mod answer;
 pub mod call;
 pub mod caller;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::copy::{CopyAt, NewCopy};
+use super::ablation::Mechanism;
 use super::answer::{self, Answer, Cut, Part};
 use super::dialect::Copy;
 use super::failure::Failure;
@@ -254,6 +255,9 @@
 
     /// Failure domains in which the run lost an engine a moment ago.
     fn lost_domains(&self) -> Vec<Arc<str>> {
+        if !Mechanism::Avoid.is_on() {
+            return Vec::new();
+        }
         let now_ms = self.traffic.now_ms();
         let recent = self.lost_domains.iter().filter(|(_, at_ms)| at_ms + AVOID_MS > now_ms);
         recent.map(|(domain, _)| Arc::clone(domain)).collect()
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -10,6 +10,7 @@
 use hyper::{HeaderMap, Request, Response};
 use tokio::sync::{mpsc, watch};
 
+use super::super::ablation::Mechanism;
 use super::super::answer;
 use super::super::channel::Fault;
 use super::super::dialect::{Copy, Dispatch, Marks};
@@ -162,6 +163,7 @@
             "told" => match life { Life::Lives(state) => format!("q{} a{} r{} t{}", state.waiting, state.active, state.runs.as_ref().map_or(0, Vec::len), state.tokens), Life::Lost => String::new() }, "reading" => self.traffic.reading_at(worker), "after" => self.last_event, "quiet_ms" => asked_ms - self.last_event_ms);
         match verdict {
             Verdict::Wait => None,
+            Verdict::Leave(_) if !Mechanism::Silence.is_on() => None,
             Verdict::Leave(why) => Some(lost(why.to_string(), false)),
         }
     }
--- a/src/gateway/stream/copy.rs
+++ b/src/gateway/stream/copy.rs
@@ -7,6 +7,7 @@
 use hyper::Method;
 use tokio::sync::oneshot;
 
+use super::super::ablation::Mechanism;
 use super::super::dialect::Copy;
 use super::super::policy::placement::Wish;
 use super::super::route::{Engine, Repeat};
@@ -69,7 +70,8 @@
     /// The engine for a new copy: not where the run is, nor where it was lost.
     pub(super) fn place_copy(&self, worker: &Worker) -> Option<Rc<Worker>> {
         let can_copy = self.engine().is_some_and(|engine| engine.can_copy);
-        if !can_copy || self.job.route.repeat != Repeat::Resumable {
+        let is_off = !Mechanism::Copies.is_on();
+        if is_off || !can_copy || self.job.route.repeat != Repeat::Resumable {
             return None;
         }
         let mut not = self.left.clone();
@@ -179,6 +181,6 @@
 
     pub(super) fn can_move(&self) -> bool {
         let can_move = self.engine().is_some_and(|engine| engine.can_move);
-        can_move && self.job.route.repeat == Repeat::Resumable
+        can_move && Mechanism::Copies.is_on() && self.job.route.repeat == Repeat::Resumable
     }
 }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use self::places::Place;
+use super::ablation::Mechanism;
 use super::answer::{self, Answer};
 use super::dialect::Dialect;
 use super::failure::Failure;
@@ -179,7 +180,11 @@
                 }
             }
         }
-        let passed = placement::passed(fleet.upstreams.values());
+        let passed = if Mechanism::Youngest.is_on() {
+            placement::passed(fleet.upstreams.values())
+        } else {
+            Vec::new()
+        };
         passed.iter().filter_map(|id| workers.get(id)).for_each(|worker| worker.replace());
         *self.fleet.borrow_mut() = Arc::clone(fleet);
     }
@@ -334,7 +339,8 @@
 
     fn candidate(&self, worker: &Worker, view: &View, now_ms: u64) -> Candidate {
         let others = view.others.get(&worker.upstream.id);
-        let others_run = match worker.told_others(now_ms) {
+        let told = worker.told_others(now_ms).filter(|_| Mechanism::ToldLoads.is_on());
+        let others_run = match told {
             Some(told) => told,
             None => others.map_or(0, |held| held.runs),
         };
@@ -365,7 +371,11 @@
             let is_asked = self.probes.borrow().contains_key(&worker.upstream.id);
             let has_stake = worker.runs.get() + worker.copies.get() > 0;
             let is_open = has_stake && !worker.is_lost(now_ms);
-            if is_open && !is_asked && self.is_doubtful(&worker, now_ms) {
+            if Mechanism::Question.is_on()
+                && is_open
+                && !is_asked
+                && self.is_doubtful(&worker, now_ms)
+            {
                 self.start_probe(&worker);
             }
         }
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -9,6 +9,7 @@
 use hyper::Method;
 use tokio::sync::watch;
 
+use super::super::ablation::Mechanism;
 use super::super::channel;
 use super::super::dialect::EngineState;
 use super::super::fleet::Upstream;
@@ -61,6 +62,9 @@
     /// Asks an engine for its state, to learn whether it lives and what becomes of its runs; one
     /// question at a time serves all.
     pub async fn life(self: &Rc<Traffic>, worker: &Rc<Worker>) -> Life {
+        if !Mechanism::Question.is_on() {
+            return Life::Lives(Arc::default());
+        }
         let id = Arc::clone(&worker.upstream.id);
         let running = self.probes.borrow().get(&id).cloned();
         let mut answer = running.unwrap_or_else(|| self.start_probe(worker));
@@ -202,7 +206,7 @@
 
     /// When a caller that has `left_ms` should come back to a service that has no upstream.
     pub fn retry_after_ms(&self, service: &Arc<str>, left_ms: u64) -> Option<u64> {
-        if !self.note_if_down(service) {
+        if !self.note_if_down(service) || !Mechanism::RetryAfter.is_on() {
             return None;
         }
         let mut random = fastrand::Rng::new();
@@ -211,7 +215,10 @@
 
     /// Whether an upstream was lost, or so much of its failure domain that it is likely.
     pub fn is_doubtful(&self, worker: &Worker, now_ms: u64) -> bool {
-        let is_falling = || self.losses.borrow().is_domain_falling(subject(worker), now_ms);
+        let is_falling = || {
+            Mechanism::Doubt.is_on()
+                && self.losses.borrow().is_domain_falling(subject(worker), now_ms)
+        };
         self.is_lost(worker, now_ms) || is_falling()
     }
 }
