--- a/src/gateway/policy/hedge.rs
+++ b/src/gateway/policy/hedge.rs
@@ -18,8 +18,7 @@
 /// It starts so late that the objective can still be met, and not before nearly all answers have
 /// come. Before enough is known, only a call that has lost its objective gets one.
 pub fn after_ms(known: &Latencies, objective_ms: u64) -> Option<u64> {
-    let (Some(usual_ms), Some(likely_ms)) = (known.quantile_ms(USUAL), known.quantile_ms(LIKELY))
-    else {
+    let (Some(usual_ms), Some(likely_ms)) = (known.quantile(USUAL), known.quantile(LIKELY)) else {
         return (objective_ms > 0).then_some(objective_ms);
     };
     Some(usual_ms.max(objective_ms.saturating_sub(likely_ms)))
--- a/src/gateway/policy/outages.rs
+++ b/src/gateway/policy/outages.rs
@@ -78,7 +78,9 @@
 impl Outages {
     /// Notes that an upstream of a service was lost.
     pub fn note_lost(&mut self, service: &Arc<str>, now_ms: u64) {
-        self.services.entry(Arc::clone(service)).or_default().last_lost_ms = Some(now_ms);
+        let known = self.services.entry(Arc::clone(service)).or_default();
+        known.last_lost_ms = Some(now_ms);
+        known.was_seen = true;
     }
 
     /// Notes that no upstream of a service is left; the outage began with the last loss.
--- a/src/gateway/policy/silence.rs
+++ b/src/gateway/policy/silence.rs
@@ -7,17 +7,51 @@
 //! engine decides: a slow engine that still reads a prompt keeps the run, a quick one that has lost
 //! it does not.
 
+use super::latency::Latencies;
+
 /// The pause that a route which declares none allows between events.
 const USUAL_GAP_MS: u64 = 700;
+/// Quiet for less than this says nothing: a message that was lost between domains and sent again
+/// at once, or a process that was late for its turn, takes as long.
+const LEAST_QUIET_MS: u64 = 50;
 /// The objective of a route that declares none.
 const USUAL_OBJECTIVE_MS: u64 = 4_500;
 
+/// How much longer than nearly all others a first event may take: the state of an engine doesn't
+/// tell whether a prompt that it holds is being read, so only the others tell.
+const OVERDUE: f64 = 2.0;
+/// How often the time is doubled at the most.
+const MOST_DOUBLINGS: u32 = 6;
+/// The part of first events that came sooner.
+const NEARLY_ALL: f64 = 0.95;
+
+/// After which time the first event of a prompt is overdue at the next engine, from the
+/// microseconds that a token of others took; before enough is known, after twice the objective.
+///
+/// Each attempt before it doubles the time, so that a service that is slow for everybody gets a few
+/// repeats and no storm of them.
+pub fn overdue_ms(
+    us_per_token: &Latencies,
+    prompt_tokens: u64,
+    objective_ms: u64,
+    attempts: u32,
+) -> u64 {
+    let objective_ms = if objective_ms == 0 { USUAL_OBJECTIVE_MS } else { objective_ms };
+    let usual_ms = match us_per_token.quantile(NEARLY_ALL) {
+        Some(us) if prompt_tokens > 0 => us.saturating_mul(prompt_tokens) / 1_000,
+        _ => objective_ms,
+    };
+    let overdue_ms = (usual_ms as f64 * OVERDUE) as u64;
+    overdue_ms.saturating_mul(1 << attempts.min(MOST_DOUBLINGS))
+}
+
 /// How long a stream of a route may be quiet before something is done about it: parts of what the
 /// route declares, since the pause that callers allow holds on every machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Patience {
     /// Before its first event, until the engine is asked: a fifth of the objective, so that an
-    /// answer that was lost at once still comes in time from elsewhere.
+    /// answer that was lost at once still comes in time from elsewhere; not before the engine's
+    /// state can know of the run.
     pub first_ms: u64,
     /// Between events, until the engine is asked: a fifth of the allowed pause. The question takes
     /// another fifth, going on elsewhere up to two.
@@ -41,9 +75,9 @@
         let objective_ms = or_usual(objective_ms, USUAL_OBJECTIVE_MS);
         let gap_ms = or_usual(gap_ms, USUAL_GAP_MS);
         Patience {
-            first_ms: objective_ms / 5,
-            gap_ms: gap_ms / 5,
-            reading_gap_ms: gap_ms * 2 / 5,
+            first_ms: (objective_ms / 5).max(STATE_AGE_MS),
+            gap_ms: (gap_ms / 5).max(LEAST_QUIET_MS),
+            reading_gap_ms: (gap_ms * 2 / 5).max(LEAST_QUIET_MS),
             stuck_ms: gap_ms * 2 / 3,
             stuck_reading_ms: gap_ms,
         }
@@ -94,6 +128,9 @@
     /// It makes events that do not arrive.
     #[display("the run makes events and none arrives")]
     AnswerLost,
+    /// It has waited for its first event for longer than nearly all do, on this day and here.
+    #[display("its first event is overdue")]
+    Overdue,
     /// It is named and nothing becomes of it.
     #[display("the run is there and makes no progress")]
     Standing,
@@ -103,6 +140,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Silence {
     since_ms: u64,
+    overdue_ms: Option<u64>,
     seen: Option<Seen>,
 }
 
@@ -114,9 +152,15 @@
 }
 
 impl Silence {
-    /// A run that was sent, or heard, a moment ago.
+    /// A run that was heard a moment ago.
     pub fn new(now_ms: u64) -> Silence {
-        Silence { since_ms: now_ms, seen: None }
+        Silence { since_ms: now_ms, overdue_ms: None, seen: None }
+    }
+
+    /// A run that was sent a moment ago, and whose first event is overdue after a time; never if
+    /// there is no further attempt.
+    pub fn before_first(now_ms: u64, overdue_ms: Option<u64>) -> Silence {
+        Silence { since_ms: now_ms, overdue_ms, seen: None }
     }
 
     /// Takes in what the engine's state, asked for at `asked_ms`, says of the run.
@@ -125,12 +169,20 @@
             return Verdict::Wait;
         }
         match sighting {
-            Sighting::Untold | Sighting::MayWait => Verdict::Wait,
+            Sighting::Untold | Sighting::MayWait => self.see_nothing(asked_ms),
             Sighting::Missing => Verdict::Leave(Why::Gone),
             Sighting::Listed { tokens, events } => self.see_listed(tokens, events, asked_ms),
         }
     }
 
+    fn see_nothing(&self, asked_ms: u64) -> Verdict {
+        let is_over = |overdue_ms| asked_ms >= self.since_ms.saturating_add(overdue_ms);
+        match self.overdue_ms {
+            Some(overdue_ms) if is_over(overdue_ms) => Verdict::Leave(Why::Overdue),
+            _ => Verdict::Wait,
+        }
+    }
+
     fn see_listed(&mut self, tokens: u64, events: u64, asked_ms: u64) -> Verdict {
         let now = Seen { tokens, events, at_ms: asked_ms };
         let Some(before) = self.seen else {
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -54,6 +54,7 @@
             return Outcome::NotRun { why: Refused::NotSent("it is leaving".to_owned()) };
         }
         let copy = self.place_copy(worker);
+        let is_read = from.is_none() && self.last_event.is_none();
         let _run = worker.count(What::Run);
         let reading = from.is_none().then(|| worker.count(What::Reading));
         let request = self
@@ -86,6 +87,9 @@
         if status != 200 {
             return self.pass_on_failure(worker, lease, response, &marks).await;
         }
+        if is_read {
+            traffic.note_first_event(&self.job, traffic.now_ms() - sent_ms);
+        }
         self.note_copy(copy);
         let body = self.open_body(response);
         self.relay(worker, lease, body, marks, silences, reading).await
@@ -106,7 +110,8 @@
     ) -> Result<Response<Incoming>, Outcome> {
         let traffic = Rc::clone(&self.traffic);
         let mut sending = std::pin::pin!(lease.channel.send(request));
-        let mut silence = Silence::new(traffic.now_ms());
+        let sent_ms = traffic.now_ms();
+        let mut silence = Silence::before_first(sent_ms, self.overdue_ms());
         let response = loop {
             let wake_ms = (traffic.now_ms() + self.patience().first_ms).min(self.job.until_ms);
             tokio::select! {
@@ -129,6 +134,7 @@
                 life = traffic.life(worker) => life,
             };
             if let Some(outcome) = self.judge_silence(&mut silence, &life, asked_ms, worker) {
+                traffic.note_first_event(&self.job, traffic.now_ms() - sent_ms);
                 self.note_arrival();
                 return Err(outcome);
             }
@@ -145,6 +151,14 @@
         }
     }
 
+    /// When the first event is overdue, if there may be another attempt.
+    fn overdue_ms(&self) -> Option<u64> {
+        let can_go_on = self.job.route.repeat == Repeat::Resumable
+            && self.sent + 1 < self.job.route.max_attempts
+            && self.traffic.has_repeat(&self.job.service);
+        can_go_on.then(|| self.traffic.overdue_ms(&self.job, self.arrived))
+    }
+
     /// What an engine's answer to the question means for a run that is silent there.
     pub(super) fn judge_silence(
         &self,
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -31,6 +31,7 @@
 use super::policy::losses::Losses;
 use super::policy::outages::Outages;
 use super::policy::placement::{self, Candidate, Wish};
+use super::policy::silence;
 use super::policy::stop::Stop;
 use super::settings::Settings;
 use super::view::{Shared, View};
@@ -72,6 +73,8 @@
     losses: RefCell<Losses>,
     outages: RefCell<Outages>,
     latencies: RefCell<BTreeMap<Arc<str>, Latencies>>,
+    /// Microseconds to the first event for each token of the prompt, by service.
+    first_events: RefCell<BTreeMap<Arc<str>, Latencies>>,
 }
 
 impl Traffic {
@@ -104,6 +107,7 @@
             losses: RefCell::default(),
             outages: RefCell::default(),
             latencies: RefCell::default(),
+            first_events: RefCell::default(),
         })
     }
 
@@ -136,6 +140,23 @@
         latencies.entry(Arc::clone(&job.route.name)).or_default().record(value_ms);
     }
 
+    /// Notes how long the first event of a prompt took to come, or was waited for in vain.
+    pub fn note_first_event(&self, job: &Job, waited_ms: u64) {
+        let tokens = job.demand.prompt_tokens;
+        if tokens > 0 {
+            let mut known = self.first_events.borrow_mut();
+            known.entry(Arc::clone(&job.service)).or_default().record(waited_ms * 1_000 / tokens);
+        }
+    }
+
+    /// After which time the first event of a prompt is overdue, after so many attempts.
+    pub fn overdue_ms(&self, job: &Job, attempts: u32) -> u64 {
+        let mut known = self.first_events.borrow_mut();
+        let known = known.entry(Arc::clone(&job.service)).or_default();
+        let objective_ms = job.route.target_latency_ms;
+        silence::overdue_ms(known, job.demand.prompt_tokens, objective_ms, attempts)
+    }
+
     /// How long a repeatable call may be silent before it is sent to a second upstream.
     pub fn hedge_after_ms(&self, job: &Job) -> Option<u64> {
         let mut latencies = self.latencies.borrow_mut();
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -28,6 +28,8 @@
     Full,
     /// It ends streams early without their last chunk.
     Cut,
+    /// It lives, has lost the run, and leaves the connection open without a word.
+    Forgets,
 }
 
 /// What an engine was asked, for the checks of a test.
@@ -193,8 +195,7 @@
                 (Fault::Dark, _) => return std::future::pending().await,
                 (Fault::Mute, "/siskinrock/report") => return std::future::pending().await,
                 (_, "/siskinrock/report") => {
-                    let body = json!({"stage": "both", "models": [{"name": "m"}], "queued": 0,
-                        "active": self.working()});
+                    let body = self.report();
                     connection.answer(200, &[], body.to_string().as_bytes()).await
                 }
                 (_, "/healthz") => {
@@ -220,6 +221,14 @@
         }
     }
 
+    /// What it says of itself: runs are named from their first event on.
+    fn report(&self) -> serde_json::Value {
+        let state = self.lock();
+        let runs: Vec<_> = state.runs.iter().map(|(id, made)| json!([id, 80, made, 5])).collect();
+        json!({"stage": "both", "models": [{"name": "m"}], "queued": 0,
+            "active": state.working, "runs": runs})
+    }
+
     async fn copy(&self, connection: &mut Connection, request: &Message) -> std::io::Result<()> {
         let body: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
         let id = body["id"].as_str().unwrap_or_default().to_owned();
@@ -260,6 +269,9 @@
         let incarnation = self.lock().begin();
         let ended = self.run(connection, request, &id, has_copy).await;
         self.lock().end(&id, incarnation);
+        if self.lock().fault == Fault::Forgets {
+            return std::future::pending().await;
+        }
         ended
     }
 
@@ -282,8 +294,10 @@
             let read_ms = self.lock().read_ms;
             self.pause(read_ms, connection).await?;
         }
-        if self.lock().fault == Fault::Torn {
-            return Err(std::io::ErrorKind::ConnectionAborted.into());
+        match self.lock().fault {
+            Fault::Torn => return Err(std::io::ErrorKind::ConnectionAborted.into()),
+            Fault::Forgets => return Ok(()),
+            _ => {}
         }
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\n\
@@ -299,6 +313,9 @@
                 connection.write(&chunk(&text[..text.len() / 2])).await?;
                 return Err(std::io::ErrorKind::ConnectionAborted.into());
             }
+            if fault == Fault::Forgets {
+                return Ok(());
+            }
             if fault == Fault::Cut {
                 return Err(std::io::ErrorKind::BrokenPipe.into());
             }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod front;
 mod layers;
 mod lost_instances;
+mod silence;
 mod stops;
 mod store;
 mod streams;
