Tests of the pure decisions on silence, second attempts, identity and return

35 cases without a network: verdicts on silent runs, overdue first events on machines ten times slower, a service that turns ten times slower gets fewer than 300 second attempts for 2,000 calls while the slowdown is learnt, youngest entries, what was found against what was listed later, births, foreign entries, and when callers come back; times that go back, empty histograms and an objective of 0 change nothing.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,7 +8,9 @@
 mod front;
 mod layers;
 mod lost_instances;
+mod patience;
 mod silence;
+
 mod stops;
 mod store;
 mod streams;
--- /dev/null
+++ b/tests/gateway/patience.rs
@@ -0,0 +1,246 @@
+//! The pure decisions on silence, second attempts, identity at an address, and when to come back.
+
+use std::sync::Arc;
+
+use siskinrock::gateway::fleet::{Change, Fleet, Upstream};
+use siskinrock::gateway::policy::budget::{Bound, Budget};
+use siskinrock::gateway::policy::found::Found;
+use siskinrock::gateway::policy::hedge;
+use siskinrock::gateway::policy::latency::Latencies;
+use siskinrock::gateway::policy::outages::{self, Outages};
+use siskinrock::gateway::policy::placement;
+use siskinrock::gateway::policy::silence::{self, Patience, Sighting, Silence, Verdict, Why};
+use siskinrock::platform::document;
+use yare::parameterized;
+
+fn at(id: &str, port: u16, listed_at: u64) -> Upstream {
+    Upstream {
+        id: id.into(),
+        service: "plan".into(),
+        addr: ([10, 0, 0, 1], port).into(),
+        domain: "hall".into(),
+        is_leaving: false,
+        born_ms: None,
+        listed_at,
+    }
+}
+
+fn listed(tokens: u64, events: u64) -> Sighting {
+    Sighting::Listed { tokens, events }
+}
+
+/// A run that was sent or heard at 1,000, its looks (what was seen, and when it was asked), and the
+/// verdict of the last one.
+#[parameterized(
+    state_is_older_than_the_run = { &[(Sighting::Missing, 1_400)], Verdict::Wait },
+    gone = { &[(Sighting::Missing, 1_900)], Verdict::Leave(Why::Gone) },
+    may_wait = { &[(Sighting::MayWait, 1_900), (Sighting::MayWait, 2_800)], Verdict::Wait },
+    overdue = { &[(Sighting::MayWait, 1_900), (Sighting::MayWait, 9_000)], Verdict::Leave(Why::Overdue) },
+    untold = { &[(Sighting::Untold, 1_900)], Verdict::Wait },
+    reading = { &[(listed(100, 0), 1_900), (listed(900, 0), 2_800)], Verdict::Wait },
+    answer_lost = { &[(listed(900, 3), 1_900), (listed(910, 4), 2_100)], Verdict::Leave(Why::AnswerLost) },
+    standing = { &[(listed(900, 3), 1_900), (listed(900, 3), 3_500)], Verdict::Leave(Why::Standing) },
+    not_standing_yet = { &[(listed(900, 3), 1_900), (listed(900, 3), 2_800)], Verdict::Wait },
+    fewer_events = { &[(listed(900, 3), 1_900), (listed(910, 1), 2_800)], Verdict::Wait },
+    time_goes_back = { &[(listed(900, 3), 3_500), (listed(900, 3), 200)], Verdict::Wait },
+)]
+fn a_silent_run_is_judged_by_what_its_engine_says(looks: &[(Sighting, u64)], last: Verdict) {
+    let mut silence = Silence::before_first(1_000, Some(8_000));
+    let mut verdict = Verdict::Wait;
+    for (sighting, asked_ms) in looks {
+        verdict = silence.see(*sighting, *asked_ms);
+    }
+    assert_eq!(verdict, last);
+}
+
+#[test]
+fn what_was_heard_or_has_no_other_attempt_is_never_overdue() {
+    assert_eq!(Silence::new(0).see(Sighting::MayWait, 60_000), Verdict::Wait);
+    assert_eq!(Silence::before_first(0, None).see(Sighting::MayWait, 60_000), Verdict::Wait);
+    let forever = Some(u64::MAX);
+    assert_eq!(Silence::before_first(5, forever).see(Sighting::MayWait, 60_000), Verdict::Wait);
+}
+
+/// The same requests on machines that take ten times as long wait ten times as long, and each
+/// attempt doubles the patience.
+#[test]
+fn a_first_event_is_overdue_by_what_others_took() {
+    let known = |us_per_token: u64| {
+        let mut known = Latencies::default();
+        (0..100).for_each(|_| known.record(us_per_token));
+        known
+    };
+    let quick_ms = silence::overdue_ms(&known(150), 8_000, 4_500, 0);
+    let slow_ms = silence::overdue_ms(&known(1_500), 8_000, 4_500, 0);
+    assert!((2_200..=2_800).contains(&quick_ms), "{quick_ms}");
+    assert!(slow_ms >= 9 * quick_ms, "{slow_ms}");
+    assert_eq!(silence::overdue_ms(&known(150), 8_000, 4_500, 1), 2 * quick_ms);
+    assert_eq!(silence::overdue_ms(&Latencies::default(), 8_000, 4_500, 0), 9_000, "careful");
+    assert_eq!(silence::overdue_ms(&known(150), 0, 0, 0), 9_000, "no prompt, no objective");
+    assert!(silence::overdue_ms(&known(u64::MAX), u64::MAX, 1, u32::MAX) > 0);
+}
+
+#[test]
+fn patience_is_a_part_of_what_the_route_declares() {
+    let usual = Patience::of(4_500, 700);
+    assert_eq!(Patience::of(0, 0), usual, "no declaration");
+    assert_eq!((usual.first_ms, usual.gap_ms, usual.stuck_reading_ms), (900, 140, 700));
+    let slow = Patience::of(45_000, 7_000);
+    assert_eq!((slow.first_ms, slow.gap_ms, slow.stuck_ms), (9_000, 1_400, 4_666));
+    let tiny = Patience::of(1, 1);
+    assert!(tiny.first_ms >= 500 && tiny.gap_ms >= 50, "no question each millisecond: {tiny:?}");
+}
+
+#[test]
+fn quantiles_follow_what_was_seen_last() {
+    let mut known = Latencies::default();
+    assert_eq!(known.quantile(0.95), None);
+    (0..19).for_each(|_| known.record(30));
+    assert_eq!(known.quantile(0.95), None, "too few");
+    known.record(0);
+    assert_eq!(known.quantile(0.5).map(|ms| (28..=32).contains(&ms)), Some(true));
+    (0..400).for_each(|_| known.record(300));
+    assert!(known.quantile(0.05).unwrap() >= 280, "the quick ones are forgotten");
+    known.record(u64::MAX);
+    assert!(known.quantile(1.0).is_some());
+}
+
+/// Calls of one service, all ten times slower than before: second attempts stay few, far under the
+/// budget of repeats, and a silent call gets one in time for its objective while all is well.
+#[test]
+fn a_slow_service_is_no_storm_of_second_attempts() {
+    let bound = Bound {
+        ratio: 0.8,
+        slack: 0.0,
+        window_ms: 10_000,
+        instances: 1,
+        others_requests: 0,
+        others_repeats: 0,
+    };
+    let mut random = fastrand::Rng::with_seed(11);
+    let mut known = Latencies::default();
+    assert_eq!(hedge::after_ms(&known, 150), Some(150), "careful before enough is known");
+    assert_eq!(hedge::after_ms(&known, 0), None);
+    let mut budget = Budget::default();
+    let mut second = [0; 2];
+    for (phase, factor) in [1, 10].into_iter().enumerate() {
+        for call in 0..2_000 {
+            let now_ms = (phase * 2_000 + call) as u64 * 10;
+            budget.request(bound, now_ms);
+            let takes_ms = factor * random.u64(20..60);
+            let after_ms = hedge::after_ms(&known, 150).unwrap();
+            if takes_ms > after_ms && budget.repeat(bound, now_ms) {
+                second[phase] += 1;
+            }
+            known.record(takes_ms);
+        }
+        if phase == 0 {
+            let after_ms = hedge::after_ms(&known, 150).unwrap();
+            assert!((90..150).contains(&after_ms), "in time for the objective: {after_ms}");
+        }
+    }
+    assert!(second[0] < 20, "{second:?}");
+    assert!(second[1] < 300, "of 2,000, while the slowdown is learnt: {second:?}");
+}
+
+#[test]
+fn of_entries_with_one_address_the_youngest_counts() {
+    let all = [at("old", 80, 5), at("older", 80, 3), at("new", 80, 9), at("other", 81, 1)];
+    let passed: Vec<String> =
+        placement::passed(all.iter()).iter().map(ToString::to_string).collect();
+    assert_eq!(passed, ["old", "older"]);
+    let unknown = [at("a", 80, 0), at("b", 80, 0)];
+    assert!(placement::passed(unknown.iter()).is_empty(), "no evidence, no verdict");
+    assert!(placement::passed([].iter()).is_empty());
+}
+
+/// An engine that was found during an outage of the directory and crashed again stood for its next
+/// incarnation, which the directory had listed since: all streams sent to it were refused.
+#[test]
+fn what_was_found_yields_to_what_was_listed_later() {
+    let mut fleet = Fleet::default();
+    fleet.replace(5, vec![at("old", 80, 2)], &[], 0);
+    let mut found = Found::default();
+    found.add(Upstream { id: "found".into(), ..at("old", 80, 2) });
+    let names = |found: &Found, fleet: &Fleet| -> Vec<String> {
+        found.merge(&fleet.upstreams).keys().map(ToString::to_string).collect()
+    };
+    assert_eq!(names(&found, &fleet), ["found"]);
+    fleet.apply(9, vec![Change::Put(at("next", 80, 9))], 100);
+    assert_eq!(names(&found, &fleet), ["next", "old"]);
+    assert_eq!(placement::passed(fleet.upstreams.values()), [Arc::from("old")]);
+}
+
+#[test]
+fn another_birth_is_another_incarnation() {
+    let born = |born_ms| Upstream { born_ms, ..at("a", 80, 1) };
+    assert!(born(Some(7)).is_same_life(&born(Some(7))));
+    assert!(!born(Some(7)).is_same_life(&born(Some(8))));
+    assert!(born(None).is_same_life(&born(Some(8))), "not told");
+    assert!(!born(Some(7)).is_same_life(&at("a", 81, 1)));
+}
+
+#[test]
+fn a_foreign_entry_goes_at_once_and_the_others_hold() {
+    let mut fleet = Fleet::default();
+    fleet.replace(5, vec![at("a", 80, 1), at("b", 81, 1)], &[], 0);
+    fleet.regained(1_000);
+    fleet.apply(6, vec![Change::Foreign("a".into()), Change::Foreign("x".into())], 1_100);
+    let left: Vec<&str> = fleet.upstreams.keys().map(|id| &**id).collect();
+    assert_eq!(left, ["b"], "no time to come back, as for one that lapsed");
+    fleet.replace(7, vec![], &["b".into()], 1_200);
+    assert!(fleet.upstreams.is_empty());
+}
+
+/// What a server's entry must say to name one that can be used.
+#[parameterized(
+    usual = { r#"{"backend": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready"}"#, true },
+    born = { r#"{"backend": "s", "address": "10.0.0.1:80", "zone": "z", "state": "draining", "born": 1790000000000}"#, true },
+    no_address = { r#"{"backend": "s", "zone": "z", "state": "ready"}"#, false },
+    other_type = { r#"{"backend": ["s"], "address": "10.0.0.1:80", "zone": "z", "state": "ready"}"#, false },
+    other_state = { r#"{"backend": "s", "address": "10.0.0.1:80", "zone": "z", "state": "asleep"}"#, false },
+    born_in_words = { r#"{"backend": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready", "born": "today"}"#, false },
+    no_address_at_all = { r#"{"backend": "s", "address": "nowhere", "zone": "z", "state": "ready"}"#, false },
+    a_list = { "[1, 2]", false },
+    no_text = { "\u{1}\u{2}", false },
+    nothing = { "", false },
+)]
+fn an_entry_of_another_writer_names_no_upstream(value: &str, is_usable: bool) {
+    let record = document::decode("servers/a", value.as_bytes(), 4).expect("the key is known");
+    assert_eq!(format!("{record:?}").starts_with("Upstream("), is_usable, "{record:?}");
+}
+
+#[parameterized(
+    patient = { 25_000, 2_500, 3_126 },
+    quick = { 2_500, 800, 833 },
+    hasty = { 1_000, 333, 333 },
+    nothing_left = { 0, 0, 0 },
+)]
+fn callers_of_an_instance_that_starts_in_an_outage_come_back_in_time(
+    left_ms: u64,
+    least_ms: u64,
+    most_ms: u64,
+) {
+    let mut random = fastrand::Rng::with_seed(9);
+    for _ in 0..200 {
+        let after_ms = outages::starting_after_ms(left_ms, &mut random);
+        assert!((least_ms..=most_ms).contains(&after_ms), "{after_ms}");
+    }
+    assert!(outages::kept_ms(left_ms) * 8 <= left_ms, "a refusal comes early");
+}
+
+/// After an outage of the directory entries are back within two seconds, so a service of which an
+/// instance has not heard since its start is not expected to be away for five.
+#[test]
+fn a_service_that_was_never_seen_is_soon_listed() {
+    let service: Arc<str> = "plan".into();
+    let mut random = fastrand::Rng::with_seed(3);
+    let mut outages = Outages::default();
+    outages.note_down(&service, 1_000);
+    let after_ms = outages.retry_after_ms(&service, 25_000, 1_000, &mut random).unwrap();
+    assert!((2_300..=3_300).contains(&after_ms), "{after_ms}");
+    outages.note_alive(&service, 2_000);
+    outages.note_down(&service, 60_000);
+    let after_ms = outages.retry_after_ms(&service, 25_000, 60_000, &mut random).unwrap();
+    assert!((1_300..=6_300).contains(&after_ms), "{after_ms}");
+}
