A silent engine is left only where another attempt may follow

Cause (read, not seen in a play): a run whose last attempt or budget of repeats was used up, or that may not be resumed, was given up on a verdict of silence, although its engine lived; before, its caller waited. Change: verdicts of silence count only where the route allows another attempt and the budget a repeat; the log line names what the engine told.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -96,7 +96,8 @@
 }
 
 /// What an engine says of itself when it is asked; it is some hundred milliseconds old.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, derive_more::Display)]
+#[display("{waiting} waiting, {active} active, {} unstarted", self.unstarted())]
 pub struct EngineState {
     /// The models that it has.
     pub models: Vec<Arc<str>>,
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -17,7 +17,7 @@
 use super::super::headers;
 use super::super::metrics::Time;
 use super::super::policy::silence::{Silence, Verdict};
-use super::super::route::Repeat;
+use super::super::route::{Repeat, Route};
 use super::super::traffic::Life;
 use super::super::worker::{Lease, What, Worker};
 use super::copy::Growing;
@@ -133,7 +133,9 @@
                 () = caller_left(&mut self.head, &self.body) => return Err(Outcome::CallerLeft),
                 life = traffic.life(worker) => life,
             };
-            if let Some(outcome) = self.judge_silence(&mut silence, &life, asked_ms, worker) {
+            let sent = self.sent + 1;
+            let left = self.judge_silence(&mut silence, &life, asked_ms, worker, sent);
+            if let Some(outcome) = left {
                 traffic.note_first_event(&self.job, traffic.now_ms() - sent_ms);
                 self.note_arrival();
                 return Err(outcome);
@@ -153,19 +155,26 @@
 
     /// When the first event is overdue, if there may be another attempt.
     fn overdue_ms(&self) -> Option<u64> {
-        let can_go_on = self.job.route.repeat == Repeat::Resumable
-            && self.sent + 1 < self.job.route.max_attempts
-            && self.traffic.has_repeat(&self.job.service);
-        can_go_on.then(|| self.traffic.overdue_ms(&self.job, self.arrived))
+        self.can_leave(self.sent + 1).then(|| self.traffic.overdue_ms(&self.job, self.arrived))
     }
 
-    /// What an engine's answer to the question means for a run that is silent there.
+    /// Whether there may be another attempt after so many, so that leaving a silent engine gains
+    /// something: otherwise the caller waits for whatever comes.
+    fn can_leave(&self, sent: u32) -> bool {
+        let Route { repeat, max_attempts, .. } = *self.job.route;
+        let is_last = sent >= max_attempts;
+        repeat == Repeat::Resumable && !is_last && self.traffic.has_repeat(&self.job.service)
+    }
+
+    /// What an engine's answer to the question means for a run that is silent there, with `sent`
+    /// attempts including this one.
     pub(super) fn judge_silence(
         &self,
         silence: &mut Silence,
         life: &Life,
         asked_ms: u64,
         worker: &Worker,
+        sent: u32,
     ) -> Option<Outcome> {
         if matches!(life, Life::Lost) {
             return Some(lost("silent, and its state can't be read", true));
@@ -174,10 +183,10 @@
         let verdict = silence.see(sighting, asked_ms);
         slog::info!(self.traffic.log, "silent run asked about"; "request" => self.job.id(),
             "upstream" => &*worker.upstream.id, "sighting" => ?sighting, "verdict" => ?verdict,
-            "told" => match life { Life::Lives(state) => format!("q{} a{} r{} t{}", state.waiting, state.active, state.runs.as_ref().map_or(0, Vec::len), state.tokens), Life::Lost => String::new() }, "reading" => self.traffic.reading_at(worker), "after" => self.last_event, "quiet_ms" => asked_ms - self.last_event_ms);
+            "told" => life.to_string(), "reading" => self.traffic.reading_at(worker), "after" => self.last_event, "quiet_ms" => asked_ms - self.last_event_ms);
         match verdict {
             Verdict::Wait => None,
-            Verdict::Leave(_) if !Mechanism::Silence.is_on() => None,
+            Verdict::Leave(_) if !Mechanism::Silence.is_on() || !self.can_leave(sent) => None,
             Verdict::Leave(why) => Some(lost(why.to_string(), false)),
         }
     }
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -126,7 +126,7 @@
             () = caller_left(&mut self.head, &self.body) => return Quiet::Leave(Outcome::CallerLeft),
             life = traffic.life(worker) => life,
         };
-        if let Some(outcome) = self.judge_silence(silence, &life, asked_ms, worker) {
+        if let Some(outcome) = self.judge_silence(silence, &life, asked_ms, worker, self.sent) {
             return Quiet::Leave(outcome);
         }
         let can_move = self.copy.is_some() && self.stuck_moves < MOST_STUCK_MOVES;
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -29,11 +29,13 @@
 const STATE_TRIES: u32 = 2;
 
 /// What an engine was found to be when it was asked.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, derive_more::Display)]
 pub enum Life {
     /// It is gone or silent.
+    #[display("lost")]
     Lost,
     /// It lives, and this is what it told; nothing if only its events came.
+    #[display("{_0}")]
     Lives(Arc<EngineState>),
 }
 
