--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -142,11 +142,10 @@
 
     /// Notes how long the first event of a prompt took to come, or was waited for in vain.
     pub fn note_first_event(&self, job: &Job, waited_ms: u64) {
-        let tokens = job.demand.prompt_tokens;
-        if tokens > 0 {
-            let mut known = self.first_events.borrow_mut();
-            known.entry(Arc::clone(&job.service)).or_default().record(waited_ms * 1_000 / tokens);
-        }
+        let waited_us = waited_ms * 1_000;
+        let Some(us_per_token) = waited_us.checked_div(job.demand.prompt_tokens) else { return };
+        let mut known = self.first_events.borrow_mut();
+        known.entry(Arc::clone(&job.service)).or_default().record(us_per_token);
     }
 
     /// After which time the first event of a prompt is overdue, after so many attempts.
