--- a/tests/gateway/silence.rs
+++ b/tests/gateway/silence.rs
@@ -9,13 +9,7 @@
 use siskinrock_fakes::service;
 use siskinrock_fakes::site::{Site, server_entry};
 
-use crate::support::{self, Running, call, plan, whole_text};
-
-async fn working_engine(running: &Running) -> usize {
-    let engines = &running.site.engines;
-    wait_for("an engine works", async || engines.iter().any(|engine| engine.working() > 0)).await;
-    engines.iter().position(|engine| engine.working() > 0).unwrap()
-}
+use crate::support::{self, call, plan, whole_text, working_engine};
 
 /// Streams were sent once and heard nothing until their callers left 18 s later, while their
 /// engine answered every question whether it lives.
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -8,14 +8,7 @@
 use siskinrock_fakes::site::{Site, server_entry};
 use yare::parameterized;
 
-use crate::support::{self, Running, plan, whole_text};
-
-/// The index of the engine that works on something.
-async fn working_engine(running: &Running) -> usize {
-    let engines = &running.site.engines;
-    wait_for("an engine works", async || engines.iter().any(|engine| engine.working() > 0)).await;
-    engines.iter().position(|engine| engine.working() > 0).unwrap()
-}
+use crate::support::{self, Running, plan, whole_text, working_engine};
 
 #[tokio::test]
 async fn a_stream_passes_whole() {
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -124,3 +124,10 @@
     let part = call.part.as_deref().unwrap_or_default();
     (after + 1..=EVENTS).map(|id| event(part, id)).collect()
 }
+
+/// The index of the engine that works on something.
+pub async fn working_engine(running: &Running) -> usize {
+    let engines = &running.site.engines;
+    wait_for("an engine works", async || engines.iter().any(|engine| engine.working() > 0)).await;
+    engines.iter().position(|engine| engine.working() > 0).unwrap()
+}
