Two attempts at a look-up: 'not run' is said only if both have not run

Found on reading the change again: when the silent first attempt was refused late and the second one had broken off or answered an error, the first one's 'not run' (503) was told although the second may have run. Test first: silence::a_look_up_of_which_one_attempt_may_have_run_is_not_told_that_it_has_not, red on the code before, green now.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -48,6 +48,17 @@
     fn is_good(&self) -> bool {
         matches!(self, Outcome::Answered(whole) if whole.status < 500)
     }
+
+    /// Which of two attempts speaks for their request: a good answer, then any, then one that may
+    /// have run, since "not run" must hold for both.
+    fn weight(&self) -> u8 {
+        match self {
+            Outcome::Answered(_) if self.is_good() => 3,
+            Outcome::Answered(_) => 2,
+            Outcome::Unknown { .. } | Outcome::TimeOver => 1,
+            Outcome::NotRun { .. } | Outcome::Replaced | Outcome::OverBudget => 0,
+        }
+    }
 }
 
 /// A whole answer of an upstream.
@@ -180,21 +191,24 @@
         "after_ms" => after_ms, "objective_ms" => job.route.target_latency_ms);
     traffic.metrics.count("calls_hedged");
     let mut second = std::pin::pin!(attempt(traffic, job, &other, false));
-    tokio::select! {
+    let (first, second) = tokio::select! {
         outcome = first.as_mut() => {
             if outcome.is_good() {
                 return (Rc::clone(worker), outcome, 1);
             }
-            let better = second.await;
-            if better.is_good() { (Rc::clone(&other), better, 1) } else { (Rc::clone(worker), outcome, 1) }
+            (outcome, second.await)
         }
         outcome = second.as_mut() => {
             if outcome.is_good() {
                 return (Rc::clone(&other), outcome, 1);
             }
-            let outcome = first.await;
-            (Rc::clone(worker), outcome, 1)
+            (first.await, outcome)
         }
+    };
+    if second.weight() > first.weight() {
+        (Rc::clone(&other), second, 1)
+    } else {
+        (Rc::clone(worker), first, 1)
     }
 }
 
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -22,7 +22,7 @@
 use super::traffic::Traffic;
 
 /// The least buffer that hyper accepts for a head.
-const LEAST_BUFFER_BYTES: usize = 8 << 10;
+pub(super) const LEAST_BUFFER_BYTES: usize = 8 << 10;
 /// The pause after a failed accept: connections that end meanwhile free descriptors.
 const ACCEPT_AGAIN_MS: u64 = 20;
 /// How often a connection that has to close looks whether its request has come or ended; 300
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -107,8 +107,6 @@
     pub waiting: u64,
     /// Requests that it works on: those that run, and those whose prompts it reads.
     pub active: u64,
-    /// Tokens in its memory that can't yield.
-    pub tokens: u64,
     /// What runs there, if it tells.
     pub runs: Option<Vec<RunState>>,
 }
--- a/src/gateway/questions.rs
+++ b/src/gateway/questions.rs
@@ -12,9 +12,7 @@
 use tokio::net::TcpListener;
 
 use super::answer::Answer;
-
-/// The least buffer that hyper accepts for a head.
-const LEAST_BUFFER_BYTES: usize = 8 << 10;
+use super::connection;
 
 /// Serves small questions on a listener of their own, each answered by `reply`.
 pub async fn serve<F, R>(listener: TcpListener, reply: F)
@@ -36,7 +34,7 @@
             });
             // A broken connection concerns its asker only.
             let _ = http1::Builder::new()
-                .max_buf_size(LEAST_BUFFER_BYTES)
+                .max_buf_size(connection::LEAST_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -183,7 +183,8 @@
         let verdict = silence.see(sighting, asked_ms);
         slog::info!(self.traffic.log, "silent run asked about"; "request" => self.job.id(),
             "upstream" => &*worker.upstream.id, "sighting" => ?sighting, "verdict" => ?verdict,
-            "told" => life.to_string(), "reading" => self.traffic.reading_at(worker), "after" => self.last_event, "quiet_ms" => asked_ms - self.last_event_ms);
+            "told" => %life, "reading" => self.traffic.reading_at(worker),
+            "after" => self.last_event, "quiet_ms" => asked_ms - self.last_event_ms);
         match verdict {
             Verdict::Wait => None,
             Verdict::Leave(_) if !Mechanism::Silence.is_on() || !self.can_leave(sent) => None,
--- a/tests/fakes/src/service.rs
+++ b/tests/fakes/src/service.rs
@@ -21,6 +21,8 @@
     Truncated,
     /// It refuses without running.
     Full,
+    /// It refuses without running, after the time that a call takes.
+    LateFull,
     /// It runs the call and answers 500.
     Error,
     /// It runs the call and doesn't answer.
@@ -118,7 +120,8 @@
                 Some(expected) if expected != self.id => Some(421),
                 _ => (fault == Fault::Full).then_some(503),
             };
-            self.note(&request, refused.is_none());
+            let is_late = fault == Fault::LateFull;
+            self.note(&request, refused.is_none() && !is_late);
             if let Some(status) = refused {
                 let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
                 if connection.answer(status, &headers, b"").await.is_err() {
@@ -129,6 +132,10 @@
             let work_ms = self.lock().work_ms;
             tokio::time::sleep(Duration::from_millis(work_ms)).await;
             let answered = match fault {
+                Fault::LateFull => {
+                    let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
+                    connection.answer(503, &headers, b"").await
+                }
                 Fault::LostAnswer => return connection.reset(),
                 Fault::Mute => return std::future::pending().await,
                 fault => self.reply(&mut connection, &id, fault).await,
--- a/tests/gateway/silence.rs
+++ b/tests/gateway/silence.rs
@@ -93,6 +93,23 @@
     }
 }
 
+/// Of two attempts one was refused late and the other one broke off: "not run" must hold for both.
+#[tokio::test]
+async fn a_look_up_of_which_one_attempt_may_have_run_is_not_told_that_it_has_not() {
+    let running = support::start(1).await;
+    let (late, others) = running.site.services.split_first().unwrap();
+    late.fail(service::Fault::LateFull);
+    late.work_for(400);
+    others.iter().for_each(|service| service.fail(service::Fault::LostAnswer));
+    for _ in 0..20 {
+        let sent = call("GET", "/look/seat");
+        let answer = caller::send(running.front(0), &sent).await.unwrap();
+        let has_run = running.runs_of(&sent.id) > 0;
+        assert!(!has_run || answer.status() != 503, "told that it has not run");
+    }
+    assert!(running.gateways[0].logged().contains("sent to a second upstream"));
+}
+
 /// A silent call that may not be repeated is sent once, and its caller hears at the route's bound
 /// that the outcome is unknown.
 #[tokio::test]
