Tests: a port that is given out stays free while other processes are started

A process that another test thread starts in that moment holds the listener until its program runs, so the router that gets the port can't bind it and ends. Ruled out: ports given out twice (a counter), ephemeral ports (the range lies below them). Change: the port is tried out with a bound socket that never listens, which keeps nobody out; tests/native.rs takes its ports there too. A router that ends during a start fails its test at once, with its last lines.

--- a/standin/src/host.rs
+++ b/standin/src/host.rs
@@ -6,6 +6,7 @@
 use std::thread;
 
 use salvo::prelude::*;
+use socket2::{Domain, Socket, Type};
 
 use crate::fault::{Faults, Gate, Order};
 
@@ -106,9 +107,23 @@
     for _ in 0..COUNT {
         let number = begin.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % COUNT;
         let port = FIRST + number;
-        if std::net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
+        if is_free(port) {
             return port;
         }
     }
     panic!("no port is free");
 }
+
+/// Whether nothing listens on a port.
+///
+/// The socket is bound and never listens: a process that another thread is starting holds it until
+/// its program runs, and only a listener would keep the port from whoever it is given to. With a
+/// listener, one port in a few hundred could not be used beside six threads that start processes.
+fn is_free(port: u16) -> bool {
+    let bind = || {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], port)).into())
+    };
+    bind().is_ok()
+}
--- a/tests/native.rs
+++ b/tests/native.rs
@@ -1,12 +1,13 @@
 //! A gateway by its own flags, configuration file and wire, as a process.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::{Arc, Mutex};
 
 use siskinrock_fakes::http::{self, Connection, Message};
 use siskinrock_fakes::process::wait_for;
+use siskinrock_standin::host;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -68,9 +69,8 @@
     folder
 }
 
-/// An address that was free a moment ago.
 fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    SocketAddr::from(([127, 0, 0, 1], host::free_port()))
 }
 
 fn command(arguments: &[&str]) -> Command {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,7 +1,8 @@
 //! Real processes of the binary before stand-ins that run in the test itself.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use std::process::{Child, Command, Output, Stdio};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,10 +20,13 @@
 
 /// A condition that doesn't come true within this time fails its test.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// Lines of a router's log that a failed start shows.
+const SHOWN_LINES: usize = 20;
 
 pub struct RouterProcess {
     pub id: String,
     pub addr: String,
+    log: PathBuf,
     child: Child,
 }
 
@@ -57,10 +61,31 @@
     }
 }
 
+impl RouterProcess {
+    /// Fails the test, with what it logged last, if the process has ended.
+    fn assert_runs(&mut self) {
+        if let Ok(Some(status)) = self.child.try_wait() {
+            panic!(
+                "{} at {} ended with {status}; its last lines:\n{}",
+                self.id,
+                self.addr,
+                self.last_lines()
+            );
+        }
+    }
+
+    fn last_lines(&self) -> String {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<_> = log.lines().collect();
+        lines[lines.len().saturating_sub(SHOWN_LINES)..].join("\n")
+    }
+}
+
 impl Drop for RouterProcess {
     fn drop(&mut self) {
         self.go_on();
         self.kill();
+        let _ = std::fs::remove_file(&self.log);
     }
 }
 
@@ -111,11 +136,9 @@
         let id = format!("{domain}-{}", number / DOMAINS.len());
         let addr = format!("127.0.0.1:{}", host::free_port());
         let seeds: Vec<_> = self.routers.iter().map(|router| router.addr.as_str()).collect();
-        let log = std::env::var("SISKINROCK_TEST_LOG");
-        let stderr = match &log {
-            Ok(folder) => std::fs::File::create(format!("{folder}/{id}.log")).map(Stdio::from),
-            Err(_) => Ok(Stdio::null()),
-        };
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let log = folder.join(format!("{id}-{}.log", addr.replace(':', "-")));
+        let stderr = std::fs::File::create(&log).expect("the log file can be made");
         let child = Command::new(env!("CARGO_BIN_EXE_siskinrock"))
             .args(["router", "--id", &id, "--domain", domain, "--listen", &addr])
             .args(["--store", &format!("http://{}", self.platform.addr)])
@@ -123,10 +146,10 @@
             .args(["--tick-ms", "200", "--keep-ms", "500", "--log", "debug"])
             .args(["--horizon-ms", &horizon_ms.to_string()])
             .args(["--seeds", &seeds.join(",")])
-            .stderr(stderr.expect("the log file can be made"))
+            .stderr(stderr)
             .spawn()
             .expect("the binary starts");
-        self.routers.push(RouterProcess { id, addr, child });
+        self.routers.push(RouterProcess { id, addr, log, child });
     }
 
     fn configure(&self) {
@@ -167,9 +190,10 @@
         text
     }
 
-    pub async fn wait_ready(&self, routers: usize) {
+    pub async fn wait_ready(&mut self, routers: usize) {
         let start = Instant::now();
         loop {
+            self.routers.iter_mut().for_each(RouterProcess::assert_runs);
             let shown = self.ctl("show routers");
             let shown = String::from_utf8_lossy(&shown.stdout).into_owned();
             if shown.matches(" ready").count() == routers {
