An engine that resets the question's connections is not lost

The question failed at once, no event had come within 130 ms, so the engine counted as lost, all its runs left, and those without a repeat were cut, with the engine at work on them. Ruled out: the planned stop (its end was 2.4 s away), the engine's own end. Change: a reset of the question says nothing; it is asked once more on a new connection, and then the run waits as for an engine that tells nothing. Nothing listening, no connection and no answer in time are losses as before. Test: a_stream_stays_at_an_engine_that_resets_the_question, red before (two engines ran it).

--- a/src/gateway/stream/copy.rs
+++ b/src/gateway/stream/copy.rs
@@ -49,7 +49,7 @@
     let (path, body) = traffic.dialect.copy_call(&id, target.upstream.addr);
     let limit = Duration::from_millis(COPY_TIMEOUT_MS);
     let asked = traffic.ask(&source, Method::POST, path, body);
-    let answered = tokio::time::timeout(limit, asked).await.ok().flatten();
+    let answered = tokio::time::timeout(limit, asked).await.ok().and_then(Result::ok);
     let status = answered.as_ref().map(|(status, _)| *status);
     let name = answered.filter(|(status, _)| *status == 200);
     let name = name.and_then(|(_, body)| traffic.dialect.copy_name(&body));
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -19,6 +19,7 @@
 use self::places::Place;
 use super::ablation::Mechanism;
 use super::answer::{self, Answer};
+use super::channel::Fault;
 use super::dialect::Dialect;
 use super::failure::Failure;
 use super::fleet::Fleet;
@@ -293,28 +294,34 @@
         }
     }
 
-    /// Makes a call of this system's own to an engine; its status and body, if it answers.
+    /// Makes a call of this system's own to an engine; its status and body.
+    ///
+    /// # Errors
+    ///
+    /// Any, if no whole answer came.
     pub async fn ask(
         &self,
         worker: &Rc<Worker>,
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Option<(u16, Bytes)> {
+    ) -> Result<(u16, Bytes), Fault> {
+        let broken = |detail: String| Fault::Broken { detail };
         let most = self.channel_share(&worker.upstream.service);
-        let mut lease = worker.lease(most, self.now_ms()).await.ok()?;
+        let mut lease = worker.lease(most, self.now_ms()).await?;
         let request = Request::builder()
             .method(method)
             .uri(path)
             .header(HOST, worker.upstream.addr.to_string())
             .body(Full::new(body))
-            .ok()?;
-        let response = lease.channel.send(request).await.ok()?;
+            .map_err(|error| Fault::NotSent { detail: error.to_string() })?;
+        let response = lease.channel.send(request).await?;
         let status = response.status().as_u16();
         let keep_ms = self.dialect.marks(response.headers()).keep_ms;
-        let body = response.into_body().collect().await.ok()?.to_bytes();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|error| broken(error.to_string()))?.to_bytes();
         worker.give_back(lease, keep_ms, self.now_ms());
-        Some((status, body))
+        Ok((status, body))
     }
 
     /// Has peers hear at once what runs here and what was lost.
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 
 use super::super::ablation::Mechanism;
-use super::super::channel;
+use super::super::channel::{self, Fault};
 use super::super::dialect::EngineState;
 use super::super::fleet::Upstream;
 use super::super::policy::losses::{Loss, Subject};
@@ -37,6 +37,10 @@
     /// It lives, and this is what it told; nothing if only its events came.
     #[display("{_0}")]
     Lives(Arc<EngineState>),
+    /// It resets the question's connections, as a full one does with those beyond its bound: that
+    /// says nothing of its runs, which break by themselves if it is gone.
+    #[display("connections are reset")]
+    Unasked,
 }
 
 impl Life {
@@ -88,6 +92,7 @@
             match &life {
                 Life::Lives(state) => traffic.note_life(&worker, state),
                 Life::Lost => traffic.lost(&worker, "its state can't be read"),
+                Life::Unasked => {}
             }
             tell.send_replace(Some(life));
         });
@@ -108,32 +113,38 @@
     /// connection left to ask over; the runs there must not leave it for that.
     async fn shows_life(&self, worker: &Rc<Worker>) -> Life {
         match self.told_state(worker).await {
-            Some(state) => Life::Lives(Arc::new(state)),
-            None if worker.is_heard(STATE_TIMEOUT_MS, self.now_ms()) => Life::Lives(Arc::default()),
-            None => Life::Lost,
+            Life::Lost if worker.is_heard(STATE_TIMEOUT_MS, self.now_ms()) => {
+                Life::Lives(Arc::default())
+            }
+            life => life,
         }
     }
 
-    /// An engine's state, if it tells it in time; asked again if this process itself was late.
-    async fn told_state(&self, worker: &Rc<Worker>) -> Option<EngineState> {
+    /// What an engine tells of its state; asked again if this process itself was late, or if the
+    /// connection was reset, which a kept one may be by its age.
+    async fn told_state(&self, worker: &Rc<Worker>) -> Life {
         let limit = Duration::from_millis(STATE_TIMEOUT_MS);
+        let mut told = Life::Lost;
         for _ in 0..STATE_TRIES {
             let asked_ms = self.now_ms();
-            if let Ok(answered) = tokio::time::timeout(limit, self.ask_state(worker)).await {
-                return answered;
-            }
-            if self.now_ms() <= asked_ms + STATE_TIMEOUT_MS + OWN_LAG_MS {
-                return None;
+            match tokio::time::timeout(limit, self.ask_state(worker)).await {
+                Ok(Ok(state)) => return Life::Lives(Arc::new(state)),
+                Ok(Err(Fault::Refused | Fault::Unreachable { .. })) => return Life::Lost,
+                Ok(Err(_)) => told = Life::Unasked,
+                Err(_) if self.now_ms() <= asked_ms + STATE_TIMEOUT_MS + OWN_LAG_MS => {
+                    return Life::Lost;
+                }
+                Err(_) => {}
             }
         }
-        None
+        told
     }
 
     /// Any answer is a sign of life; one that is no state tells nothing.
-    async fn ask_state(&self, worker: &Rc<Worker>) -> Option<EngineState> {
+    async fn ask_state(&self, worker: &Rc<Worker>) -> Result<EngineState, Fault> {
         let path = self.dialect.state_path();
         let (_, body) = self.ask(worker, Method::GET, path, Bytes::new()).await?;
-        Some(self.dialect.engine_state(&body).unwrap_or_default())
+        Ok(self.dialect.engine_state(&body).unwrap_or_default())
     }
 
     /// Notes that an upstream is gone or silent, and tells peers at once.
--- a/src/gateway/traffic/places.rs
+++ b/src/gateway/traffic/places.rs
@@ -82,7 +82,8 @@
                 async move {
                     let asked = traffic.ask(&worker, Method::GET, path, Bytes::new());
                     let limit = Duration::from_millis(recall::WAIT_MS);
-                    let answered = tokio::time::timeout(limit, asked).await.ok().flatten();
+                    let answered =
+                        tokio::time::timeout(limit, asked).await.ok().and_then(Result::ok);
                     (worker, answered)
                 }
             })
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -22,6 +22,8 @@
     Stuck,
     /// It makes events, and doesn't answer its state.
     Mute,
+    /// It makes events, and resets every connection that asks for its state, as one beyond its bound.
+    Crowded,
     /// It closes every channel in the middle of an event.
     Torn,
     /// It refuses everything as full.
@@ -194,6 +196,7 @@
             let served = match (fault, request.path()) {
                 (Fault::Dark, _) => return std::future::pending().await,
                 (Fault::Mute, "/siskinrock/report") => return std::future::pending().await,
+                (Fault::Crowded, "/siskinrock/report") => return connection.reset(),
                 (_, "/siskinrock/report") => {
                     let body = self.report();
                     connection.answer(200, &[], body.to_string().as_bytes()).await
--- a/tests/gateway/silence.rs
+++ b/tests/gateway/silence.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use siskinrock_fakes::caller;
-use siskinrock_fakes::engine::Fault;
+use siskinrock_fakes::engine::{EngineFake, Fault};
 use siskinrock_fakes::process::wait_for;
 use siskinrock_fakes::service;
 use siskinrock_fakes::site::{Site, server_entry};
@@ -96,7 +96,8 @@
     let engines = &running.site.engines;
     wait_for("all are worked on", async || {
         let working: usize = engines.iter().map(|engine| engine.working()).sum();
-        working == STREAMS && engines.iter().all(|engine| engine.made() >= 3)
+        let has_begun = |engine: &EngineFake| engine.working() == 0 || engine.made() >= 3;
+        working == STREAMS && engines.iter().all(has_begun)
     })
     .await;
     engines.iter().for_each(|engine| engine.fail(Fault::Stuck));
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -256,6 +256,22 @@
     );
 }
 
+/// A full engine resets connections beyond its bound. Its runs were taken for lost between two events,
+/// and cut where no repeat was left.
+#[tokio::test]
+async fn a_stream_stays_at_an_engine_that_resets_the_question() {
+    let running = support::start_site(Site::start(2, 300).await, 1).await;
+    let sent = plan();
+    let reading = running.read_stream(&sent);
+    let first = working_engine(&running).await;
+    running.site.engines[first].fail(Fault::Crowded);
+    let stream = reading.await.unwrap().unwrap();
+    assert!(stream.is_complete);
+    assert_eq!(stream.text, whole_text(&sent, 0));
+    assert_eq!(running.runs_of(&sent.id), 1);
+    assert!(running.gateways[0].logged().contains("connections are reset"));
+}
+
 impl Running {
     /// How often the log says that a request was sent.
     pub fn logged_sent(&self, id: &str) -> usize {
