--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod fit;
 mod fleet;
 mod forwarder;
+mod lab;
 mod path;
 mod plot;
 mod relay;
@@ -25,10 +26,16 @@
   slopes   what control and copying cost as routers, upstreams, organisations, changes and
            streams are added; writes the points as JSON, and a plot as SVG;
            --only routers|upstreams|organisations|changes|streams measures one series
+  lab      FILE [--seeds N] [--ablate] [--json]: the gateway's decisions in a model of a fleet,
+           in virtual time; without a binary or a network (docs/LAB.md, experiments/)
 ";
 
 fn main() -> ExitCode {
     let mut arguments = pico_args::Arguments::from_env();
+    if std::env::args().nth(1).as_deref() == Some("lab") {
+        let _ = arguments.subcommand();
+        return lab::run(arguments);
+    }
     let json = arguments.opt_value_from_str::<_, String>("--json").ok().flatten();
     let svg = arguments.opt_value_from_str::<_, String>("--svg").ok().flatten();
     let only = arguments.opt_value_from_str::<_, String>("--only").ok().flatten();
