--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -86,7 +86,7 @@
 
 /// Waits a moment for a configuration, if this instance has none yet.
 async fn wait_for_configuration(traffic: &Traffic, demand: &Demand) {
-    if !Mechanism::KeptAtStart.is_on() {
+    if *traffic.shared.is_configured.borrow() || !Mechanism::KeptAtStart.is_on() {
         return;
     }
     let kept_ms = outages::kept_ms(demand.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS));
--- a/tests/gateway/lost_instances.rs
+++ b/tests/gateway/lost_instances.rs
@@ -5,7 +5,7 @@
 use siskinrock_fakes::process::wait_for;
 use tokio::net::TcpStream;
 
-use crate::support::{self, Running, call, plan, whole_text};
+use crate::support::{self, Running, call, plan, whole_text, working_engine};
 
 #[tokio::test]
 async fn a_killed_instance_leaves_the_addresses_and_comes_back() {
@@ -66,9 +66,7 @@
 async fn lose_all_mid_stream(running: &mut Running) -> (caller::Call, usize) {
     let sent = plan();
     let reading = running.read_stream(&sent);
-    let engines = running.site.engines.clone();
-    wait_for("an engine works", async || engines.iter().any(|engine| engine.working() > 0)).await;
-    let first = engines.iter().position(|engine| engine.working() > 0).unwrap();
+    let first = working_engine(running).await;
     running.wait_for_events(first).await;
     running.gateways.iter_mut().for_each(siskinrock_fakes::process::Process::kill);
     let _ = reading.await.unwrap();
