Sight: which requests are the same, how far a lost run had come, and whether its engine's process ended

Cause: in the incident, engines end one after the other under single requests. The logs could not tell whether requests with different ids are one that comes again (or one retry without end), nor whether an engine's process ended or only a connection. Change: a fingerprint of method, host, path, organisation and body in 'engine lost' and 'outcome unknown'; 'answering_ms' beside it; 'upstream broke off' with 'has_ended', from one connection per upstream that broke off. Three ways to lose an engine have names (Loss). No decision changes.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -145,7 +145,8 @@
                 arrived += 1;
                 sent += 1;
                 slog::warn!(traffic.log, "outcome unknown"; "request" => job.id(),
-                    "upstream" => &*worker.upstream.id, "detail" => detail);
+                    "upstream" => &*worker.upstream.id, "detail" => detail,
+                    "fingerprint" => %job.fingerprint());
                 may_have_run = true;
                 let may_repeat = job.route.repeat == Repeat::Idempotent;
                 if !may_repeat || sent >= job.route.max_attempts {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -7,6 +7,7 @@
 use hyper::{HeaderMap, Method, Request};
 
 use super::dialect::{Demand, Dialect, Dispatch};
+use super::fingerprint::Fingerprint;
 use super::metrics::{Metrics, Time};
 use super::route::Route;
 
@@ -43,6 +44,12 @@
         self.demand.id.as_deref().unwrap_or("-")
     }
 
+    /// What it is, whatever its id.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let Job { method, route, target, organisation, body, .. } = self;
+        Fingerprint::of(method, &route.host, target, organisation.as_ref(), body)
+    }
+
     /// How much time an upstream has from now on.
     pub fn left_ms(&self, now_ms: u64) -> u64 {
         self.until_ms.saturating_sub(now_ms).max(1)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod directory;
 pub mod events;
 pub mod failure;
+pub mod fingerprint;
 pub mod fleet;
 pub mod front;
 pub mod headers;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -65,8 +65,8 @@
     CallerLeft,
     /// It certainly did not run there.
     NotRun { why: Refused },
-    /// The engine broke off, or fell silent.
-    Lost { why: String, engine_gone: bool },
+    /// It goes on elsewhere, if it may.
+    Lost { why: String, loss: Loss },
     /// Another engine has taken the run.
     Moved(Box<Opened>),
     /// The time is over.
@@ -75,6 +75,24 @@
     OverBudget,
 }
 
+/// What became of the engine that a run was lost at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Loss {
+    /// It ended the connection without an end of the answer, as a process that ends does.
+    BrokeOff,
+    /// It is silent.
+    Silent,
+    /// It lives, and the run is left or can't be used.
+    Left,
+}
+
+impl Loss {
+    /// Whether the engine is gone.
+    fn is_engine_gone(self) -> bool {
+        self != Loss::Left
+    }
+}
+
 /// Why an engine certainly did not run a request.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
 enum Refused {
@@ -99,6 +117,8 @@
     first_ms: Option<u64>,
     longest_gap_ms: u64,
     lost_ms: Option<u64>,
+    /// When the head of the present engine's answer came, with which the run begins there.
+    answers_since_ms: Option<u64>,
     may_have_run: bool,
     /// Attempts that count against the route's bound.
     sent: u32,
@@ -129,6 +149,7 @@
             first_ms: None,
             longest_gap_ms: 0,
             lost_ms: None,
+            answers_since_ms: None,
             may_have_run: false,
             sent: 0,
             arrived: 0,
@@ -245,12 +266,17 @@
                 self.copy = None;
                 return self.goes_on_unrun(&why).await;
             }
-            Outcome::Lost { why, engine_gone } => {
+            Outcome::Lost { why, loss } => {
                 slog::warn!(self.traffic.log, "engine lost"; "request" => self.job.id(),
                     "upstream" => &**id, "domain" => &*worker.upstream.domain, "why" => why,
-                    "last_event" => self.last_event, "quiet_ms" => now_ms - self.last_event_ms);
+                    "last_event" => self.last_event, "quiet_ms" => now_ms - self.last_event_ms,
+                    "answering_ms" => self.answers_since_ms.map(|since_ms| now_ms - since_ms),
+                    "fingerprint" => %self.job.fingerprint());
                 self.may_have_run = true;
-                if engine_gone {
+                if loss == Loss::BrokeOff {
+                    self.traffic.check_ending(worker);
+                }
+                if loss.is_engine_gone() {
                     self.lost_domains.push((Arc::clone(&worker.upstream.domain), now_ms));
                     // What ended by itself doesn't count among the attempts.
                     self.sent = self.sent.saturating_sub(1).max(1);
@@ -387,8 +413,8 @@
     }
 }
 
-fn lost(why: impl Into<String>, engine_gone: bool) -> Outcome {
-    Outcome::Lost { why: why.into(), engine_gone }
+fn lost(why: impl Into<String>, loss: Loss) -> Outcome {
+    Outcome::Lost { why: why.into(), loss }
 }
 
 /// Ends when the caller has closed its connection.
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -21,7 +21,7 @@
 use super::super::traffic::Life;
 use super::super::worker::{Count, Lease, What, Worker};
 use super::copy::Growing;
-use super::{Outcome, Refused, Run, caller_left, lost, until};
+use super::{Loss, Outcome, Refused, Run, caller_left, lost, until};
 
 /// Events that may wait for a slow caller before its engine is slowed.
 const WAITING_EVENTS: usize = 16;
@@ -59,6 +59,7 @@
         from: Option<Copy>,
     ) -> Result<Opened, Outcome> {
         let traffic = Rc::clone(&self.traffic);
+        self.answers_since_ms = None;
         let mut silences = worker.silences.subscribe();
         silences.mark_unchanged();
         let most = traffic.channel_share(&self.job.service);
@@ -119,6 +120,7 @@
         if is_read {
             traffic.note_first_event(&self.job, traffic.now_ms() - sent_ms);
         }
+        self.answers_since_ms = Some(traffic.now_ms());
         self.note_copy(copy);
         let body = self.open_body(response);
         let worker = Rc::clone(worker);
@@ -152,7 +154,7 @@
                         continue;
                     }
                     self.note_arrival();
-                    return Err(lost("silent before its answer", true));
+                    return Err(lost("silent before its answer", Loss::Silent));
                 }
                 () = until(&traffic, wake_ms) => {}
             }
@@ -183,7 +185,7 @@
                 self.note_arrival();
                 worker.broke(traffic.now_ms());
                 worker.ended(true, traffic.now_ms());
-                Err(lost(detail, true))
+                Err(lost(detail, Loss::BrokeOff))
             }
             Err(fault) => Err(Outcome::NotRun { why: Refused::NotSent(fault.to_string()) }),
         }
@@ -226,7 +228,7 @@
         sent: u32,
     ) -> Option<Outcome> {
         if matches!(life, Life::Lost) {
-            return Some(lost("silent, and its state can't be read", true));
+            return Some(lost("silent, and its state can't be read", Loss::Silent));
         }
         let sighting = life.sighting(self.job.id());
         let verdict = silence.see(sighting, asked_ms);
@@ -237,7 +239,7 @@
         match verdict {
             Verdict::Wait => None,
             Verdict::Leave(why) if Mechanism::Silence.is_on() && self.leaves(sent) => {
-                Some(lost(why.to_string(), false))
+                Some(lost(why.to_string(), Loss::Left))
             }
             Verdict::Leave(_) => None,
         }
@@ -280,7 +282,7 @@
         let now_ms = self.traffic.now_ms();
         if marks.id.is_some() && marks.id != self.job.demand.id {
             self.traffic.metrics.count("answers_of_other_requests");
-            return Some(lost("the answer belongs to another request", false));
+            return Some(lost("the answer belongs to another request", Loss::Left));
         }
         if response.status().as_u16() == 421 {
             self.traffic.replaced(worker);
@@ -300,7 +302,7 @@
             return Some(Outcome::NotRun { why: Refused::Status(status) });
         }
         if status == 200 && !marks.is_signed {
-            return Some(lost("the answer is not signed", false));
+            return Some(lost("the answer is not signed", Loss::Left));
         }
         None
     }
@@ -318,12 +320,12 @@
         let can_repeat = status >= 500 && self.job.route.repeat == Repeat::Resumable;
         let is_last = self.sent >= self.job.route.max_attempts;
         if self.body.is_some() || (can_repeat && !is_last) || matches!(status, 408 | 429 | 503) {
-            return lost(format!("status {status}"), false);
+            return lost(format!("status {status}"), Loss::Left);
         }
         self.copy = None;
         let headers = headers::end_to_end(response.headers().clone());
         let Ok(body) = response.into_body().collect().await else {
-            return lost(format!("status {status} with a broken body"), false);
+            return lost(format!("status {status} with a broken body"), Loss::Left);
         };
         if self.job.body.is_empty() {
             worker.give_back(lease, marks.keep_ms, self.traffic.now_ms());
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -15,7 +15,7 @@
 use super::super::traffic::{Life, OWN_LAG_MS};
 use super::super::worker::Worker;
 use super::attempt::Opened;
-use super::{Outcome, Run, caller_left, lost, until};
+use super::{Loss, Outcome, Run, caller_left, lost, until};
 
 /// How long an engine may take to go on from a copy before the run stays where it is: it admits such
 /// a run first, and two engines may work on one run for less than half a second.
@@ -68,7 +68,7 @@
                     if self.copy.is_none() && !traffic.is_surely_lost(worker).await {
                         continue;
                     }
-                    return lost("silent", true);
+                    return lost("silent", Loss::Silent);
                 }
                 () = until(&traffic, wake_ms.min(self.job.until_ms)) => {
                     let now_ms = traffic.now_ms();
@@ -99,7 +99,7 @@
                 }
                 Some(Err(error)) => {
                     worker.broke(heard_ms);
-                    return lost(channel::describe(&error), true);
+                    return lost(channel::describe(&error), Loss::BrokeOff);
                 }
                 None if splitter.is_empty() => {
                     worker.ended(false, heard_ms);
@@ -107,10 +107,10 @@
                     self.complete(worker);
                     return Outcome::Done;
                 }
-                None => return lost("it ended in the middle of an event", false),
+                None => return lost("it ended in the middle of an event", Loss::Left),
             };
             if !splitter.push(&data, &mut events) {
-                return lost("an event has no end", false);
+                return lost("an event has no end", Loss::Left);
             }
             if reading.take().is_some() {
                 traffic.tell_peers();
@@ -208,7 +208,7 @@
         if let (Some(id), Some(last)) = (event.id, self.last_event)
             && id != last + 1
         {
-            return Some(lost(format!("event {id} came after {last}"), false));
+            return Some(lost(format!("event {id} came after {last}"), Loss::Left));
         }
         if event.id.is_some() {
             self.last_event = event.id;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -1,5 +1,6 @@
 //! What the traffic thread keeps: its upstreams, its budgets, its counters.
 
+mod endings;
 mod losses;
 mod places;
 
@@ -82,6 +83,8 @@
     recalled: RefCell<BTreeSet<Arc<str>>>,
     probes: RefCell<BTreeMap<Arc<str>, losses::Probe>>,
     second_probes: RefCell<BTreeMap<Arc<str>, losses::Probe>>,
+    /// Upstreams of which it is being found out whether their processes have ended.
+    endings: RefCell<BTreeMap<Arc<str>, endings::Check>>,
     losses: RefCell<Losses>,
     outages: RefCell<Outages>,
     latencies: RefCell<BTreeMap<Arc<str>, Latencies>>,
@@ -119,6 +122,7 @@
             recalled: RefCell::default(),
             probes: RefCell::default(),
             second_probes: RefCell::default(),
+            endings: RefCell::default(),
             losses: RefCell::default(),
             outages: RefCell::default(),
             latencies: RefCell::default(),
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -40,6 +40,26 @@
     assert!(lines[3]["resume_ms"].is_u64());
 }
 
+/// Callers send a request again under another id: the log must show that it is the same one, and
+/// whether the upstream's process has ended or only a connection.
+#[tokio::test]
+async fn a_request_that_comes_again_is_known_by_its_fingerprint() {
+    let running = support::start(1).await;
+    let first = call("POST", "/book/a");
+    let again = caller::Call { id: support::new_id(), ..first.clone() };
+    let other = caller::Call { body: b"another body".to_vec(), ..call("POST", "/book/a") };
+    running.site.services.iter().for_each(|service| service.fail(service::Fault::LostAnswer));
+    let mut fingerprints = Vec::new();
+    for sent in [&first, &again, &other] {
+        assert_eq!(caller::send(running.front(0), sent).await.unwrap().status(), 502);
+        wait_for("it is logged", async || !lines_of(&running, &sent.id).is_empty()).await;
+        let fingerprint = lines_of(&running, &sent.id)[0]["fingerprint"].clone();
+        fingerprints.push(fingerprint.as_str().unwrap().to_owned());
+    }
+    assert_eq!(fingerprints[0], fingerprints[1]);
+    assert_ne!(fingerprints[0], fingerprints[2]);
+}
+
 #[tokio::test]
 async fn a_call_answered_502_names_the_upstream_that_may_have_run_it() {
     let running = support::start(1).await;
