A failing test: a request that crashes every engine that runs it

Change: a fake engine's process can end (its listener and all connections), by a call or under a request's body, and start again as another incarnation. One empty line in tests/gateway/main.rs goes.

--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -7,6 +7,7 @@
 
 use serde_json::json;
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 
 use crate::http::{self, Connection, Message};
 
@@ -68,6 +69,10 @@
     working: usize,
     /// How often it has come back: runs of earlier incarnations may end after that.
     incarnation: u64,
+    /// A request with this body ends the process a moment after its run has begun.
+    crashes_on: Option<Vec<u8>>,
+    /// Serves all connections, unless the process has ended.
+    process: Option<AbortHandle>,
 }
 
 impl State {
@@ -104,6 +109,8 @@
 pub const EVENTS: u64 = 20;
 /// How late a state may be.
 const LATE_STATE: Duration = Duration::from_millis(250);
+/// How long a run that ends its engine's process has been under way by then.
+const CRASH_AFTER: Duration = Duration::from_millis(60);
 /// How long a prompt takes at first.
 const READ_MS: u64 = 60;
 
@@ -127,14 +134,43 @@
             peers,
             step_ms,
         };
-        let served = fake.clone();
-        let (addr, _) = http::listen("127.0.0.1:0", move |connection| {
+        fake.addr = fake.listen("127.0.0.1:0").await;
+        fake
+    }
+
+    /// Starts the process that serves its connections; returns its address.
+    async fn listen(&self, addr: &str) -> SocketAddr {
+        let served = self.clone();
+        let (addr, process) = http::listen(addr, move |connection| {
             let fake = served.clone();
             async move { fake.serve(connection).await }
         })
         .await;
-        fake.addr = addr;
-        fake
+        self.lock().process = Some(process.abort_handle());
+        addr
+    }
+
+    /// Has requests with this body end its process a moment after their run has begun.
+    pub fn crash_on(&self, body: &[u8]) {
+        self.lock().crashes_on = Some(body.to_vec());
+    }
+
+    /// Ends its process: every connection ends, and nothing listens any more.
+    pub fn crash(&self) {
+        if let Some(process) = self.lock().process.take() {
+            process.abort();
+        }
+    }
+
+    /// Whether its process has ended.
+    pub fn has_crashed(&self) -> bool {
+        self.lock().process.is_none()
+    }
+
+    /// Starts its process again, as another incarnation under a new id.
+    pub async fn restart(&self, id: &str) {
+        self.come_back(id);
+        self.listen(&self.addr.to_string()).await;
     }
 
     /// The same engine as it is known by another address.
@@ -170,6 +206,8 @@
             seen: std::mem::take(&mut state.seen),
             reborn: Some(id.to_owned()),
             incarnation: state.incarnation + 1,
+            crashes_on: state.crashes_on.take(),
+            process: state.process.take(),
             ..State::default()
         };
         drop(state);
@@ -321,6 +359,11 @@
             self.id
         );
         connection.write(head.as_bytes()).await?;
+        if self.lock().crashes_on.as_ref() == Some(&request.body) {
+            tokio::time::sleep(CRASH_AFTER).await;
+            self.crash();
+            return std::future::pending().await;
+        }
         for number in last.unwrap_or(0) + 1..=EVENTS {
             self.pause(self.step_ms, connection).await?;
             let text = event(&part, number);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,8 +12,8 @@
 mod lost_instances;
 mod membership;
 mod patience;
+mod quarantine;
 mod silence;
-
 mod stops;
 mod store;
 mod streams;
