Requests that crash upstreams are quarantined, over all instances

What callers saw: long streams paused over and over, and in the worst seconds more than half failed, while one request after the other ended engine after engine. Cause: an engine that ended by itself is taken out of the count of attempts, so that a stream outlives any number of power losses; nothing asked who had ended it (23 engines under one request on a route with five attempts). And what an instance learned of a request was gone with it: under another id, or elsewhere, it began anew. Class: a limit kept per attempt, per request id and per instance, which a retry steps over. A plain bound on lost engines: the logs have requests that lost seven engines beside others and were served. Status 4xx: what is refused at the door has not run, and may be served later. Change: policy::quarantine (pure) adds up the crashes of a fingerprint over all instances. Three upstreams that ended when the run had just begun quarantine it for ten minutes; a crash while it waited counts half; one with a common cause (a third of the domain or half of the service ended beside it), at an upstream that leaves, or after some events counts nothing; what is served anywhere is cleared. Records have an epoch, so that a clearing wins over older crashes whoever tells whom. They are rumors, a part of all goes to one peer in each round, and to whoever is new: layout 3 of the datagrams. 512 records at most. Before a crash that could decide, a run waits until the last one is judged (400 ms). Refused at once with 503 and Retry-After, or 502 once it was sent; runs under way elsewhere end. The lint of layers names two more modules of data that decisions may use (crash, fingerprint).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,6 +11,7 @@
 use super::ablation::Mechanism;
 use super::answer::{self, Answer};
 use super::channel::Fault;
+use super::crash::Stage;
 use super::dialect::{Dispatch, Marks};
 use super::failure::Failure;
 use super::job::Job;
@@ -338,6 +339,7 @@
         Ok(answered) => answered,
         Err(Fault::Broken { detail }) => {
             worker.ended(true, now_ms);
+            traffic.note_crash(job, worker, Stage::Begun, 0);
             return Outcome::Unknown { detail };
         }
         Err(_) => return unsent(),
@@ -384,6 +386,9 @@
 fn deliver(traffic: &Traffic, job: &Job, worker: &Worker, whole: Whole) -> Answer {
     let now_ms = traffic.now_ms();
     job.record(&traffic.metrics, now_ms - job.since_ms, None);
+    if whole.status < 500 {
+        traffic.note_served(job, None);
+    }
     slog::info!(traffic.log, "answered"; "request" => job.id(), "route" => &*job.route.name,
         "upstream" => &*worker.upstream.id, "status" => whole.status,
         "ms" => now_ms - job.since_ms);
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod exchange;
 pub mod knowledge;
+mod quarantine;
 mod successors;
 
 use std::cell::RefCell;
@@ -27,6 +28,7 @@
 use super::membership::{Membership, Phase, Standing, Versions};
 use super::metrics::Metrics;
 use super::policy::found::Found;
+use super::policy::quarantine::Quarantine;
 use super::route::Config;
 use super::settings::Settings;
 use super::view::{Front, Shared, View};
@@ -47,6 +49,10 @@
     has_fleet: bool,
     membership: Membership,
     loads: Loads,
+    /// Requests that crash upstreams.
+    quarantine: Quarantine,
+    /// The version of it that traffic has.
+    quarantine_version: u64,
     /// Upstreams that any instance lost, with the time until which that counts.
     lost: BTreeMap<Arc<str>, u64>,
     /// The instances that take callers.
@@ -119,6 +125,8 @@
             has_fleet: false,
             membership: Membership::new(me.clone(), &contacts, start_version()),
             loads: Loads::new(Arc::clone(&settings.domain), window_ms),
+            quarantine: Quarantine::default(),
+            quarantine_version: 0,
             lost: BTreeMap::new(),
             fronts: Arc::default(),
             phase: Phase::Starting,
@@ -169,6 +177,7 @@
         tokio::task::spawn_local(Rc::clone(self).tell_digests());
         tokio::task::spawn_local(Rc::clone(self).tell_newer());
         tokio::task::spawn_local(Rc::clone(self).seek_successors());
+        tokio::task::spawn_local(Rc::clone(self).keep_quarantine());
         tokio::task::spawn_local(Rc::clone(self).publish_changes());
     }
 
@@ -230,6 +239,14 @@
             fleet.upstreams = upstreams.into_owned();
             Arc::new(fleet)
         };
+        let version = board.quarantine.version();
+        let is_quarantine_new = version != board.quarantine_version;
+        let quarantine = if is_quarantine_new {
+            Arc::new(board.quarantine.standings())
+        } else {
+            Arc::clone(&before.quarantine)
+        };
+        board.quarantine_version = version;
         let view = View {
             config: board.config.clone(),
             fleet,
@@ -241,12 +258,16 @@
             sent: Arc::new(board.loads.sent(now_ms)),
             lost: Arc::new(board.lost.keys().cloned().collect()),
             places: board.loads.places(),
+            quarantine,
         };
         drop(before);
         let has_rumors = board.membership.has_rumors();
         let has_newer = versions != board.told_versions;
         drop(board);
         self.shared.view.store(Arc::new(view));
+        if is_quarantine_new {
+            self.shared.quarantined.send_replace(version);
+        }
         if is_complete {
             self.shared.is_configured.send_replace(true);
         }
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -41,7 +41,7 @@
     }
 
     /// Sends a message to each address; one that is lost is followed by others that say as much.
-    fn send(&self, message: &Message, addrs: &[SocketAddr]) {
+    pub(super) fn send(&self, message: &Message, addrs: &[SocketAddr]) {
         let Some(socket) = self.socket.borrow().clone() else { return };
         let Some(bytes) = membership::encode(message) else { return };
         for addr in addrs {
@@ -77,6 +77,7 @@
             self.dirty.notify_one();
             self.note_gauges(now_ms);
             self.fetch_if_behind(now_ms);
+            self.tell_quarantine_to_one();
             tokio::time::sleep(Duration::from_millis(PROBE_MS)).await;
         }
     }
@@ -91,6 +92,7 @@
             slog::info!(self.log, "engines found meanwhile count only as listed");
         }
         board.loads.forget(now_ms);
+        board.quarantine.forget(now_ms);
     }
 
     /// Tells rumors: new ones at once, and each a few times more.
@@ -250,9 +252,16 @@
         let now_ms = self.clock.now_ms();
         self.board.borrow_mut().membership.note_heard(now_ms);
         match message {
-            Message::Ping(probe) => self.hear_probe(probe, now_ms, |membership, probe| {
-                membership.hear_ping(probe, from, now_ms, &mut fastrand::Rng::new());
-            }),
+            Message::Ping(probe) => {
+                let sender = &probe.card.registration.id;
+                let is_new = self.board.borrow().membership.get(sender).is_none();
+                if is_new {
+                    self.tell_quarantine(&[from]);
+                }
+                self.hear_probe(probe, now_ms, |membership, probe| {
+                    membership.hear_ping(probe, from, now_ms, &mut fastrand::Rng::new());
+                });
+            }
             Message::Ack(probe) => self.hear_probe(probe, now_ms, |membership, probe| {
                 membership.hear_ack(probe, now_ms, &mut fastrand::Rng::new());
             }),
@@ -301,6 +310,7 @@
                 }
                 Rumor::Lost(id) => self.note_lost(&mut self.board.borrow_mut(), id, now_ms),
                 Rumor::Found(upstream) => self.take_found(upstream),
+                Rumor::Crashes(told) => self.hear_crashes(told, now_ms),
             }
         }
         self.note_membership();
@@ -313,6 +323,9 @@
             return;
         }
         board.lost.insert(Arc::clone(&id), now_ms + LOST_TOLD_MS);
+        if let Some(upstream) = board.fleet.upstreams.get(&id).cloned() {
+            board.quarantine.note_end(&upstream, now_ms);
+        }
         board.membership.tell(Rumor::Lost(id));
         self.rumors.notify_one();
         self.dirty.notify_one();
--- /dev/null
+++ b/src/gateway/control/quarantine.rs
@@ -0,0 +1,127 @@
+//! The controller of the quarantine: it judges the crashes that traffic reports, and has peers know.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::super::crash::{Crash, CrashRecord};
+use super::super::membership::{Message, Rumor};
+use super::super::policy::quarantine::Change;
+use super::super::view::Report;
+use super::{Board, Control};
+
+impl Control {
+    /// Takes in what is reported, and judges it when peers have told what else ended.
+    pub(super) async fn keep_quarantine(self: Rc<Control>) {
+        loop {
+            let settles_ms = self.board.borrow().quarantine.settles_ms();
+            let left_ms = settles_ms.map(|at_ms| at_ms.saturating_sub(self.clock.now_ms()));
+            tokio::select! {
+                () = self.shared.reported.notified() => {}
+                () = sleep_or_wait(left_ms) => {}
+            }
+            for report in self.shared.take_reports() {
+                self.take_report(report);
+            }
+            self.settle();
+            self.tell_quarantine_news();
+        }
+    }
+
+    fn take_report(&self, report: Report) {
+        let now_ms = self.clock.now_ms();
+        let mut board = self.board.borrow_mut();
+        match report {
+            Report::Crash(crash) => board.quarantine.note_crash(crash),
+            Report::Served(fingerprint, event) => {
+                board.quarantine.clear_served(fingerprint, event, now_ms);
+            }
+            Report::Lift(fingerprint) => {
+                let was_known = board.quarantine.lift(fingerprint, now_ms);
+                slog::warn!(self.log, "quarantine lifted"; "fingerprint" => %fingerprint,
+                    "was_known" => was_known);
+            }
+        }
+    }
+
+    fn settle(&self) {
+        let now_ms = self.clock.now_ms();
+        let mut board = self.board.borrow_mut();
+        let Board { quarantine, fleet, .. } = &mut *board;
+        for (crash, change) in quarantine.settle(&fleet.upstreams, now_ms) {
+            self.log_crash(&crash, change);
+        }
+    }
+
+    fn log_crash(&self, crash: &Crash, change: Change) {
+        let Crash { fingerprint, upstream, stage, event, .. } = crash;
+        slog::warn!(self.log, "upstream ended under a request"; "fingerprint" => %fingerprint,
+            "upstream" => &*upstream.id, "domain" => &*upstream.domain, "stage" => ?stage,
+            "event" => event, "judged" => ?change);
+        if change == Change::Quarantined {
+            self.log_quarantined(crash.fingerprint, "crashes");
+        }
+    }
+
+    fn log_quarantined(&self, fingerprint: impl std::fmt::Display, from: &'static str) {
+        slog::warn!(self.log, "request quarantined"; "fingerprint" => %fingerprint, "from" => from);
+        self.metrics.count("requests_quarantined");
+    }
+
+    /// Takes in what a peer tells of a request.
+    pub(super) fn hear_crashes(&self, told: CrashRecord, now_ms: u64) {
+        let fingerprint = told.fingerprint;
+        let is_new = self.board.borrow_mut().quarantine.hear(told, now_ms);
+        if is_new {
+            self.log_quarantined(fingerprint, "peer");
+        }
+        self.tell_quarantine_news();
+    }
+
+    /// Has traffic and peers know what changed.
+    fn tell_quarantine_news(&self) {
+        let now_ms = self.clock.now_ms();
+        let mut board = self.board.borrow_mut();
+        let news = board.quarantine.take_news(now_ms);
+        if news.is_empty() {
+            return;
+        }
+        for told in news {
+            board.membership.tell(Rumor::Crashes(told));
+        }
+        drop(board);
+        self.publish();
+    }
+
+    /// Tells a part of everything to some.
+    pub(super) fn tell_quarantine(&self, addrs: &[SocketAddr]) {
+        let now_ms = self.clock.now_ms();
+        let part = self.board.borrow_mut().quarantine.next_part(now_ms);
+        if !part.is_empty() {
+            let rumors = part.into_iter().map(Rumor::Crashes).collect();
+            self.send(&Message::Rumors(rumors), addrs);
+        }
+    }
+
+    /// Tells a part of everything to one living peer, whatever it knows: gossip ends after a few
+    /// rounds, and an instance that was cut off or suspended meanwhile has missed it.
+    pub(super) fn tell_quarantine_to_one(&self) {
+        let board = self.board.borrow();
+        if board.quarantine.is_empty() {
+            return;
+        }
+        let alive: Vec<SocketAddr> =
+            board.membership.alive().map(|member| member.card.registration.peer_addr).collect();
+        drop(board);
+        if let Some(addr) = fastrand::choice(alive) {
+            self.tell_quarantine(&[addr]);
+        }
+    }
+}
+
+async fn sleep_or_wait(left_ms: Option<u64>) {
+    match left_ms {
+        Some(left_ms) => tokio::time::sleep(Duration::from_millis(left_ms)).await,
+        None => std::future::pending().await,
+    }
+}
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use serde::Serialize;
 
+use super::fingerprint::Fingerprint;
+
 /// When to come back after a refusal that passes by itself while the service has upstreams; how
 /// long one without any is away is the business of [`super::outages`].
 const SOON_MS: u64 = 300;
@@ -61,6 +63,26 @@
          after Retry-After"
     )]
     TooManyRepeats,
+    /// Upstreams crashed under earlier requests that were the same; this one was sent to none.
+    #[display(
+        "the request is in quarantine: upstreams crashed while they ran the same one ({fingerprint}); it \
+         has not run this time, change it, or send it again after Retry-After, or have the operators lift \
+         the quarantine"
+    )]
+    Quarantined {
+        /// What the request is.
+        fingerprint: Fingerprint,
+    },
+    /// Upstreams crashed while they ran it.
+    #[display(
+        "upstreams crashed while they ran the request ({fingerprint}), and it is in quarantine now; it may \
+         have run in part, change it, or send it again after Retry-After, or have the operators lift the \
+         quarantine"
+    )]
+    Poison {
+        /// What the request is.
+        fingerprint: Fingerprint,
+    },
     /// The request was sent and its outcome is unknown.
     #[display("the upstream did not answer after the request was sent; check its effect first")]
     Unknown,
@@ -87,12 +109,13 @@
             Failure::NoRoute => 404,
             Failure::TooSlow { .. } => 408,
             Failure::TooLarge { .. } => 413,
-            Failure::Unknown | Failure::Stopped => 502,
+            Failure::Unknown | Failure::Stopped | Failure::Poison { .. } => 502,
             Failure::Starting
             | Failure::Stopping
             | Failure::NoUpstream
             | Failure::Full
             | Failure::TooManyRepeats
+            | Failure::Quarantined { .. }
             | Failure::TimeOverUnsent => 503,
             Failure::TimeOver => 504,
         }
@@ -114,7 +137,9 @@
     /// What the caller reads.
     pub fn body(&self) -> Bytes {
         let ran = match self {
-            Failure::Unknown | Failure::Stopped | Failure::TimeOver => "unknown",
+            Failure::Unknown | Failure::Stopped | Failure::Poison { .. } | Failure::TimeOver => {
+                "unknown"
+            }
             _ => "no",
         };
         let body = Body { error: self.to_string(), ran };
--- a/src/gateway/membership/message.rs
+++ b/src/gateway/membership/message.rs
@@ -9,7 +9,7 @@
 use super::rumors::Rumor;
 
 /// The version of the datagrams' layout. Instances of another one are not understood.
-const LAYOUT: u8 = 2;
+const LAYOUT: u8 = 3;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/src/gateway/membership/rumors.rs
+++ b/src/gateway/membership/rumors.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::super::crash::CrashRecord;
+use super::super::fingerprint::Fingerprint;
 use super::super::fleet::Upstream;
 use super::card::{Card, Standing};
 
@@ -32,6 +34,8 @@
     Lost(Arc<str>),
     /// An engine was found at its address while the directory is silent.
     Found(Upstream),
+    /// A request crashed upstreams, or was cleared.
+    Crashes(CrashRecord),
 }
 
 /// What a rumor is about; a newer one about the same replaces it.
@@ -40,6 +44,7 @@
     Member(Arc<str>),
     Lost(Arc<str>),
     Found(Arc<str>),
+    Crashes(Fingerprint),
 }
 
 impl Rumor {
@@ -48,6 +53,7 @@
             Rumor::Member { card, .. } => Subject::Member(Arc::clone(&card.registration.id)),
             Rumor::Lost(id) => Subject::Lost(Arc::clone(id)),
             Rumor::Found(upstream) => Subject::Found(Arc::clone(&upstream.id)),
+            Rumor::Crashes(told) => Subject::Crashes(told.fingerprint),
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod channel;
 pub mod connection;
 pub mod control;
+pub mod crash;
 pub mod dialect;
 pub mod directory;
 pub mod events;
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -13,6 +13,7 @@
 pub mod losses;
 pub mod outages;
 pub mod placement;
+pub mod quarantine;
 pub mod recall;
 pub mod silence;
 pub mod stop;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -24,9 +24,10 @@
 use super::policy::admission;
 use super::policy::engine::Need;
 use super::policy::placement::Wish;
+use super::policy::quarantine;
 use super::policy::silence::Patience;
 use super::route::Repeat;
-use super::traffic::Traffic;
+use super::traffic::{JUDGED_MS, Traffic};
 use super::worker::Worker;
 
 /// The wait before another look when no engine takes work in the middle of an answer, doubled each
@@ -43,13 +44,18 @@
 pub async fn serve(traffic: &Rc<Traffic>, job: Job) -> Answer {
     let (head, answered) = oneshot::channel();
     let traffic = Rc::clone(traffic);
+    let job = Rc::new(job);
     tokio::task::spawn_local(async move {
-        let mut run = Run::new(&traffic, job, head);
+        let mut run = Run::new(&traffic, Rc::clone(&job), head);
         tokio::select! {
             biased;
             () = run.drive() => {}
             // What ran so long is cut: its caller goes on elsewhere after its last event.
             () = traffic.gives_last_answers() => run.give_up(Failure::Stopped),
+            // It may wait at an engine, which crashes if the run begins there.
+            () = traffic.is_quarantined(&job) => {
+                run.give_up(Failure::Poison { fingerprint: job.fingerprint() });
+            }
         }
     });
     // The run always answers, unless its caller has left.
@@ -75,6 +81,15 @@
     OverBudget,
 }
 
+/// How far a run has come at one engine.
+#[derive(Debug, Clone, Copy, Default)]
+struct Progress {
+    /// When the head of its answer came, with which the run begins there.
+    answers_since_ms: Option<u64>,
+    /// Events that the engine has made of it.
+    events: u64,
+}
+
 /// What became of the engine that a run was lost at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Loss {
@@ -109,7 +124,7 @@
 
 struct Run {
     traffic: Rc<Traffic>,
-    job: Job,
+    job: Rc<Job>,
     head: Option<oneshot::Sender<Answer>>,
     body: Option<mpsc::Sender<Part>>,
     last_event: Option<u64>,
@@ -117,8 +132,12 @@
     first_ms: Option<u64>,
     longest_gap_ms: u64,
     lost_ms: Option<u64>,
-    /// When the head of the present engine's answer came, with which the run begins there.
-    answers_since_ms: Option<u64>,
+    /// How far the run has come at its present engine.
+    here: Progress,
+    /// Engines that ended under it and whose ends are not judged: when, and what that counts.
+    crashes: Vec<(u64, u32)>,
+    /// The last event before an engine ended under it; some more events clear it.
+    crashed_at: Option<u64>,
     may_have_run: bool,
     /// Attempts that count against the route's bound.
     sent: u32,
@@ -138,7 +157,7 @@
 }
 
 impl Run {
-    fn new(traffic: &Rc<Traffic>, job: Job, head: oneshot::Sender<Answer>) -> Run {
+    fn new(traffic: &Rc<Traffic>, job: Rc<Job>, head: oneshot::Sender<Answer>) -> Run {
         Run {
             last_event: job.demand.last_event,
             last_event_ms: traffic.now_ms(),
@@ -149,7 +168,9 @@
             first_ms: None,
             longest_gap_ms: 0,
             lost_ms: None,
-            answers_since_ms: None,
+            here: Progress::default(),
+            crashes: Vec::new(),
+            crashed_at: None,
             may_have_run: false,
             sent: 0,
             arrived: 0,
@@ -270,12 +291,9 @@
                 slog::warn!(self.traffic.log, "engine lost"; "request" => self.job.id(),
                     "upstream" => &**id, "domain" => &*worker.upstream.domain, "why" => why,
                     "last_event" => self.last_event, "quiet_ms" => now_ms - self.last_event_ms,
-                    "answering_ms" => self.answers_since_ms.map(|since_ms| now_ms - since_ms),
+                    "answering_ms" => self.here.answers_since_ms.map(|since_ms| now_ms - since_ms),
                     "fingerprint" => %self.job.fingerprint());
                 self.may_have_run = true;
-                if loss == Loss::BrokeOff {
-                    self.traffic.check_ending(worker);
-                }
                 if loss.is_engine_gone() {
                     self.lost_domains.push((Arc::clone(&worker.upstream.domain), now_ms));
                     // What ended by itself doesn't count among the attempts.
@@ -291,7 +309,40 @@
             self.give_up(Failure::Unknown);
             return false;
         }
-        true
+        self.wait_for_judgement().await
+    }
+
+    /// Notes that an engine ended the connection, and reports it if the run may have caused that.
+    fn broke_off(&mut self, worker: &Rc<Worker>, detail: String) -> Outcome {
+        let now_ms = self.traffic.now_ms();
+        worker.broke(now_ms);
+        let events = self.here.answers_since_ms.map(|_| self.here.events);
+        if let Some(stage) = quarantine::stage_of_stream(events) {
+            let event = self.last_event.unwrap_or(0);
+            self.crashes.push((now_ms, quarantine::points(stage)));
+            self.crashed_at = Some(event);
+            self.traffic.note_crash(&self.job, worker, stage, event);
+        } else {
+            self.traffic.check_ending(worker);
+        }
+        lost(detail, Loss::BrokeOff)
+    }
+
+    /// Waits until the engines that ended under the run are judged, if that may quarantine it: another
+    /// attempt before that would cost one more engine. False if the time is over or the caller has left.
+    async fn wait_for_judgement(&mut self) -> bool {
+        let now_ms = self.traffic.now_ms();
+        self.crashes.retain(|(at_ms, _)| at_ms + JUDGED_MS > now_ms);
+        let points = self.crashes.iter().map(|(_, points)| points).sum();
+        let Some((last_ms, _)) = self.crashes.last().copied() else { return true };
+        if !self.traffic.may_be_quarantined(&self.job, points) {
+            return true;
+        }
+        if self.wait(last_ms + JUDGED_MS - now_ms).await {
+            return true;
+        }
+        self.give_up(self.time_over());
+        false
     }
 
     /// Whether there is another attempt after one that certainly did not run.
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -21,7 +21,7 @@
 use super::super::traffic::Life;
 use super::super::worker::{Count, Lease, What, Worker};
 use super::copy::Growing;
-use super::{Loss, Outcome, Refused, Run, caller_left, lost, until};
+use super::{Loss, Outcome, Progress, Refused, Run, caller_left, lost, until};
 
 /// Events that may wait for a slow caller before its engine is slowed.
 const WAITING_EVENTS: usize = 16;
@@ -59,7 +59,7 @@
         from: Option<Copy>,
     ) -> Result<Opened, Outcome> {
         let traffic = Rc::clone(&self.traffic);
-        self.answers_since_ms = None;
+        self.here = Progress::default();
         let mut silences = worker.silences.subscribe();
         silences.mark_unchanged();
         let most = traffic.channel_share(&self.job.service);
@@ -120,7 +120,7 @@
         if is_read {
             traffic.note_first_event(&self.job, traffic.now_ms() - sent_ms);
         }
-        self.answers_since_ms = Some(traffic.now_ms());
+        self.here.answers_since_ms = Some(traffic.now_ms());
         self.note_copy(copy);
         let body = self.open_body(response);
         let worker = Rc::clone(worker);
@@ -183,9 +183,8 @@
             Ok(response) => Ok(response),
             Err(Fault::Broken { detail }) => {
                 self.note_arrival();
-                worker.broke(traffic.now_ms());
                 worker.ended(true, traffic.now_ms());
-                Err(lost(detail, Loss::BrokeOff))
+                Err(self.broke_off(worker, detail))
             }
             Err(fault) => Err(Outcome::NotRun { why: Refused::NotSent(fault.to_string()) }),
         }
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -11,6 +11,7 @@
 use super::super::channel;
 use super::super::events::{Event, Splitter};
 use super::super::metrics::Time;
+use super::super::policy::quarantine::CLEARING_EVENTS;
 use super::super::policy::silence::{self, Silence};
 use super::super::traffic::{Life, OWN_LAG_MS};
 use super::super::worker::Worker;
@@ -98,8 +99,7 @@
                     frame.into_data().unwrap_or_default()
                 }
                 Some(Err(error)) => {
-                    worker.broke(heard_ms);
-                    return lost(channel::describe(&error), Loss::BrokeOff);
+                    return self.broke_off(worker, channel::describe(&error));
                 }
                 None if splitter.is_empty() => {
                     worker.ended(false, heard_ms);
@@ -180,6 +180,7 @@
         }
         let Some(copy) = self.copy.take() else { return Quiet::Wait };
         self.stuck_moves += 1;
+        let here = self.here;
         let limit = Duration::from_millis(HAND_OVER_MS);
         let opening = self.open(&copy.worker, Some(copy.name.clone()));
         let opened = tokio::time::timeout(limit, opening).await;
@@ -187,6 +188,7 @@
         let quiet_ms = now_ms - self.last_event_ms;
         let id = &worker.upstream.id;
         let Ok(Ok(opened)) = opened else {
+            self.here = here;
             slog::warn!(self.traffic.log, "no engine took the run; it stays";
                 "request" => self.job.id(), "upstream" => &**id, "why" => why,
                 "asked" => &*copy.worker.upstream.id, "quiet_ms" => quiet_ms);
@@ -213,6 +215,8 @@
         if event.id.is_some() {
             self.last_event = event.id;
         }
+        self.here.events += 1;
+        self.clear_if_beyond_crash();
         self.note_times(now_ms);
         let Some(body) = &self.body else { return Some(Outcome::CallerLeft) };
         if body.send(Ok(event.bytes)).await.is_err() {
@@ -221,6 +225,16 @@
         None
     }
 
+    /// Reports that the run goes on beyond where engines ended under it.
+    fn clear_if_beyond_crash(&mut self) {
+        let is_beyond =
+            |crashed: &u64| self.last_event.is_some_and(|event| event >= crashed + CLEARING_EVENTS);
+        if self.crashed_at.take_if(|crashed| is_beyond(crashed)).is_some() {
+            self.crashes.clear();
+            self.traffic.note_served(&self.job, self.last_event);
+        }
+    }
+
     pub(super) fn note_times(&mut self, now_ms: u64) {
         if self.first_ms.is_none() {
             self.first_ms = Some(now_ms - self.job.since_ms);
@@ -238,6 +252,7 @@
 
     pub(super) fn complete(&mut self, worker: &Worker) {
         let whole_ms = self.traffic.now_ms() - self.job.since_ms;
+        self.traffic.note_served(&self.job, None);
         self.traffic.note_output(&self.job, self.last_event.unwrap_or(0));
         self.job.record(&self.traffic.metrics, whole_ms, self.first_ms);
         self.job.record_time(&self.traffic.metrics, Time::Gap, self.longest_gap_ms);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -3,8 +3,10 @@
 mod endings;
 mod losses;
 mod places;
+mod quarantine;
 
 pub(super) use self::losses::{Life, OWN_LAG_MS};
+pub(super) use self::quarantine::JUDGED_MS;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -85,6 +87,8 @@
     second_probes: RefCell<BTreeMap<Arc<str>, losses::Probe>>,
     /// Upstreams of which it is being found out whether their processes have ended.
     endings: RefCell<BTreeMap<Arc<str>, endings::Check>>,
+    /// When an upstream last broke off under a request.
+    crashed_ms: Cell<Option<u64>>,
     losses: RefCell<Losses>,
     outages: RefCell<Outages>,
     latencies: RefCell<BTreeMap<Arc<str>, Latencies>>,
@@ -123,6 +127,7 @@
             probes: RefCell::default(),
             second_probes: RefCell::default(),
             endings: RefCell::default(),
+            crashed_ms: Cell::default(),
             losses: RefCell::default(),
             outages: RefCell::default(),
             latencies: RefCell::default(),
@@ -142,6 +147,7 @@
         let left_ms = job.left_ms(self.now_ms());
         match failure {
             Failure::NoUpstream => self.retry_after_ms(&job.service, left_ms),
+            Failure::Quarantined { .. } | Failure::Poison { .. } => self.quarantine_left_ms(job),
             Failure::Full | Failure::TooManyRepeats if job.route.repeat.is_stream() => {
                 Some(outages::full_after_ms(left_ms, &mut fastrand::Rng::new()))
             }
@@ -155,6 +161,9 @@
             "status" => failure.status(), "why" => %failure,
             "ms" => self.now_ms() - job.since_ms);
         self.metrics.count("refused");
+        if matches!(failure, Failure::Quarantined { .. } | Failure::Poison { .. }) {
+            self.metrics.count("refused_quarantined");
+        }
         answer::failed(failure, after_ms)
     }
 
--- a/src/gateway/traffic/endings.rs
+++ b/src/gateway/traffic/endings.rs
@@ -35,6 +35,9 @@
             slog::info!(traffic.log, "upstream broke off"; "upstream" => &*worker.upstream.id,
                 "service" => &*worker.upstream.service, "domain" => &*worker.upstream.domain,
                 "has_ended" => has_ended);
+            if has_ended {
+                traffic.lost(&worker, "its process has ended");
+            }
             tell.send_replace(Some(has_ended));
         });
         check
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -7,9 +7,12 @@
 use arc_swap::ArcSwap;
 use tokio::sync::{Notify, watch};
 
+use super::crash::Crash;
+use super::fingerprint::Fingerprint;
 use super::fleet::Fleet;
 use super::loads::{Held, Own, Places, Sent};
 use super::membership::Phase;
+use super::policy::quarantine::Standings;
 use super::route::Config;
 
 /// An immutable picture of what is known.
@@ -35,6 +38,8 @@
     pub sent: Arc<BTreeMap<Arc<str>, Sent>>,
     /// Which engines read a part of a prompt, as others told.
     pub places: Places,
+    /// Requests that crashed upstreams, and whether they are quarantined.
+    pub quarantine: Arc<Standings>,
 }
 
 /// An instance that takes callers.
@@ -57,8 +62,28 @@
     pub news: Notify,
     /// What traffic here has running, and whom it lost.
     own: Mutex<Own>,
+    /// Wakes the control thread when traffic here reported something of a request.
+    pub reported: Notify,
+    /// What the control thread has not taken yet.
+    reports: Mutex<Vec<Report>>,
+    /// Grows when requests are quarantined, after the picture says so.
+    pub quarantined: watch::Sender<u64>,
 }
 
+/// What traffic or an operator reports of a request that may crash upstreams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Report {
+    /// An upstream ended under it.
+    Crash(Crash),
+    /// It was served: completely, or up to this event.
+    Served(Fingerprint, Option<u64>),
+    /// An operator lifts its quarantine.
+    Lift(Fingerprint),
+}
+
+/// Reports that wait for the control thread; a crash of a service brings some hundred at once.
+const MOST_REPORTS: usize = 4_096;
+
 impl Shared {
     /// Nothing known yet.
     pub fn new() -> Arc<Shared> {
@@ -73,10 +98,34 @@
             lost: Arc::default(),
             sent: Arc::default(),
             places: Places::default(),
+            quarantine: Arc::default(),
         };
         let view = ArcSwap::from_pointee(view);
         let is_configured = watch::Sender::new(false);
-        Arc::new(Shared { view, is_configured, news: Notify::new(), own: Mutex::default() })
+        Arc::new(Shared {
+            view,
+            is_configured,
+            news: Notify::new(),
+            own: Mutex::default(),
+            reported: Notify::new(),
+            reports: Mutex::default(),
+            quarantined: watch::Sender::new(0),
+        })
+    }
+
+    /// Reports something of a request to the control thread.
+    pub fn report(&self, report: Report) {
+        let mut reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
+        if reports.len() < MOST_REPORTS {
+            reports.push(report);
+        }
+        drop(reports);
+        self.reported.notify_one();
+    }
+
+    /// Takes what was reported.
+    pub fn take_reports(&self) -> Vec<Report> {
+        std::mem::take(&mut *self.reports.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Replaces what is told to peers.
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -7,9 +7,8 @@
 
 use serde_json::json;
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
 
-use crate::http::{self, Connection, Message};
+use crate::http::{Connection, Message, Process};
 
 /// How an engine misbehaves.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -71,8 +70,6 @@
     incarnation: u64,
     /// A request with this body ends the process a moment after its run has begun.
     crashes_on: Option<Vec<u8>>,
-    /// Serves all connections, unless the process has ended.
-    process: Option<AbortHandle>,
 }
 
 impl State {
@@ -98,6 +95,8 @@
     pub id: String,
     /// Where it listens.
     pub addr: SocketAddr,
+    /// Its process.
+    pub process: Process,
     state: Arc<Mutex<State>>,
     changed: Arc<watch::Sender<u64>>,
     peers: Arc<Mutex<Vec<EngineFake>>>,
@@ -129,6 +128,7 @@
         let mut fake = EngineFake {
             id: id.to_owned(),
             addr: SocketAddr::from(([127, 0, 0, 1], 0)),
+            process: Process::default(),
             state,
             changed,
             peers,
@@ -141,13 +141,8 @@
     /// Starts the process that serves its connections; returns its address.
     async fn listen(&self, addr: &str) -> SocketAddr {
         let served = self.clone();
-        let (addr, process) = http::listen(addr, move |connection| {
-            let fake = served.clone();
-            async move { fake.serve(connection).await }
-        })
-        .await;
-        self.lock().process = Some(process.abort_handle());
-        addr
+        let serve = move |connection| served.clone().serve(connection);
+        self.process.start(addr, serve).await
     }
 
     /// Has requests with this body end its process a moment after their run has begun.
@@ -155,24 +150,6 @@
         self.lock().crashes_on = Some(body.to_vec());
     }
 
-    /// Ends its process: every connection ends, and nothing listens any more.
-    pub fn crash(&self) {
-        if let Some(process) = self.lock().process.take() {
-            process.abort();
-        }
-    }
-
-    /// Whether its process has ended.
-    pub fn has_crashed(&self) -> bool {
-        self.lock().process.is_none()
-    }
-
-    /// Starts its process again, as another incarnation under a new id.
-    pub async fn restart(&self, id: &str) {
-        self.come_back(id);
-        self.listen(&self.addr.to_string()).await;
-    }
-
     /// The same engine as it is known by another address.
     pub fn at(&self, addr: SocketAddr) -> EngineFake {
         EngineFake { addr, ..self.clone() }
@@ -207,7 +184,6 @@
             reborn: Some(id.to_owned()),
             incarnation: state.incarnation + 1,
             crashes_on: state.crashes_on.take(),
-            process: state.process.take(),
             ..State::default()
         };
         drop(state);
@@ -361,7 +337,7 @@
         connection.write(head.as_bytes()).await?;
         if self.lock().crashes_on.as_ref() == Some(&request.body) {
             tokio::time::sleep(CRASH_AFTER).await;
-            self.crash();
+            self.process.crash();
             return std::future::pending().await;
         }
         for number in last.unwrap_or(0) + 1..=EVENTS {
--- a/tests/fakes/src/http.rs
+++ b/tests/fakes/src/http.rs
@@ -4,9 +4,11 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
 
 /// A request or an answer that was read whole.
 #[derive(Debug, Clone, Default)]
@@ -46,6 +48,39 @@
     }
 }
 
+/// The process of a fake: what accepts its connections and serves them.
+#[derive(Debug, Clone, Default)]
+pub struct Process(Arc<Mutex<Option<AbortHandle>>>);
+
+impl Process {
+    fn set(&self, process: Option<AbortHandle>) -> Option<AbortHandle> {
+        std::mem::replace(&mut *self.0.lock().expect("no holder panics"), process)
+    }
+
+    /// Serves each connection to an address by `serve`, until it crashes; returns the address.
+    pub async fn start<F, R>(&self, addr: &str, serve: F) -> SocketAddr
+    where
+        F: Fn(Connection) -> R + Send + 'static,
+        R: Future<Output = ()> + Send + 'static,
+    {
+        let (addr, task) = listen(addr, serve).await;
+        self.set(Some(task.abort_handle()));
+        addr
+    }
+
+    /// Ends it: every connection ends, and nothing listens any more.
+    pub fn crash(&self) {
+        if let Some(process) = self.set(None) {
+            process.abort();
+        }
+    }
+
+    /// Whether it has ended.
+    pub fn has_crashed(&self) -> bool {
+        self.0.lock().expect("no holder panics").is_none()
+    }
+}
+
 /// A connection with what was read too far.
 pub struct Connection {
     /// The socket.
--- a/tests/fakes/src/service.rs
+++ b/tests/fakes/src/service.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::engine::Seen;
-use crate::http::{self, Connection, Message};
+use crate::http::{self, Connection, Message, Process};
 
 /// How a service misbehaves.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -41,6 +41,8 @@
     work_ms: u64,
     /// How much longer its answers are.
     more_bytes: usize,
+    /// A call with this body ends the process.
+    crashes_on: Option<Vec<u8>>,
 }
 
 /// A running service; cloning shares it.
@@ -50,6 +52,8 @@
     pub id: String,
     /// Where it listens.
     pub addr: SocketAddr,
+    /// Its process.
+    pub process: Process,
     state: Arc<Mutex<State>>,
 }
 
@@ -65,18 +69,33 @@
     pub async fn start(id: &str) -> ServiceFake {
         let state = State { work_ms: WORK_MS, ..State::default() };
         let state = Arc::new(Mutex::new(state));
-        let mut fake =
-            ServiceFake { id: id.to_owned(), addr: SocketAddr::from(([127, 0, 0, 1], 0)), state };
-        let served = fake.clone();
-        let (addr, _) = http::listen("127.0.0.1:0", move |connection| {
-            let fake = served.clone();
-            async move { fake.serve(connection).await }
-        })
-        .await;
-        fake.addr = addr;
+        let mut fake = ServiceFake {
+            id: id.to_owned(),
+            addr: SocketAddr::from(([127, 0, 0, 1], 0)),
+            process: Process::default(),
+            state,
+        };
+        fake.addr = fake.listen("127.0.0.1:0").await;
         fake
     }
 
+    async fn listen(&self, addr: &str) -> SocketAddr {
+        let served = self.clone();
+        let serve = move |connection| served.clone().serve(connection);
+        self.process.start(addr, serve).await
+    }
+
+    /// Starts its process again, as another incarnation under a new id.
+    pub async fn restart(&mut self, id: &str) {
+        self.id = id.to_owned();
+        self.listen(&self.addr.to_string()).await;
+    }
+
+    /// Has calls with this body end its process.
+    pub fn crash_on(&self, body: &[u8]) {
+        self.lock().crashes_on = Some(body.to_vec());
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder panics")
     }
@@ -129,6 +148,10 @@
                 }
                 continue;
             }
+            if self.lock().crashes_on.as_ref() == Some(&request.body) {
+                self.process.crash();
+                return std::future::pending().await;
+            }
             let work_ms = self.lock().work_ms;
             tokio::time::sleep(Duration::from_millis(work_ms)).await;
             let answered = match fault {
--- a/tests/gateway/layers.rs
+++ b/tests/gateway/layers.rs
@@ -5,12 +5,14 @@
 use std::path::Path;
 
 /// What a decision may use: data, hashes of data, other decisions, and injected randomness.
-const FOR_POLICY: [&str; 9] = [
+const FOR_POLICY: [&str; 11] = [
     "std::borrow::",
     "std::collections::",
     "std::net::SocketAddr",
     "std::sync::Arc",
     "crate::decide::Random",
+    "super::super::crash::",
+    "super::super::fingerprint::",
     "super::super::fleet::",
     "super::super::route::",
     "hdrhistogram::",
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,4 +18,5 @@
 mod store;
 mod streams;
 mod support;
+mod suspicion;
 mod watchers;
