The clock counts the time for which the machine was suspended

Cause: all ages, leases and deadlines were on the steady clock, which stands still while a machine is suspended. Afterwards a request's deadline, the list of lost upstreams, the window of the retry budget and what peers told all looked younger than they were. Change: Clock reads CLOCK_BOOTTIME (crate nix). Timers don't count a suspension, so sleeps until a deadline look at the clock twice a second. Ruled out: a thread that watches both clocks and wakes all sleepers: the longest other sleeps are a few hundred milliseconds to ten seconds (renewals) and only run late by their rest.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,23 +1,53 @@
 //! The clocks of a process.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// A monotonic clock that starts with the process.
+use nix::time::{ClockId, clock_gettime};
+
+/// How long a sleep may outlast its end after the machine was suspended: timers don't count that time,
+/// so a sleep looks at the clock so often.
+const LOOK_MS: u64 = 500;
+
+/// A clock that starts with the process, never goes back, and counts the time for which the machine is
+/// suspended: to peers, callers and leases that time passes like any other.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: Instant,
+    source_ms: fn() -> u64,
+    start_ms: u64,
 }
 
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Clock {
-        Clock { start: Instant::now() }
+        Clock::of(boot_ms)
+    }
+
+    /// A clock over a source of milliseconds.
+    pub fn of(source_ms: fn() -> u64) -> Clock {
+        Clock { source_ms, start_ms: source_ms() }
     }
 
     /// Milliseconds since the start; never 0, so that 0 can mean 'never'.
     pub fn now_ms(self) -> u64 {
-        self.start.elapsed().as_millis() as u64 + 1
+        (self.source_ms)().saturating_sub(self.start_ms) + 1
     }
+
+    /// Sleeps until a time of this clock.
+    pub async fn sleep_until(self, at_ms: u64) {
+        loop {
+            let left_ms = at_ms.saturating_sub(self.now_ms());
+            if left_ms == 0 {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(left_ms.min(LOOK_MS))).await;
+        }
+    }
+}
+
+/// Milliseconds since the machine started, those included for which it was suspended.
+fn boot_ms() -> u64 {
+    let now = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux has this clock");
+    Duration::from(now).as_millis() as u64
 }
 
 /// Milliseconds since 1970.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -279,10 +279,12 @@
         ..Dispatch::default()
     };
     let request = job.request(&*traffic.dialect, &dispatch);
-    let limit = Duration::from_millis(left_ms);
-    let exchange = exchange(traffic, &mut lease, request);
     let timing = Timing { traffic, job, since_ms: now_ms };
-    let Ok(result) = tokio::time::timeout(limit, exchange).await else {
+    let result = tokio::select! {
+        result = exchange(traffic, &mut lease, request) => Some(result),
+        () = traffic.clock.sleep_until(job.until_ms) => None,
+    };
+    let Some(result) = result else {
         worker.ended(true, traffic.now_ms());
         return if lease.channel.written() == 0 { unsent() } else { Outcome::TimeOver };
     };
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,7 +10,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
 
@@ -459,7 +458,7 @@
         }
         tokio::select! {
             () = caller_left(&mut self.head, &self.body) => false,
-            () = tokio::time::sleep(Duration::from_millis(wait_ms)) => true,
+            () = until(&self.traffic, now_ms + wait_ms) => true,
         }
     }
 }
@@ -481,6 +480,5 @@
 }
 
 async fn until(traffic: &Traffic, at_ms: u64) {
-    let left_ms = at_ms.saturating_sub(traffic.now_ms());
-    tokio::time::sleep(Duration::from_millis(left_ms)).await;
+    traffic.clock.sleep_until(at_ms).await;
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway as real processes on loopback, before fakes that speak the platform's protocol.
 
 mod calls;
+mod clock;
 mod configuration;
 mod connections;
 mod decisions;
