Operators see the quarantine and lift it

Cause: a request that is refused for ten minutes must be explainable, and served again once the upstreams are mended. Change: GET /quarantine and DELETE /quarantine/FINGERPRINT on the address of the metrics, and 'siskinrock quarantine [lift FINGERPRINT]'. The metrics' answer moved to the same module. Ruled out: a command of 'siskinrock ctl', which speaks to routers with the operators' key; a gateway has none yet.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod metrics;
 pub mod native;
 pub mod open;
+pub mod operator;
 pub mod policy;
 pub mod questions;
 pub mod route;
--- a/src/gateway/native/mod.rs
+++ b/src/gateway/native/mod.rs
@@ -16,6 +16,7 @@
 
 pub mod document;
 pub mod file;
+pub mod quarantine;
 pub mod settings;
 pub mod wire;
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -25,7 +25,7 @@
 use super::settings::Settings;
 use super::traffic::Traffic;
 use super::view::{Shared, View};
-use super::{connection, questions};
+use super::{connection, operator, questions};
 use crate::clock::Clock;
 use crate::error::{Error, Kind, Result};
 
@@ -294,7 +294,8 @@
         let parts = parts.clone();
         let reply = move |request: Request<Incoming>| {
             let answer = if is_metrics {
-                metrics(&parts)
+                let (path, now_ms) = (request.uri().path(), parts.clock.now_ms());
+                operator::reply(request.method(), path, &parts.shared, &parts.metrics, now_ms)
             } else {
                 question(&parts, request.uri().path(), request.uri().query())
             };
@@ -305,12 +306,6 @@
     Ok(())
 }
 
-fn metrics(parts: &Parts) -> Answer {
-    let mut headers = HeaderMap::new();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; version=0.0.4"));
-    answer::whole(200, headers, Bytes::from(parts.metrics.render()))
-}
-
 fn question(parts: &Parts, path: &str, query: Option<&str>) -> Answer {
     let view = parts.shared.view.load();
     let nothing = |status| answer::whole(status, HeaderMap::new(), Bytes::new());
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,11 +21,12 @@
 
 USAGE: siskinrock COMMAND [FLAGS]
 
-  router   serve callers, operators and peers
-  gateway  forward by routes, as a configuration file or the platform says
-  check    check the settings of a router without serving; check gateway: those of a gateway
-  ctl      ask and command a running system
-  help     this page; also --help after each command
+  router      serve callers, operators and peers
+  gateway     forward by routes, as a configuration file or the platform says
+  check       check the settings of a router without serving; check gateway: those of a gateway
+  ctl         ask and command a running system
+  quarantine  list the requests that crash upstreams, and lift their quarantine
+  help        this page; also --help after each command
 ";
 
 fn main() -> ExitCode {
@@ -36,6 +37,8 @@
         Some("router" | "check") if wants_help => print(settings::HELP),
         Some("ctl") if wants_help || arguments.is_empty() => print(ctl::HELP),
         Some("gateway") if wants_help => print(native::settings::HELP),
+        Some("quarantine") if wants_help => print(native::quarantine::HELP),
+        Some("quarantine") => quarantine(arguments),
         Some("router") => serve(arguments),
         Some("gateway") => forward(arguments),
         Some("check") if arguments.first().is_some_and(|first| first == "gateway") => {
@@ -214,6 +217,17 @@
     }
 }
 
+/// Lists the quarantine of a running gateway, or lifts one.
+fn quarantine(arguments: Vec<OsString>) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let Ok(runtime) = runtime else { return ExitCode::from(EXIT_FAILED) };
+    match runtime.block_on(native::quarantine::run(arguments, &environment)) {
+        Ok(text) => print(&format!("{text}\n")),
+        Err(error) if error.code() == "settings" => fail(&error, EXIT_USAGE),
+        Err(error) => fail(&error, EXIT_FAILED),
+    }
+}
+
 fn fail(error: &Error, status: u8) -> ExitCode {
     eprintln!("siskinrock: {error}");
     ExitCode::from(status)
