A quarantine outlasts the loss of all instances

Cause: what instances tell each other is gone when all of them lose power at once, and the request ends three more upstreams. Change: whoever quarantines or clears a request writes it to the directory under a lease of ten minutes, retried while the directory is silent; a listing or a watch brings it back, with the time that has passed taken off. The trait Directory has one more call. Ruled out: writing each crash: calls to the directory are priced, and one outage brings hundreds.

--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -285,6 +285,7 @@
             Record::Instance(registration) => {
                 self.board.borrow_mut().membership.contact(&registration);
             }
+            Record::Crashes(record) => self.hear_crashes(record, self.clock.now_ms()),
             Record::Unreadable { key, detail } => {
                 slog::warn!(self.log, "record refused; what is in force stays";
                     "key" => key, "detail" => detail);
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -5,11 +5,17 @@
 use std::time::Duration;
 
 use super::super::crash::{Crash, CrashRecord};
+use super::super::fingerprint::Fingerprint;
 use super::super::membership::{Message, Rumor};
-use super::super::policy::quarantine::Change;
+use super::super::policy::quarantine::{Change, QUARANTINE_MS};
 use super::super::view::Report;
 use super::{Board, Control};
 
+/// How often a quarantine is tried to be stored, and the pause between: outages of the directory last
+/// for seconds, and peers know it meanwhile.
+const REMEMBER_TRIES: u32 = 30;
+const REMEMBER_PAUSE_MS: u64 = 1_000;
+
 impl Control {
     /// Takes in what is reported, and judges it when peers have told what else ended.
     pub(super) async fn keep_quarantine(self: Rc<Control>) {
@@ -28,28 +34,42 @@
         }
     }
 
-    fn take_report(&self, report: Report) {
+    fn take_report(self: &Rc<Control>, report: Report) {
         let now_ms = self.clock.now_ms();
         let mut board = self.board.borrow_mut();
         match report {
             Report::Crash(crash) => board.quarantine.note_crash(crash),
             Report::Served(fingerprint, event) => {
+                let was_quarantined = board.quarantine.is_quarantined(fingerprint);
                 board.quarantine.clear_served(fingerprint, event, now_ms);
+                if was_quarantined && !board.quarantine.is_quarantined(fingerprint) {
+                    drop(board);
+                    slog::warn!(self.log, "quarantine lifted: the request was served";
+                        "fingerprint" => %fingerprint);
+                    self.remember(fingerprint);
+                }
             }
             Report::Lift(fingerprint) => {
                 let was_known = board.quarantine.lift(fingerprint, now_ms);
+                drop(board);
+                self.remember(fingerprint);
                 slog::warn!(self.log, "quarantine lifted"; "fingerprint" => %fingerprint,
                     "was_known" => was_known);
             }
         }
     }
 
-    fn settle(&self) {
+    fn settle(self: &Rc<Control>) {
         let now_ms = self.clock.now_ms();
         let mut board = self.board.borrow_mut();
         let Board { quarantine, fleet, .. } = &mut *board;
-        for (crash, change) in quarantine.settle(&fleet.upstreams, now_ms) {
+        let settled = quarantine.settle(&fleet.upstreams, now_ms);
+        drop(board);
+        for (crash, change) in settled {
             self.log_crash(&crash, change);
+            if change == Change::Quarantined {
+                self.remember(crash.fingerprint);
+            }
         }
     }
 
@@ -68,12 +88,30 @@
         self.metrics.count("requests_quarantined");
     }
 
+    /// Has the directory remember how a request stands, as soon as it answers.
+    fn remember(self: &Rc<Control>, fingerprint: Fingerprint) {
+        let control = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            for _ in 0..REMEMBER_TRIES {
+                let now_ms = control.clock.now_ms();
+                let record = control.board.borrow().quarantine.record(fingerprint, now_ms);
+                let Some(record) = record else { return };
+                match control.directory.remember(&record, QUARANTINE_MS).await {
+                    Ok(()) => return,
+                    Err(fault) => slog::info!(control.log, "quarantine not stored yet";
+                        "fingerprint" => %fingerprint, "why" => %fault),
+                }
+                tokio::time::sleep(Duration::from_millis(REMEMBER_PAUSE_MS)).await;
+            }
+        });
+    }
+
     /// Takes in what a peer tells of a request.
     pub(super) fn hear_crashes(&self, told: CrashRecord, now_ms: u64) {
         let fingerprint = told.fingerprint;
         let is_new = self.board.borrow_mut().quarantine.hear(told, now_ms);
         if is_new {
-            self.log_quarantined(fingerprint, "peer");
+            self.log_quarantined(fingerprint, "others");
         }
         self.tell_quarantine_news();
     }
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -4,6 +4,7 @@
 
 use futures_util::future::LocalBoxFuture;
 
+use super::crash::CrashRecord;
 use super::fleet::Upstream;
 use super::instance::Registration;
 use super::route::Config;
@@ -46,6 +47,8 @@
     Upstream(Upstream),
     /// An instance of ours.
     Instance(Registration),
+    /// What is known of a request that crashes upstreams.
+    Crashes(CrashRecord),
     /// An entry among the upstreams that names none to use: another writer made it.
     ForeignUpstream {
         /// The id under which it stands.
@@ -109,6 +112,14 @@
     /// Renews a lease.
     fn renew(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), Fault>>;
 
+    /// Writes what is known of a request that crashes upstreams, for `ttl_ms`, so that it outlasts the
+    /// loss of all instances.
+    fn remember<'a>(
+        &'a self,
+        record: &'a CrashRecord,
+        ttl_ms: u64,
+    ) -> LocalBoxFuture<'a, Result<(), Fault>>;
+
     /// Ends a lease, which removes the registration under it.
     fn release(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), Fault>>;
 }
--- a/src/gateway/native/file.rs
+++ b/src/gateway/native/file.rs
@@ -12,6 +12,7 @@
 use futures_util::future::LocalBoxFuture;
 
 use super::document::{self, Document};
+use crate::gateway::crash::CrashRecord;
 use crate::gateway::directory::{Changes, Directory, Fault, Listing, Record, Removed};
 use crate::gateway::instance::Registration;
 
@@ -116,6 +117,11 @@
         Box::pin(std::future::ready(Ok(NO_LEASE)))
     }
 
+    fn remember<'a>(&'a self, _: &'a CrashRecord, _: u64) -> LocalBoxFuture<'a, Result<(), Fault>> {
+        // A file is the operators' alone; instances remember for each other.
+        Box::pin(std::future::ready(Ok(())))
+    }
+
     fn renew(&self, _: u64) -> LocalBoxFuture<'_, Result<(), Fault>> {
         Box::pin(std::future::ready(Ok(())))
     }
--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -349,7 +349,7 @@
     /// What changed since this was last asked, for all peers.
     pub fn take_news(&mut self, now_ms: u64) -> Vec<CrashRecord> {
         let news = std::mem::take(&mut self.news);
-        news.into_iter().filter_map(|fingerprint| self.told(fingerprint, now_ms)).collect()
+        news.into_iter().filter_map(|fingerprint| self.record(fingerprint, now_ms)).collect()
     }
 
     /// The next part of everything, for a peer that may have missed it.
@@ -360,10 +360,16 @@
             self.records.keys().filter(is_next).take(MOST_TOLD).copied().collect();
         // A part that isn't full is the last one.
         self.told_to = part.last().copied().filter(|_| part.len() == MOST_TOLD);
-        part.into_iter().filter_map(|fingerprint| self.told(fingerprint, now_ms)).collect()
+        part.into_iter().filter_map(|fingerprint| self.record(fingerprint, now_ms)).collect()
     }
 
-    fn told(&self, fingerprint: Fingerprint, now_ms: u64) -> Option<CrashRecord> {
+    /// Whether a request is quarantined.
+    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        self.records.get(&fingerprint).is_some_and(|record| record.until_ms.is_some())
+    }
+
+    /// What is known of a request, as others are told.
+    pub fn record(&self, fingerprint: Fingerprint, now_ms: u64) -> Option<CrashRecord> {
         let record = self.records.get(&fingerprint)?;
         let crashes = record.crashes.iter().map(|(id, stage)| (Arc::clone(id), *stage));
         Some(CrashRecord {
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -194,3 +194,50 @@
     assert_eq!(stream.text, whole_text(&sent, 0));
     assert!(!running.gateways[0].logged().contains("request quarantined"));
 }
+
+/// All instances end at once, and nobody is left who could tell: the directory remembers.
+#[tokio::test]
+async fn it_outlasts_the_loss_of_all_instances() {
+    let mut running = start(2).await;
+    let sent = poison();
+    let _ = caller::stream(running.front(0), &sent).await;
+    tokio::time::sleep(NEWS).await;
+    running.gateways.iter_mut().for_each(|gateway| gateway.kill());
+    running.gateways.iter_mut().for_each(|gateway| gateway.restart());
+    running.wait_until_ready().await;
+    tokio::time::sleep(NEWS).await;
+    for instance in [0, 1] {
+        running.refuses_at_once(instance, &sent).await;
+    }
+}
+
+/// The upstreams are mended, and an operator has the request served again, through any instance.
+#[tokio::test]
+async fn operators_see_it_and_lift_it() {
+    let running = start(2).await;
+    let sent = poison();
+    let _ = caller::stream(running.front(0), &sent).await;
+    tokio::time::sleep(NEWS).await;
+    let metrics = format!("{}:9464", running.front(1).ip());
+    let listed = siskinrock(&["quarantine", "--metrics", &metrics]).await;
+    assert!(listed.contains("3 upstreams ended  in quarantine for"), "{listed}");
+    assert!(running.gateways[0].metrics().await.contains("siskinrock_requests_quarantined 1"));
+    let fingerprint = listed.split(' ').next().unwrap();
+    running.site.engines.iter().for_each(|engine| engine.crash_on(b"another body"));
+    let lifted = siskinrock(&["quarantine", "lift", fingerprint, "--metrics", &metrics]).await;
+    assert!(lifted.contains("lifted"), "{lifted}");
+    tokio::time::sleep(NEWS).await;
+    let again = Call { id: support::new_id(), ..sent };
+    let stream = caller::stream(running.front(0), &again).await.unwrap();
+    assert!(stream.is_complete);
+    let listed = siskinrock(&["quarantine", "--metrics", &metrics]).await;
+    assert!(listed.contains("no request is known"), "{listed}");
+}
+
+/// What the command line prints, whichever way it ends.
+async fn siskinrock(arguments: &[&str]) -> String {
+    let binary = env!("CARGO_BIN_EXE_siskinrock");
+    let output = tokio::process::Command::new(binary).args(arguments).output().await.unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    String::from_utf8_lossy(&text).into_owned()
+}
