A run that is lost within a quarter of a second has just begun, however many events it made

Cause: a quick engine makes an event in under 30 ms, so that a request which ends it after a tenth of a second may have passed more than the three events until which its run counted as just begun. Change: a quarter of a second after the head counts as well.

--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -24,8 +24,10 @@
 const WAITING_POINTS: u32 = 1;
 /// The points at which a request is quarantined.
 const QUARANTINE_POINTS: u32 = CRASHES * BEGUN_POINTS;
-/// Events after which a run that is lost no longer has just begun.
+/// A run that is lost has just begun until it has made more events than these,
 const FEW_EVENTS: u64 = 3;
+/// and for so long after the head of its answer: a quick engine makes some events before it ends.
+const BEGUN_MS: u64 = 250;
 /// Events beyond the last crash that clear a run: it goes on where it was thought to crash upstreams.
 pub const CLEARING_EVENTS: u64 = 8;
 
@@ -51,12 +53,12 @@
 /// A quarantine that is told to last so much longer is taken over; less is the message's own delay.
 const TOLD_LATE_MS: u64 = 2_000;
 
-/// How far a stream had come that was lost after so many events at an upstream, if the head of its answer
-/// had come; `None` for one that had run for a while, which crashed nothing by beginning.
-pub fn stage_of_stream(events: Option<u64>) -> Option<Stage> {
-    match events {
+/// How far a stream had come that was lost at an upstream so long after the head of its answer, if that had
+/// come, and so many events; `None` for one that had run for a while, which crashed nothing by beginning.
+pub fn stage_of_stream(answered_ms: Option<u64>, events: u64) -> Option<Stage> {
+    match answered_ms {
         None => Some(Stage::Waiting),
-        Some(events) if events <= FEW_EVENTS => Some(Stage::Begun),
+        Some(answered_ms) if events <= FEW_EVENTS || answered_ms <= BEGUN_MS => Some(Stage::Begun),
         Some(_) => None,
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -315,8 +315,8 @@
     fn broke_off(&mut self, worker: &Rc<Worker>, detail: String) -> Outcome {
         let now_ms = self.traffic.now_ms();
         worker.broke(now_ms);
-        let events = self.here.answers_since_ms.map(|_| self.here.events);
-        if let Some(stage) = quarantine::stage_of_stream(events) {
+        let answered_ms = self.here.answers_since_ms.map(|since_ms| now_ms - since_ms);
+        if let Some(stage) = quarantine::stage_of_stream(answered_ms, self.here.events) {
             let event = self.last_event.unwrap_or(0);
             self.crashes.push((now_ms, quarantine::points(stage)));
             self.crashed_at = Some(event);
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -145,6 +145,20 @@
     running.refuses_at_once(2, &sent).await;
 }
 
+/// An instance that stood still while the others learned of it knows it soon after.
+#[tokio::test]
+async fn an_instance_that_stood_still_knows_it() {
+    const STOOD_STILL: Duration = Duration::from_secs(4);
+    let running = start(3).await;
+    running.gateways[2].signal(libc::SIGSTOP);
+    let sent = poison();
+    let _ = caller::stream(running.front(0), &sent).await;
+    tokio::time::sleep(STOOD_STILL).await;
+    running.gateways[2].signal(libc::SIGCONT);
+    tokio::time::sleep(NEWS).await;
+    running.refuses_at_once(2, &sent).await;
+}
+
 /// Calls are stopped as streams are: one that may be repeated ends two services, and the third one when
 /// it comes again.
 #[tokio::test]
--- a/tests/gateway/suspicion.rs
+++ b/tests/gateway/suspicion.rs
@@ -9,7 +9,7 @@
 use siskinrock::gateway::crash::{Crash, Stage};
 use siskinrock::gateway::fingerprint::Fingerprint;
 use siskinrock::gateway::fleet::Upstream;
-use siskinrock::gateway::policy::quarantine::{Change, Quarantine, SETTLE_MS};
+use siskinrock::gateway::policy::quarantine::{self, Change, Quarantine, SETTLE_MS};
 use yare::parameterized;
 
 const DOMAINS: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
@@ -143,6 +143,17 @@
     assert!(is_quarantined(&known, waiting), "one that ends engines while they read its prompt");
 }
 
+#[parameterized(
+    waiting = { None, 0, Some(Stage::Waiting) },
+    no_event = { Some(2_000), 0, Some(Stage::Begun) },
+    few_events = { Some(2_000), 3, Some(Stage::Begun) },
+    many_at_once = { Some(100), 9, Some(Stage::Begun) },
+    ran_for_a_while = { Some(2_000), 4, None },
+)]
+fn a_run_has_just_begun(answered_ms: Option<u64>, events: u64, expected: Option<Stage>) {
+    assert_eq!(quarantine::stage_of_stream(answered_ms, events), expected);
+}
+
 /// Whoever lost engines and is served then starts anew; the others hear of it.
 #[parameterized(
     complete = { None },
