Pushed changes of the list repeat the last two pushes instead of a second and a half

Each push held all that had changed in 1.5 s and went to three others of the domain, which pushed it on, so that each change reached an instance about a dozen times (inferred in docs/CAPACITY.md from the code, not shown). Change: a push covers itself and the one before; who missed two fetches what is missing, as before.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -67,9 +67,10 @@
     is_outage_own: bool,
     messages: u64,
     told: Told,
-    /// What peers were told that this instance knows, with the times and revisions of the list.
+    /// What peers were told that this instance knows.
     told_versions: Versions,
-    revisions: VecDeque<(u64, u64)>,
+    /// The revisions of the list that were pushed last.
+    pushed: VecDeque<u64>,
     /// What is new came from the directory, so that others don't have it yet.
     is_first_to_tell: bool,
     behind_since_ms: Option<u64>,
@@ -138,7 +139,7 @@
             messages: 0,
             told: Told::default(),
             told_versions: Versions::default(),
-            revisions: VecDeque::new(),
+            pushed: VecDeque::new(),
             is_first_to_tell: false,
             behind_since_ms: None,
             is_fetching: false,
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -26,8 +26,9 @@
 /// One of so many instances also tells one of another failure domain: bytes between them are paid
 /// for, and whoever hears from the directory itself tells all of them.
 const NEWER_FAR: u32 = 4;
-/// How old a list a peer may have to use pushed changes: it missed none of the last ones.
-const PUSHED_SINCE_MS: u64 = 1_500;
+/// Pushes of which each repeats the changes, its own included: who missed one uses the next. Whoever missed
+/// more fetches; repeated for longer, each change of a list of thousands comes a dozen times.
+const PUSHES_REPEATED: usize = 2;
 /// Peers of the same failure domain that get everything in each round, for what was lost on the way.
 const REFRESHED: usize = 3;
 
@@ -216,14 +217,12 @@
 
     /// What changed lately in the list of upstreams, if that is not too long.
     fn changes(&self, board: &mut Board) -> Changes {
-        let now_ms = self.clock.now_ms();
         let Versions { config, fleet } = Control::versions(board);
-        let is_old = |(at_ms, _): &(u64, u64)| at_ms + PUSHED_SINCE_MS < now_ms;
-        while board.revisions.len() > 1 && board.revisions.get(1).is_some_and(is_old) {
-            board.revisions.pop_front();
+        let since = board.pushed.front().copied().unwrap_or(0);
+        board.pushed.push_back(fleet);
+        if board.pushed.len() > PUSHES_REPEATED {
+            board.pushed.pop_front();
         }
-        let since = board.revisions.front().map_or(0, |(_, revision)| *revision);
-        board.revisions.push_back((now_ms, fleet));
         let delta = board.fleet.since(since);
         let from = Arc::clone(&self.me.id);
         let is_short = rmp_serde::to_vec(&delta).is_ok_and(|bytes| bytes.len() <= PUSHED_BYTES);
