A few peers fetch the list at once, and the others are turned away at once

Cause: at 300 instances before 2,999 upstreams it took 30 s until all served again after the loss of all. Change: four connections at once on the address for peers, each for as long as a fetch may take; further ones are closed at once, and whoever is turned away asks another one a moment later. One that hangs holds no place.

--- a/src/gateway/control/knowledge.rs
+++ b/src/gateway/control/knowledge.rs
@@ -24,7 +24,7 @@
 /// How long a watch may be behind a peer before it is given up as broken.
 const BROKEN_WATCH_MS: u64 = 1_000;
 /// How long fetching from a peer may take: all of a large fleet is some 300 KB, over a slow link.
-const FETCH_TIMEOUT_MS: u64 = 1_500;
+pub const FETCH_TIMEOUT_MS: u64 = 1_500;
 
 /// The path at which peers fetch what an instance knows.
 pub const KNOWLEDGE_PATH: &str = "/peer/knowledge";
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -16,12 +16,13 @@
 
 use super::answer::{self, Answer};
 use super::control::Control;
-use super::control::knowledge::{KNOWLEDGE_PATH, Known};
+use super::control::knowledge::{FETCH_TIMEOUT_MS, KNOWLEDGE_PATH, Known};
 use super::dialect::{Dialect, Question};
 use super::directory::Directory;
 use super::membership::Phase;
 use super::metrics::Metrics;
 use super::policy::stop::Stop;
+use super::questions::Limit;
 use super::settings::Settings;
 use super::traffic::Traffic;
 use super::view::{Shared, View};
@@ -33,6 +34,9 @@
 const SWEEP_MS: u64 = 100;
 /// How often a planned stop looks whether all requests have ended.
 const STOP_STEP_MS: u64 = 25;
+/// Peers that may fetch at once. When all have started together, a list of hundreds of kilobytes reaches so
+/// few in time over a slow link; those turned away ask the ones that have it meanwhile.
+const PEERS_AT_ONCE: usize = 4;
 /// The stack of a thread; its futures live on the heap.
 const STACK_BYTES: usize = 512 << 10;
 
@@ -278,7 +282,8 @@
             }
         }
     };
-    tokio::task::spawn_local(questions::serve(listener, reply));
+    let limit = Limit { connections: PEERS_AT_ONCE, each_ms: FETCH_TIMEOUT_MS };
+    tokio::task::spawn_local(questions::serve_within(listener, limit, reply));
     Ok(())
 }
 
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -1,5 +1,7 @@
 //! Configurations take effect everywhere and never go back, whatever the store does.
 
+use std::net::SocketAddr;
+
 use siskinrock_fakes::caller::{self, Call};
 use siskinrock_fakes::process::wait_for;
 use siskinrock_fakes::site::{KEY, SECOND_KEY, config};
@@ -104,3 +106,24 @@
     assert!(answer.header("retry-after").is_some());
     assert!(!running.gateways[0].is_ready().await);
 }
+
+/// All instances started at once and asked the first one that had the list: none of them got it in time,
+/// and all asked again. Those beyond a few are turned away at once, and one that hangs holds no place.
+#[tokio::test]
+async fn a_few_peers_are_served_at_once_and_the_others_turned_away() {
+    const AT_ONCE: usize = 4;
+    let running = support::start(1).await;
+    let peers = SocketAddr::new(running.front(0).ip(), running.place.base_port + 8);
+    let mut hanging = Vec::new();
+    for _ in 0..AT_ONCE {
+        hanging.push(tokio::net::TcpStream::connect(peers).await.unwrap());
+    }
+    let fetch = Call { body: Vec::new(), ..call("GET", "/peer/knowledge") };
+    let turned_away = caller::send(peers, &fetch).await;
+    assert!(turned_away.is_err(), "{turned_away:?}");
+    wait_for("the places are free again", async || {
+        caller::send(peers, &fetch).await.is_ok_and(|answer| answer.status() == 200)
+    })
+    .await;
+    drop(hanging);
+}
