An instance that has just started keeps to a few repeats

The retry budget is shared by dividing it among the instances that one knows of and taking off what they told. One that has just started knows of none, so that each of many that start together could spend the whole bound: 4,144 repeats of 37 instances where 150 are allowed (the test, seen red on the code before).

--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -48,6 +48,9 @@
 /// The part of the answers that are no longer than what an engine's memory is reserved for: the few
 /// longer ones share what stays free there.
 const USUAL_OUTPUT: f64 = 0.9;
+/// How long after its start an instance has heard what the others sent: digests of other failure domains
+/// come within half a second of a few rounds of the membership.
+const OTHERS_KNOWN_MS: u64 = 1_000;
 /// Channels that each instance may keep beyond an even part, since load is never even.
 const CHANNEL_SLACK: u32 = 2;
 
@@ -357,6 +360,7 @@
             instances: view.instances,
             others_requests: others.map_or(0, |sent| sent.requests),
             others_repeats: others.map_or(0, |sent| sent.repeats),
+            knows_others: self.now_ms() >= OTHERS_KNOWN_MS,
         }
     }
 
