A quarantine that several instances found together is stored as well; names read once more

Cause: crashes that three instances saw once each add up when they tell each other, and then none of them had the directory remember it. Names stood twice (Standing, Change, Suspect). Suspect, Judgement and QuarantineEntry are one thing each.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -243,7 +243,7 @@
         let version = board.quarantine.version();
         let is_quarantine_new = version != board.quarantine_version;
         let quarantine = if is_quarantine_new {
-            Arc::new(board.quarantine.standings())
+            Arc::new(board.quarantine.suspects())
         } else {
             Arc::clone(&before.quarantine)
         };
--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -285,7 +285,9 @@
             Record::Instance(registration) => {
                 self.board.borrow_mut().membership.contact(&registration);
             }
-            Record::Crashes(record) => self.hear_crashes(record, self.clock.now_ms()),
+            Record::Crashes(record) => {
+                self.take_crashes(record, "directory");
+            }
             Record::Unreadable { key, detail } => {
                 slog::warn!(self.log, "record refused; what is in force stays";
                     "key" => key, "detail" => detail);
@@ -324,7 +326,7 @@
 
     /// Whether this instance should be registered, as far as it knows who else lives: at once if
     /// nobody can have told it.
-    fn registers(&self) -> bool {
+    pub(super) fn registers(&self) -> bool {
         let now_ms = self.clock.now_ms();
         let board = self.board.borrow();
         let others = board.membership.alive().map(|member| &*member.card.registration.id);
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -300,7 +300,7 @@
         }
     }
 
-    fn hear_rumors(&self, rumors: Vec<Rumor>, now_ms: u64) {
+    fn hear_rumors(self: &Rc<Control>, rumors: Vec<Rumor>, now_ms: u64) {
         for rumor in rumors {
             match rumor {
                 Rumor::Member { card, standing, by } => {
@@ -309,7 +309,7 @@
                 }
                 Rumor::Lost(id) => self.note_lost(&mut self.board.borrow_mut(), id, now_ms),
                 Rumor::Found(upstream) => self.take_found(upstream),
-                Rumor::Crashes(told) => self.hear_crashes(told, now_ms),
+                Rumor::Crashes(told) => self.hear_crashes(told),
             }
         }
         self.note_membership();
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -7,7 +7,7 @@
 use super::super::crash::{Crash, CrashRecord};
 use super::super::fingerprint::Fingerprint;
 use super::super::membership::{Message, Rumor};
-use super::super::policy::quarantine::{Change, QUARANTINE_MS};
+use super::super::policy::quarantine::{Judgement, QUARANTINE_MS};
 use super::super::view::Report;
 use super::{Board, Control};
 
@@ -65,20 +65,20 @@
         let Board { quarantine, fleet, .. } = &mut *board;
         let settled = quarantine.settle(&fleet.upstreams, now_ms);
         drop(board);
-        for (crash, change) in settled {
-            self.log_crash(&crash, change);
-            if change == Change::Quarantined {
+        for (crash, judgement) in settled {
+            self.log_crash(&crash, judgement);
+            if judgement == Judgement::Quarantined {
                 self.remember(crash.fingerprint);
             }
         }
     }
 
-    fn log_crash(&self, crash: &Crash, change: Change) {
+    fn log_crash(&self, crash: &Crash, judgement: Judgement) {
         let Crash { fingerprint, upstream, stage, event, .. } = crash;
         slog::warn!(self.log, "upstream ended under a request"; "fingerprint" => %fingerprint,
             "upstream" => &*upstream.id, "domain" => &*upstream.domain, "stage" => ?stage,
-            "event" => event, "judged" => ?change);
-        if change == Change::Quarantined {
+            "event" => event, "judged" => ?judgement);
+        if judgement == Judgement::Quarantined {
             self.log_quarantined(crash.fingerprint, "crashes");
         }
     }
@@ -107,13 +107,23 @@
     }
 
     /// Takes in what a peer tells of a request.
-    pub(super) fn hear_crashes(&self, told: CrashRecord, now_ms: u64) {
+    pub(super) fn hear_crashes(self: &Rc<Control>, told: CrashRecord) {
         let fingerprint = told.fingerprint;
-        let is_new = self.board.borrow_mut().quarantine.hear(told, now_ms);
+        // Crashes that several instances saw add up at any of them: a few have the directory remember.
+        if self.take_crashes(told, "peer") && self.registers() {
+            self.remember(fingerprint);
+        }
+    }
+
+    /// Takes in what others know of a request. Whether it is quarantined here by that.
+    pub(super) fn take_crashes(&self, told: CrashRecord, from: &'static str) -> bool {
+        let fingerprint = told.fingerprint;
+        let is_new = self.board.borrow_mut().quarantine.hear(told, self.clock.now_ms());
         if is_new {
-            self.log_quarantined(fingerprint, "others");
+            self.log_quarantined(fingerprint, from);
         }
         self.tell_quarantine_news();
+        is_new
     }
 
     /// Has traffic and peers know what changed.
--- a/src/gateway/native/quarantine.rs
+++ b/src/gateway/native/quarantine.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::error::{Error, Kind, Result};
-use crate::gateway::operator::{QUARANTINE_PATH, Suspect};
+use crate::gateway::operator::{QUARANTINE_PATH, QuarantineEntry};
 use crate::settings::Environment;
 
 /// The help of `siskinrock quarantine`.
@@ -49,11 +49,11 @@
 
 async fn list(addr: SocketAddr) -> Result<String> {
     let body = call(reqwest::Method::GET, addr, QUARANTINE_PATH).await?;
-    let suspects: Vec<Suspect> = serde_json::from_str(&body).map_err(Error::internal)?;
+    let suspects: Vec<QuarantineEntry> = serde_json::from_str(&body).map_err(Error::internal)?;
     if suspects.is_empty() {
         return Ok("no request is known to crash upstreams".to_owned());
     }
-    let lines = suspects.iter().map(|Suspect { fingerprint, crashes, quarantined_ms }| {
+    let lines = suspects.iter().map(|QuarantineEntry { fingerprint, crashes, quarantined_ms }| {
         let standing = match quarantined_ms {
             Some(left_ms) => format!("in quarantine for {} s more", left_ms / 1_000),
             None => "served".to_owned(),
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -15,7 +15,7 @@
 
 /// A request that crashed upstreams, as operators see it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspect {
+pub struct QuarantineEntry {
     /// The request.
     pub fingerprint: String,
     /// The upstreams that ended under it.
@@ -42,12 +42,12 @@
 
 fn list(shared: &Shared, now_ms: u64) -> Answer {
     let view = shared.view.load();
-    let suspects = view.quarantine.iter().map(|(fingerprint, standing)| Suspect {
+    let suspects = view.quarantine.iter().map(|(fingerprint, standing)| QuarantineEntry {
         fingerprint: fingerprint.to_string(),
         crashes: standing.crashes,
         quarantined_ms: standing.until_ms.map(|until_ms| until_ms.saturating_sub(now_ms)),
     });
-    let suspects: Vec<Suspect> = suspects.collect();
+    let suspects: Vec<QuarantineEntry> = suspects.collect();
     // Texts and numbers always serialize.
     text(200, "application/json", serde_json::to_string(&suspects).unwrap_or_default())
 }
--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -24,9 +24,9 @@
 const WAITING_POINTS: u32 = 1;
 /// The points at which a request is quarantined.
 const QUARANTINE_POINTS: u32 = CRASHES * BEGUN_POINTS;
-/// A run that is lost has just begun until it has made more events than these,
+/// Events until which a run that is lost had just begun.
 const FEW_EVENTS: u64 = 3;
-/// and for so long after the head of its answer: a quick engine makes some events before it ends.
+/// How long after the head of its answer it had, however many: a quick engine makes some before it ends.
 const BEGUN_MS: u64 = 250;
 /// Events beyond the last crash that clear a run: it goes on where it was thought to crash upstreams.
 pub const CLEARING_EVENTS: u64 = 8;
@@ -109,7 +109,7 @@
 
 /// How a fingerprint stands, for traffic and operators.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Standing {
+pub struct Suspect {
     /// What its crashes count.
     pub points: u32,
     /// The upstreams that ended.
@@ -119,16 +119,16 @@
 }
 
 /// All fingerprints that crashed anything.
-pub type Standings = BTreeMap<Fingerprint, Standing>;
+pub type Suspects = BTreeMap<Fingerprint, Suspect>;
 
-/// What a change means for a fingerprint.
+/// What a crash means for its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Change {
-    /// A crash counts against it.
+pub enum Judgement {
+    /// It counts against the request.
     Counted,
-    /// A crash had a common cause with the ends of other upstreams.
+    /// It had a common cause with the ends of other upstreams.
     Coincident,
-    /// It is quarantined from now on.
+    /// The request is quarantined from now on.
     Quarantined,
 }
 
@@ -152,7 +152,7 @@
         self.records.is_empty() && self.unsettled.is_empty()
     }
 
-    /// Grows with each change of [`standings`](Quarantine::standings).
+    /// Grows with each change of [`suspects`](Quarantine::suspects).
     pub fn version(&self) -> u64 {
         self.version
     }
@@ -195,18 +195,18 @@
         &mut self,
         upstreams: &BTreeMap<Arc<str>, Upstream>,
         now_ms: u64,
-    ) -> Vec<(Crash, Change)> {
+    ) -> Vec<(Crash, Judgement)> {
         let is_due = |crash: &mut Crash| crash.at_ms + SETTLE_MS <= now_ms;
         let due: Vec<Crash> = self.unsettled.extract_if(.., is_due).collect();
         let judged: Vec<bool> =
             due.iter().map(|crash| self.is_coincident(crash, &due, upstreams)).collect();
-        let mut changes = Vec::new();
+        let mut settled = Vec::new();
         for (crash, is_coincident) in due.into_iter().zip(judged) {
-            let change =
-                if is_coincident { Change::Coincident } else { self.count(&crash, now_ms) };
-            changes.push((crash, change));
+            let judgement =
+                if is_coincident { Judgement::Coincident } else { self.count(&crash, now_ms) };
+            settled.push((crash, judgement));
         }
-        changes
+        settled
     }
 
     /// Whether a crash has a common cause with the ends of other upstreams: a domain without power, a
@@ -241,7 +241,7 @@
         in_domain >= domain_bound || others.len() >= service_bound
     }
 
-    fn count(&mut self, crash: &Crash, now_ms: u64) -> Change {
+    fn count(&mut self, crash: &Crash, now_ms: u64) -> Judgement {
         self.make_room(crash.fingerprint);
         let record = self.records.entry(crash.fingerprint).or_default();
         let stage = record.crashes.entry(Arc::clone(&crash.upstream.id)).or_insert(crash.stage);
@@ -249,7 +249,11 @@
         record.event = record.event.max(crash.event);
         record.changed_ms = now_ms;
         self.note_change(crash.fingerprint);
-        if self.judge(crash.fingerprint, now_ms) { Change::Quarantined } else { Change::Counted }
+        if self.judge(crash.fingerprint, now_ms) {
+            Judgement::Quarantined
+        } else {
+            Judgement::Counted
+        }
     }
 
     /// Quarantines a request that has crashed enough. Whether it is new.
@@ -385,9 +389,9 @@
     }
 
     /// How all fingerprints stand that crashed anything.
-    pub fn standings(&self) -> Standings {
+    pub fn suspects(&self) -> Suspects {
         let known = self.records.iter().filter(|(_, record)| !record.crashes.is_empty());
-        let standing = |record: &Record| Standing {
+        let standing = |record: &Record| Suspect {
             points: record.points(),
             crashes: record.crashes.len(),
             until_ms: record.until_ms,
--- a/src/gateway/traffic/quarantine.rs
+++ b/src/gateway/traffic/quarantine.rs
@@ -7,7 +7,7 @@
 use super::super::failure::Failure;
 use super::super::job::Job;
 use super::super::policy::quarantine;
-use super::super::policy::quarantine::{SETTLE_MS, Standing};
+use super::super::policy::quarantine::{SETTLE_MS, Suspect};
 use super::super::view::Report;
 use super::super::worker::Worker;
 use super::Traffic;
@@ -19,7 +19,7 @@
 
 impl Traffic {
     /// How the request stands; without a fingerprint where none is known of.
-    fn crash_standing(&self, job: &Job) -> Option<Standing> {
+    fn suspect(&self, job: &Job) -> Option<Suspect> {
         let view = self.shared.view.load();
         if view.quarantine.is_empty() {
             return None;
@@ -29,7 +29,7 @@
 
     /// For how long the request is still quarantined, if it is.
     pub fn quarantine_left_ms(&self, job: &Job) -> Option<u64> {
-        let until_ms = self.crash_standing(job)?.until_ms?;
+        let until_ms = self.suspect(job)?.until_ms?;
         until_ms.checked_sub(self.now_ms()).filter(|left_ms| *left_ms > 0)
     }
 
@@ -53,7 +53,7 @@
 
     /// Whether one more crash may quarantine a request, beside `points` of crashes that are not judged.
     pub fn may_be_quarantined(&self, job: &Job, points: u32) -> bool {
-        let known = self.crash_standing(job).unwrap_or_default().points;
+        let known = self.suspect(job).unwrap_or_default().points;
         quarantine::may_follow(known + points)
     }
 
@@ -90,7 +90,7 @@
     /// Reports that a request was served, up to an event or completely, if anything is held against it.
     pub fn note_served(&self, job: &Job, event: Option<u64>) {
         let has_unjudged = |at_ms| at_ms + JUDGED_MS > self.now_ms();
-        if self.crash_standing(job).is_some() || self.crashed_ms.get().is_some_and(has_unjudged) {
+        if self.suspect(job).is_some() || self.crashed_ms.get().is_some_and(has_unjudged) {
             self.shared.report(Report::Served(job.fingerprint(), event));
         }
     }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -12,7 +12,7 @@
 use super::fleet::Fleet;
 use super::loads::{Held, Own, Places, Sent};
 use super::membership::Phase;
-use super::policy::quarantine::Standings;
+use super::policy::quarantine::Suspects;
 use super::route::Config;
 
 /// An immutable picture of what is known.
@@ -39,7 +39,7 @@
     /// Which engines read a part of a prompt, as others told.
     pub places: Places,
     /// Requests that crashed upstreams, and whether they are quarantined.
-    pub quarantine: Arc<Standings>,
+    pub quarantine: Arc<Suspects>,
 }
 
 /// An instance that takes callers.
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -20,6 +20,7 @@
 use siskinrock_fakes::engine::Seen;
 use siskinrock_fakes::process::wait_for;
 use siskinrock_fakes::site::Site;
+use yare::parameterized;
 
 use crate::support::{self, Running, call, plan, whole_text};
 
@@ -209,18 +210,26 @@
     assert!(!running.gateways[0].logged().contains("request quarantined"));
 }
 
-/// All instances end at once, and nobody is left who could tell: the directory remembers.
-#[tokio::test]
-async fn it_outlasts_the_loss_of_all_instances() {
-    let mut running = start(2).await;
-    let sent = poison();
-    let _ = caller::stream(running.front(0), &sent).await;
-    tokio::time::sleep(NEWS).await;
+/// All instances end at once, and nobody is left who could tell: the directory remembers, whether one
+/// instance saw all crashes or each saw one.
+#[parameterized(
+    seen_by_one = { &[0], 10_000 },
+    seen_by_three = { &[0, 1, 2], 200 },
+)]
+#[test_macro(tokio::test)]
+async fn it_outlasts_the_loss_of_all_instances(instances: &[usize], deadline_ms: u64) {
+    let mut running = start(3).await;
+    let sent = Call { deadline_ms, ..poison() };
+    for instance in instances {
+        let again = Call { id: support::new_id(), ..sent.clone() };
+        let _ = caller::stream(running.front(*instance), &again).await;
+        tokio::time::sleep(NEWS).await;
+    }
     running.gateways.iter_mut().for_each(|gateway| gateway.kill());
     running.gateways.iter_mut().for_each(|gateway| gateway.restart());
     running.wait_until_ready().await;
     tokio::time::sleep(NEWS).await;
-    for instance in [0, 1] {
+    for instance in 0..3 {
         running.refuses_at_once(instance, &sent).await;
     }
 }
--- a/tests/gateway/suspicion.rs
+++ b/tests/gateway/suspicion.rs
@@ -9,7 +9,7 @@
 use siskinrock::gateway::crash::{Crash, Stage};
 use siskinrock::gateway::fingerprint::Fingerprint;
 use siskinrock::gateway::fleet::Upstream;
-use siskinrock::gateway::policy::quarantine::{self, Change, Quarantine, SETTLE_MS};
+use siskinrock::gateway::policy::quarantine::{self, Judgement, Quarantine, SETTLE_MS};
 use yare::parameterized;
 
 const DOMAINS: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
@@ -47,7 +47,7 @@
 }
 
 fn is_quarantined(known: &Quarantine, fingerprint: Fingerprint) -> bool {
-    known.standings().get(&fingerprint).is_some_and(|standing| standing.until_ms.is_some())
+    known.suspects().get(&fingerprint).is_some_and(|suspect| suspect.until_ms.is_some())
 }
 
 /// Tells everything that one knows to another.
@@ -110,9 +110,9 @@
         let number = ended[loss as usize % ended.len()];
         known.note_crash(crash(unlucky, number, Stage::Begun, at_ms));
         let judged = known.settle(&engines(), at_ms + SETTLE_MS);
-        assert_eq!(judged[0].1, Change::Coincident);
+        assert_eq!(judged[0].1, Judgement::Coincident);
     }
-    assert!(known.standings().is_empty());
+    assert!(known.suspects().is_empty());
 }
 
 /// A request that ends engine after engine is no common cause for itself, however quick it is.
@@ -169,9 +169,9 @@
     here.clear_served(unlucky, event, 3_000);
     // What the other one still tells of the crashes is void.
     tell(&mut there, &mut here, 3_010);
-    assert!(here.standings().is_empty());
+    assert!(here.suspects().is_empty());
     tell(&mut here, &mut there, 3_020);
-    assert!(there.standings().is_empty());
+    assert!(there.suspects().is_empty());
     assert!(!crashes(&mut there, unlucky, 2, 4_000));
 }
 
@@ -184,7 +184,7 @@
     known.note_crash(at(0, 1_000));
     known.settle(&engines(), 1_000 + SETTLE_MS);
     known.clear_served(poison, Some(100), 2_000);
-    assert_eq!(known.standings()[&poison].crashes, 1);
+    assert_eq!(known.suspects()[&poison].crashes, 1);
 }
 
 #[test]
@@ -194,7 +194,7 @@
     for number in 0..3 {
         crashes(&mut known, poison, number, 1_000);
     }
-    let until_ms = known.standings()[&poison].until_ms.unwrap();
+    let until_ms = known.suspects()[&poison].until_ms.unwrap();
     known.forget(until_ms - 1);
     assert!(is_quarantined(&known, poison));
     known.forget(until_ms);
@@ -210,7 +210,7 @@
     for number in 0..3 {
         crashes(&mut here, poison, number, 1_000);
     }
-    let until_ms = here.standings()[&poison].until_ms.unwrap();
+    let until_ms = here.suspects()[&poison].until_ms.unwrap();
     for round in 0..500 {
         let now_ms = 2_000 + 350 * round;
         // Each message takes 100 ms.
@@ -223,8 +223,8 @@
             here.hear(told, now_ms + 300);
         }
     }
-    assert_eq!(here.standings()[&poison].until_ms, Some(until_ms));
-    assert!(there.standings()[&poison].until_ms.unwrap() <= until_ms + 100);
+    assert_eq!(here.suspects()[&poison].until_ms, Some(until_ms));
+    assert!(there.suspects()[&poison].until_ms.unwrap() <= until_ms + 100);
 }
 
 #[test]
@@ -255,7 +255,7 @@
         let fingerprint = request(&format!("flood-{index}"));
         crashes(&mut known, fingerprint, index % ENGINES, 2_000 + index as u64 * 1_000);
     }
-    assert!(known.standings().len() <= MOST);
+    assert!(known.suspects().len() <= MOST);
     assert!(is_quarantined(&known, poison));
     let told = known.next_part(4_000_000);
     assert!(told.len() <= 16 && rmp_serde::to_vec(&told).unwrap().len() < 4_096);
