Peers hear of an end under a run that had just begun before anybody judges it

Cause: a request that is sent through many instances in the same moment ends an upstream at each. Every instance saw the ends at the others as a fault of the whole service, so none of them counted against the request, and it went on. Change: such an end is a rumor of its own, sent at once (16 of an instance at the most), and doesn't count as another upstream's for that request. Ends are remembered for ten seconds, longer than a rumor is heard, so that it is news only once. The new test was not run on the code before, which has no call for it; reasoned from is_coincident: 13 other ends among 24 upstreams were over its bound of 12.

--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -309,6 +309,7 @@
                 }
                 Rumor::Lost(id) => self.note_lost(&mut self.board.borrow_mut(), id, now_ms),
                 Rumor::Found(upstream) => self.take_found(upstream),
+                Rumor::Ended(end) => self.hear_end(end, now_ms),
                 Rumor::Crashes(told) => self.hear_crashes(told),
             }
         }
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::super::crash::{Crash, CrashRecord};
+use super::super::crash::{Crash, CrashRecord, EndedUnder};
 use super::super::fingerprint::Fingerprint;
 use super::super::membership::{Message, Rumor};
 use super::super::policy::quarantine::{Judgement, QUARANTINE_MS};
@@ -29,11 +29,33 @@
             for report in self.shared.take_reports() {
                 self.take_report(report);
             }
+            self.tell_ends();
             self.settle();
             self.tell_quarantine_news();
         }
     }
 
+    /// Has peers hear which upstreams ended under runs that had just begun.
+    fn tell_ends(&self) {
+        let mut board = self.board.borrow_mut();
+        for end in board.quarantine.take_ends() {
+            board.membership.tell(Rumor::Ended(end));
+        }
+        drop(board);
+        self.rumors.notify_one();
+    }
+
+    /// Takes in such an end from a peer; the others hear of it if it is news.
+    pub(super) fn hear_end(&self, end: EndedUnder, now_ms: u64) {
+        let mut board = self.board.borrow_mut();
+        let Some(upstream) = board.fleet.upstreams.get(&end.upstream).cloned() else { return };
+        if board.quarantine.hear_end(&upstream, end.fingerprint, now_ms) {
+            board.membership.tell(Rumor::Ended(end));
+            drop(board);
+            self.rumors.notify_one();
+        }
+    }
+
     fn take_report(self: &Rc<Control>, report: Report) {
         let now_ms = self.clock.now_ms();
         let mut board = self.board.borrow_mut();
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -31,6 +31,15 @@
     pub at_ms: u64,
 }
 
+/// An upstream that ended under a run that had just begun, as instances tell it before it is judged.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EndedUnder {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// The request.
+    pub fingerprint: Fingerprint,
+}
+
 /// A record as instances tell it to each other, with times as they are at the sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
--- a/src/gateway/membership/rumors.rs
+++ b/src/gateway/membership/rumors.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::super::crash::CrashRecord;
+use super::super::crash::{CrashRecord, EndedUnder};
 use super::super::fingerprint::Fingerprint;
 use super::super::fleet::Upstream;
 use super::card::{Card, Standing};
@@ -34,6 +34,8 @@
     Lost(Arc<str>),
     /// An engine was found at its address while the directory is silent.
     Found(Upstream),
+    /// An upstream ended under a run that had just begun.
+    Ended(EndedUnder),
     /// A request crashed upstreams, or was cleared.
     Crashes(CrashRecord),
 }
@@ -44,6 +46,7 @@
     Member(Arc<str>),
     Lost(Arc<str>),
     Found(Arc<str>),
+    Ended(EndedUnder),
     Crashes(Fingerprint),
 }
 
@@ -53,6 +56,7 @@
             Rumor::Member { card, .. } => Subject::Member(Arc::clone(&card.registration.id)),
             Rumor::Lost(id) => Subject::Lost(Arc::clone(id)),
             Rumor::Found(upstream) => Subject::Found(Arc::clone(&upstream.id)),
+            Rumor::Ended(end) => Subject::Ended(end.clone()),
             Rumor::Crashes(told) => Subject::Crashes(told.fingerprint),
         }
     }
--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -7,10 +7,10 @@
 //! that have a common cause not at all, and whatever is served anywhere is cleared of all of them.
 //! See [docs/DESIGN.md](../../../docs/DESIGN.md), "Poison requests".
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use super::super::crash::{Crash, CrashRecord, Stage};
+use super::super::crash::{Crash, CrashRecord, EndedUnder, Stage};
 use super::super::fingerprint::Fingerprint;
 use super::super::fleet::Upstream;
 
@@ -48,6 +48,12 @@
 const MOST_RECORDS: usize = 512;
 /// Crashes that wait to be judged.
 const MOST_UNSETTLED: usize = 1_024;
+/// How long an end is remembered: a rumor of it is heard for a second or two, and is news only once.
+const END_KEPT_MS: u64 = 10_000;
+/// Ends that are remembered at the most.
+const MOST_ENDS: usize = 1_024;
+/// Ends that are told at once: when a domain loses power, each instance has a few such runs there.
+const MOST_ENDS_TOLD: usize = 16;
 /// Records that are told at once.
 const MOST_TOLD: usize = 16;
 /// A quarantine that is told to last so much longer is taken over; less is the message's own delay.
@@ -77,11 +83,13 @@
     points + BEGUN_POINTS >= QUARANTINE_POINTS
 }
 
-/// An upstream that has ended, under whatever ran there.
+/// An upstream that has ended.
 #[derive(Debug, Clone)]
 struct End {
     upstream: Upstream,
     at_ms: u64,
+    /// Requests whose runs had just begun there, as far as instances told.
+    under: BTreeSet<Fingerprint>,
 }
 
 /// What is known of a fingerprint.
@@ -142,6 +150,8 @@
     version: u64,
     /// Fingerprints of which peers have to hear.
     news: Vec<Fingerprint>,
+    /// Ends under runs that had just begun, of which they have to hear before anybody judges.
+    ends_news: Vec<EndedUnder>,
     /// Where the next telling of everything goes on.
     told_to: Option<Fingerprint>,
 }
@@ -159,20 +169,51 @@
 
     /// Notes that an upstream has ended, whatever ran there.
     pub fn note_end(&mut self, upstream: &Upstream, now_ms: u64) {
-        let kept_ms = SETTLE_MS + COINCIDENT_MS;
-        while self.ends.front().is_some_and(|end| end.at_ms + kept_ms < now_ms) {
-            self.ends.pop_front();
+        let end = self.end_of(upstream, now_ms);
+        // Under the same id, another incarnation of it may end later.
+        if end.at_ms + SETTLE_MS + COINCIDENT_MS < now_ms {
+            end.at_ms = now_ms;
+            end.under.clear();
         }
-        if !self.ends.iter().any(|end| end.upstream.id == upstream.id) {
-            self.ends.push_back(End { upstream: upstream.clone(), at_ms: now_ms });
+    }
+
+    /// The note on an upstream that has ended, kept for longer than others tell of it.
+    fn end_of(&mut self, upstream: &Upstream, now_ms: u64) -> &mut End {
+        let is_old = |end: &End| end.at_ms + END_KEPT_MS < now_ms;
+        while self.ends.front().is_some_and(is_old) || self.ends.len() > MOST_ENDS {
+            self.ends.pop_front();
         }
+        let known = self.ends.iter().position(|end| end.upstream.id == upstream.id);
+        let index = known.unwrap_or_else(|| {
+            let end = End { upstream: upstream.clone(), at_ms: now_ms, under: BTreeSet::new() };
+            self.ends.push_back(end);
+            self.ends.len() - 1
+        });
+        &mut self.ends[index]
+    }
+
+    /// Notes that an upstream ended under a run that had just begun, as a peer tells. Whether it is new.
+    pub fn hear_end(&mut self, upstream: &Upstream, fingerprint: Fingerprint, now_ms: u64) -> bool {
+        self.end_of(upstream, now_ms).under.insert(fingerprint)
+    }
+
+    /// The ends that peers should hear of at once: a request that is sent through several instances at once
+    /// would otherwise look like a common cause of all the upstreams that end.
+    pub fn take_ends(&mut self) -> Vec<EndedUnder> {
+        std::mem::take(&mut self.ends_news)
     }
 
     /// Notes that an upstream has ended under a request; judged a moment later by
     /// [`settle`](Quarantine::settle). Two attempts at one upstream count once.
     pub fn note_crash(&mut self, crash: Crash) {
-        self.note_end(&crash.upstream, crash.at_ms);
         let Crash { fingerprint, upstream, .. } = &crash;
+        self.note_end(upstream, crash.at_ms);
+        let end = self.end_of(upstream, crash.at_ms);
+        let is_new = crash.stage == Stage::Begun && end.under.insert(*fingerprint);
+        if is_new && self.ends_news.len() < MOST_ENDS_TOLD {
+            let upstream = Arc::clone(&upstream.id);
+            self.ends_news.push(EndedUnder { upstream, fingerprint: *fingerprint });
+        }
         let is_same = |other: &&mut Crash| {
             other.fingerprint == *fingerprint && other.upstream.id == upstream.id
         };
@@ -229,6 +270,8 @@
             end.upstream.service == *service
                 && end.upstream.id != *id
                 && end.at_ms + COINCIDENT_MS >= crash.at_ms
+                && end.at_ms <= crash.at_ms + SETTLE_MS
+                && !end.under.contains(&crash.fingerprint)
                 && !is_own(&end.upstream)
         };
         let others: Vec<&End> = self.ends.iter().filter(is_other).collect();
--- a/tests/gateway/suspicion.rs
+++ b/tests/gateway/suspicion.rs
@@ -127,6 +127,31 @@
     assert!(is_quarantined(&known, poison));
 }
 
+/// It is sent through many instances in the same moment, and each sees one engine end: without a word from
+/// the others, that would look like a fault of the whole service.
+#[test]
+fn a_request_that_comes_to_all_instances_at_once_is_no_common_cause() {
+    const INSTANCES: usize = 14;
+    let mut instances: Vec<Quarantine> = (0..INSTANCES).map(|_| Quarantine::default()).collect();
+    let poison = request("poison");
+    let mut ends = Vec::new();
+    for (number, instance) in instances.iter_mut().enumerate() {
+        instance.note_crash(crash(poison, number, Stage::Begun, 1_000));
+        ends.extend(instance.take_ends());
+    }
+    let all = engines();
+    for instance in &mut instances {
+        for end in &ends {
+            instance.hear_end(&all[&end.upstream], end.fingerprint, 1_100);
+        }
+        let judged = instance.settle(&all, 1_000 + SETTLE_MS);
+        assert_eq!(judged[0].1, Judgement::Counted);
+    }
+    let (first, others) = instances.split_first_mut().unwrap();
+    others.iter_mut().for_each(|other| tell(other, first, 2_000));
+    assert!(is_quarantined(first, poison));
+}
+
 /// Requests that waited at an engine that another one ended are held to it far less.
 #[test]
 fn a_request_that_only_waited_needs_twice_as_many_crashes() {
