--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod coincidence;
 pub mod engine;
 pub mod found;
 pub mod hedge;
--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -7,12 +7,13 @@
 //! that have a common cause not at all, and whatever is served anywhere is cleared of all of them.
 //! See [docs/DESIGN.md](../../../docs/DESIGN.md), "Poison requests".
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::super::crash::{Crash, CrashRecord, EndedUnder, Stage};
 use super::super::fingerprint::Fingerprint;
 use super::super::fleet::Upstream;
+use super::coincidence::{Ends, SETTLE_MS};
 
 /// Crashes while the run had just begun after which a request is quarantined. With two, a request that
 /// went on beside the one to blame once would be taken for it.
@@ -33,25 +34,10 @@
 
 /// How long a request stays quarantined, and how long crashes are remembered of one that isn't.
 pub const QUARANTINE_MS: u64 = 10 * 60_000;
-/// How long after a crash it is judged, when peers have told which other upstreams ended meanwhile.
-pub const SETTLE_MS: u64 = 350;
-/// How long before a crash the end of another upstream has the same cause.
-const COINCIDENT_MS: u64 = 150;
-/// Other upstreams whose ends have a common cause with a crash, at the least.
-const COINCIDENT_LEAST: usize = 2;
-/// One of so many upstreams of a failure domain ends by itself at most; more have a common cause.
-const DOMAIN_PART: usize = 3;
-/// One of so many upstreams of a whole service.
-const SERVICE_PART: usize = 2;
-
 /// Fingerprints that are remembered; beyond, the one with the fewest points goes.
 const MOST_RECORDS: usize = 512;
 /// Crashes that wait to be judged.
 const MOST_UNSETTLED: usize = 1_024;
-/// How long an end is remembered: a rumor of it is heard for a second or two, and is news only once.
-const END_KEPT_MS: u64 = 10_000;
-/// Ends that are remembered at the most.
-const MOST_ENDS: usize = 1_024;
 /// Ends that are told at once: when a domain loses power, each instance has a few such runs there.
 const MOST_ENDS_TOLD: usize = 16;
 /// Records that are told at once.
@@ -83,15 +69,6 @@
     points + BEGUN_POINTS >= QUARANTINE_POINTS
 }
 
-/// An upstream that has ended.
-#[derive(Debug, Clone)]
-struct End {
-    upstream: Upstream,
-    at_ms: u64,
-    /// Requests whose runs had just begun there, as far as instances told.
-    under: BTreeSet<Fingerprint>,
-}
-
 /// What is known of a fingerprint.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 struct Record {
@@ -145,7 +122,7 @@
 pub struct Quarantine {
     records: BTreeMap<Fingerprint, Record>,
     unsettled: Vec<Crash>,
-    ends: VecDeque<End>,
+    ends: Ends,
     /// Grows with each change of what is known.
     version: u64,
     /// Fingerprints of which peers have to hear.
@@ -169,32 +146,12 @@
 
     /// Notes that an upstream has ended, whatever ran there.
     pub fn note_end(&mut self, upstream: &Upstream, now_ms: u64) {
-        let end = self.end_of(upstream, now_ms);
-        // Under the same id, another incarnation of it may end later.
-        if end.at_ms + SETTLE_MS + COINCIDENT_MS < now_ms {
-            end.at_ms = now_ms;
-            end.under.clear();
-        }
-    }
-
-    /// The note on an upstream that has ended, kept for longer than others tell of it.
-    fn end_of(&mut self, upstream: &Upstream, now_ms: u64) -> &mut End {
-        let is_old = |end: &End| end.at_ms + END_KEPT_MS < now_ms;
-        while self.ends.front().is_some_and(is_old) || self.ends.len() > MOST_ENDS {
-            self.ends.pop_front();
-        }
-        let known = self.ends.iter().position(|end| end.upstream.id == upstream.id);
-        let index = known.unwrap_or_else(|| {
-            let end = End { upstream: upstream.clone(), at_ms: now_ms, under: BTreeSet::new() };
-            self.ends.push_back(end);
-            self.ends.len() - 1
-        });
-        &mut self.ends[index]
+        self.ends.note(upstream, now_ms);
     }
 
     /// Notes that an upstream ended under a run that had just begun, as a peer tells. Whether it is new.
     pub fn hear_end(&mut self, upstream: &Upstream, fingerprint: Fingerprint, now_ms: u64) -> bool {
-        self.end_of(upstream, now_ms).under.insert(fingerprint)
+        self.ends.note_under(upstream, fingerprint, now_ms)
     }
 
     /// The ends that peers should hear of at once: a request that is sent through several instances at once
@@ -207,9 +164,9 @@
     /// [`settle`](Quarantine::settle). Two attempts at one upstream count once.
     pub fn note_crash(&mut self, crash: Crash) {
         let Crash { fingerprint, upstream, .. } = &crash;
-        self.note_end(upstream, crash.at_ms);
-        let end = self.end_of(upstream, crash.at_ms);
-        let is_new = crash.stage == Stage::Begun && end.under.insert(*fingerprint);
+        self.ends.note(upstream, crash.at_ms);
+        let is_new = crash.stage == Stage::Begun
+            && self.ends.note_under(upstream, *fingerprint, crash.at_ms);
         if is_new && self.ends_news.len() < MOST_ENDS_TOLD {
             let upstream = Arc::clone(&upstream.id);
             self.ends_news.push(EndedUnder { upstream, fingerprint: *fingerprint });
@@ -250,38 +207,23 @@
         settled
     }
 
-    /// Whether a crash has a common cause with the ends of other upstreams: a domain without power, a
-    /// fault of the whole service. Upstreams that ended under the same request don't count as others.
+    /// Whether a crash has a common cause with the ends of other upstreams; those that ended under the same
+    /// request, however quickly, are none.
     fn is_coincident(
         &self,
         crash: &Crash,
         due: &[Crash],
         upstreams: &BTreeMap<Arc<str>, Upstream>,
     ) -> bool {
-        let Upstream { id, service, domain, .. } = &crash.upstream;
-        let is_own = |other: &Upstream| {
-            let mut unsettled = self.unsettled.iter().chain(due);
-            let known = self.records.get(&crash.fingerprint);
-            known.is_some_and(|record| record.crashes.contains_key(&other.id))
-                || unsettled
-                    .any(|one| one.fingerprint == crash.fingerprint && one.upstream.id == other.id)
+        let is_same = |other: &Crash, id: &str| {
+            other.fingerprint == crash.fingerprint && *other.upstream.id == *id
         };
-        let is_other = |end: &&End| {
-            end.upstream.service == *service
-                && end.upstream.id != *id
-                && end.at_ms + COINCIDENT_MS >= crash.at_ms
-                && end.at_ms <= crash.at_ms + SETTLE_MS
-                && !end.under.contains(&crash.fingerprint)
-                && !is_own(&end.upstream)
+        let is_own = |id: &str| {
+            let record = self.records.get(&crash.fingerprint);
+            record.is_some_and(|record| record.crashes.contains_key(id))
+                || self.unsettled.iter().chain(due).any(|other| is_same(other, id))
         };
-        let others: Vec<&End> = self.ends.iter().filter(is_other).collect();
-        let in_domain = others.iter().filter(|end| end.upstream.domain == *domain).count();
-        let all = upstreams.values().filter(|other| other.service == *service);
-        let (near, far): (Vec<&Upstream>, Vec<&Upstream>) =
-            all.partition(|other| other.domain == *domain);
-        let domain_bound = near.len().div_ceil(DOMAIN_PART).max(COINCIDENT_LEAST);
-        let service_bound = (near.len() + far.len()).div_ceil(SERVICE_PART).max(COINCIDENT_LEAST);
-        in_domain >= domain_bound || others.len() >= service_bound
+        self.ends.is_coincident(crash, is_own, upstreams)
     }
 
     fn count(&mut self, crash: &Crash, now_ms: u64) -> Judgement {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod copy;
+mod crashes;
 mod relay;
 
 use std::rc::Rc;
@@ -23,10 +24,9 @@
 use super::policy::admission;
 use super::policy::engine::Need;
 use super::policy::placement::Wish;
-use super::policy::quarantine;
 use super::policy::silence::Patience;
 use super::route::Repeat;
-use super::traffic::{JUDGED_MS, Traffic};
+use super::traffic::Traffic;
 use super::worker::Worker;
 
 /// The wait before another look when no engine takes work in the middle of an answer, doubled each
@@ -89,6 +89,14 @@
     events: u64,
 }
 
+/// An engine that ended under a run a moment ago.
+#[derive(Debug, Clone, Copy)]
+struct Unjudged {
+    at_ms: u64,
+    /// What that counts against the request.
+    points: u32,
+}
+
 /// What became of the engine that a run was lost at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Loss {
@@ -133,8 +141,8 @@
     lost_ms: Option<u64>,
     /// How far the run has come at its present engine.
     here: Progress,
-    /// Engines that ended under it and whose ends are not judged: when, and what that counts.
-    crashes: Vec<(u64, u32)>,
+    /// Engines that ended under it and whose ends may not be judged yet.
+    crashes: Vec<Unjudged>,
     /// The last event before an engine ended under it; some more events clear it.
     crashed_at: Option<u64>,
     may_have_run: bool,
@@ -311,39 +319,6 @@
         self.wait_for_judgement().await
     }
 
-    /// Notes that an engine ended the connection, and reports it if the run may have caused that.
-    fn broke_off(&mut self, worker: &Rc<Worker>, detail: String) -> Outcome {
-        let now_ms = self.traffic.now_ms();
-        worker.broke(now_ms);
-        let answered_ms = self.here.answers_since_ms.map(|since_ms| now_ms - since_ms);
-        if let Some(stage) = quarantine::stage_of_stream(answered_ms, self.here.events) {
-            let event = self.last_event.unwrap_or(0);
-            self.crashes.push((now_ms, quarantine::points(stage)));
-            self.crashed_at = Some(event);
-            self.traffic.note_crash(&self.job, worker, stage, event);
-        } else {
-            self.traffic.check_ending(worker);
-        }
-        lost(detail, Loss::BrokeOff)
-    }
-
-    /// Waits until the engines that ended under the run are judged, if that may quarantine it: another
-    /// attempt before that would cost one more engine. False if the time is over or the caller has left.
-    async fn wait_for_judgement(&mut self) -> bool {
-        let now_ms = self.traffic.now_ms();
-        self.crashes.retain(|(at_ms, _)| at_ms + JUDGED_MS > now_ms);
-        let points = self.crashes.iter().map(|(_, points)| points).sum();
-        let Some((last_ms, _)) = self.crashes.last().copied() else { return true };
-        if !self.traffic.may_be_quarantined(&self.job, points) {
-            return true;
-        }
-        if self.wait(last_ms + JUDGED_MS - now_ms).await {
-            return true;
-        }
-        self.give_up(self.time_over());
-        false
-    }
-
     /// Whether there is another attempt after one that certainly did not run.
     async fn goes_on_unrun(&mut self, why: &Refused) -> bool {
         let Refused::Status(_) = why else { return true };
--- /dev/null
+++ b/src/gateway/stream/crashes.rs
@@ -0,0 +1,53 @@
+//! Engines that end under a run: what it reports of them, and when it waits for what is made of that.
+
+use std::rc::Rc;
+
+use super::super::policy::quarantine::{self, CLEARING_EVENTS};
+use super::super::traffic::JUDGED_MS;
+use super::super::worker::Worker;
+use super::{Loss, Outcome, Run, Unjudged, lost};
+
+impl Run {
+    /// Notes that an engine ended the connection, and reports it if the run may have caused that.
+    pub(super) fn broke_off(&mut self, worker: &Rc<Worker>, detail: String) -> Outcome {
+        let now_ms = self.traffic.now_ms();
+        worker.broke(now_ms);
+        let answered_ms = self.here.answers_since_ms.map(|since_ms| now_ms - since_ms);
+        if let Some(stage) = quarantine::stage_of_stream(answered_ms, self.here.events) {
+            let event = self.last_event.unwrap_or(0);
+            self.crashes.push(Unjudged { at_ms: now_ms, points: quarantine::points(stage) });
+            self.crashed_at = Some(event);
+            self.traffic.note_crash(&self.job, worker, stage, event);
+        } else {
+            self.traffic.check_ending(worker);
+        }
+        lost(detail, Loss::BrokeOff)
+    }
+
+    /// Waits until the engines that ended under the run are judged, if that may quarantine it: another
+    /// attempt before that would cost one more engine. False if the time is over or the caller has left.
+    pub(super) async fn wait_for_judgement(&mut self) -> bool {
+        let now_ms = self.traffic.now_ms();
+        self.crashes.retain(|crash| crash.at_ms + JUDGED_MS > now_ms);
+        let points = self.crashes.iter().map(|crash| crash.points).sum();
+        let Some(last) = self.crashes.last().copied() else { return true };
+        if !self.traffic.may_be_quarantined(&self.job, points) {
+            return true;
+        }
+        if self.wait(last.at_ms + JUDGED_MS - now_ms).await {
+            return true;
+        }
+        self.give_up(self.time_over());
+        false
+    }
+
+    /// Reports that the run goes on beyond where engines ended under it.
+    pub(super) fn clear_if_beyond_crash(&mut self) {
+        let is_beyond =
+            |crashed: &u64| self.last_event.is_some_and(|event| event >= crashed + CLEARING_EVENTS);
+        if self.crashed_at.take_if(|crashed| is_beyond(crashed)).is_some() {
+            self.crashes.clear();
+            self.traffic.note_served(&self.job, self.last_event);
+        }
+    }
+}
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -11,7 +11,6 @@
 use super::super::channel;
 use super::super::events::{Event, Splitter};
 use super::super::metrics::Time;
-use super::super::policy::quarantine::CLEARING_EVENTS;
 use super::super::policy::silence::{self, Silence};
 use super::super::traffic::{Life, OWN_LAG_MS};
 use super::super::worker::Worker;
@@ -225,16 +224,6 @@
         None
     }
 
-    /// Reports that the run goes on beyond where engines ended under it.
-    fn clear_if_beyond_crash(&mut self) {
-        let is_beyond =
-            |crashed: &u64| self.last_event.is_some_and(|event| event >= crashed + CLEARING_EVENTS);
-        if self.crashed_at.take_if(|crashed| is_beyond(crashed)).is_some() {
-            self.crashes.clear();
-            self.traffic.note_served(&self.job, self.last_event);
-        }
-    }
-
     pub(super) fn note_times(&mut self, now_ms: u64) {
         if self.first_ms.is_none() {
             self.first_ms = Some(now_ms - self.job.since_ms);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -1,5 +1,6 @@
 //! What the traffic thread keeps: its upstreams, its budgets, its counters.
 
+mod budgets;
 mod endings;
 mod losses;
 mod places;
@@ -30,7 +31,7 @@
 use super::loads::{Held, Own, Sent};
 use super::metrics::Metrics;
 use super::policy::admission::Load;
-use super::policy::budget::{Bound, Budget};
+use super::policy::budget::Budget;
 use super::policy::engine::{self, Need};
 use super::policy::hedge;
 use super::policy::latency::Latencies;
@@ -48,9 +49,6 @@
 /// The part of the answers that are no longer than what an engine's memory is reserved for: the few
 /// longer ones share what stays free there.
 const USUAL_OUTPUT: f64 = 0.9;
-/// How long after its start an instance has heard what the others sent: digests of other failure domains
-/// come within half a second of a few rounds of the membership.
-const OTHERS_KNOWN_MS: u64 = 1_000;
 /// Channels that each instance may keep beyond an even part, since load is never even.
 const CHANNEL_SLACK: u32 = 2;
 
@@ -326,44 +324,6 @@
         (all - all / 10) / view.instances.max(1) + CHANNEL_SLACK
     }
 
-    /// Counts a request to a service.
-    pub fn note_request(&self, service: &Arc<str>) {
-        let bound = self.bound(service);
-        let now_ms = self.now_ms();
-        let mut budgets = self.budgets.borrow_mut();
-        budgets.entry(Arc::clone(service)).or_default().request(bound, now_ms);
-    }
-
-    /// Takes one repeat to a service, if the bound allows it.
-    pub fn may_repeat(&self, service: &Arc<str>) -> bool {
-        let bound = self.bound(service);
-        let now_ms = self.now_ms();
-        let mut budgets = self.budgets.borrow_mut();
-        budgets.entry(Arc::clone(service)).or_default().repeat(bound, now_ms)
-    }
-
-    /// Whether the bound allows a repeat to a service now.
-    pub fn has_repeat(&self, service: &Arc<str>) -> bool {
-        let bound = self.bound(service);
-        let now_ms = self.now_ms();
-        let mut budgets = self.budgets.borrow_mut();
-        budgets.entry(Arc::clone(service)).or_default().has_repeat(bound, now_ms)
-    }
-
-    fn bound(&self, service: &str) -> Bound {
-        let view = self.shared.view.load();
-        let others = view.sent.get(service);
-        Bound {
-            ratio: self.settings.repeat_ratio,
-            slack: self.settings.repeat_slack,
-            window_ms: self.settings.repeat_window_ms,
-            instances: view.instances,
-            others_requests: others.map_or(0, |sent| sent.requests),
-            others_repeats: others.map_or(0, |sent| sent.repeats),
-            knows_others: self.now_ms() >= OTHERS_KNOWN_MS,
-        }
-    }
-
     /// Makes a call of this system's own to an engine; its status and body.
     ///
     /// # Errors
--- /dev/null
+++ b/src/gateway/traffic/budgets.rs
@@ -0,0 +1,50 @@
+//! The retry budgets of this instance, one a service, with what the others told.
+
+use std::sync::Arc;
+
+use super::super::policy::budget::Bound;
+use super::Traffic;
+
+/// How long after its start an instance has heard what the others sent: digests of other failure domains
+/// come within half a second of a few rounds of the membership.
+const OTHERS_KNOWN_MS: u64 = 1_000;
+
+impl Traffic {
+    /// Counts a request to a service.
+    pub fn note_request(&self, service: &Arc<str>) {
+        let bound = self.bound(service);
+        let now_ms = self.now_ms();
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(Arc::clone(service)).or_default().request(bound, now_ms);
+    }
+
+    /// Takes one repeat to a service, if the bound allows it.
+    pub fn may_repeat(&self, service: &Arc<str>) -> bool {
+        let bound = self.bound(service);
+        let now_ms = self.now_ms();
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(Arc::clone(service)).or_default().repeat(bound, now_ms)
+    }
+
+    /// Whether the bound allows a repeat to a service now.
+    pub fn has_repeat(&self, service: &Arc<str>) -> bool {
+        let bound = self.bound(service);
+        let now_ms = self.now_ms();
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(Arc::clone(service)).or_default().has_repeat(bound, now_ms)
+    }
+
+    fn bound(&self, service: &str) -> Bound {
+        let view = self.shared.view.load();
+        let others = view.sent.get(service);
+        Bound {
+            ratio: self.settings.repeat_ratio,
+            slack: self.settings.repeat_slack,
+            window_ms: self.settings.repeat_window_ms,
+            instances: view.instances,
+            others_requests: others.map_or(0, |sent| sent.requests),
+            others_repeats: others.map_or(0, |sent| sent.repeats),
+            knows_others: self.now_ms() >= OTHERS_KNOWN_MS,
+        }
+    }
+}
--- a/tests/gateway/suspicion.rs
+++ b/tests/gateway/suspicion.rs
@@ -9,7 +9,8 @@
 use siskinrock::gateway::crash::{Crash, Stage};
 use siskinrock::gateway::fingerprint::Fingerprint;
 use siskinrock::gateway::fleet::Upstream;
-use siskinrock::gateway::policy::quarantine::{self, Judgement, Quarantine, SETTLE_MS};
+use siskinrock::gateway::policy::coincidence::SETTLE_MS;
+use siskinrock::gateway::policy::quarantine::{self, Judgement, Quarantine};
 use yare::parameterized;
 
 const DOMAINS: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
