Revert the bound of repeats in an instance's first second

Cause: with it, a look-up that its service leaves silent right after an instance's start got no second upstream (504 instead of 200, silence::a_silent_look_up_is_sent_to_a_second_upstream_in_time), and a run whose engines were all replaced was cut (silence::answers_of_replaced_engines_use_up_no_attempt). Conclusion: that instances which start together may overspend the retry budget is open; next: the count of instances from the directory's or a peer's first word, instead of one.

--- a/src/gateway/policy/budget.rs
+++ b/src/gateway/policy/budget.rs
@@ -40,9 +40,6 @@
     pub others_requests: u64,
     /// Repeats that the others sent in the window.
     pub others_repeats: u64,
-    /// Whether this instance can have heard of the others. One that has just started, or starts together with
-    /// all of them, takes itself for the only one, and each would spend the whole bound.
-    pub knows_others: bool,
 }
 
 /// How many times its own part an instance may take: losses are uneven, and so many are still
@@ -74,8 +71,7 @@
         let most = USED * (bound.ratio * all_requests as f64 + bound.slack);
         let own_part = most / f64::from(bound.instances.max(1));
         let is_within_all = (repeats + bound.others_repeats + 1) as f64 <= most;
-        let own_most = if bound.knows_others { (own_part * PARTS).max(LEAST) } else { LEAST };
-        let is_within_own = (repeats + 1) as f64 <= own_most;
+        let is_within_own = (repeats + 1) as f64 <= (own_part * PARTS).max(LEAST);
         is_within_all && is_within_own
     }
 
--- a/src/gateway/traffic/budgets.rs
+++ b/src/gateway/traffic/budgets.rs
@@ -5,10 +5,6 @@
 use super::super::policy::budget::Bound;
 use super::Traffic;
 
-/// How long after its start an instance has heard what the others sent: digests of other failure domains
-/// come within half a second of a few rounds of the membership.
-const OTHERS_KNOWN_MS: u64 = 1_000;
-
 impl Traffic {
     /// Counts a request to a service.
     pub fn note_request(&self, service: &Arc<str>) {
@@ -44,7 +40,6 @@
             instances: view.instances,
             others_requests: others.map_or(0, |sent| sent.requests),
             others_repeats: others.map_or(0, |sent| sent.repeats),
-            knows_others: self.now_ms() >= OTHERS_KNOWN_MS,
         }
     }
 }
