Engines that crashed before a store's silence was noticed are looked for at once

Four instances watch the store, with waits of 2, 4, 6 and 8 s. The 35 engines that crashed at 17 and the 35 at 24 were missing for nine seconds, and losses are told for four seconds only, less than the silence took to be noticed.

Change: a watcher that hears that another one no longer hears from the store asks at once whether it answers (a watch of 1 ms, given up after 0.6 s); losses are remembered for as long as the store lists the engine (policy/sought.rs, pure). Shorter waits of all watchers were not tried: each call is paid for.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -53,6 +53,8 @@
     quarantine: Quarantine,
     /// The version of it that traffic has.
     quarantine_version: u64,
+    /// Other instances that hear from the directory.
+    first_hand: usize,
     /// Upstreams that any instance lost, with the time until which that counts.
     lost: BTreeMap<Arc<str>, u64>,
     /// The instances that take callers.
@@ -90,6 +92,8 @@
     board: RefCell<Board>,
     /// Ends a watch that peers have overtaken.
     broken_watch: Notify,
+    /// Has a watch ask at once whether the directory still answers, since it doesn't answer another.
+    doubted_directory: Notify,
     /// Asks for a new picture for traffic.
     dirty: Notify,
     /// Tells that there are rumors.
@@ -128,6 +132,7 @@
             loads: Loads::new(Arc::clone(&settings.domain), window_ms),
             quarantine: Quarantine::default(),
             quarantine_version: 0,
+            first_hand: 0,
             lost: BTreeMap::new(),
             fronts: Arc::default(),
             phase: Phase::Starting,
@@ -146,6 +151,7 @@
         };
         let board = RefCell::new(board);
         let broken_watch = Notify::new();
+        let doubted_directory = Notify::new();
         let dirty = Notify::new();
         Rc::new(Control {
             settings,
@@ -158,6 +164,7 @@
             log,
             board,
             broken_watch,
+            doubted_directory,
             dirty,
             rumors: Notify::new(),
             newer: Notify::new(),
@@ -293,6 +300,7 @@
                 board.loads.remove(id, now_ms);
             }
         }
+        self.doubt_directory(board);
         let has_own = board.fronts.iter().any(|front| front.addr == self.me.front_addr);
         if changed.is_empty() && has_own == (board.phase == Phase::Ready) {
             return;
@@ -311,6 +319,18 @@
         board.fronts = Arc::new(fronts);
     }
 
+    /// Has this instance's own watch checked if another one has lost the directory: a watch waits for
+    /// seconds, and as long as one instance takes the directory for heard, nobody looks for engines
+    /// that it doesn't list.
+    fn doubt_directory(&self, board: &mut Board) {
+        let first_hand =
+            board.membership.alive().filter(|member| member.card.is_first_hand).count();
+        let before = std::mem::replace(&mut board.first_hand, first_hand);
+        if first_hand < before && Control::is_first_hand(board) {
+            self.doubted_directory.notify_one();
+        }
+    }
+
     /// Publishes what changed, after a moment in which more may come.
     async fn publish_changes(self: Rc<Control>) {
         loop {
--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -31,6 +31,8 @@
 const START_SPREAD_MS: u64 = 600;
 /// How often an instance looks whether it should watch the directory.
 const WATCH_LOOK_MS: u64 = 250;
+/// How long a watch waits that only asks whether the directory still answers.
+const CHECK_WAIT_MS: u64 = 1;
 /// How long an instance that a seed told everything lets others tell that they watch the directory,
 /// before it takes itself for the only one.
 const SETTLE_MS: u64 = 1_500;
@@ -66,6 +68,7 @@
     /// Follows the changes until they are no longer kept.
     pub(super) async fn watch(&self, mut revision: u64) {
         let mut retry_ms = RETRY_MS;
+        let mut is_check = false;
         loop {
             let turn = self.turn();
             if !turn.watches() {
@@ -73,14 +76,20 @@
                 slog::info!(self.log, "directory left to others"; "revision" => revision);
                 return;
             }
+            let wait_ms = if is_check { CHECK_WAIT_MS } else { turn.wait_ms() };
             let watched = tokio::select! {
-                watched = self.directory.watch(revision, turn.wait_ms()) => watched,
+                watched = self.directory.watch(revision, wait_ms) => watched,
+                () = self.doubted_directory.notified(), if !is_check => {
+                    is_check = true;
+                    continue;
+                }
                 () = self.broken_watch.notified() => {
                     slog::info!(self.log, "watch is behind peers and given up";
                         "revision" => revision);
                     continue;
                 }
             };
+            is_check = false;
             match watched {
                 Ok(changes) => {
                     retry_ms = RETRY_MS;
--- a/src/gateway/control/successors.rs
+++ b/src/gateway/control/successors.rs
@@ -1,6 +1,5 @@
 //! The controller that looks for lost engines at their addresses while the directory is silent.
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,30 +13,26 @@
 use super::super::channel::Channel;
 use super::super::fleet::Upstream;
 use super::super::membership::{Phase, Rumor};
+use super::super::policy::sought::Sought;
 use super::Control;
 
 /// How often lost engines are looked for: one is back about 1.2 s after its crash.
 const LOOK_MS: u64 = 400;
-/// How often one engine is looked for; what is not back within so long is gone for good.
-const MOST_LOOKS: u32 = 12;
 /// Instances that look, of all; each look is paid for, and one or two of them may be cut off.
 const SEEKERS: usize = 3;
 /// How long an engine may take to answer: it has just started and has nothing to do.
 const ANSWER_TIMEOUT_MS: u64 = 300;
 
-/// Lost engines, with how often each was looked for.
-type Sought = BTreeMap<Arc<str>, u32>;
-
 impl Control {
     pub(super) async fn seek_successors(self: Rc<Control>) {
-        let mut sought = Sought::new();
+        let mut sought = Sought::default();
         loop {
             tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+            self.note_sought(&mut sought);
             if !self.is_seeker() {
-                sought.clear();
                 continue;
             }
-            for lost in self.due(&mut sought) {
+            for lost in self.engines(sought.due()) {
                 let control = Rc::clone(&self);
                 tokio::task::spawn_local(async move { control.look_for(lost).await });
             }
@@ -58,21 +53,21 @@
         before.count() < SEEKERS
     }
 
-    /// The lost engines to look for now.
-    fn due(&self, sought: &mut Sought) -> Vec<Upstream> {
+    fn note_sought(&self, sought: &mut Sought) {
         let mut lost = self.shared.own().lost;
         lost.extend(self.board.borrow().lost.keys().cloned());
-        for id in lost {
-            sought.entry(id).or_insert(0);
-        }
         let view = self.shared.view.load();
-        sought.retain(|id, looks| *looks < MOST_LOOKS && view.fleet.upstreams.contains_key(id));
-        sought.values_mut().for_each(|looks| *looks += 1);
+        sought.note(lost, |id| view.fleet.upstreams.contains_key(id));
+    }
+
+    /// Those of the upstreams that are engines and don't leave.
+    fn engines(&self, ids: Vec<Arc<str>>) -> Vec<Upstream> {
+        let view = self.shared.view.load();
         let is_engine = |upstream: &&Upstream| {
             let service = view.config.as_ref().and_then(|all| all.services.get(&upstream.service));
             !upstream.is_leaving && service.is_some_and(|service| service.engine.is_some())
         };
-        let known = sought.keys().filter_map(|id| view.fleet.upstreams.get(id));
+        let known = ids.iter().filter_map(|id| view.fleet.upstreams.get(id));
         known.filter(is_engine).cloned().collect()
     }
 
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -17,5 +17,6 @@
 pub mod quarantine;
 pub mod recall;
 pub mod silence;
+pub mod sought;
 pub mod stop;
 pub mod watchers;
--- a/tests/gateway/patience.rs
+++ b/tests/gateway/patience.rs
@@ -12,6 +12,7 @@
 use siskinrock::gateway::policy::placement;
 use siskinrock::gateway::policy::recall;
 use siskinrock::gateway::policy::silence::{self, Patience, Sighting, Silence, Verdict, Why};
+use siskinrock::gateway::policy::sought::Sought;
 use siskinrock::platform::document;
 use yare::parameterized;
 
@@ -309,3 +310,25 @@
         assert!((least_ms..=most_ms).contains(&after_ms), "{after_ms}");
     }
 }
+
+/// A silence is noticed after seconds, and losses are told for less long.
+#[test]
+fn engines_lost_before_the_silence_is_noticed_are_looked_for() {
+    let mut sought = Sought::default();
+    sought.note(["crashed".into(), "lapsed".into()], |_| true);
+    sought.note([], |id| id != "lapsed");
+    assert_eq!(sought.due(), [Arc::from("crashed")], "the other one is listed no more");
+}
+
+#[test]
+fn an_engine_that_stays_away_is_not_looked_for_for_ever() {
+    let mut sought = Sought::default();
+    sought.note(["gone".into()], |_| true);
+    let mut looks = 0;
+    while !sought.due().is_empty() {
+        looks += 1;
+        sought.note([], |_| true);
+        assert!(looks < 100, "looked for again and again");
+    }
+    assert!(looks > 3, "an engine takes over a second to come back");
+}
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -222,6 +222,29 @@
     .await;
 }
 
+/// Four instances watch the store, each with a longer wait than the one before it, so that the last
+/// would notice its silence only after eight seconds. Engines that crashed before anybody noticed are
+/// found once the first one does.
+#[tokio::test]
+async fn engines_that_crashed_before_the_silence_was_noticed_are_found() {
+    const FOUND_WITHIN: Duration = Duration::from_millis(5_500);
+    let running = support::start(5).await;
+    caller::stream(running.front(0), &plan()).await.unwrap();
+    running.site.store.fail(siskinrock_fakes::store::Fault::Silent);
+    let silent = Instant::now();
+    for (index, engine) in running.site.engines.iter().enumerate() {
+        engine.come_back(&format!("reborn-{index}"));
+    }
+    wait_for("streams are served by engines that were found", async || {
+        let sent = plan();
+        let stream = caller::stream(running.front(0), &sent).await;
+        stream.is_ok_and(|stream| stream.is_complete && stream.text == whole_text(&sent, 0))
+    })
+    .await;
+    let found = silent.elapsed();
+    assert!(found < FOUND_WITHIN, "found after {found:?}");
+}
+
 /// All engines crash at once, twice, and are back each time after over a second. A caller that is
 /// refused meanwhile comes back once, when it was told to, and must find them.
 #[tokio::test]
