Watchers ask at once only when one of the last few loses the store

Hypothesis: has each watcher ask whenever fewer others hear from the store, also because an instance that starts leaves the watch to others. Of 300 that start at once many do, one by one, and each makes all others ask: the square of the fleet.

Change: they ask only when fewer than four others are left (policy/watchers.rs, pure): in the test a start of 1,000 makes at most 16 calls.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -29,6 +29,7 @@
 use super::metrics::Metrics;
 use super::policy::found::Found;
 use super::policy::quarantine::Quarantine;
+use super::policy::watchers;
 use super::route::Config;
 use super::settings::Settings;
 use super::view::{Front, Shared, View};
@@ -326,7 +327,7 @@
         let first_hand =
             board.membership.alive().filter(|member| member.card.is_first_hand).count();
         let before = std::mem::replace(&mut board.first_hand, first_hand);
-        if first_hand < before && Control::is_first_hand(board) {
+        if watchers::doubts(before, first_hand) && Control::is_first_hand(board) {
             self.doubted_directory.notify_one();
         }
     }
--- a/src/gateway/policy/watchers.rs
+++ b/src/gateway/policy/watchers.rs
@@ -68,6 +68,13 @@
     }
 }
 
+/// Whether a watcher asks at once if the directory still answers, since fewer others hear from it than
+/// before: one of the last few may have lost it. More of them are instances that start, and leave the
+/// watch to others one by one; if each made all others ask, a start would cost the square of the fleet.
+pub fn doubts(others_before: usize, others: usize) -> bool {
+    others < others_before && others < WATCHERS
+}
+
 /// Whether an instance registers, among all others that live.
 pub fn registers<'a>(me: &str, others: impl Iterator<Item = &'a str>) -> bool {
     others.filter(|other| rank(other) < rank(me)).count() < REGISTERED
--- a/tests/gateway/watchers.rs
+++ b/tests/gateway/watchers.rs
@@ -55,3 +55,23 @@
     assert_eq!(turns.map(Turn::wait_ms), [2_000, 4_000, 6_000, 8_000]);
     assert_eq!(turns.map(Turn::gather_ms), [400, 800, 1_200, 1_600]);
 }
+
+/// All instances start at once and hear from the directory; all but four leave it to those, one by one.
+#[test]
+fn a_start_of_the_whole_fleet_makes_few_watchers_ask() {
+    for count in [9, 73, 300, 1_000] {
+        let asked: usize = (4..count)
+            .rev()
+            .map(|left| if watchers::doubts(left, left - 1) { left } else { 0 })
+            .sum();
+        assert!(asked <= 16, "{asked} calls of {count}");
+    }
+}
+
+#[test]
+fn the_last_watchers_ask_when_one_of_them_loses_the_directory() {
+    assert!(watchers::doubts(3, 2));
+    assert!(watchers::doubts(1, 0));
+    assert!(!watchers::doubts(2, 2), "nothing changed");
+    assert!(!watchers::doubts(2, 3), "one more hears from it");
+}
