--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -197,7 +197,9 @@
 /// nothing, and is served whole.
 #[tokio::test]
 async fn a_stream_that_loses_many_engines_is_served() {
-    let running = support::start_site(Site::start(4, 60).await, 1).await;
+    // Four events take twice the time within which a run has just begun.
+    const STEP_MS: u64 = 120;
+    let running = support::start_site(Site::start(4, STEP_MS).await, 1).await;
     let sent = plan();
     let reading = running.read_stream(&sent);
     for loss in 1..=4 {
