A choice takes what is unseen as an argument; an idle look copies only the lost upstreams

Change: `choose` takes `unseen` beside the constraints; where the best candidate alone suffices the weights are not summed; Shared::own_lost copies the lost ids alone. No decision changes and no assertion.

--- a/bench/src/lab/model.rs
+++ b/bench/src/lab/model.rs
@@ -467,8 +467,9 @@
             is_suspect: false,
         };
         let candidates: Vec<Candidate> = known.iter().map(candidate).collect();
-        let wish = Wish { need, unseen: self.unseen(), ..wish.clone() };
-        placement::choose(&candidates, &wish, &mut self.choices).map(|chosen| known[chosen])
+        let wish = Wish { need, ..wish.clone() };
+        placement::choose(&candidates, &wish, self.unseen(), &mut self.choices)
+            .map(|chosen| known[chosen])
     }
 
     /// Requests that come while news of placements are on their way.
--- a/src/gateway/control/successors.rs
+++ b/src/gateway/control/successors.rs
@@ -54,7 +54,7 @@
     }
 
     fn note_sought(&self, sought: &mut Sought) {
-        let mut lost = self.shared.own().lost;
+        let mut lost = self.shared.own_lost();
         lost.extend(self.board.borrow().lost.keys().cloned());
         let view = self.shared.view.load();
         sought.note(lost, |id| view.fleet.upstreams.contains_key(id));
--- a/src/gateway/policy/placement.rs
+++ b/src/gateway/policy/placement.rs
@@ -43,8 +43,6 @@
     pub apart_from: Option<Arc<str>>,
     /// The failure domain that costs least.
     pub near: Option<Arc<str>>,
-    /// Requests to the service that other instances place before this one hears of it.
-    pub unseen: f64,
 }
 
 /// Upstreams at whose address another one was listed later, so that they are no more.
@@ -63,15 +61,21 @@
 
 /// The index of a good candidate; suspects only if nothing else is left.
 ///
-/// The best one is likely and not certain, so that instances with the same picture don't meet.
-pub fn choose(candidates: &[Candidate], wish: &Wish, random: &mut dyn Random) -> Option<usize> {
+/// The best one is likely and not certain, so that instances with the same picture don't meet; the less
+/// so, the more requests to the service others place `unseen`, before this instance hears of them.
+pub fn choose(
+    candidates: &[Candidate],
+    wish: &Wish,
+    unseen: f64,
+    random: &mut dyn Random,
+) -> Option<usize> {
     let fits = |candidate: &Candidate| !wish.not.contains(&candidate.id);
     let fitting = candidates.iter().enumerate().filter(|(_, candidate)| fits(candidate));
     let (indices, costs): (Vec<usize>, Vec<f64>) =
         fitting.map(|(index, candidate)| (index, cost(candidate, wish))).unzip();
     let least = costs.iter().copied().min_by(f64::total_cmp)?;
     let good: Vec<f64> = costs.iter().copied().filter(|cost| cost - least < LAST_RESORT).collect();
-    let spread = spread::spread(&good, wish.unseen);
+    let spread = spread::spread(&good, unseen);
     let weight = |cost: &f64| (WEIGHT_UNIT * spread::weight(cost - least, spread)) as u64;
     let total: u64 = costs.iter().map(weight).sum();
     let mut left = random.below(total.max(1));
--- a/src/gateway/policy/spread.rs
+++ b/src/gateway/policy/spread.rs
@@ -29,7 +29,8 @@
     let most_sharing = costs.len() as f64 * MOST_SHARING_PART;
     let wanted = (unseen * unseen / (2.0 * MEETING_PAIRS)).min(most_sharing);
     let sharing = |spread: f64| costs.iter().map(|cost| weight(cost - least, spread)).sum::<f64>();
-    if sharing(LEAST_SPREAD) >= wanted {
+    // The best one alone counts as one.
+    if wanted <= 1.0 || sharing(LEAST_SPREAD) >= wanted {
         return LEAST_SPREAD;
     }
     let (mut low, mut high) = (LEAST_SPREAD, MOST_SPREAD);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -367,7 +367,6 @@
             not_domains: self.lost_domains(),
             apart_from: None,
             near: Some(Arc::clone(&self.traffic.settings.domain)),
-            ..Wish::default()
         };
         let prompt = &self.job.demand.prompt_parts;
         let chosen = self.traffic.choose_for(&self.job.service, &wish, prompt);
--- a/src/gateway/stream/copy.rs
+++ b/src/gateway/stream/copy.rs
@@ -85,7 +85,6 @@
             not_domains: self.lost_domains(),
             apart_from: Some(Arc::clone(&worker.upstream.domain)),
             near: None,
-            ..Wish::default()
         };
         let chosen = self.traffic.choose(&self.job.service, &wish)?;
         let has_room = || self.traffic.standing(&chosen).load.has_room(need);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -312,8 +312,7 @@
             }
         }
         let unseen = self.unseen(&view, service, wish.need);
-        let wish = Wish { unseen, ..wish.clone() };
-        let index = placement::choose(&candidates, &wish, &mut fastrand::Rng::new())?;
+        let index = placement::choose(&candidates, wish, unseen, &mut fastrand::Rng::new())?;
         Some(Rc::clone(fitting[index]))
     }
 
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -137,4 +137,9 @@
     pub fn own(&self) -> Own {
         self.own.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
+
+    /// The upstreams that traffic here lost, without what it has running.
+    pub fn own_lost(&self) -> Vec<Arc<str>> {
+        self.own.lock().unwrap_or_else(PoisonError::into_inner).lost.clone()
+    }
 }
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -109,7 +109,7 @@
     let mut taken = [0; 16];
     for seed in 0..9 {
         let mut random = fastrand::Rng::with_seed(seed);
-        taken[choose(&candidates, &Wish::default(), &mut random).unwrap()] += 1;
+        taken[choose(&candidates, &Wish::default(), 0.0, &mut random).unwrap()] += 1;
     }
     assert!(taken.iter().all(|count| *count <= 3), "{taken:?}");
 }
@@ -123,12 +123,11 @@
         .collect();
     // The most prompts at one engine in each of forty rounds.
     let most_at_one = |unseen| -> Vec<u32> {
-        let wish = Wish { unseen, ..Wish::default() };
         let round = |round: u64| {
             let mut taken = [0; 24];
             for instance in 0..10 {
                 let mut random = fastrand::Rng::with_seed(round * 10 + instance);
-                taken[choose(&candidates, &wish, &mut random).unwrap()] += 1;
+                taken[choose(&candidates, &Wish::default(), unseen, &mut random).unwrap()] += 1;
             }
             taken.into_iter().max().unwrap()
         };
@@ -157,12 +156,12 @@
     let mut candidates = vec![candidate("near", "a", 0.0), candidate("far", "b", 20.0)];
     let wish = Wish { not_domains: vec!["a".into()], ..Wish::default() };
     for _ in 0..50 {
-        assert_eq!(choose(&candidates, &wish, &mut random), Some(1));
+        assert_eq!(choose(&candidates, &wish, 0.0, &mut random), Some(1));
     }
     candidates[1].is_suspect = true;
-    assert_eq!(choose(&candidates, &wish, &mut random), Some(0));
+    assert_eq!(choose(&candidates, &wish, 0.0, &mut random), Some(0));
     let nobody = Wish { not: vec!["near".into(), "far".into()], ..Wish::default() };
-    assert_eq!(choose(&candidates, &nobody, &mut random), None);
+    assert_eq!(choose(&candidates, &nobody, 0.0, &mut random), None);
 }
 
 /// A service counts repeats in any ten seconds. Counted in steps that were dropped whole, a tenth of
@@ -225,7 +224,7 @@
         apart_from: Some("own".into()),
         ..Wish::default()
     };
-    let chosen = choose(&candidates, &wish, &mut fastrand::Rng::new());
+    let chosen = choose(&candidates, &wish, 0.0, &mut fastrand::Rng::new());
     assert_eq!(&*candidates[chosen.unwrap()].id, expected);
 }
 
--- a/tests/gateway/engine.rs
+++ b/tests/gateway/engine.rs
@@ -94,7 +94,7 @@
         };
         let candidates: Vec<Candidate> = engines.iter().enumerate().map(candidate).collect();
         let wish = Wish { need, ..Wish::default() };
-        let chosen = choose(&candidates, &wish, &mut random).expect("engines take work");
+        let chosen = choose(&candidates, &wish, 0.0, &mut random).expect("engines take work");
         without_room += usize::from(!engines[chosen].has_room(need));
         engines[chosen].runs += 1.0;
         engines[chosen].reserved_tokens += need.memory_tokens();
