A head that came in the same bytes as the request before it is answered in a stop

What callers saw: a kept connection was closed by a planned stop, or by the idle timeout, with half of the next request's head in hyper's buffer, and no answer.

Cause: a connection's stage becomes Head by a read of the socket. A head whose first bytes came with the request before it is in hyper's buffer already; no read follows, the stage stands as Idle, and hyper closes an idle connection with what it holds.

Mend: an idle connection that is to close is taken apart; hyper hands back what it had read. If that is nothing the connection ends, else the bytes are put back before the socket and the connection goes on, with the head's timeout from then on. Ruled out: counting bytes beside hyper (needs its framing of bodies a second time).

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use bytes::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -91,12 +92,19 @@
 pub struct Watched {
     stream: Rc<TcpStream>,
     progress: Rc<Progress>,
+    /// Bytes that were read from the socket already, and come before what it still holds.
+    ahead: Bytes,
 }
 
 impl Watched {
     /// Watches a socket.
     pub fn new(stream: Rc<TcpStream>, progress: Rc<Progress>) -> Watched {
-        Watched { stream, progress }
+        Watched { stream, progress, ahead: Bytes::new() }
+    }
+
+    /// Puts back what was read from the socket and not used; it is read again first.
+    pub fn put_back(&mut self, unused: Bytes) {
+        self.ahead = unused;
     }
 }
 
@@ -119,13 +127,20 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if !this.ahead.is_empty() {
+            let length = this.ahead.len().min(buffer.remaining());
+            buffer.put_slice(&this.ahead.split_to(length));
+            this.progress.read();
+            return Poll::Ready(Ok(()));
+        }
         loop {
-            std::task::ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read(buffer.initialize_unfilled()) {
+            std::task::ready!(this.stream.poll_read_ready(context))?;
+            match this.stream.try_read(buffer.initialize_unfilled()) {
                 Ok(read) => {
                     buffer.advance(read);
                     if read > 0 {
-                        self.progress.read();
+                        this.progress.read();
                     }
                     return Poll::Ready(Ok(()));
                 }
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -118,10 +118,9 @@
     };
     let stream = Rc::new(stream);
     let watched = Watched::new(Rc::clone(&stream), Rc::clone(&progress));
-    let connection = http1::Builder::new()
-        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(watched), service);
-    let mut connection = pin!(connection);
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(limits.head_bytes.max(LEAST_BUFFER_BYTES));
+    let mut connection = builder.serve_connection(TokioIo::new(watched), service);
     let mut is_closing = false;
     let mut has_closed = false;
     loop {
@@ -130,7 +129,7 @@
         tokio::select! {
             // What has arrived is read before the connection is told to close.
             biased;
-            ended = connection.as_mut() => {
+            ended = &mut connection => {
                 if let Err(error) = ended {
                     slog::debug!(traffic.log, "connection ended"; "detail" => %error);
                 }
@@ -140,10 +139,21 @@
             () = tokio::time::sleep(Duration::from_millis(patience_ms)) => {}
         }
         let is_new = requests.get() == 0;
-        match next(progress.stage(), is_closing, is_new, &limits, traffic.now_ms()) {
+        let stage = progress.stage();
+        match next(stage, is_closing, is_new, &limits, traffic.now_ms()) {
+            Next::Close if matches!(stage, Stage::Idle(_)) => {
+                let idle = connection.into_parts();
+                if idle.read_buf.is_empty() {
+                    return;
+                }
+                // A head that came in the same bytes as the request before it has begun.
+                let mut watched = idle.io.into_inner();
+                watched.put_back(idle.read_buf);
+                connection = builder.serve_connection(TokioIo::new(watched), idle.service);
+            }
             Next::Close if !has_closed => {
                 has_closed = true;
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
             }
             Next::TooSlow => {
                 let failure = Failure::TooSlow { timeout_ms: limits.head_timeout_ms };
