A router's stop waits for heads that have begun on kept connections

What callers saw: half a head written on a kept connection was closed with it in a planned stop of a router, though the same head on a new connection is answered.

Cause: the server (salvo over hyper) closes a kept connection that is idle, and takes it for idle until the next head is whole. The router's sockets were not watched, as the gateway's are.

Mend: the acceptor's streams count connections that have brought bytes which no answer has followed; the stop looks at that beside the open requests before it tells the server to close, for as long as connections may hold it up anyway (LAST_CONNECTIONS_MS). Ruled out: a longer wait after the close (the connection is gone by then). Left: half a head in the same bytes as the request before it is not seen here, since the answer's first write ends the count; the gateway's own test has that case, the router has none.

--- /dev/null
+++ b/src/request/connections.rs
@@ -0,0 +1,144 @@
+//! Callers' connections to a router, watched for requests that have begun to arrive.
+//!
+//! The server closes a kept connection that is idle, and takes it for idle until a head is whole.
+//! A planned stop waits for the rest of such heads first.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+
+use salvo::conn::tcp::{TcpAcceptor, TcpCoupler};
+use salvo::conn::{Accepted, Acceptor, Holding};
+use salvo::fuse::ArcFusePolicy;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// How many connections have brought bytes that no answer has followed yet.
+#[derive(Debug, Clone, Default)]
+pub struct Arriving(Arc<AtomicUsize>);
+
+impl Arriving {
+    /// Whether there is any such connection.
+    pub fn is_any(&self) -> bool {
+        self.0.load(Ordering::SeqCst) > 0
+    }
+}
+
+/// Accepts connections and watches them.
+pub struct Watching {
+    acceptor: TcpAcceptor,
+    arriving: Arriving,
+}
+
+impl Watching {
+    /// Counts in `arriving` what comes by `acceptor`.
+    pub fn new(acceptor: TcpAcceptor, arriving: Arriving) -> Watching {
+        Watching { acceptor, arriving }
+    }
+}
+
+type Stream = <TcpAcceptor as Acceptor>::Stream;
+
+impl Acceptor for Watching {
+    type Coupler = TcpCoupler<Watched>;
+    type Stream = Watched;
+
+    fn holdings(&self) -> &[Holding] {
+        self.acceptor.holdings()
+    }
+
+    async fn accept(
+        &mut self,
+        fuse_policy: Option<ArcFusePolicy>,
+    ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
+        let accepted = self.acceptor.accept(fuse_policy).await?;
+        Ok(Accepted {
+            coupler: TcpCoupler::new(),
+            stream: Watched {
+                stream: accepted.stream,
+                arriving: self.arriving.clone(),
+                is_counted: false,
+            },
+            fuse_config: accepted.fuse_config,
+            conn_ctrl: accepted.conn_ctrl,
+            local_addr: accepted.local_addr,
+            remote_addr: accepted.remote_addr,
+            http_scheme: accepted.http_scheme,
+        })
+    }
+}
+
+/// A connection that counts from the first bytes of a request to the first ones of its answer.
+pub struct Watched {
+    stream: Stream,
+    arriving: Arriving,
+    is_counted: bool,
+}
+
+impl Watched {
+    fn count(&mut self) {
+        if !std::mem::replace(&mut self.is_counted, true) {
+            self.arriving.0.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
+    fn count_no_more(&mut self) {
+        if std::mem::take(&mut self.is_counted) {
+            self.arriving.0.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        self.count_no_more();
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.count();
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.count_no_more();
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.count_no_more();
+        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod call;
 pub mod claim;
+pub mod connections;
 pub mod door;
 pub mod engine;
 pub mod follow;
--- a/src/router.rs
+++ b/src/router.rs
@@ -26,6 +26,7 @@
 use crate::records::ledger::{Ledger, Limits};
 use crate::records::ledger_task::LedgerTask;
 use crate::request::budget::Budget;
+use crate::request::connections::{Arriving, Watching};
 use crate::request::door::Door;
 use crate::request::engine::HttpEngine;
 use crate::request::placement;
@@ -59,6 +60,7 @@
 /// A running instance.
 pub struct Router {
     node: Arc<Node>,
+    arriving: Arriving,
     server: ServerHandle,
     serving: tokio::task::JoinHandle<()>,
     streams: Option<Runtime>,
@@ -99,12 +101,14 @@
         let node = Arc::new(build_node(settings, clock, &log, me, control, traffic, running)?);
         start_control(&node, inbox, own, control_peers)?;
         tokio::spawn(follow_load(Arc::clone(&node)));
-        let server = salvo::Server::new(acceptor(listener)?);
+        let arriving = Arriving::default();
+        let watching = Watching::new(acceptor(listener)?, arriving.clone());
+        let server = salvo::Server::new(watching);
         let handle = server.handle();
         let paths = server::router(Arc::clone(&node));
         let serving = tokio::spawn(server.serve(paths));
         slog::info!(log, "listening"; "address" => &*node.me.addr, "domain" => &*node.me.domain);
-        Ok(Router { node, server: handle, serving, streams: Some(streams) })
+        Ok(Router { node, arriving, server: handle, serving, streams: Some(streams) })
     }
 
     /// What its parts share.
@@ -130,14 +134,26 @@
         node.tell(control::Event::Stop);
         wait_until_left(&node).await;
         tokio::time::sleep(Duration::from_millis(node.settings.keep_ms)).await;
-        while is_busy(&node).await {
-            tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
-        }
+        self.end_requests(&node).await;
         self.server.stop_graceful(None);
         self.end_connections(&node).await;
         slog::info!(node.log, "stopped");
     }
 
+    /// Waits until no request is open, and none has begun to arrive on a kept connection, which the
+    /// server would close with the bytes that it has; one that never comes whole holds up nothing.
+    async fn end_requests(&self, node: &Node) {
+        let mut arriving_ms = 0;
+        while arriving_ms < LAST_CONNECTIONS_MS {
+            let is_busy = is_busy(node).await;
+            if !is_busy && !self.arriving.is_any() {
+                return;
+            }
+            arriving_ms = if is_busy { 0 } else { arriving_ms + STOP_STEP_MS };
+            tokio::time::sleep(Duration::from_millis(STOP_STEP_MS)).await;
+        }
+    }
+
     /// Waits for the end of the last connection. The count of open requests misses heads that are
     /// arriving and answers that are being written; connections that are idle close at once.
     async fn end_connections(&mut self, node: &Node) {
