Sight: the rate limit that an upstream names, in logs and metrics

An upstream's answer is now read for it (Server-Limit on the platform, siskinrock-rate-limit on our own wire), a change at an instance is logged with the figures before and after, and the gauge upstreams_limiting counts the upstreams that name one. What can't be read as a rate of nought or more counts as none. Nothing follows from it yet.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -356,9 +356,7 @@
     } else {
         worker.answered(now_ms);
     }
-    if let Some(load) = marks.load {
-        worker.tell(load, now_ms);
-    }
+    traffic.note_signals(worker, whole.status, &marks);
     let is_success = (200..300).contains(&whole.status);
     // After an early refusal the upstream may still expect the rest of the body.
     if is_success || job.body.is_empty() {
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -11,6 +11,8 @@
 use hyper::header::HeaderName;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::policy::rate_limit::Rate;
+
 /// What a caller says of its request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Demand {
@@ -96,6 +98,8 @@
     pub keep_ms: Option<u64>,
     /// How long to wait before the next try.
     pub retry_after_ms: Option<u64>,
+    /// The rate that the upstream takes from all instances together, if it limits that.
+    pub rate_limit: Option<Rate>,
 }
 
 /// An upstream's load.
--- a/src/gateway/native/wire.rs
+++ b/src/gateway/native/wire.rs
@@ -12,6 +12,7 @@
     self, Copy, Demand, Dialect, Dispatch, EngineState, Load, Marks, PromptPart, Question, number,
     text,
 };
+use crate::gateway::policy::rate_limit::Rate;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("siskinrock-request-id");
 const DEADLINE_MS: HeaderName = HeaderName::from_static("siskinrock-deadline-ms");
@@ -29,6 +30,8 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("siskinrock-not-run");
 /// Running, waiting and slots, with commas.
 const LOAD: HeaderName = HeaderName::from_static("siskinrock-load");
+/// Requests a second that an upstream takes from all instances together.
+const RATE_LIMIT: HeaderName = HeaderName::from_static("siskinrock-rate-limit");
 
 /// Headers that only the system may set, and the caller's key, which goes no further.
 const RESERVED: [HeaderName; 7] =
@@ -116,6 +119,7 @@
             upstream: text(headers, &UPSTREAM).map(Arc::from),
             keep_ms: dialect::keep_ms(headers),
             retry_after_ms: dialect::seconds_ms(headers, &RETRY_AFTER),
+            rate_limit: text(headers, &RATE_LIMIT).and_then(Rate::read),
         }
     }
 
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -15,6 +15,7 @@
 pub mod outages;
 pub mod placement;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod recall;
 pub mod silence;
 pub mod sought;
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -288,10 +288,8 @@
         } else {
             worker.answered(now_ms);
         }
-        if let Some(load) = marks.load {
-            worker.tell(load, now_ms);
-        }
         let status = response.status().as_u16();
+        self.traffic.note_signals(worker, status, marks);
         if status == 421 {
             // Who is there has nothing to do with the route's bound on upstreams that run it.
             self.sent -= 1;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -5,6 +5,7 @@
 mod losses;
 mod places;
 mod quarantine;
+mod signals;
 
 pub(super) use self::losses::{Life, OWN_LAG_MS};
 pub(super) use self::quarantine::JUDGED_MS;
@@ -492,6 +493,8 @@
         self.metrics.gauge("runs", sum(|worker| u64::from(worker.runs.get())));
         self.metrics.gauge("copies", sum(|worker| u64::from(worker.copies.get())));
         self.metrics.gauge("prompts_reading", sum(|worker| u64::from(worker.reading.get())));
+        let limited = |worker: &Worker| u64::from(worker.rate_limit().is_some());
+        self.metrics.gauge("upstreams_limiting", sum(limited));
         self.metrics.gauge("log_records_left_out", log::left_out());
     }
 }
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -9,6 +9,7 @@
 use super::channel::{self, Channel};
 use super::dialect::Load;
 use super::fleet::Upstream;
+use super::policy::rate_limit::Rate;
 
 /// How long an upstream that broke off is kept out of placement, unless it answers: a check takes
 /// a few milliseconds, and the next request makes one.
@@ -60,6 +61,7 @@
     failing: Cell<f64>,
     failing_ms: Cell<u64>,
     told: Cell<Option<Told>>,
+    rate_limit: Cell<Option<Rate>>,
 }
 
 #[derive(Debug)]
@@ -141,6 +143,7 @@
             failing: Cell::new(0.0),
             failing_ms: Cell::new(0),
             told: Cell::new(None),
+            rate_limit: Cell::new(None),
             upstream,
         })
     }
@@ -310,6 +313,16 @@
         self.told.set(Some(Told { others, at_ms: now_ms }));
     }
 
+    /// The rate that it takes from all instances together, as its last answer said.
+    pub fn rate_limit(&self) -> Option<Rate> {
+        self.rate_limit.get()
+    }
+
+    /// Takes in the rate of its newest answer; returns the one before.
+    pub fn set_rate_limit(&self, rate: Option<Rate>) -> Option<Rate> {
+        self.rate_limit.replace(rate)
+    }
+
     /// What others have running there, as it told itself a moment ago.
     pub fn told_others(&self, now_ms: u64) -> Option<u32> {
         let told = self.told.get()?;
