A failing test: upstreams that name a rate get as much as before

Real instances, one and nine of them, before three services of which two name 6 requests a second in all their answers. Callers send 83 calls a second to instances by chance; in any 4 s from 3 s after the naming, one and a half times the rate and five more are allowed (41). The fakes say so in answers, refusals and the heads of streams.

--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::http::{Connection, Message, Process};
+use crate::signals::Signals;
 
 /// How an engine misbehaves.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -54,6 +55,7 @@
 #[derive(Debug, Default)]
 struct State {
     fault: Fault,
+    signals: Signals,
     seen: Vec<Seen>,
     /// Runs of this engine and copies that lie here, by request, with the events made.
     runs: BTreeMap<String, u64>,
@@ -170,6 +172,11 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Says so in all answers from now on.
+    pub fn signal(&self, signals: Signals) {
+        self.lock().signals = signals;
+    }
+
     /// Takes so long for each prompt from now on.
     pub fn read_for(&self, read_ms: u64) {
         self.lock().read_ms = read_ms;
@@ -293,7 +300,9 @@
         };
         self.lock().seen.push(seen);
         if let Some(status) = refused {
-            let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
+            let said = self.lock().signals.headers();
+            let mut headers = vec![("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
+            headers.extend(said.iter().map(|(name, value)| (*name, value.as_str())));
             return connection.answer(status, &headers, b"").await;
         }
         let incarnation = self.lock().begin();
@@ -329,9 +338,12 @@
             Fault::Forgets => return Ok(()),
             _ => {}
         }
+        let said = self.lock().signals.headers();
+        let said: String =
+            said.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\n\
-             X-Response-Signature: {}\r\nTransfer-Encoding: chunked\r\n\r\n",
+             X-Response-Signature: {}\r\n{said}Transfer-Encoding: chunked\r\n\r\n",
             self.id
         );
         connection.write(head.as_bytes()).await?;
--- a/tests/fakes/src/lib.rs
+++ b/tests/fakes/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod process;
 pub mod proxy;
 pub mod service;
+pub mod signals;
 pub mod site;
 pub mod store;
--- a/tests/fakes/src/service.rs
+++ b/tests/fakes/src/service.rs
@@ -6,6 +6,7 @@
 
 use crate::engine::Seen;
 use crate::http::{self, Connection, Message, Process};
+use crate::signals::Signals;
 
 /// How a service misbehaves.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -36,6 +37,7 @@
 #[derive(Debug, Default)]
 struct State {
     fault: Fault,
+    signals: Signals,
     seen: Vec<Seen>,
     /// How long a call takes.
     work_ms: u64,
@@ -105,6 +107,11 @@
         self.lock().fault = fault;
     }
 
+    /// Says so in all answers from now on.
+    pub fn signal(&self, signals: Signals) {
+        self.lock().signals = signals;
+    }
+
     /// Takes so long for each call from now on.
     pub fn work_for(&self, work_ms: u64) {
         self.lock().work_ms = work_ms;
@@ -142,8 +149,7 @@
             let is_late = fault == Fault::LateFull;
             self.note(&request, refused.is_none() && !is_late);
             if let Some(status) = refused {
-                let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
-                if connection.answer(status, &headers, b"").await.is_err() {
+                if self.refuse(&mut connection, &id, status).await.is_err() {
                     return;
                 }
                 continue;
@@ -155,10 +161,7 @@
             let work_ms = self.lock().work_ms;
             tokio::time::sleep(Duration::from_millis(work_ms)).await;
             let answered = match fault {
-                Fault::LateFull => {
-                    let headers = [("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
-                    connection.answer(503, &headers, b"").await
-                }
+                Fault::LateFull => self.refuse(&mut connection, &id, 503).await,
                 Fault::LostAnswer => return connection.reset(),
                 Fault::Mute => return std::future::pending().await,
                 fault => self.reply(&mut connection, &id, fault).await,
@@ -174,6 +177,18 @@
         self.lock().seen.push(seen);
     }
 
+    async fn refuse(
+        &self,
+        connection: &mut Connection,
+        id: &str,
+        status: u16,
+    ) -> std::io::Result<()> {
+        let said = self.lock().signals.headers();
+        let mut headers = vec![("X-Not-Executed", "1"), ("X-Request-Id", id)];
+        headers.extend(said.iter().map(|(name, value)| (*name, value.as_str())));
+        connection.answer(status, &headers, b"").await
+    }
+
     async fn reply(
         &self,
         connection: &mut Connection,
@@ -184,12 +199,14 @@
         let more = " ".repeat(self.lock().more_bytes);
         let body = format!("answer to {of} from {}{more}", self.id);
         let signature = self.id.clone();
-        let headers = [
+        let said = self.lock().signals.headers();
+        let mut headers = vec![
             ("X-Request-Id", of),
             ("X-Response-Signature", signature.as_str()),
             ("X-Server-Load", "1,0,8"),
             ("Keep-Alive", "timeout=4"),
         ];
+        headers.extend(said.iter().map(|(name, value)| (*name, value.as_str())));
         let status = if fault == Fault::Error { 500 } else { 200 };
         let bytes = http::encode(status, &headers, body.as_bytes());
         match fault {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod membership;
 mod patience;
 mod quarantine;
+mod rate_limit;
 mod silence;
 mod stops;
 mod store;
