An upstream that names a rate gets no more than that from all instances together

Class: a limit on the whole that every instance could only keep for its own part.

Mend: one instance, by rendezvous hashing of the upstream's id, keeps its token bucket; whoever wants to send to it asks that one for a permit. First attempts, repeats, second attempts, resumed streams and those from copies pass the same gate. Refused, the upstream is held back until the told turn and the request goes elsewhere; where nothing is left, the caller is refused at once, not run, with a Retry-After not before the next turn. A rate is told to the instances that have not heard of it, with its age. Ruled out, with reasons in docs/DESIGN.md: shares, a part of the instances, loads as counts, a counter in the directory.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -34,6 +34,8 @@
     Answered(Whole),
     /// It certainly did not run.
     NotRun { answered: Option<Whole>, retry_after_ms: Option<u64>, was_sent: bool },
+    /// It was not sent, since the upstream limits what it gets.
+    HeldBack,
     /// Another upstream has the address, so it did not run; that says nothing of its service.
     Replaced,
     /// It may have run.
@@ -57,7 +59,10 @@
             Outcome::Answered(_) if self.is_good() => 3,
             Outcome::Answered(_) => 2,
             Outcome::Unknown { .. } | Outcome::TimeOver => 1,
-            Outcome::NotRun { .. } | Outcome::Replaced | Outcome::OverBudget => 0,
+            Outcome::NotRun { .. }
+            | Outcome::HeldBack
+            | Outcome::Replaced
+            | Outcome::OverBudget => 0,
         }
     }
 }
@@ -138,6 +143,7 @@
                     return finish(job, traffic, last, may_have_run, retry_after_ms);
                 }
             }
+            Outcome::HeldBack => log_attempt(traffic, job, &worker, "held back"),
             Outcome::Replaced => {
                 arrived += 1;
                 log_attempt(traffic, job, &worker, "another upstream has its address");
@@ -240,15 +246,24 @@
     job: &Job,
     wish: &mut Wish,
 ) -> Option<(Whole, Rc<Worker>)> {
-    let worker = traffic.choose(&job.service, wish)?;
-    wish.not.push(Arc::clone(&worker.upstream.id));
-    match attempt(traffic, job, &worker, false).await {
-        Outcome::Answered(whole) if whole.status < 500 => Some((whole, worker)),
-        _ => None,
+    loop {
+        let worker = traffic.choose(&job.service, wish)?;
+        wish.not.push(Arc::clone(&worker.upstream.id));
+        match attempt(traffic, job, &worker, false).await {
+            Outcome::Answered(whole) if whole.status < 500 => return Some((whole, worker)),
+            Outcome::HeldBack => {}
+            _ => return None,
+        }
     }
 }
 
 async fn attempt(traffic: &Rc<Traffic>, job: &Job, worker: &Rc<Worker>, is_first: bool) -> Outcome {
+    if !is_first && !traffic.has_repeat(&job.service) {
+        return Outcome::OverBudget;
+    }
+    if !traffic.admits(worker).await {
+        return Outcome::HeldBack;
+    }
     let most = traffic.channel_share(&job.service);
     let mut lease = match worker.lease(most, traffic.now_ms()).await {
         Ok(lease) => lease,
@@ -404,7 +419,11 @@
     may_have_run: bool,
     retry_after_ms: Option<u64>,
 ) -> Answer {
-    let failure = if may_have_run { Failure::Unknown } else { failure };
+    let failure = match failure {
+        _ if may_have_run => Failure::Unknown,
+        Failure::NoUpstream if traffic.held_back_ms(&job.service).is_some() => Failure::HeldBack,
+        failure => failure,
+    };
     let retry_after_ms = retry_after_ms.or_else(|| traffic.comes_back_ms(job, &failure));
     traffic.refuse(job, &failure, retry_after_ms)
 }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -9,6 +9,7 @@
 mod exchange;
 pub mod knowledge;
 mod quarantine;
+mod rate_limits;
 mod successors;
 
 use std::cell::RefCell;
@@ -18,7 +19,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 
 use super::dialect::Dialect;
 use super::directory::Directory;
@@ -28,8 +29,11 @@
 use super::membership::{Membership, Phase, Standing, Versions};
 use super::metrics::Metrics;
 use super::policy::found::Found;
+use super::policy::named_rates::NamedRates;
 use super::policy::quarantine::Quarantine;
+use super::policy::rate_limit::Limiter;
 use super::policy::watchers;
+use super::rate::Permit;
 use super::route::Config;
 use super::settings::Settings;
 use super::view::{Front, Shared, View};
@@ -54,6 +58,14 @@
     quarantine: Quarantine,
     /// The version of it that traffic has.
     quarantine_version: u64,
+    /// The token buckets that this instance keeps for all.
+    limiter: Limiter,
+    /// The rates that upstreams named to any instance.
+    named_rates: NamedRates,
+    /// Requests of this instance for permits that others have not answered yet.
+    permits: BTreeMap<u64, oneshot::Sender<Permit>>,
+    /// The number of the last such request.
+    permit_number: u64,
     /// Other instances that hear from the directory.
     first_hand: usize,
     /// Upstreams that any instance lost, with the time until which that counts.
@@ -133,6 +145,10 @@
             loads: Loads::new(Arc::clone(&settings.domain), window_ms),
             quarantine: Quarantine::default(),
             quarantine_version: 0,
+            limiter: Limiter::default(),
+            named_rates: NamedRates::default(),
+            permits: BTreeMap::new(),
+            permit_number: 0,
             first_hand: 0,
             lost: BTreeMap::new(),
             fronts: Arc::default(),
@@ -187,6 +203,7 @@
         tokio::task::spawn_local(Rc::clone(self).tell_newer());
         tokio::task::spawn_local(Rc::clone(self).seek_successors());
         tokio::task::spawn_local(Rc::clone(self).keep_quarantine());
+        tokio::task::spawn_local(Rc::clone(self).keep_rate_limits());
         tokio::task::spawn_local(Rc::clone(self).publish_changes());
     }
 
@@ -268,6 +285,7 @@
             lost: Arc::new(board.lost.keys().cloned().collect()),
             places: board.loads.places(),
             quarantine,
+            named_rates: board.named_rates.clone(),
         };
         drop(before);
         let has_rumors = board.membership.has_rumors();
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -51,14 +51,14 @@
     }
 
     /// The living peers of this failure domain.
-    fn near_peers(&self, board: &Board) -> Vec<SocketAddr> {
+    pub(super) fn near_peers(&self, board: &Board) -> Vec<SocketAddr> {
         let alive = board.membership.alive().map(|member| &member.card.registration);
         let near = alive.filter(|other| other.domain == self.me.domain);
         near.map(|other| other.peer_addr).collect()
     }
 
     /// One living peer of each other failure domain.
-    fn one_of_each_other_domain(&self, board: &Board) -> Vec<SocketAddr> {
+    pub(super) fn one_of_each_other_domain(&self, board: &Board) -> Vec<SocketAddr> {
         let alive = board.membership.alive().map(|member| &member.card.registration);
         let mut far: Vec<&Registration> =
             alive.filter(|other| other.domain != self.me.domain).collect();
@@ -79,6 +79,7 @@
             self.note_gauges(now_ms);
             self.fetch_if_behind(now_ms);
             self.tell_quarantine_to_one();
+            self.tell_named_rates_to_one();
             tokio::time::sleep(Duration::from_millis(PROBE_MS)).await;
         }
     }
@@ -94,6 +95,7 @@
         }
         board.loads.forget(now_ms);
         board.quarantine.forget(now_ms);
+        board.named_rates.forget(now_ms);
     }
 
     /// Tells rumors: new ones at once, and each a few times more.
@@ -272,6 +274,9 @@
             Message::Loads(news) => self.hear_loads(news, now_ms),
             Message::Digest(digest) => self.hear_digest(digest, now_ms),
             Message::Changes(changes) => self.hear_changes(changes, from, now_ms),
+            Message::AskPermit(ask) => self.hear_permit_ask(ask, from),
+            Message::Permit(number, permit) => self.hear_permit(number, permit),
+            Message::NamedRates(news) => self.hear_named_rates(news, now_ms),
         }
     }
 
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -11,7 +11,7 @@
 use hyper::header::HeaderName;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::policy::rate_limit::Rate;
+use super::rate::Rate;
 
 /// What a caller says of its request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -54,6 +54,12 @@
         "no upstream of the service takes work now; send the request again after Retry-After"
     )]
     NoUpstream,
+    /// All upstreams that could take it limit what they get.
+    #[display(
+        "the upstreams of the service limit what they get; the request has not run, send it again after \
+         Retry-After"
+    )]
+    HeldBack,
     /// All upstreams that were asked said that they did not run it.
     #[display("the upstreams are full; the request has not run, send it again after Retry-After")]
     Full,
@@ -113,6 +119,7 @@
             Failure::Starting
             | Failure::Stopping
             | Failure::NoUpstream
+            | Failure::HeldBack
             | Failure::Full
             | Failure::TooManyRepeats
             | Failure::Quarantined { .. }
@@ -127,6 +134,7 @@
             Failure::Starting => Some(STARTING_MS),
             Failure::Stopping => Some(ELSEWHERE_MS),
             Failure::NoUpstream
+            | Failure::HeldBack
             | Failure::Full
             | Failure::TooManyRepeats
             | Failure::TimeOverUnsent => Some(SOON_MS),
--- a/src/gateway/membership/members.rs
+++ b/src/gateway/membership/members.rs
@@ -88,6 +88,16 @@
         self.members.values().filter(|member| member.is_alive())
     }
 
+    /// How many members fell silent since a time; those that ended by a planned stop had said so.
+    pub fn silent_since(&self, since_ms: u64) -> usize {
+        let is_silent = |member: &&Member| {
+            !member.is_alive()
+                && member.since_ms >= since_ms
+                && member.card.phase != Phase::Stopping
+        };
+        self.members.values().filter(is_silent).count()
+    }
+
     /// A member, living or dead.
     pub fn get(&self, id: &str) -> Option<&Member> {
         self.members.get(id)
--- a/src/gateway/membership/message.rs
+++ b/src/gateway/membership/message.rs
@@ -1,10 +1,12 @@
 //! The datagrams between instances.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use super::super::loads::{Changes, Digest, LoadNews};
+use super::super::rate::{Permit, Rate, Told};
 use super::card::{Card, Versions};
 use super::rumors::Rumor;
 
@@ -28,6 +30,32 @@
     Digest(Digest),
     /// What changed in the list of upstreams, and that there is a newer configuration.
     Changes(Changes),
+    /// Asks its receiver, who keeps an upstream's token bucket, for a permit.
+    AskPermit(PermitAsk),
+    /// Answers that, by its number.
+    Permit(u64, Permit),
+    /// Rates that upstreams named.
+    NamedRates(RateNews),
+}
+
+/// Rates that upstreams named to instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateNews {
+    /// The rates.
+    pub rates: Vec<Told>,
+    /// Whether its receiver passes on to its failure domain what is news to it.
+    pub is_passed_on: bool,
+}
+
+/// A request for a permit to send one request to an upstream that limits its rate.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitAsk {
+    /// Which request of its sender it is.
+    pub number: u64,
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// The rate that the upstream takes from all instances, as far as the sender knows.
+    pub rate: Rate,
 }
 
 /// A ping or its answer.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub mod operator;
 pub mod policy;
 pub mod questions;
+pub mod rate;
 pub mod route;
 pub mod server;
 pub mod settings;
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -12,6 +12,7 @@
 pub mod hedge;
 pub mod latency;
 pub mod losses;
+pub mod named_rates;
 pub mod outages;
 pub mod placement;
 pub mod quarantine;
--- a/src/gateway/policy/rate_limit.rs
+++ b/src/gateway/policy/rate_limit.rs
@@ -1,27 +1,116 @@
 //! The rate that an upstream in need takes from all instances together: pure types and steps.
+//!
+//! One instance, the same in the eyes of all, keeps the token bucket of an upstream that limits its
+//! rate, and the others ask it before each request. Shares that each instance kept for itself would
+//! either go unused or, with hundreds of instances, add up to a burst. See
+//! [docs/DESIGN.md](../../../docs/DESIGN.md).
 
-/// Requests a second.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
-pub struct Rate {
-    milli_per_s: u64,
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::super::rate::{Permit, Rate};
+
+/// The burst that a bucket holds, in seconds of its rate; at least one request.
+const BURST_S: f64 = 0.25;
+/// The least rate: only an answer tells that a limit is over, so that a request still has to pass now
+/// and then.
+const LEAST_PER_S: f64 = 0.1;
+/// For how long the lowest rate that askers know counts: some have not heard of a lower one yet.
+const LOWEST_COUNTS_MS: u64 = 1_000;
+/// The longest wait that is told: the limit may change meanwhile.
+const LONGEST_WAIT_MS: u64 = 2_000;
+/// How long after the last request a bucket is kept.
+const BUCKET_KEPT_MS: u64 = 60_000;
+/// How long an instance must have lived to grant anything: one that has just started may take itself
+/// for the only one.
+const SETTLED_MS: u64 = 1_500;
+
+/// The instance that keeps an upstream's bucket: the highest by rendezvous hashing, so that only the
+/// upstreams of one that comes or goes change hands.
+pub fn keeper<'a>(
+    upstream: &str,
+    instances: impl Iterator<Item = &'a Arc<str>>,
+) -> Option<&'a Arc<str>> {
+    let seed = xxh3_64(upstream.as_bytes());
+    instances.max_by_key(|id| xxh3_64_with_seed(id.as_bytes(), seed))
+}
+
+/// The part of the instances that this one knows to live. Those that died a moment ago may live on
+/// beyond a network partition, where another keeper grants as much.
+#[derive(Debug, Clone, Copy)]
+pub struct Quorum {
+    /// Instances that live, with this one.
+    pub alive: usize,
+    /// Others that fell silent lately.
+    pub silent: usize,
+}
+
+impl Quorum {
+    fn part(self) -> f64 {
+        self.alive as f64 / (self.alive + self.silent).max(1) as f64
+    }
+}
+
+/// The buckets that this instance keeps.
+#[derive(Debug, Default)]
+pub struct Limiter {
+    buckets: BTreeMap<Arc<str>, Bucket>,
+}
+
+impl Limiter {
+    /// Whether a request to an upstream may be sent now, of which the asker knows this rate.
+    pub fn ask(&mut self, upstream: &Arc<str>, rate: Rate, quorum: Quorum, now_ms: u64) -> Permit {
+        if now_ms < SETTLED_MS {
+            return Permit::Wait { after_ms: SETTLED_MS - now_ms };
+        }
+        self.buckets.retain(|_, bucket| bucket.filled_ms + BUCKET_KEPT_MS > now_ms);
+        let bucket = self.buckets.entry(Arc::clone(upstream));
+        let bucket = bucket.or_insert_with(|| Bucket::empty(rate, now_ms));
+        bucket.note_rate(rate, now_ms);
+        bucket.take(quorum.part(), now_ms)
+    }
+}
+
+#[derive(Debug)]
+struct Bucket {
+    rate: Rate,
+    /// When an asker last knew this rate.
+    rate_ms: u64,
+    tokens: f64,
+    filled_ms: u64,
+    /// The time of the last turn that was told.
+    last_turn_ms: u64,
 }
 
-impl Rate {
-    /// Reads a decimal number of requests a second; `None` for what is none, or negative.
-    pub fn read(value: &str) -> Option<Rate> {
-        let per_s = value.trim().parse::<f64>().ok()?;
-        (per_s.is_finite() && per_s >= 0.0).then(|| Rate::per_s(per_s))
+impl Bucket {
+    /// A bucket starts empty: its keeper before may just have granted a burst.
+    fn empty(rate: Rate, now_ms: u64) -> Bucket {
+        Bucket { rate, rate_ms: now_ms, tokens: 0.0, filled_ms: now_ms, last_turn_ms: now_ms }
     }
 
-    /// So many requests a second.
-    pub fn per_s(per_s: f64) -> Rate {
-        Rate { milli_per_s: (per_s * 1_000.0) as u64 }
+    fn note_rate(&mut self, rate: Rate, now_ms: u64) {
+        if rate <= self.rate || self.rate_ms + LOWEST_COUNTS_MS <= now_ms {
+            self.rate = rate;
+            self.rate_ms = now_ms;
+        }
     }
 
-    /// Requests a second.
-    pub fn as_per_s(self) -> f64 {
-        self.milli_per_s as f64 / 1_000.0
+    fn take(&mut self, part: f64, now_ms: u64) -> Permit {
+        let per_s = (self.rate.as_per_s() * part).max(LEAST_PER_S);
+        let per_ms = per_s / 1_000.0;
+        let most = (per_s * BURST_S).max(1.0);
+        let since_ms = now_ms.saturating_sub(self.filled_ms);
+        self.tokens = (self.tokens + per_ms * since_ms as f64).min(most);
+        self.filled_ms = now_ms;
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Permit::Granted;
+        }
+        let next_ms = now_ms + ((1.0 - self.tokens) / per_ms) as u64;
+        let turn_ms = next_ms.max(self.last_turn_ms + (1.0 / per_ms) as u64);
+        self.last_turn_ms = turn_ms.min(now_ms + LONGEST_WAIT_MS);
+        Permit::Wait { after_ms: (self.last_turn_ms - now_ms).max(1) }
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -405,6 +405,9 @@
                 Failure::Unknown
             }
             Failure::TimeOver if self.arrived == 0 => Failure::TimeOverUnsent,
+            Failure::NoUpstream if self.traffic.held_back_ms(&self.job.service).is_some() => {
+                Failure::HeldBack
+            }
             failure => failure,
         };
         let after_ms = self.traffic.comes_back_ms(&self.job, &failure);
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -62,6 +62,9 @@
         self.here = Progress::default();
         let mut silences = worker.silences.subscribe();
         silences.mark_unchanged();
+        if !traffic.admits(worker).await {
+            return Err(Outcome::NotRun { why: Refused::NotSent("it is held back".to_owned()) });
+        }
         let most = traffic.channel_share(&self.job.service);
         let mut lease = match worker.lease(most, traffic.now_ms()).await {
             Ok(lease) => lease,
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -148,6 +148,7 @@
     pub fn comes_back_ms(&self, job: &Job, failure: &Failure) -> Option<u64> {
         let left_ms = job.left_ms(self.now_ms());
         match failure {
+            Failure::HeldBack => self.comes_back_to_held_back_ms(&job.service),
             Failure::NoUpstream => self.retry_after_ms(&job.service, left_ms),
             Failure::Quarantined { .. } | Failure::Poison { .. } => self.quarantine_left_ms(job),
             Failure::Full | Failure::TooManyRepeats if job.route.repeat.is_stream() => {
@@ -302,6 +303,7 @@
         let fitting: Vec<&Rc<Worker>> = workers
             .values()
             .filter(|worker| *worker.upstream.service == *service && worker.takes_work())
+            .filter(|worker| !worker.is_held_back(now_ms))
             .collect();
         self.hear_losses(&view, &workers, now_ms);
         let mut candidates: Vec<Candidate> =
--- a/src/gateway/traffic/signals.rs
+++ b/src/gateway/traffic/signals.rs
@@ -1,9 +1,26 @@
 //! What upstreams ask for in their answers, and what this instance makes of it.
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
 use super::super::dialect::Marks;
+use super::super::rate::{Permit, Rate};
+use super::super::view::{PermitRequest, RateRequest};
 use super::super::worker::Worker;
 use super::Traffic;
 
+/// How long the keeper of an upstream's bucket may take to answer: a few round trips between failure
+/// domains. Whoever waits is served elsewhere meanwhile.
+const PERMIT_TIMEOUT_MS: u64 = 60;
+/// How long an upstream is held back when its bucket's keeper does not answer: it may have died, which
+/// is known within a second or two.
+const UNANSWERED_MS: u64 = 250;
+
+/// Over how much longer the callers are spread that were refused while upstreams were held back.
+const COME_BACK_OVER_MS: u64 = 500;
+
 impl Traffic {
     /// Takes in what an upstream's answer says of the upstream itself.
     pub fn note_signals(&self, worker: &Worker, status: u16, marks: &Marks) {
@@ -14,12 +31,73 @@
         if let Some(load) = marks.load {
             worker.tell(load, self.now_ms());
         }
-        let before = worker.set_rate_limit(marks.rate_limit);
-        if before != marks.rate_limit {
+        self.set_rate_limit(worker, marks.rate_limit, self.now_ms(), "its answer");
+        if let Some(rate) = marks.rate_limit {
+            self.shared.request_rate(RateRequest::Named(Arc::clone(&worker.upstream.id), rate));
+        }
+    }
+
+    /// Takes in the rate that an upstream named, as `by` told.
+    fn set_rate_limit(&self, worker: &Worker, rate: Option<Rate>, at_ms: u64, by: &'static str) {
+        let before = worker.set_rate_limit(rate, at_ms);
+        let now = worker.rate_limit();
+        if before != now {
             slog::info!(self.log, "upstream changed its rate limit";
                 "upstream" => &*worker.upstream.id, "service" => &*worker.upstream.service,
-                "per_s" => marks.rate_limit.map(|rate| rate.as_per_s()),
-                "before_per_s" => before.map(|rate| rate.as_per_s()));
+                "per_s" => now.map(Rate::as_per_s), "before_per_s" => before.map(Rate::as_per_s),
+                "by" => by);
         }
     }
+
+    /// The rate that an upstream takes from all instances, as it or a peer told last.
+    fn rate_limit(&self, worker: &Worker) -> Option<Rate> {
+        if let Some(named) = self.shared.view.load().named_rates.of(&worker.upstream.id) {
+            self.set_rate_limit(worker, Some(named.rate), named.at_ms, "a peer");
+        }
+        worker.rate_limit()
+    }
+
+    /// Whether an upstream takes one more request now, which is then to be sent to it. One that limits
+    /// its rate is held back until this instance's turn if it doesn't.
+    pub async fn admits(&self, worker: &Worker) -> bool {
+        if worker.is_held_back(self.now_ms()) {
+            return false;
+        }
+        let Some(rate) = self.rate_limit(worker) else { return true };
+        let (answer, answered) = oneshot::channel();
+        let upstream = Arc::clone(&worker.upstream.id);
+        let request = PermitRequest { upstream, rate, answer };
+        self.shared.request_rate(RateRequest::Permit(request));
+        let limit = Duration::from_millis(PERMIT_TIMEOUT_MS);
+        let after_ms = match tokio::time::timeout(limit, answered).await {
+            Ok(Ok(Permit::Granted)) => return true,
+            Ok(Ok(Permit::Wait { after_ms })) => after_ms,
+            Ok(Err(_)) | Err(_) => {
+                self.metrics.count("permits_unanswered");
+                UNANSWERED_MS
+            }
+        };
+        worker.hold_back(self.now_ms() + after_ms);
+        self.metrics.count("requests_held_back");
+        false
+    }
+
+    /// When the caller of a request should come back to a service whose upstreams are held back: not
+    /// before one of them takes work again, and not all callers at once.
+    pub(super) fn comes_back_to_held_back_ms(&self, service: &str) -> Option<u64> {
+        Some(self.held_back_ms(service)? + fastrand::u64(..COME_BACK_OVER_MS))
+    }
+
+    /// In what time an upstream of a service takes work again, where it is only held back.
+    pub fn held_back_ms(&self, service: &str) -> Option<u64> {
+        let now_ms = self.now_ms();
+        let workers = self.workers.borrow();
+        let held_back = workers.values().filter(|worker| {
+            *worker.upstream.service == *service
+                && worker.takes_work()
+                && !worker.is_lost(now_ms)
+                && worker.is_held_back(now_ms)
+        });
+        held_back.map(|worker| worker.held_back_until_ms() - now_ms).min()
+    }
 }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -5,14 +5,16 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwap;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, oneshot, watch};
 
 use super::crash::Crash;
 use super::fingerprint::Fingerprint;
 use super::fleet::Fleet;
 use super::loads::{Held, Own, Places, Sent};
 use super::membership::Phase;
+use super::policy::named_rates::NamedRates;
 use super::policy::quarantine::Suspects;
+use super::rate::{Permit, Rate};
 use super::route::Config;
 
 /// An immutable picture of what is known.
@@ -40,6 +42,8 @@
     pub places: Places,
     /// Requests that crashed upstreams, and whether they are quarantined.
     pub quarantine: Arc<Suspects>,
+    /// The rates that upstreams named to any instance.
+    pub named_rates: NamedRates,
 }
 
 /// An instance that takes callers.
@@ -68,6 +72,30 @@
     reports: Mutex<Vec<Report>>,
     /// Grows when requests are quarantined, after the picture says so.
     pub quarantined: watch::Sender<u64>,
+    /// Wakes the control thread for what traffic has for the controller of rate limits.
+    pub rates_requested: Notify,
+    /// What it wants of the control thread.
+    rate_requests: Mutex<Vec<RateRequest>>,
+}
+
+/// What traffic has for the controller of rate limits.
+#[derive(Debug)]
+pub enum RateRequest {
+    /// An upstream named a rate to this instance.
+    Named(Arc<str>, Rate),
+    /// A request is to be sent to such an upstream.
+    Permit(PermitRequest),
+}
+
+/// A request for a permit to send one request.
+#[derive(Debug)]
+pub struct PermitRequest {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// The rate that it takes from all instances, as far as known here.
+    pub rate: Rate,
+    /// Takes the answer.
+    pub answer: oneshot::Sender<Permit>,
 }
 
 /// What traffic or an operator reports of a request that may crash upstreams.
@@ -99,6 +127,7 @@
             sent: Arc::default(),
             places: Places::default(),
             quarantine: Arc::default(),
+            named_rates: NamedRates::default(),
         };
         let view = ArcSwap::from_pointee(view);
         let is_configured = watch::Sender::new(false);
@@ -110,6 +139,8 @@
             reported: Notify::new(),
             reports: Mutex::default(),
             quarantined: watch::Sender::new(0),
+            rates_requested: Notify::new(),
+            rate_requests: Mutex::default(),
         })
     }
 
@@ -128,6 +159,17 @@
         std::mem::take(&mut *self.reports.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Hands something to the controller of rate limits.
+    pub fn request_rate(&self, request: RateRequest) {
+        self.rate_requests.lock().unwrap_or_else(PoisonError::into_inner).push(request);
+        self.rates_requested.notify_one();
+    }
+
+    /// Takes what was handed to it.
+    pub fn take_rate_requests(&self) -> Vec<RateRequest> {
+        std::mem::take(&mut *self.rate_requests.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Replaces what is told to peers.
     pub fn set_own(&self, own: Own) {
         *self.own.lock().unwrap_or_else(PoisonError::into_inner) = own;
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -9,7 +9,7 @@
 use super::channel::{self, Channel};
 use super::dialect::Load;
 use super::fleet::Upstream;
-use super::policy::rate_limit::Rate;
+use super::rate::Rate;
 
 /// How long an upstream that broke off is kept out of placement, unless it answers: a check takes
 /// a few milliseconds, and the next request makes one.
@@ -62,6 +62,9 @@
     failing_ms: Cell<u64>,
     told: Cell<Option<Told>>,
     rate_limit: Cell<Option<Rate>>,
+    /// When its last answer came, or a peer told a rate of it.
+    rate_known_ms: Cell<u64>,
+    held_back_until_ms: Cell<u64>,
 }
 
 #[derive(Debug)]
@@ -144,6 +147,8 @@
             failing_ms: Cell::new(0),
             told: Cell::new(None),
             rate_limit: Cell::new(None),
+            rate_known_ms: Cell::new(0),
+            held_back_until_ms: Cell::new(0),
             upstream,
         })
     }
@@ -313,16 +318,36 @@
         self.told.set(Some(Told { others, at_ms: now_ms }));
     }
 
-    /// The rate that it takes from all instances together, as its last answer said.
+    /// The rate that it takes from all instances together, as its last answer said, or a peer since.
     pub fn rate_limit(&self) -> Option<Rate> {
         self.rate_limit.get()
     }
 
-    /// Takes in the rate of its newest answer; returns the one before.
-    pub fn set_rate_limit(&self, rate: Option<Rate>) -> Option<Rate> {
+    /// Takes in the rate of its newest answer, or what a peer told at that time; returns the one before.
+    /// Something older changes nothing.
+    pub fn set_rate_limit(&self, rate: Option<Rate>, at_ms: u64) -> Option<Rate> {
+        if at_ms < self.rate_known_ms.get() {
+            return self.rate_limit.get();
+        }
+        self.rate_known_ms.set(at_ms);
         self.rate_limit.replace(rate)
     }
 
+    /// Has it get nothing until a time, which it asked for itself.
+    pub fn hold_back(&self, until_ms: u64) {
+        self.held_back_until_ms.set(self.held_back_until_ms.get().max(until_ms));
+    }
+
+    /// Until when it gets nothing because it asked for that.
+    pub fn held_back_until_ms(&self) -> u64 {
+        self.held_back_until_ms.get()
+    }
+
+    /// Whether it gets nothing now because it asked for that.
+    pub fn is_held_back(&self, now_ms: u64) -> bool {
+        self.held_back_until_ms() > now_ms
+    }
+
     /// What others have running there, as it told itself a moment ago.
     pub fn told_others(&self, now_ms: u64) -> Option<u32> {
         let told = self.told.get()?;
--- a/tests/gateway/layers.rs
+++ b/tests/gateway/layers.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 /// What a decision may use: data, hashes of data, other decisions, and injected randomness.
-const FOR_POLICY: [&str; 11] = [
+const FOR_POLICY: [&str; 12] = [
     "std::borrow::",
     "std::collections::",
     "std::net::SocketAddr",
@@ -14,6 +14,7 @@
     "super::super::crash::",
     "super::super::fingerprint::",
     "super::super::fleet::",
+    "super::super::rate::",
     "super::super::route::",
     "hdrhistogram::",
     "xxhash_rust::",
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod lost_instances;
 mod membership;
 mod patience;
+mod permits;
 mod quarantine;
 mod rate_limit;
 mod silence;
--- a/tests/gateway/rate_limit.rs
+++ b/tests/gateway/rate_limit.rs
@@ -69,7 +69,7 @@
 }
 
 fn booking_or_look_up(number: u64) -> Call {
-    if number % 3 == 0 { call("GET", "/look/seat") } else { call("POST", "/book/berth") }
+    if number.is_multiple_of(3) { call("GET", "/look/seat") } else { call("POST", "/book/berth") }
 }
 
 /// The most requests that an upstream got within any span from a time on.
@@ -93,7 +93,7 @@
 
 /// Two of three services name a rate, and the third takes the rest. On the code that didn't read it,
 /// one that took 6 a second got 130 to 230 requests in 4 s, where 41 are allowed.
-#[parameterized(one_instance = { 1 }, nine_instances = { 9 })]
+#[parameterized(one_instance = { 1 }, nine_instances = { 9 }, many_instances = { 73 })]
 #[test_macro(tokio::test)]
 async fn upstreams_that_limit_their_rate_get_no_more(instances: u8) {
     let running = support::start(instances).await;
@@ -108,3 +108,130 @@
     let unserved = got.iter().filter(|got| got.status != 200).count();
     assert_eq!(unserved, 0, "of {}: the third service takes what the others don't", got.len());
 }
+
+/// What goes beyond the rates of all is refused at once and has not run, and the rates are used.
+#[parameterized(one_instance = { 1 }, nine_instances = { 9 })]
+#[test_macro(tokio::test)]
+async fn calls_beyond_the_rates_of_all_upstreams_are_refused_at_once(instances: u8) {
+    let running = support::start(instances).await;
+    let named_at = Instant::now();
+    running.site.services.iter().for_each(|service| service.signal(limiting()));
+    let got = load(&running, CALL_EVERY, booking_or_look_up, named_at + LOAD).await;
+    running.site.services.iter().for_each(|service| assert_within(&service.seen(), named_at));
+    let (served, refused): (Vec<&Got>, Vec<&Got>) = got.iter().partition(|got| got.status == 200);
+    let taken = running.site.services.len() as f64 * LIMIT_PER_S * LOAD.as_secs_f64();
+    assert!(
+        served.len() as f64 >= 0.6 * taken,
+        "{} served of {taken} that are taken",
+        served.len()
+    );
+    for got in refused {
+        assert_eq!(got.status, 503);
+        assert!(got.retry_after_s.is_some_and(|after_s| after_s > 0.0));
+        assert_eq!(running.runs_of(&got.id), 0);
+        assert!(got.took <= AT_ONCE, "refused after {:?}", got.took);
+    }
+}
+
+/// Repeats after errors, second attempts beside silent upstreams and calls that lost their upstream
+/// draw on the same rate as first attempts.
+#[parameterized(
+    errors = { Fault::Error },
+    lost_answers = { Fault::LostAnswer },
+    silent = { Fault::Mute },
+    full = { Fault::Full },
+)]
+#[test_macro(tokio::test)]
+async fn repeats_keep_to_the_rate_as_well(fault: Fault) {
+    let running = support::start(3).await;
+    let named_at = Instant::now();
+    for service in &running.site.services[..2] {
+        service.signal(limiting());
+    }
+    running.site.services[2].fail(fault);
+    let look_up = |_| call("GET", "/look/seat");
+    let got = load(&running, CALL_EVERY, look_up, named_at + LOAD).await;
+    for service in &running.site.services[..2] {
+        assert_within(&service.seen(), named_at);
+    }
+    let refused = got.iter().filter(|got| got.status == 503);
+    refused.for_each(|got| assert_eq!(running.runs_of(&got.id), 0, "it is said not to have run"));
+}
+
+/// Streams, resumed ones and those that go on from copies keep to the rate of engines.
+#[parameterized(calm = { false }, engines_crash = { true })]
+#[test_macro(tokio::test)]
+async fn streams_keep_to_the_rate(engines_crash: bool) {
+    let running = support::start(3).await;
+    let named_at = Instant::now();
+    running.site.engines.iter().for_each(|engine| engine.signal(limiting()));
+    let crash = async {
+        let mut crashed = 0;
+        while engines_crash && named_at.elapsed() < LOAD {
+            tokio::time::sleep(Duration::from_millis(1_500)).await;
+            running.site.engines[crashed % 2].fail(siskinrock_fakes::engine::Fault::Torn);
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            running.site.engines[crashed % 2].fail(siskinrock_fakes::engine::Fault::None);
+            crashed += 1;
+        }
+    };
+    let streams = load(&running, STREAM_EVERY, |_| plan(), named_at + LOAD);
+    let (got, ()) = tokio::join!(streams, crash);
+    running.site.engines.iter().for_each(|engine| assert_within(&engine.seen(), named_at));
+    let served = got.iter().filter(|got| got.status == 200).count();
+    assert!(served * 2 >= got.len(), "{served} of {} began", got.len());
+    let refused = got.iter().filter(|got| got.status == 503);
+    refused.for_each(|got| assert_eq!(running.runs_of(&got.id), 0));
+}
+
+/// Instances that are frozen, killed, stopped and started change who keeps the buckets.
+#[tokio::test]
+async fn the_rate_holds_while_instances_come_and_go() {
+    let mut running = support::start(9).await;
+    let named_at = Instant::now();
+    running.site.services.iter().for_each(|service| service.signal(limiting()));
+    let fronts: Vec<_> = running.gateways.iter().map(|gateway| gateway.front).collect();
+    let callers = tokio::spawn(async move {
+        let mut asked = tokio::task::JoinSet::new();
+        let mut number = 0;
+        while named_at.elapsed() < 2 * LOAD {
+            let front = fronts[fastrand::usize(..fronts.len())];
+            asked.spawn(ask(front, booking_or_look_up(number)));
+            number += 1;
+            tokio::time::sleep(CALL_EVERY).await;
+        }
+        asked.join_all().await
+    });
+    for round in 0..4 {
+        let [frozen, killed, stopped] = [round, round + 4, (round + 7) % 9];
+        running.gateways[frozen].signal(libc::SIGSTOP);
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        running.gateways[killed].kill();
+        running.gateways[stopped].signal(libc::SIGTERM);
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        running.gateways[frozen].signal(libc::SIGCONT);
+        running.gateways[killed].restart();
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        if running.gateways[stopped].has_ended() {
+            running.gateways[stopped].restart();
+        }
+    }
+    let got = callers.await.expect("no caller panics");
+    running.site.services.iter().for_each(|service| assert_within(&service.seen(), named_at));
+    assert!(got.iter().filter(|got| got.status == 200).count() > 100);
+}
+
+/// An upstream that no longer names a rate takes its part again.
+#[tokio::test]
+async fn a_rate_that_is_no_longer_named_is_over() {
+    let running = support::start(3).await;
+    let limited = &running.site.services[0];
+    limited.signal(limiting());
+    load(&running, CALL_EVERY, booking_or_look_up, Instant::now() + CONTACT).await;
+    limited.signal(Signals::default());
+    load(&running, CALL_EVERY, booking_or_look_up, Instant::now() + CONTACT).await;
+    let before = limited.seen().len();
+    let got = load(&running, CALL_EVERY, booking_or_look_up, Instant::now() + CONTACT).await;
+    let taken = limited.seen().len() - before;
+    assert!(taken * 6 > got.len(), "{taken} of {} calls went to one of three services", got.len());
+}
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -13,6 +13,9 @@
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
+/// The most addresses that callers are told.
+const MOST_ADDRESSES: usize = 64;
+
 /// A running site, its gateways and the folder of their files.
 pub struct Running {
     pub site: Site,
@@ -53,7 +56,7 @@
 
     /// Waits until all are ready and know of each other.
     pub async fn wait_until_ready(&self) {
-        let all = self.gateways.len();
+        let all = self.gateways.len().min(MOST_ADDRESSES);
         for gateway in &self.gateways {
             wait_for("a gateway is ready and knows the others", async || {
                 gateway.is_ready().await && gateway.addresses("-").await.len() == all
