Sight: that an upstream leaves or wants rest, as its answers say

Now `upstream says that it leaves` and `upstream wants rest`, with the time, are logged at each instance, and two gauges and a counter hold them. Nothing follows from it yet.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -98,6 +98,8 @@
     pub keep_ms: Option<u64>,
     /// How long to wait before the next try.
     pub retry_after_ms: Option<u64>,
+    /// Whether the upstream says that it is leaving.
+    pub is_leaving: bool,
     /// The rate that the upstream takes from all instances together, if it limits that.
     pub rate_limit: Option<Rate>,
 }
--- a/src/gateway/native/wire.rs
+++ b/src/gateway/native/wire.rs
@@ -30,6 +30,8 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("siskinrock-not-run");
 /// Running, waiting and slots, with commas.
 const LOAD: HeaderName = HeaderName::from_static("siskinrock-load");
+/// `1` while an upstream leaves.
+const LEAVING: HeaderName = HeaderName::from_static("siskinrock-leaving");
 /// Requests a second that an upstream takes from all instances together.
 const RATE_LIMIT: HeaderName = HeaderName::from_static("siskinrock-rate-limit");
 
@@ -119,6 +121,7 @@
             upstream: text(headers, &UPSTREAM).map(Arc::from),
             keep_ms: dialect::keep_ms(headers),
             retry_after_ms: dialect::seconds_ms(headers, &RETRY_AFTER),
+            is_leaving: text(headers, &LEAVING).is_some_and(|value| value.trim() == "1"),
             rate_limit: text(headers, &RATE_LIMIT).and_then(Rate::read),
         }
     }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -497,6 +497,11 @@
         self.metrics.gauge("prompts_reading", sum(|worker| u64::from(worker.reading.get())));
         let limited = |worker: &Worker| u64::from(worker.rate_limit().is_some());
         self.metrics.gauge("upstreams_limiting", sum(limited));
+        let leaving = |worker: &Worker| u64::from(worker.has_said_leaving());
+        self.metrics.gauge("upstreams_leaving_by_answer", sum(leaving));
+        let now_ms = self.now_ms();
+        let resting = workers.values().filter(|worker| worker.is_resting(now_ms)).count();
+        self.metrics.gauge("upstreams_resting", resting as u64);
         self.metrics.gauge("log_records_left_out", log::left_out());
     }
 }
--- a/src/gateway/traffic/signals.rs
+++ b/src/gateway/traffic/signals.rs
@@ -31,12 +31,29 @@
         if let Some(load) = marks.load {
             worker.tell(load, self.now_ms());
         }
+        if marks.is_leaving && worker.say_leaving() {
+            slog::info!(self.log, "upstream says that it leaves";
+                "upstream" => &*worker.upstream.id, "service" => &*worker.upstream.service);
+        }
+        if let Some(after_ms) = marks.retry_after_ms.filter(|_| status == 503) {
+            self.note_rest(worker, after_ms);
+        }
         self.set_rate_limit(worker, marks.rate_limit, self.now_ms(), "its answer");
         if let Some(rate) = marks.rate_limit {
             self.shared.request_rate(RateRequest::Named(Arc::clone(&worker.upstream.id), rate));
         }
     }
 
+    /// Takes in for how long an upstream that refused a request wants nothing from this instance.
+    fn note_rest(&self, worker: &Worker, after_ms: u64) {
+        let now_ms = self.now_ms();
+        if worker.rest(now_ms.saturating_add(after_ms), now_ms) {
+            slog::info!(self.log, "upstream wants rest"; "upstream" => &*worker.upstream.id,
+                "service" => &*worker.upstream.service, "for_ms" => after_ms);
+            self.metrics.count("rests_wanted");
+        }
+    }
+
     /// Takes in the rate that an upstream named, as `by` told.
     fn set_rate_limit(&self, worker: &Worker, rate: Option<Rate>, at_ms: u64, by: &'static str) {
         let before = worker.set_rate_limit(rate, at_ms);
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -61,6 +61,10 @@
     failing: Cell<f64>,
     failing_ms: Cell<u64>,
     told: Cell<Option<Told>>,
+    /// Whether an answer of it said that it is leaving.
+    said_leaving: Cell<bool>,
+    /// Until when it wants nothing from this instance, as its last refusal said.
+    rests_until_ms: Cell<u64>,
     rate_limit: Cell<Option<Rate>>,
     /// When its last answer came, or a peer told a rate of it.
     rate_known_ms: Cell<u64>,
@@ -146,6 +150,8 @@
             failing: Cell::new(0.0),
             failing_ms: Cell::new(0),
             told: Cell::new(None),
+            said_leaving: Cell::new(false),
+            rests_until_ms: Cell::new(0),
             rate_limit: Cell::new(None),
             rate_known_ms: Cell::new(0),
             held_back_until_ms: Cell::new(0),
@@ -318,6 +324,28 @@
         self.told.set(Some(Told { others, at_ms: now_ms }));
     }
 
+    /// Notes that an answer of it says that it is leaving. Returns whether that is new.
+    pub fn say_leaving(&self) -> bool {
+        !self.said_leaving.replace(true)
+    }
+
+    /// Whether an answer of it said that it is leaving.
+    pub fn has_said_leaving(&self) -> bool {
+        self.said_leaving.get()
+    }
+
+    /// Notes until when it wants nothing from this instance. Returns whether it wanted no rest before.
+    pub fn rest(&self, until_ms: u64, now_ms: u64) -> bool {
+        let is_new = !self.is_resting(now_ms);
+        self.rests_until_ms.set(self.rests_until_ms.get().max(until_ms));
+        is_new
+    }
+
+    /// Whether it wants nothing from this instance now.
+    pub fn is_resting(&self, now_ms: u64) -> bool {
+        self.rests_until_ms.get() > now_ms
+    }
+
     /// The rate that it takes from all instances together, as its last answer said, or a peer since.
     pub fn rate_limit(&self) -> Option<Rate> {
         self.rate_limit.get()
