--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -300,7 +300,7 @@
         };
         self.lock().seen.push(seen);
         if let Some(status) = refused {
-            let said = self.lock().signals.headers();
+            let said = self.lock().signals.refusing();
             let mut headers = vec![("X-Not-Executed", "1"), ("X-Request-Id", id.as_str())];
             headers.extend(said.iter().map(|(name, value)| (*name, value.as_str())));
             return connection.answer(status, &headers, b"").await;
--- a/tests/fakes/src/service.rs
+++ b/tests/fakes/src/service.rs
@@ -183,7 +183,7 @@
         id: &str,
         status: u16,
     ) -> std::io::Result<()> {
-        let said = self.lock().signals.headers();
+        let said = self.lock().signals.refusing();
         let mut headers = vec![("X-Not-Executed", "1"), ("X-Request-Id", id)];
         headers.extend(said.iter().map(|(name, value)| (*name, value.as_str())));
         connection.answer(status, &headers, b"").await
--- a/tests/fakes/src/signals.rs
+++ b/tests/fakes/src/signals.rs
@@ -5,12 +5,23 @@
 pub struct Signals {
     /// Requests a second that it takes from all instances together.
     pub limit_per_s: Option<f64>,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// For how many seconds it wants nothing from whomever it refuses.
+    pub rest_s: Option<f64>,
 }
 
 impl Signals {
-    /// The headers that say so.
+    /// The headers of any answer that say so.
     pub fn headers(&self) -> Vec<(&'static str, String)> {
         let limit = self.limit_per_s.map(|per_s| ("Server-Limit", per_s.to_string()));
-        limit.into_iter().collect()
+        let leaving = self.is_leaving.then(|| ("Server-Leaving", "1".to_owned()));
+        limit.into_iter().chain(leaving).collect()
+    }
+
+    /// The headers of a refusal.
+    pub fn refusing(&self) -> Vec<(&'static str, String)> {
+        let rest = self.rest_s.map(|rest_s| ("Retry-After", rest_s.to_string()));
+        self.headers().into_iter().chain(rest).collect()
     }
 }
--- /dev/null
+++ b/tests/gateway/load.rs
@@ -0,0 +1,60 @@
+//! A load of calls and streams over all instances of a test's site, and what its callers got.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use siskinrock_fakes::caller::{self, Call};
+
+use crate::support::{Running, call};
+
+/// The pause between two calls: fourteen times as many as an upstream takes that names 6 a second.
+pub const CALL_EVERY: Duration = Duration::from_millis(12);
+/// The pause between two streams.
+pub const STREAM_EVERY: Duration = Duration::from_millis(30);
+/// How long a refusal may take: it is given at once.
+pub const AT_ONCE: Duration = Duration::from_millis(400);
+
+/// What a caller got.
+pub struct Got {
+    pub id: String,
+    pub status: u16,
+    pub retry_after_s: Option<f64>,
+    pub took: Duration,
+}
+
+/// Sends one, and reads a stream to its end.
+pub async fn ask(front: SocketAddr, sent: Call) -> Got {
+    let since = Instant::now();
+    let is_stream = sent.part.is_some();
+    let answer = if is_stream {
+        caller::stream(front, &sent).await.map(|stream| stream.head)
+    } else {
+        caller::send(front, &sent).await
+    };
+    let answer = answer.unwrap_or_default();
+    let retry_after_s = answer.header("retry-after").and_then(|value| value.parse().ok());
+    Got { id: sent.id, status: answer.status(), retry_after_s, took: since.elapsed() }
+}
+
+/// Sends calls to all instances by chance until a time.
+pub async fn play(
+    running: &Running,
+    every: Duration,
+    next: impl Fn(u64) -> Call,
+    until: Instant,
+) -> Vec<Got> {
+    let mut asked = tokio::task::JoinSet::new();
+    let mut number = 0;
+    while Instant::now() < until {
+        let front = running.front(fastrand::usize(..running.gateways.len()));
+        asked.spawn(ask(front, next(number)));
+        number += 1;
+        tokio::time::sleep(every).await;
+    }
+    asked.join_all().await
+}
+
+/// Two bookings, then a look-up.
+pub fn booking_or_look_up(number: u64) -> Call {
+    if number.is_multiple_of(3) { call("GET", "/look/seat") } else { call("POST", "/book/berth") }
+}
--- a/tests/gateway/rate_limit.rs
+++ b/tests/gateway/rate_limit.rs
@@ -2,13 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use siskinrock_fakes::caller::{self, Call};
 use siskinrock_fakes::engine::Seen;
 use siskinrock_fakes::service::Fault;
 use siskinrock_fakes::signals::Signals;
 use yare::parameterized;
 
-use crate::support::{self, Running, call, plan};
+use crate::load::{self, AT_ONCE, CALL_EVERY, Got, STREAM_EVERY, booking_or_look_up};
+use crate::support::{self, call, plan};
 
 /// The rate that upstreams name.
 const LIMIT_PER_S: f64 = 6.0;
@@ -18,58 +18,9 @@
 const SPAN: Duration = Duration::from_secs(4);
 /// How long callers go on after the rate was named.
 const LOAD: Duration = Duration::from_secs(9);
-/// The pause between two calls: fourteen times as many as one upstream takes.
-const CALL_EVERY: Duration = Duration::from_millis(12);
-/// The pause between two streams.
-const STREAM_EVERY: Duration = Duration::from_millis(30);
-/// How long a refusal may take: it is given at once.
-const AT_ONCE: Duration = Duration::from_millis(400);
 
 fn limiting() -> Signals {
-    Signals { limit_per_s: Some(LIMIT_PER_S) }
-}
-
-/// What a caller got.
-struct Got {
-    id: String,
-    status: u16,
-    retry_after_s: Option<f64>,
-    took: Duration,
-}
-
-async fn ask(front: std::net::SocketAddr, sent: Call) -> Got {
-    let since = Instant::now();
-    let is_stream = sent.part.is_some();
-    let answer = if is_stream {
-        caller::stream(front, &sent).await.map(|stream| stream.head)
-    } else {
-        caller::send(front, &sent).await
-    };
-    let answer = answer.unwrap_or_default();
-    let retry_after_s = answer.header("retry-after").and_then(|value| value.parse().ok());
-    Got { id: sent.id, status: answer.status(), retry_after_s, took: since.elapsed() }
-}
-
-/// Sends calls to all instances by chance until a time.
-async fn load(
-    running: &Running,
-    every: Duration,
-    next: impl Fn(u64) -> Call,
-    until: Instant,
-) -> Vec<Got> {
-    let mut asked = tokio::task::JoinSet::new();
-    let mut number = 0;
-    while Instant::now() < until {
-        let front = running.front(fastrand::usize(..running.gateways.len()));
-        asked.spawn(ask(front, next(number)));
-        number += 1;
-        tokio::time::sleep(every).await;
-    }
-    asked.join_all().await
-}
-
-fn booking_or_look_up(number: u64) -> Call {
-    if number.is_multiple_of(3) { call("GET", "/look/seat") } else { call("POST", "/book/berth") }
+    Signals { limit_per_s: Some(LIMIT_PER_S), ..Signals::default() }
 }
 
 /// The most requests that an upstream got within any span from a time on.
@@ -101,7 +52,7 @@
     for service in &running.site.services[..2] {
         service.signal(limiting());
     }
-    let got = load(&running, CALL_EVERY, booking_or_look_up, named_at + LOAD).await;
+    let got = load::play(&running, CALL_EVERY, booking_or_look_up, named_at + LOAD).await;
     for service in &running.site.services[..2] {
         assert_within(&service.seen(), named_at);
     }
@@ -116,7 +67,7 @@
     let running = support::start(instances).await;
     let named_at = Instant::now();
     running.site.services.iter().for_each(|service| service.signal(limiting()));
-    let got = load(&running, CALL_EVERY, booking_or_look_up, named_at + LOAD).await;
+    let got = load::play(&running, CALL_EVERY, booking_or_look_up, named_at + LOAD).await;
     running.site.services.iter().for_each(|service| assert_within(&service.seen(), named_at));
     let (served, refused): (Vec<&Got>, Vec<&Got>) = got.iter().partition(|got| got.status == 200);
     let taken = running.site.services.len() as f64 * LIMIT_PER_S * LOAD.as_secs_f64();
@@ -150,7 +101,7 @@
     }
     running.site.services[2].fail(fault);
     let look_up = |_| call("GET", "/look/seat");
-    let got = load(&running, CALL_EVERY, look_up, named_at + LOAD).await;
+    let got = load::play(&running, CALL_EVERY, look_up, named_at + LOAD).await;
     for service in &running.site.services[..2] {
         assert_within(&service.seen(), named_at);
     }
@@ -175,7 +126,7 @@
             crashed += 1;
         }
     };
-    let streams = load(&running, STREAM_EVERY, |_| plan(), named_at + LOAD);
+    let streams = load::play(&running, STREAM_EVERY, |_| plan(), named_at + LOAD);
     let (got, ()) = tokio::join!(streams, crash);
     running.site.engines.iter().for_each(|engine| assert_within(&engine.seen(), named_at));
     let served = got.iter().filter(|got| got.status == 200).count();
@@ -196,7 +147,7 @@
         let mut number = 0;
         while named_at.elapsed() < 2 * LOAD {
             let front = fronts[fastrand::usize(..fronts.len())];
-            asked.spawn(ask(front, booking_or_look_up(number)));
+            asked.spawn(load::ask(front, booking_or_look_up(number)));
             number += 1;
             tokio::time::sleep(CALL_EVERY).await;
         }
@@ -227,11 +178,11 @@
     let running = support::start(3).await;
     let limited = &running.site.services[0];
     limited.signal(limiting());
-    load(&running, CALL_EVERY, booking_or_look_up, Instant::now() + CONTACT).await;
+    load::play(&running, CALL_EVERY, booking_or_look_up, Instant::now() + CONTACT).await;
     limited.signal(Signals::default());
-    load(&running, CALL_EVERY, booking_or_look_up, Instant::now() + CONTACT).await;
+    load::play(&running, CALL_EVERY, booking_or_look_up, Instant::now() + CONTACT).await;
     let before = limited.seen().len();
-    let got = load(&running, CALL_EVERY, booking_or_look_up, Instant::now() + CONTACT).await;
+    let got = load::play(&running, CALL_EVERY, booking_or_look_up, Instant::now() + CONTACT).await;
     let taken = limited.seen().len() - before;
     assert!(taken * 6 > got.len(), "{taken} of {} calls went to one of three services", got.len());
 }
