An upstream whose answers say that it leaves gets nothing new, whatever the list says

Cause, the first hypothesis: leaving was learned from the directory alone, so that with a silent store nothing told it. The second, a list that takes the word back, would have been the next fault: relist() sets what the list says. Class: what an upstream says of itself in its answers was taken for the caller's business only.

Lost engines that had said so are not looked for.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -8,8 +8,9 @@
 mod directory;
 mod exchange;
 pub mod knowledge;
+mod permits;
 mod quarantine;
-mod rate_limits;
+mod signals;
 mod successors;
 
 use std::cell::RefCell;
@@ -28,6 +29,7 @@
 use super::loads::{Loads, Told};
 use super::membership::{Membership, Phase, Standing, Versions};
 use super::metrics::Metrics;
+use super::policy::departures::Departures;
 use super::policy::found::Found;
 use super::policy::named_rates::NamedRates;
 use super::policy::quarantine::Quarantine;
@@ -62,6 +64,8 @@
     limiter: Limiter,
     /// The rates that upstreams named to any instance.
     named_rates: NamedRates,
+    /// Upstreams that said to any instance that they leave.
+    departures: Departures,
     /// Requests of this instance for permits that others have not answered yet.
     permits: BTreeMap<u64, oneshot::Sender<Permit>>,
     /// The number of the last such request.
@@ -147,6 +151,7 @@
             quarantine_version: 0,
             limiter: Limiter::default(),
             named_rates: NamedRates::default(),
+            departures: Departures::default(),
             permits: BTreeMap::new(),
             permit_number: 0,
             first_hand: 0,
@@ -203,7 +208,7 @@
         tokio::task::spawn_local(Rc::clone(self).tell_newer());
         tokio::task::spawn_local(Rc::clone(self).seek_successors());
         tokio::task::spawn_local(Rc::clone(self).keep_quarantine());
-        tokio::task::spawn_local(Rc::clone(self).keep_rate_limits());
+        tokio::task::spawn_local(Rc::clone(self).keep_signals());
         tokio::task::spawn_local(Rc::clone(self).publish_changes());
     }
 
@@ -286,6 +291,7 @@
             places: board.loads.places(),
             quarantine,
             named_rates: board.named_rates.clone(),
+            departures: board.departures.clone(),
         };
         drop(before);
         let has_rumors = board.membership.has_rumors();
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -79,7 +79,7 @@
             self.note_gauges(now_ms);
             self.fetch_if_behind(now_ms);
             self.tell_quarantine_to_one();
-            self.tell_named_rates_to_one();
+            self.tell_signals_to_one();
             tokio::time::sleep(Duration::from_millis(PROBE_MS)).await;
         }
     }
@@ -96,6 +96,7 @@
         board.loads.forget(now_ms);
         board.quarantine.forget(now_ms);
         board.named_rates.forget(now_ms);
+        board.departures.forget(now_ms);
     }
 
     /// Tells rumors: new ones at once, and each a few times more.
@@ -276,7 +277,7 @@
             Message::Changes(changes) => self.hear_changes(changes, from, now_ms),
             Message::AskPermit(ask) => self.hear_permit_ask(ask, from),
             Message::Permit(number, permit) => self.hear_permit(number, permit),
-            Message::NamedRates(news) => self.hear_named_rates(news, now_ms),
+            Message::Signals(news) => self.hear_signals(news),
         }
     }
 
--- a/src/gateway/control/successors.rs
+++ b/src/gateway/control/successors.rs
@@ -65,7 +65,8 @@
         let view = self.shared.view.load();
         let is_engine = |upstream: &&Upstream| {
             let service = view.config.as_ref().and_then(|all| all.services.get(&upstream.service));
-            !upstream.is_leaving && service.is_some_and(|service| service.engine.is_some())
+            let leaves = upstream.is_leaving || view.departures.holds(upstream);
+            !leaves && service.is_some_and(|service| service.engine.is_some())
         };
         let known = ids.iter().filter_map(|id| view.fleet.upstreams.get(id));
         known.filter(is_engine).cloned().collect()
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -46,6 +46,22 @@
     }
 }
 
+/// An incarnation of an upstream that said that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Departure {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// When its process started, as far as that is listed.
+    pub born_ms: Option<u64>,
+}
+
+impl Departure {
+    /// That of an upstream.
+    pub fn of(upstream: &Upstream) -> Departure {
+        Departure { upstream: Arc::clone(&upstream.id), born_ms: upstream.born_ms }
+    }
+}
+
 /// What the directory says of one upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
--- a/src/gateway/membership/message.rs
+++ b/src/gateway/membership/message.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::super::fleet::Departure;
 use super::super::loads::{Changes, Digest, LoadNews};
 use super::super::rate::{Permit, Rate, Told};
 use super::card::{Card, Versions};
@@ -34,19 +35,28 @@
     AskPermit(PermitAsk),
     /// Answers that, by its number.
     Permit(u64, Permit),
-    /// Rates that upstreams named.
-    NamedRates(RateNews),
+    /// What upstreams said in their answers.
+    Signals(SignalNews),
 }
 
-/// Rates that upstreams named to instances.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RateNews {
-    /// The rates.
+/// What upstreams said to instances in their answers.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SignalNews {
+    /// The rates that they take.
     pub rates: Vec<Told>,
+    /// Those that leave.
+    pub departures: Vec<Departure>,
     /// Whether its receiver passes on to its failure domain what is news to it.
     pub is_passed_on: bool,
 }
 
+impl SignalNews {
+    /// Whether it says nothing.
+    pub fn is_empty(&self) -> bool {
+        self.rates.is_empty() && self.departures.is_empty()
+    }
+}
+
 /// A request for a permit to send one request to an upstream that limits its rate.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitAsk {
--- a/src/gateway/membership/mod.rs
+++ b/src/gateway/membership/mod.rs
@@ -19,5 +19,5 @@
 
 pub use self::card::{Card, Member, Phase, Standing, Versions};
 pub use self::members::{Membership, PROBE_MS};
-pub use self::message::{Message, PermitAsk, Probe, RateNews, decode, encode};
+pub use self::message::{Message, PermitAsk, Probe, SignalNews, decode, encode};
 pub use self::rumors::{GOSSIP_MS, Rumor, Rumors};
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod budget;
 pub mod coincidence;
+pub mod departures;
 pub mod engine;
 pub mod found;
 pub mod hedge;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -33,6 +33,7 @@
 use super::metrics::Metrics;
 use super::policy::admission::Load;
 use super::policy::budget::Budget;
+use super::policy::departures::Departures;
 use super::policy::engine::{self, Need};
 use super::policy::hedge;
 use super::policy::latency::Latencies;
@@ -81,6 +82,8 @@
     /// Tokens that streams made until they were complete, by service.
     outputs: RefCell<BTreeMap<Arc<str>, Latencies>>,
     fleet: RefCell<Arc<Fleet>>,
+    /// Upstreams that said that they leave, as far as the workers know.
+    departures: RefCell<Departures>,
     workers: RefCell<BTreeMap<Arc<str>, Rc<Worker>>>,
     budgets: RefCell<BTreeMap<Arc<str>, Budget>>,
     /// Services whose engines were asked what they keep.
@@ -123,6 +126,7 @@
             places: RefCell::default(),
             outputs: RefCell::default(),
             fleet: RefCell::default(),
+            departures: RefCell::default(),
             workers: RefCell::default(),
             budgets: RefCell::default(),
             recalled: RefCell::default(),
@@ -234,9 +238,13 @@
     /// The newest picture; the upstreams follow it.
     pub fn view(&self) -> Arc<View> {
         let view = self.shared.view.load_full();
-        if !Arc::ptr_eq(&view.fleet, &self.fleet.borrow()) {
+        let is_fleet_new = !Arc::ptr_eq(&view.fleet, &self.fleet.borrow());
+        if is_fleet_new {
             self.follow(&view.fleet);
         }
+        if is_fleet_new || !view.departures.is_same(&self.departures.borrow()) {
+            self.follow_departures(&view.departures);
+        }
         view
     }
 
--- a/src/gateway/traffic/signals.rs
+++ b/src/gateway/traffic/signals.rs
@@ -6,8 +6,10 @@
 use tokio::sync::oneshot;
 
 use super::super::dialect::Marks;
+use super::super::fleet::Departure;
+use super::super::policy::departures::Departures;
 use super::super::rate::{Permit, Rate};
-use super::super::view::{PermitRequest, RateRequest};
+use super::super::view::{PermitRequest, Signal};
 use super::super::worker::Worker;
 use super::Traffic;
 
@@ -32,18 +34,33 @@
             worker.tell(load, self.now_ms());
         }
         if marks.is_leaving && worker.say_leaving() {
-            slog::info!(self.log, "upstream says that it leaves";
-                "upstream" => &*worker.upstream.id, "service" => &*worker.upstream.service);
+            self.log_leaving(worker, "its answer");
+            self.shared.signal(Signal::Departure(Departure::of(&worker.upstream)));
         }
         if let Some(after_ms) = marks.retry_after_ms.filter(|_| status == 503) {
             self.note_rest(worker, after_ms);
         }
         self.set_rate_limit(worker, marks.rate_limit, self.now_ms(), "its answer");
         if let Some(rate) = marks.rate_limit {
-            self.shared.request_rate(RateRequest::Named(Arc::clone(&worker.upstream.id), rate));
+            self.shared.signal(Signal::Rate(Arc::clone(&worker.upstream.id), rate));
         }
     }
 
+    fn log_leaving(&self, worker: &Worker, by: &'static str) {
+        slog::info!(self.log, "upstream says that it leaves"; "upstream" => &*worker.upstream.id,
+            "service" => &*worker.upstream.service, "by" => by);
+    }
+
+    /// Follows which upstreams said to any instance that they leave.
+    pub(super) fn follow_departures(&self, departures: &Departures) {
+        for worker in self.workers.borrow().values() {
+            if departures.holds(&worker.upstream) && worker.say_leaving() {
+                self.log_leaving(worker, "a peer");
+            }
+        }
+        *self.departures.borrow_mut() = departures.clone();
+    }
+
     /// Takes in for how long an upstream that refused a request wants nothing from this instance.
     fn note_rest(&self, worker: &Worker, after_ms: u64) {
         let now_ms = self.now_ms();
@@ -84,7 +101,7 @@
         let (answer, answered) = oneshot::channel();
         let upstream = Arc::clone(&worker.upstream.id);
         let request = PermitRequest { upstream, rate, answer };
-        self.shared.request_rate(RateRequest::Permit(request));
+        self.shared.signal(Signal::PermitWanted(request));
         let limit = Duration::from_millis(PERMIT_TIMEOUT_MS);
         let after_ms = match tokio::time::timeout(limit, answered).await {
             Ok(Ok(Permit::Granted)) => return true,
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -9,9 +9,10 @@
 
 use super::crash::Crash;
 use super::fingerprint::Fingerprint;
-use super::fleet::Fleet;
+use super::fleet::{Departure, Fleet};
 use super::loads::{Held, Own, Places, Sent};
 use super::membership::Phase;
+use super::policy::departures::Departures;
 use super::policy::named_rates::NamedRates;
 use super::policy::quarantine::Suspects;
 use super::rate::{Permit, Rate};
@@ -44,6 +45,8 @@
     pub quarantine: Arc<Suspects>,
     /// The rates that upstreams named to any instance.
     pub named_rates: NamedRates,
+    /// Upstreams that said to any instance that they leave.
+    pub departures: Departures,
 }
 
 /// An instance that takes callers.
@@ -72,19 +75,21 @@
     reports: Mutex<Vec<Report>>,
     /// Grows when requests are quarantined, after the picture says so.
     pub quarantined: watch::Sender<u64>,
-    /// Wakes the control thread for what traffic has for the controller of rate limits.
-    pub rates_requested: Notify,
-    /// What it wants of the control thread.
-    rate_requests: Mutex<Vec<RateRequest>>,
+    /// Wakes the controller of what upstreams ask for.
+    pub signalled: Notify,
+    /// What traffic has for it.
+    signals: Mutex<Vec<Signal>>,
 }
 
-/// What traffic has for the controller of rate limits.
+/// What traffic has for the controller of what upstreams ask for.
 #[derive(Debug)]
-pub enum RateRequest {
+pub enum Signal {
     /// An upstream named a rate to this instance.
-    Named(Arc<str>, Rate),
+    Rate(Arc<str>, Rate),
+    /// An upstream said to this instance that it leaves.
+    Departure(Departure),
     /// A request is to be sent to such an upstream.
-    Permit(PermitRequest),
+    PermitWanted(PermitRequest),
 }
 
 /// A request for a permit to send one request.
@@ -128,6 +133,7 @@
             places: Places::default(),
             quarantine: Arc::default(),
             named_rates: NamedRates::default(),
+            departures: Departures::default(),
         };
         let view = ArcSwap::from_pointee(view);
         let is_configured = watch::Sender::new(false);
@@ -139,8 +145,8 @@
             reported: Notify::new(),
             reports: Mutex::default(),
             quarantined: watch::Sender::new(0),
-            rates_requested: Notify::new(),
-            rate_requests: Mutex::default(),
+            signalled: Notify::new(),
+            signals: Mutex::default(),
         })
     }
 
@@ -159,15 +165,15 @@
         std::mem::take(&mut *self.reports.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Hands something to the controller of rate limits.
-    pub fn request_rate(&self, request: RateRequest) {
-        self.rate_requests.lock().unwrap_or_else(PoisonError::into_inner).push(request);
-        self.rates_requested.notify_one();
+    /// Hands something to the controller of what upstreams ask for.
+    pub fn signal(&self, signal: Signal) {
+        self.signals.lock().unwrap_or_else(PoisonError::into_inner).push(signal);
+        self.signalled.notify_one();
     }
 
     /// Takes what was handed to it.
-    pub fn take_rate_requests(&self) -> Vec<RateRequest> {
-        std::mem::take(&mut *self.rate_requests.lock().unwrap_or_else(PoisonError::into_inner))
+    pub fn take_signals(&self) -> Vec<Signal> {
+        std::mem::take(&mut *self.signals.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Replaces what is told to peers.
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -234,9 +234,10 @@
         self.idle.borrow_mut().retain(|idle| idle.until_ms > now_ms && idle.channel.is_usable());
     }
 
-    /// Whether it said that it is leaving.
+    /// Whether it is leaving: by the list, or by its own answer, which a list that is older doesn't
+    /// take back.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.get()
+        self.leaving.get() || self.has_said_leaving()
     }
 
     /// Whether it may get work at all.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod connections;
 mod decisions;
+mod departures;
 mod engine;
 mod explain;
 mod front;
