An upstream that asks an instance for rest gets nothing from it for so long

Cause, the third hypothesis: Retry-After of an upstream was read and passed to the caller's answer alone; the upstream only counted as failing for a while, which makes it less likely and not impossible, least of all where the others fail too. The fourth, that repeats go another way, holds as well: the second try after an error goes wherever is left.

Mend: the upstream is held back here until then, before any choice, so for first attempts, repeats, hedges, streams, copies and searches alike. Callers no longer get the Retry-After of whichever upstream refused last, but the time at which the first of the service takes work again, and only where all of them are held back. A Retry-After that is no finite number of seconds over nought is none.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -33,7 +33,7 @@
     /// The upstream's whole answer.
     Answered(Whole),
     /// It certainly did not run.
-    NotRun { answered: Option<Whole>, retry_after_ms: Option<u64>, was_sent: bool },
+    NotRun { answered: Option<Whole>, was_sent: bool },
     /// It was not sent, since the upstream limits what it gets.
     HeldBack,
     /// Another upstream has the address, so it did not run; that says nothing of its service.
@@ -84,14 +84,13 @@
     let mut unsent = 0;
     let mut last = Failure::NoUpstream;
     let mut may_have_run = false;
-    let mut retry_after_ms = None;
     loop {
         if traffic.now_ms() >= job.until_ms {
             let failure = if arrived == 0 { Failure::TimeOverUnsent } else { last };
-            return finish(job, traffic, failure, may_have_run, retry_after_ms);
+            return finish(job, traffic, failure, may_have_run);
         }
         let Some(worker) = traffic.choose(&job.service, &wish) else {
-            return finish(job, traffic, last, may_have_run, retry_after_ms);
+            return finish(job, traffic, last, may_have_run);
         };
         wish.not.push(Arc::clone(&worker.upstream.id));
         let can_hedge = Mechanism::Hedge.is_on()
@@ -109,7 +108,7 @@
         match outcome {
             Outcome::OverBudget => {
                 traffic.metrics.count("repeats_over_budget");
-                return finish(job, traffic, last, may_have_run, retry_after_ms);
+                return finish(job, traffic, last, may_have_run);
             }
             Outcome::Answered(whole) => {
                 sent += 1;
@@ -125,8 +124,7 @@
                 }
                 return deliver(traffic, job, &worker, whole);
             }
-            Outcome::NotRun { answered, retry_after_ms: after, was_sent } => {
-                retry_after_ms = after.or(retry_after_ms);
+            Outcome::NotRun { answered, was_sent } => {
                 if was_sent {
                     arrived += 1;
                     sent += 1;
@@ -140,7 +138,7 @@
                     return deliver(traffic, job, &worker, whole);
                 }
                 if sent >= job.route.max_attempts || unsent >= UNSENT_TRIES {
-                    return finish(job, traffic, last, may_have_run, retry_after_ms);
+                    return finish(job, traffic, last, may_have_run);
                 }
             }
             Outcome::HeldBack => log_attempt(traffic, job, &worker, "held back"),
@@ -157,10 +155,10 @@
                 may_have_run = true;
                 let may_repeat = job.route.repeat == Repeat::Idempotent;
                 if !may_repeat || sent >= job.route.max_attempts {
-                    return finish(job, traffic, last, may_have_run, None);
+                    return finish(job, traffic, last, may_have_run);
                 }
             }
-            Outcome::TimeOver => return finish(job, traffic, Failure::TimeOver, false, None),
+            Outcome::TimeOver => return finish(job, traffic, Failure::TimeOver, false),
         }
     }
 }
@@ -325,7 +323,7 @@
 }
 
 fn unsent() -> Outcome {
-    Outcome::NotRun { answered: None, retry_after_ms: None, was_sent: false }
+    Outcome::NotRun { answered: None, was_sent: false }
 }
 
 type Exchanged = Result<(Whole, Marks), Fault>;
@@ -382,9 +380,8 @@
         return Outcome::Replaced;
     }
     if marks.not_run {
-        let retry_after_ms = marks.retry_after_ms;
         worker.ended(true, now_ms);
-        return Outcome::NotRun { answered: Some(whole), retry_after_ms, was_sent: true };
+        return Outcome::NotRun { answered: Some(whole), was_sent: true };
     }
     if is_success && !marks.is_signed {
         worker.ended(true, now_ms);
@@ -412,19 +409,13 @@
 }
 
 /// A refusal that promises 'not run' is kept from a request that may have run earlier.
-fn finish(
-    job: &Job,
-    traffic: &Traffic,
-    failure: Failure,
-    may_have_run: bool,
-    retry_after_ms: Option<u64>,
-) -> Answer {
+fn finish(job: &Job, traffic: &Traffic, failure: Failure, may_have_run: bool) -> Answer {
     let failure = match failure {
         _ if may_have_run => Failure::Unknown,
         Failure::NoUpstream if traffic.held_back_ms(&job.service).is_some() => Failure::HeldBack,
         failure => failure,
     };
-    let retry_after_ms = retry_after_ms.or_else(|| traffic.comes_back_ms(job, &failure));
+    let retry_after_ms = traffic.comes_back_ms(job, &failure);
     traffic.refuse(job, &failure, retry_after_ms)
 }
 
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -171,7 +171,7 @@
 /// A header's time in seconds, which may have a fraction.
 pub fn seconds_ms(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     let seconds = text(headers, name)?.trim().parse::<f64>().ok()?;
-    Some((seconds * 1_000.0) as u64)
+    seconds.is_finite().then_some((seconds * 1_000.0) as u64)
 }
 
 /// Takes headers out.
--- a/src/gateway/stream/copy.rs
+++ b/src/gateway/stream/copy.rs
@@ -126,6 +126,9 @@
         if now_ms < self.copy_again_ms || !self.wants_copy(worker, now_ms) || !self.can_move() {
             return;
         }
+        if worker.is_held_back(now_ms) {
+            return;
+        }
         self.copy_again_ms = now_ms + COPY_PAUSE_MS;
         let Some(target) = self.copy_target(worker) else { return };
         let (tell, copied) = oneshot::channel();
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -153,6 +153,9 @@
         let left_ms = job.left_ms(self.now_ms());
         match failure {
             Failure::HeldBack => self.comes_back_to_held_back_ms(&job.service),
+            Failure::Full if self.held_back_ms(&job.service).is_some() => {
+                self.comes_back_to_held_back_ms(&job.service)
+            }
             Failure::NoUpstream => self.retry_after_ms(&job.service, left_ms),
             Failure::Quarantined { .. } | Failure::Poison { .. } => self.quarantine_left_ms(job),
             Failure::Full | Failure::TooManyRepeats if job.route.repeat.is_stream() => {
--- a/src/gateway/traffic/places.rs
+++ b/src/gateway/traffic/places.rs
@@ -135,11 +135,12 @@
     /// Asks this instance's share of the engines of a service what they keep, and tells peers.
     async fn ask_kept(self: Rc<Traffic>, service: Arc<str>) {
         let instances = self.shared.view.load().instances;
+        let now_ms = self.now_ms();
         let mut random = fastrand::Rng::new();
         let workers = self.workers.borrow().values().map(Rc::clone).collect::<Vec<_>>();
         let fitting = workers
             .into_iter()
-            .filter(|worker| worker.upstream.service == service)
+            .filter(|worker| worker.upstream.service == service && !worker.is_held_back(now_ms))
             .filter(|_| recall::asks(instances, &mut random));
         let path = self.dialect.kept_path();
         let mut asked: FuturesUnordered<_> = fitting
--- a/src/gateway/traffic/signals.rs
+++ b/src/gateway/traffic/signals.rs
@@ -37,7 +37,9 @@
             self.log_leaving(worker, "its answer");
             self.shared.signal(Signal::Departure(Departure::of(&worker.upstream)));
         }
-        if let Some(after_ms) = marks.retry_after_ms.filter(|_| status == 503) {
+        let is_refusal = matches!(status, 429 | 503);
+        if let Some(after_ms) = marks.retry_after_ms.filter(|after_ms| is_refusal && *after_ms > 0)
+        {
             self.note_rest(worker, after_ms);
         }
         self.set_rate_limit(worker, marks.rate_limit, self.now_ms(), "its answer");
@@ -116,22 +118,20 @@
         false
     }
 
-    /// When the caller of a request should come back to a service whose upstreams are held back: not
-    /// before one of them takes work again, and not all callers at once.
+    /// When the caller of a request should come back to a service of which all upstreams are held back:
+    /// not before one of them takes work again, and not all callers at once.
     pub(super) fn comes_back_to_held_back_ms(&self, service: &str) -> Option<u64> {
         Some(self.held_back_ms(service)? + fastrand::u64(..COME_BACK_OVER_MS))
     }
 
-    /// In what time an upstream of a service takes work again, where it is only held back.
+    /// In what time an upstream of a service takes work again, if all of them are held back.
     pub fn held_back_ms(&self, service: &str) -> Option<u64> {
         let now_ms = self.now_ms();
         let workers = self.workers.borrow();
-        let held_back = workers.values().filter(|worker| {
-            *worker.upstream.service == *service
-                && worker.takes_work()
-                && !worker.is_lost(now_ms)
-                && worker.is_held_back(now_ms)
+        let living = workers.values().filter(|worker| {
+            *worker.upstream.service == *service && worker.takes_work() && !worker.is_lost(now_ms)
         });
-        held_back.map(|worker| worker.held_back_until_ms() - now_ms).min()
+        let waits_ms = living.map(|worker| worker.held_back_until_ms().saturating_sub(now_ms));
+        waits_ms.min().filter(|wait_ms| *wait_ms > 0)
     }
 }
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -338,6 +338,7 @@
     /// Notes until when it wants nothing from this instance. Returns whether it wanted no rest before.
     pub fn rest(&self, until_ms: u64, now_ms: u64) -> bool {
         let is_new = !self.is_resting(now_ms);
+        self.hold_back(until_ms);
         self.rests_until_ms.set(self.rests_until_ms.get().max(until_ms));
         is_new
     }
