A router's upstreams that ask for rest get nothing from that router for so long

Mend: the refusal is told to the control thread with its time, the upstream's state at this instance is `resting` until then, and placement takes live ones only. A call that finds all at rest is refused at once, not run, with the shortest rest's end. Leaving is not the same cause here: the router asks its upstreams itself, engines say so in their refusals, and both are shared between routers.

--- a/src/control/blackboard.rs
+++ b/src/control/blackboard.rs
@@ -95,6 +95,8 @@
     pub alive_ms: u64,
     /// Until when a refused connection keeps work away.
     pub suspect_until_ms: u64,
+    /// Until when it wants nothing from this instance.
+    pub rests_until_ms: u64,
     /// The most that ran from here at once in each of the last reports' times.
     pub peaks: VecDeque<u32>,
     /// The number of the change that peers should hear of last, for exchanges.
@@ -202,6 +204,7 @@
             state: self.state(upstream, now_ms),
             report: upstream.report.clone(),
             heard_ms: upstream.heard_ms,
+            rests_until_ms: upstream.rests_until_ms,
             counters: Arc::clone(&upstream.counters),
         });
         Snapshot {
@@ -224,6 +227,8 @@
             State::Down
         } else if upstream.suspect_until_ms > now_ms {
             State::Suspect
+        } else if upstream.rests_until_ms > now_ms {
+            State::Resting
         } else {
             State::Live
         }
@@ -239,6 +244,9 @@
     /// It has just refused a connection from here, or fallen silent.
     #[display("suspect")]
     Suspect,
+    /// It has refused a request from here, and said for how long it wants nothing.
+    #[display("resting")]
+    Resting,
     /// It doesn't answer.
     #[display("down")]
     Down,
@@ -276,6 +284,8 @@
     pub report: Report,
     /// When the report came.
     pub heard_ms: u64,
+    /// Until when it wants nothing from this instance.
+    pub rests_until_ms: u64,
     /// What is counted about it.
     pub counters: Arc<Counters>,
 }
@@ -326,6 +336,15 @@
         placement::choose(&candidates, prefix, avoid, &mut fastrand::Rng::new())
     }
 
+    /// How long it takes until an upstream of a service that rests takes work again.
+    pub fn rest_left_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
+        let resting = self
+            .upstreams
+            .iter()
+            .filter(|entry| entry.state == State::Resting && *entry.report.service == *service);
+        resting.map(|entry| entry.rests_until_ms.saturating_sub(now_ms)).min()
+    }
+
     /// The upstream at `addr`.
     pub fn upstream(&self, addr: &str) -> Option<&Entry> {
         self.upstreams.iter().find(|entry| *entry.report.addr == *addr)
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -75,6 +75,9 @@
                     return true;
                 }
                 Err(Failure::Leaving) => self.node.notice(&addr, Sign::Leaving),
+                Err(Failure::Resting { for_ms }) => {
+                    self.node.notice(&addr, Sign::Resting { for_ms });
+                }
                 Err(_) => self.node.notice(&addr, Sign::Refused),
             }
             avoid.push(addr);
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use reqwest::header::RETRY_AFTER;
+
 use crate::control::blackboard::InFlight;
 use crate::control::health::Sign;
 use crate::error::{Error, Kind, Result};
@@ -123,7 +125,7 @@
         }
         avoid.push(addr);
     }
-    Err(no_upstream(call))
+    Err(no_upstream(node, call))
 }
 
 async fn serve_once(node: &Arc<Node>, call: &Call) -> Result<Served> {
@@ -279,7 +281,7 @@
         }
         avoid.push(addr);
     }
-    Err(no_upstream(call))
+    Err(no_upstream(node, call))
 }
 
 async fn settle(node: &Node, identity: Identity, outcome: Outcome) {
@@ -315,9 +317,21 @@
         Err(error) if error.is_connect() || error.is_builder() => return Tried::NotSent,
         Err(_) => return Tried::Unknown,
     };
+    if let Some(for_ms) = rest_ms(&response) {
+        node.notice(addr, Sign::Resting { for_ms });
+    }
     read_answer(response).await
 }
 
+/// For how long an upstream that refuses a request wants nothing from this instance, if it says so.
+pub(super) fn rest_ms(response: &reqwest::Response) -> Option<u64> {
+    if !matches!(response.status().as_u16(), 429 | 503) {
+        return None;
+    }
+    let rest_s = response.headers().get(RETRY_AFTER)?.to_str().ok()?.trim().parse::<f64>().ok()?;
+    (rest_s.is_finite() && rest_s > 0.0).then_some((rest_s * 1_000.0) as u64)
+}
+
 async fn read_answer(response: reqwest::Response) -> Tried {
     let status = response.status().as_u16();
     let header = response.headers().get("content-type");
@@ -341,9 +355,10 @@
     node.budget.lock().is_ok_and(|mut budget| budget.spend())
 }
 
-fn no_upstream(call: &Call) -> Error {
+fn no_upstream(node: &Node, call: &Call) -> Error {
     let service = call.service.to_string();
-    Kind::NoUpstream { service, retry_after_ms: NO_UPSTREAM_RETRY_MS }.into()
+    let rest_ms = node.snapshot().rest_left_ms(&call.service, node.clock.now_ms());
+    Kind::NoUpstream { service, retry_after_ms: rest_ms.unwrap_or(NO_UPSTREAM_RETRY_MS) }.into()
 }
 
 fn no_key(call: &Call) -> Error {
--- a/src/request/engine.rs
+++ b/src/request/engine.rs
@@ -11,6 +11,7 @@
 
 use crate::control::blackboard::Load;
 use crate::peer;
+use crate::request::call;
 
 /// How long a poll or a cancellation may take.
 const SHORT_MS: u64 = 1_000;
@@ -58,6 +59,11 @@
     Unreachable,
     /// The engine takes no new work, or not this model.
     Leaving,
+    /// The engine is full and wants nothing from this instance for so long.
+    Resting {
+        /// How long.
+        for_ms: u64,
+    },
     /// The engine refused for another reason, or doesn't know the stream.
     Refused,
 }
@@ -136,17 +142,22 @@
 
     async fn open(&self, request: reqwest::RequestBuilder) -> Result<Events, Failure> {
         let response = request.send().await.map_err(|_| Failure::Unreachable)?;
+        let rest_ms = call::rest_ms(&response);
         match response.status().as_u16() {
             200 => Ok(events(response)),
             503 => match response.json::<Refusal>().await {
                 Ok(Refusal { leaving: true }) => Err(Failure::Leaving),
-                _ => Err(Failure::Refused),
+                _ => Err(refused(rest_ms)),
             },
-            _ => Err(Failure::Refused),
+            _ => Err(refused(rest_ms)),
         }
     }
 }
 
+fn refused(rest_ms: Option<u64>) -> Failure {
+    rest_ms.map_or(Failure::Refused, |for_ms| Failure::Resting { for_ms })
+}
+
 /// The events of an answer in the form that engines and peers both use.
 pub fn events(response: reqwest::Response) -> Events {
     let events = response.bytes_stream().eventsource();
--- a/standin/src/fault.rs
+++ b/standin/src/fault.rs
@@ -27,6 +27,8 @@
     LoseReply { count: u32 },
     /// Refuse everything with 503.
     Down { down: bool },
+    /// Refuse everything but questions for the load with 503, and ask for rest.
+    Rest { rest_s: u32 },
     /// Answer the next reads with the data before the last change.
     Stale { count: u32 },
 }
@@ -37,6 +39,9 @@
     delay_ms: AtomicU64,
     lose_replies: AtomicU32,
     down: AtomicBool,
+    rest_s: AtomicU32,
+    /// Requests that were refused with a rest.
+    refused: AtomicU32,
     stale_reads: AtomicU32,
     /// Notified when the stand-in has to die.
     pub death: Notify,
@@ -49,6 +54,8 @@
             delay_ms: AtomicU64::new(0),
             lose_replies: AtomicU32::new(0),
             down: AtomicBool::new(false),
+            rest_s: AtomicU32::new(0),
+            refused: AtomicU32::new(0),
             stale_reads: AtomicU32::new(0),
             death: Notify::new(),
         }
@@ -65,6 +72,7 @@
             Order::Delay { ms } => self.delay_ms.store(*ms, Ordering::SeqCst),
             Order::LoseReply { count } => self.lose_replies.store(*count, Ordering::SeqCst),
             Order::Down { down } => self.down.store(*down, Ordering::SeqCst),
+            Order::Rest { rest_s } => self.rest_s.store(*rest_s, Ordering::SeqCst),
             Order::Stale { count } => self.stale_reads.store(*count, Ordering::SeqCst),
         }
     }
@@ -76,6 +84,11 @@
         let _ = paused.wait_for(|paused| !paused).await;
     }
 
+    /// How many requests were refused with a rest.
+    pub fn refused(&self) -> u32 {
+        self.refused.load(Ordering::SeqCst)
+    }
+
     /// Takes one of the stale reads that were ordered.
     pub fn take_stale_read(&self) -> bool {
         take(&self.stale_reads)
@@ -116,6 +129,14 @@
             ctrl.skip_rest();
             return;
         }
+        let rest_s = self.0.rest_s.load(Ordering::SeqCst);
+        if rest_s > 0 && req.uri().path() != "/load" {
+            self.0.refused.fetch_add(1, Ordering::SeqCst);
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            res.headers_mut().insert("retry-after", rest_s.into());
+            ctrl.skip_rest();
+            return;
+        }
         let is_read = req.method() == salvo::http::Method::GET;
         let lose = !is_read && take(&self.0.lose_replies);
         ctrl.call_next(req, depot, res).await;
