Names of what upstreams ask for, in the field's terms

Throttled for held back, backoff for rest, the owner of a token bucket for its keeper, and Liveness for what was no quorum; a named rate is called so where it is told. Log lines, counters and gauges of today are renamed with them, before anybody has used them. Behaviour and assertions as before; tests/gateway/rest.rs is backoff.rs.

--- a/src/control/blackboard.rs
+++ b/src/control/blackboard.rs
@@ -95,8 +95,8 @@
     pub alive_ms: u64,
     /// Until when a refused connection keeps work away.
     pub suspect_until_ms: u64,
-    /// Until when it wants nothing from this instance.
-    pub rests_until_ms: u64,
+    /// Until when it asked this instance to back off.
+    pub backoff_until_ms: u64,
     /// The most that ran from here at once in each of the last reports' times.
     pub peaks: VecDeque<u32>,
     /// The number of the change that peers should hear of last, for exchanges.
@@ -204,7 +204,7 @@
             state: self.state(upstream, now_ms),
             report: upstream.report.clone(),
             heard_ms: upstream.heard_ms,
-            rests_until_ms: upstream.rests_until_ms,
+            backoff_until_ms: upstream.backoff_until_ms,
             counters: Arc::clone(&upstream.counters),
         });
         Snapshot {
@@ -227,8 +227,8 @@
             State::Down
         } else if upstream.suspect_until_ms > now_ms {
             State::Suspect
-        } else if upstream.rests_until_ms > now_ms {
-            State::Resting
+        } else if upstream.backoff_until_ms > now_ms {
+            State::BackOff
         } else {
             State::Live
         }
@@ -244,9 +244,9 @@
     /// It has just refused a connection from here, or fallen silent.
     #[display("suspect")]
     Suspect,
-    /// It has refused a request from here, and said for how long it wants nothing.
-    #[display("resting")]
-    Resting,
+    /// It has refused a request from here, and asked this instance to back off.
+    #[display("backing off")]
+    BackOff,
     /// It doesn't answer.
     #[display("down")]
     Down,
@@ -284,8 +284,8 @@
     pub report: Report,
     /// When the report came.
     pub heard_ms: u64,
-    /// Until when it wants nothing from this instance.
-    pub rests_until_ms: u64,
+    /// Until when it asked this instance to back off.
+    pub backoff_until_ms: u64,
     /// What is counted about it.
     pub counters: Arc<Counters>,
 }
@@ -336,13 +336,13 @@
         placement::choose(&candidates, prefix, avoid, &mut fastrand::Rng::new())
     }
 
-    /// How long it takes until an upstream of a service that rests takes work again.
-    pub fn rest_left_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
+    /// How long it takes until an upstream of a service that asked for backoff takes work again.
+    pub fn backoff_left_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
         let resting = self
             .upstreams
             .iter()
-            .filter(|entry| entry.state == State::Resting && *entry.report.service == *service);
-        resting.map(|entry| entry.rests_until_ms.saturating_sub(now_ms)).min()
+            .filter(|entry| entry.state == State::BackOff && *entry.report.service == *service);
+        resting.map(|entry| entry.backoff_until_ms.saturating_sub(now_ms)).min()
     }
 
     /// The upstream at `addr`.
--- a/src/control/health.rs
+++ b/src/control/health.rs
@@ -53,8 +53,8 @@
     Silent,
     /// It said that it is leaving.
     Leaving,
-    /// It refused a request and wants nothing from this instance for so long.
-    Resting {
+    /// It refused a request and asked this instance to back off for so long.
+    BackOff {
         /// How long.
         for_ms: u64,
     },
@@ -169,9 +169,9 @@
         match sign {
             Sign::Refused | Sign::Silent => upstream.suspect_until_ms = now_ms + SUSPECT_MS,
             Sign::Leaving => self.set_leaving(board, addr, now_ms),
-            Sign::Resting { for_ms } => {
+            Sign::BackOff { for_ms } => {
                 let until_ms = now_ms.saturating_add(for_ms);
-                upstream.rests_until_ms = upstream.rests_until_ms.max(until_ms);
+                upstream.backoff_until_ms = upstream.backoff_until_ms.max(until_ms);
             }
         }
     }
@@ -238,7 +238,7 @@
         heard_ms: now_ms,
         alive_ms: now_ms,
         suspect_until_ms: 0,
-        rests_until_ms: 0,
+        backoff_until_ms: 0,
         peaks: VecDeque::new(),
         changed: board.changes,
         described: board.changes,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -35,7 +35,7 @@
     /// It certainly did not run.
     NotRun { answered: Option<Whole>, was_sent: bool },
     /// It was not sent, since the upstream limits what it gets.
-    HeldBack,
+    Throttled,
     /// Another upstream has the address, so it did not run; that says nothing of its service.
     Replaced,
     /// It may have run.
@@ -60,7 +60,7 @@
             Outcome::Answered(_) => 2,
             Outcome::Unknown { .. } | Outcome::TimeOver => 1,
             Outcome::NotRun { .. }
-            | Outcome::HeldBack
+            | Outcome::Throttled
             | Outcome::Replaced
             | Outcome::OverBudget => 0,
         }
@@ -141,7 +141,7 @@
                     return finish(job, traffic, last, may_have_run);
                 }
             }
-            Outcome::HeldBack => log_attempt(traffic, job, &worker, "held back"),
+            Outcome::Throttled => log_attempt(traffic, job, &worker, "throttled"),
             Outcome::Replaced => {
                 arrived += 1;
                 log_attempt(traffic, job, &worker, "another upstream has its address");
@@ -249,7 +249,7 @@
         wish.not.push(Arc::clone(&worker.upstream.id));
         match attempt(traffic, job, &worker, false).await {
             Outcome::Answered(whole) if whole.status < 500 => return Some((whole, worker)),
-            Outcome::HeldBack => {}
+            Outcome::Throttled => {}
             _ => return None,
         }
     }
@@ -260,7 +260,7 @@
         return Outcome::OverBudget;
     }
     if !traffic.admits(worker).await {
-        return Outcome::HeldBack;
+        return Outcome::Throttled;
     }
     let most = traffic.channel_share(&job.service);
     let mut lease = match worker.lease(most, traffic.now_ms()).await {
@@ -412,7 +412,7 @@
 fn finish(job: &Job, traffic: &Traffic, failure: Failure, may_have_run: bool) -> Answer {
     let failure = match failure {
         _ if may_have_run => Failure::Unknown,
-        Failure::NoUpstream if traffic.held_back_ms(&job.service).is_some() => Failure::HeldBack,
+        Failure::NoUpstream if traffic.throttled_ms(&job.service).is_some() => Failure::Throttled,
         failure => failure,
     };
     let retry_after_ms = traffic.comes_back_ms(job, &failure);
--- a/src/gateway/control/permits.rs
+++ b/src/gateway/control/permits.rs
@@ -1,10 +1,10 @@
-//! The controller of permits: it asks the keeper of an upstream's token bucket, and grants them as one.
+//! The controller of permits: it asks the owner of an upstream's token bucket, and grants them as one.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::super::membership::{Message, PermitAsk, Phase, Standing};
-use super::super::policy::rate_limit::{self, Quorum};
+use super::super::policy::rate_limit::{self, Liveness};
 use super::super::rate::{Permit, Rate};
 use super::super::view::PermitRequest;
 use super::{Board, Control};
@@ -17,7 +17,7 @@
     pub(super) fn ask_permit(&self, request: PermitRequest) {
         let PermitRequest { upstream, rate, answer } = request;
         let mut board = self.board.borrow_mut();
-        let Some(keeper) = self.keeper(&board, &upstream) else {
+        let Some(owner) = self.bucket_owner(&board, &upstream) else {
             let permit = self.grant(&mut board, &upstream, rate);
             // Whoever asked may have given up.
             let _ = answer.send(permit);
@@ -28,11 +28,11 @@
         let number = board.permit_number;
         board.permits.insert(number, answer);
         drop(board);
-        self.send(&Message::AskPermit(PermitAsk { number, upstream, rate }), &[keeper]);
+        self.send(&Message::AskPermit(PermitAsk { number, upstream, rate }), &[owner]);
     }
 
-    /// Where the keeper of an upstream's bucket is reached; `None` if that is this instance.
-    fn keeper(&self, board: &Board, upstream: &str) -> Option<SocketAddr> {
+    /// Where the owner of an upstream's bucket is reached; `None` if that is this instance.
+    fn bucket_owner(&self, board: &Board, upstream: &str) -> Option<SocketAddr> {
         let takes_part = |phase: Phase| phase != Phase::Starting;
         let others = board
             .membership
@@ -40,16 +40,16 @@
             .filter(|member| member.standing == Standing::Alive && takes_part(member.card.phase));
         let ids = others.map(|member| &member.card.registration.id);
         let me = takes_part(board.phase).then_some(&self.me.id);
-        let keeper = rate_limit::keeper(upstream, ids.chain(me))?;
-        let keeper = board.membership.get(keeper)?;
-        Some(keeper.card.registration.peer_addr)
+        let owner = rate_limit::bucket_owner(upstream, ids.chain(me))?;
+        let owner = board.membership.get(owner)?;
+        Some(owner.card.registration.peer_addr)
     }
 
     fn grant(&self, board: &mut Board, upstream: &Arc<str>, rate: Rate) -> Permit {
         let now_ms = self.clock.now_ms();
         let alive = board.membership.alive().count() + 1;
         let silent = board.membership.silent_since(now_ms.saturating_sub(SILENT_COUNTS_MS));
-        let permit = board.limiter.ask(upstream, rate, Quorum { alive, silent }, now_ms);
+        let permit = board.limiter.ask(upstream, rate, Liveness { alive, silent }, now_ms);
         self.metrics.count(match permit {
             Permit::Granted => "permits_granted",
             Permit::Wait { .. } => "permits_refused",
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -59,7 +59,7 @@
         "the upstreams of the service limit what they get; the request has not run, send it again after \
          Retry-After"
     )]
-    HeldBack,
+    Throttled,
     /// All upstreams that were asked said that they did not run it.
     #[display("the upstreams are full; the request has not run, send it again after Retry-After")]
     Full,
@@ -119,7 +119,7 @@
             Failure::Starting
             | Failure::Stopping
             | Failure::NoUpstream
-            | Failure::HeldBack
+            | Failure::Throttled
             | Failure::Full
             | Failure::TooManyRepeats
             | Failure::Quarantined { .. }
@@ -134,7 +134,7 @@
             Failure::Starting => Some(STARTING_MS),
             Failure::Stopping => Some(ELSEWHERE_MS),
             Failure::NoUpstream
-            | Failure::HeldBack
+            | Failure::Throttled
             | Failure::Full
             | Failure::TooManyRepeats
             | Failure::TimeOverUnsent => Some(SOON_MS),
--- a/src/gateway/membership/message.rs
+++ b/src/gateway/membership/message.rs
@@ -7,7 +7,7 @@
 
 use super::super::fleet::Departure;
 use super::super::loads::{Changes, Digest, LoadNews};
-use super::super::rate::{Permit, Rate, Told};
+use super::super::rate::{NamedRate, Permit, Rate};
 use super::card::{Card, Versions};
 use super::rumors::Rumor;
 
@@ -43,7 +43,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SignalNews {
     /// The rates that they take.
-    pub rates: Vec<Told>,
+    pub rates: Vec<NamedRate>,
     /// Those that leave.
     pub departures: Vec<Departure>,
     /// Whether its receiver passes on to its failure domain what is news to it.
--- a/src/gateway/policy/named_rates.rs
+++ b/src/gateway/policy/named_rates.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::super::rate::{Rate, Told};
+use super::super::rate::{NamedRate, Rate};
 
-/// How long a rate counts that was named to others: whoever keeps to it asks the keeper of the bucket, and
+/// How long a rate counts that was named to others: whoever keeps to it asks the owner of the bucket, and
 /// learns by its next answer when it is over.
 const KEPT_MS: u64 = 30_000;
 /// After which time the same rate is news again.
@@ -29,8 +29,8 @@
 
 impl NamedRates {
     /// Takes in a rate that an upstream named to this instance or a peer. Returns whether it is news.
-    pub fn note(&mut self, told: &Told, now_ms: u64) -> bool {
-        let Told { upstream, rate, age_ms } = told;
+    pub fn note(&mut self, told: &NamedRate, now_ms: u64) -> bool {
+        let NamedRate { upstream, rate, age_ms } = told;
         let named = Named { rate: *rate, at_ms: now_ms.saturating_sub(*age_ms) };
         let is_news = match self.known.get(upstream) {
             Some(before) if before.rate == named.rate => before.at_ms + NEWS_MS <= named.at_ms,
@@ -57,8 +57,8 @@
     }
 
     /// All of them, to be told.
-    pub fn all(&self, now_ms: u64) -> Vec<Told> {
-        let told = |(upstream, named): (&Arc<str>, &Named)| Told {
+    pub fn all(&self, now_ms: u64) -> Vec<NamedRate> {
+        let told = |(upstream, named): (&Arc<str>, &Named)| NamedRate {
             upstream: Arc::clone(upstream),
             rate: named.rate,
             age_ms: now_ms.saturating_sub(named.at_ms),
--- a/src/gateway/policy/rate_limit.rs
+++ b/src/gateway/policy/rate_limit.rs
@@ -29,7 +29,7 @@
 
 /// The instance that keeps an upstream's bucket: the highest by rendezvous hashing, so that only the
 /// upstreams of one that comes or goes change hands.
-pub fn keeper<'a>(
+pub fn bucket_owner<'a>(
     upstream: &str,
     instances: impl Iterator<Item = &'a Arc<str>>,
 ) -> Option<&'a Arc<str>> {
@@ -38,16 +38,16 @@
 }
 
 /// The part of the instances that this one knows to live. Those that died a moment ago may live on
-/// beyond a network partition, where another keeper grants as much.
+/// beyond a network partition, where another owner grants as much.
 #[derive(Debug, Clone, Copy)]
-pub struct Quorum {
+pub struct Liveness {
     /// Instances that live, with this one.
     pub alive: usize,
     /// Others that fell silent lately.
     pub silent: usize,
 }
 
-impl Quorum {
+impl Liveness {
     fn part(self) -> f64 {
         self.alive as f64 / (self.alive + self.silent).max(1) as f64
     }
@@ -61,7 +61,13 @@
 
 impl Limiter {
     /// Whether a request to an upstream may be sent now, of which the asker knows this rate.
-    pub fn ask(&mut self, upstream: &Arc<str>, rate: Rate, quorum: Quorum, now_ms: u64) -> Permit {
+    pub fn ask(
+        &mut self,
+        upstream: &Arc<str>,
+        rate: Rate,
+        liveness: Liveness,
+        now_ms: u64,
+    ) -> Permit {
         if now_ms < SETTLED_MS {
             return Permit::Wait { after_ms: SETTLED_MS - now_ms };
         }
@@ -69,7 +75,7 @@
         let bucket = self.buckets.entry(Arc::clone(upstream));
         let bucket = bucket.or_insert_with(|| Bucket::empty(rate, now_ms));
         bucket.note_rate(rate, now_ms);
-        bucket.take(quorum.part(), now_ms)
+        bucket.take(liveness.part(), now_ms)
     }
 }
 
@@ -85,7 +91,7 @@
 }
 
 impl Bucket {
-    /// A bucket starts empty: its keeper before may just have granted a burst.
+    /// A bucket starts empty: its owner before may just have granted a burst.
     fn empty(rate: Rate, now_ms: u64) -> Bucket {
         Bucket { rate, rate_ms: now_ms, tokens: 0.0, filled_ms: now_ms, last_turn_ms: now_ms }
     }
--- a/src/gateway/rate.rs
+++ b/src/gateway/rate.rs
@@ -42,7 +42,7 @@
 
 /// A rate as one instance tells another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Told {
+pub struct NamedRate {
     /// The upstream that named it.
     pub upstream: Arc<str>,
     /// The rate.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -405,8 +405,8 @@
                 Failure::Unknown
             }
             Failure::TimeOver if self.arrived == 0 => Failure::TimeOverUnsent,
-            Failure::NoUpstream if self.traffic.held_back_ms(&self.job.service).is_some() => {
-                Failure::HeldBack
+            Failure::NoUpstream if self.traffic.throttled_ms(&self.job.service).is_some() => {
+                Failure::Throttled
             }
             failure => failure,
         };
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -63,7 +63,7 @@
         let mut silences = worker.silences.subscribe();
         silences.mark_unchanged();
         if !traffic.admits(worker).await {
-            return Err(Outcome::NotRun { why: Refused::NotSent("it is held back".to_owned()) });
+            return Err(Outcome::NotRun { why: Refused::NotSent("it is throttled".to_owned()) });
         }
         let most = traffic.channel_share(&self.job.service);
         let mut lease = match worker.lease(most, traffic.now_ms()).await {
--- a/src/gateway/stream/copy.rs
+++ b/src/gateway/stream/copy.rs
@@ -126,7 +126,7 @@
         if now_ms < self.copy_again_ms || !self.wants_copy(worker, now_ms) || !self.can_move() {
             return;
         }
-        if worker.is_held_back(now_ms) {
+        if worker.is_throttled(now_ms) {
             return;
         }
         self.copy_again_ms = now_ms + COPY_PAUSE_MS;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -152,9 +152,9 @@
     pub fn comes_back_ms(&self, job: &Job, failure: &Failure) -> Option<u64> {
         let left_ms = job.left_ms(self.now_ms());
         match failure {
-            Failure::HeldBack => self.comes_back_to_held_back_ms(&job.service),
-            Failure::Full if self.held_back_ms(&job.service).is_some() => {
-                self.comes_back_to_held_back_ms(&job.service)
+            Failure::Throttled => self.comes_back_to_throttled_ms(&job.service),
+            Failure::Full if self.throttled_ms(&job.service).is_some() => {
+                self.comes_back_to_throttled_ms(&job.service)
             }
             Failure::NoUpstream => self.retry_after_ms(&job.service, left_ms),
             Failure::Quarantined { .. } | Failure::Poison { .. } => self.quarantine_left_ms(job),
@@ -314,7 +314,7 @@
         let fitting: Vec<&Rc<Worker>> = workers
             .values()
             .filter(|worker| *worker.upstream.service == *service && worker.takes_work())
-            .filter(|worker| !worker.is_held_back(now_ms))
+            .filter(|worker| !worker.is_throttled(now_ms))
             .collect();
         self.hear_losses(&view, &workers, now_ms);
         let mut candidates: Vec<Candidate> =
@@ -511,8 +511,8 @@
         let leaving = |worker: &Worker| u64::from(worker.has_said_leaving());
         self.metrics.gauge("upstreams_leaving_by_answer", sum(leaving));
         let now_ms = self.now_ms();
-        let resting = workers.values().filter(|worker| worker.is_resting(now_ms)).count();
-        self.metrics.gauge("upstreams_resting", resting as u64);
+        let resting = workers.values().filter(|worker| worker.is_backing_off(now_ms)).count();
+        self.metrics.gauge("upstreams_backing_off", resting as u64);
         self.metrics.gauge("log_records_left_out", log::left_out());
     }
 }
--- a/src/gateway/traffic/places.rs
+++ b/src/gateway/traffic/places.rs
@@ -140,7 +140,7 @@
         let workers = self.workers.borrow().values().map(Rc::clone).collect::<Vec<_>>();
         let fitting = workers
             .into_iter()
-            .filter(|worker| worker.upstream.service == service && !worker.is_held_back(now_ms))
+            .filter(|worker| worker.upstream.service == service && !worker.is_throttled(now_ms))
             .filter(|_| recall::asks(instances, &mut random));
         let path = self.dialect.kept_path();
         let mut asked: FuturesUnordered<_> = fitting
--- a/src/gateway/traffic/signals.rs
+++ b/src/gateway/traffic/signals.rs
@@ -13,14 +13,13 @@
 use super::super::worker::Worker;
 use super::Traffic;
 
-/// How long the keeper of an upstream's bucket may take to answer: a few round trips between failure
+/// How long the owner of an upstream's bucket may take to answer: a few round trips between failure
 /// domains. Whoever waits is served elsewhere meanwhile.
 const PERMIT_TIMEOUT_MS: u64 = 60;
-/// How long an upstream is held back when its bucket's keeper does not answer: it may have died, which
+/// How long an upstream is throttled when its bucket's owner does not answer: it may have died, which
 /// is known within a second or two.
 const UNANSWERED_MS: u64 = 250;
-
-/// Over how much longer the callers are spread that were refused while upstreams were held back.
+/// Over how much longer the callers are spread that were refused while upstreams were throttled.
 const COME_BACK_OVER_MS: u64 = 500;
 
 impl Traffic {
@@ -33,14 +32,14 @@
         if let Some(load) = marks.load {
             worker.tell(load, self.now_ms());
         }
-        if marks.is_leaving && worker.say_leaving() {
+        if marks.is_leaving && worker.note_said_leaving() {
             self.log_leaving(worker, "its answer");
             self.shared.signal(Signal::Departure(Departure::of(&worker.upstream)));
         }
         let is_refusal = matches!(status, 429 | 503);
         if let Some(after_ms) = marks.retry_after_ms.filter(|after_ms| is_refusal && *after_ms > 0)
         {
-            self.note_rest(worker, after_ms);
+            self.note_backoff(worker, after_ms);
         }
         self.set_rate_limit(worker, marks.rate_limit, self.now_ms(), "its answer");
         if let Some(rate) = marks.rate_limit {
@@ -56,20 +55,20 @@
     /// Follows which upstreams said to any instance that they leave.
     pub(super) fn follow_departures(&self, departures: &Departures) {
         for worker in self.workers.borrow().values() {
-            if departures.holds(&worker.upstream) && worker.say_leaving() {
+            if departures.holds(&worker.upstream) && worker.note_said_leaving() {
                 self.log_leaving(worker, "a peer");
             }
         }
         *self.departures.borrow_mut() = departures.clone();
     }
 
-    /// Takes in for how long an upstream that refused a request wants nothing from this instance.
-    fn note_rest(&self, worker: &Worker, after_ms: u64) {
+    /// Backs off from an upstream that refused a request, for as long as it asked.
+    fn note_backoff(&self, worker: &Worker, after_ms: u64) {
         let now_ms = self.now_ms();
-        if worker.rest(now_ms.saturating_add(after_ms), now_ms) {
-            slog::info!(self.log, "upstream wants rest"; "upstream" => &*worker.upstream.id,
+        if worker.back_off(now_ms.saturating_add(after_ms), now_ms) {
+            slog::info!(self.log, "upstream asks for backoff"; "upstream" => &*worker.upstream.id,
                 "service" => &*worker.upstream.service, "for_ms" => after_ms);
-            self.metrics.count("rests_wanted");
+            self.metrics.count("backoffs_requested");
         }
     }
 
@@ -94,9 +93,9 @@
     }
 
     /// Whether an upstream takes one more request now, which is then to be sent to it. One that limits
-    /// its rate is held back until this instance's turn if it doesn't.
+    /// its rate is throttled until this instance's turn if it doesn't.
     pub async fn admits(&self, worker: &Worker) -> bool {
-        if worker.is_held_back(self.now_ms()) {
+        if worker.is_throttled(self.now_ms()) {
             return false;
         }
         let Some(rate) = self.rate_limit(worker) else { return true };
@@ -113,25 +112,25 @@
                 UNANSWERED_MS
             }
         };
-        worker.hold_back(self.now_ms() + after_ms);
-        self.metrics.count("requests_held_back");
+        worker.throttle(self.now_ms() + after_ms);
+        self.metrics.count("requests_throttled");
         false
     }
 
-    /// When the caller of a request should come back to a service of which all upstreams are held back:
+    /// When the caller of a request should come back to a service of which all upstreams are throttled:
     /// not before one of them takes work again, and not all callers at once.
-    pub(super) fn comes_back_to_held_back_ms(&self, service: &str) -> Option<u64> {
-        Some(self.held_back_ms(service)? + fastrand::u64(..COME_BACK_OVER_MS))
+    pub(super) fn comes_back_to_throttled_ms(&self, service: &str) -> Option<u64> {
+        Some(self.throttled_ms(service)? + fastrand::u64(..COME_BACK_OVER_MS))
     }
 
-    /// In what time an upstream of a service takes work again, if all of them are held back.
-    pub fn held_back_ms(&self, service: &str) -> Option<u64> {
+    /// In what time an upstream of a service takes work again, if all of them are throttled.
+    pub fn throttled_ms(&self, service: &str) -> Option<u64> {
         let now_ms = self.now_ms();
         let workers = self.workers.borrow();
         let living = workers.values().filter(|worker| {
             *worker.upstream.service == *service && worker.takes_work() && !worker.is_lost(now_ms)
         });
-        let waits_ms = living.map(|worker| worker.held_back_until_ms().saturating_sub(now_ms));
+        let waits_ms = living.map(|worker| worker.throttled_until_ms().saturating_sub(now_ms));
         waits_ms.min().filter(|wait_ms| *wait_ms > 0)
     }
 }
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -63,12 +63,12 @@
     told: Cell<Option<Told>>,
     /// Whether an answer of it said that it is leaving.
     said_leaving: Cell<bool>,
-    /// Until when it wants nothing from this instance, as its last refusal said.
-    rests_until_ms: Cell<u64>,
+    /// Until when it asked this instance to back off.
+    backoff_until_ms: Cell<u64>,
     rate_limit: Cell<Option<Rate>>,
     /// When its last answer came, or a peer told a rate of it.
     rate_known_ms: Cell<u64>,
-    held_back_until_ms: Cell<u64>,
+    throttled_until_ms: Cell<u64>,
 }
 
 #[derive(Debug)]
@@ -151,10 +151,10 @@
             failing_ms: Cell::new(0),
             told: Cell::new(None),
             said_leaving: Cell::new(false),
-            rests_until_ms: Cell::new(0),
+            backoff_until_ms: Cell::new(0),
             rate_limit: Cell::new(None),
             rate_known_ms: Cell::new(0),
-            held_back_until_ms: Cell::new(0),
+            throttled_until_ms: Cell::new(0),
             upstream,
         })
     }
@@ -326,7 +326,7 @@
     }
 
     /// Notes that an answer of it says that it is leaving. Returns whether that is new.
-    pub fn say_leaving(&self) -> bool {
+    pub fn note_said_leaving(&self) -> bool {
         !self.said_leaving.replace(true)
     }
 
@@ -335,17 +335,17 @@
         self.said_leaving.get()
     }
 
-    /// Notes until when it wants nothing from this instance. Returns whether it wanted no rest before.
-    pub fn rest(&self, until_ms: u64, now_ms: u64) -> bool {
-        let is_new = !self.is_resting(now_ms);
-        self.hold_back(until_ms);
-        self.rests_until_ms.set(self.rests_until_ms.get().max(until_ms));
+    /// Notes until when it asked this instance to back off. Returns whether that is new.
+    pub fn back_off(&self, until_ms: u64, now_ms: u64) -> bool {
+        let is_new = !self.is_backing_off(now_ms);
+        self.throttle(until_ms);
+        self.backoff_until_ms.set(self.backoff_until_ms.get().max(until_ms));
         is_new
     }
 
-    /// Whether it wants nothing from this instance now.
-    pub fn is_resting(&self, now_ms: u64) -> bool {
-        self.rests_until_ms.get() > now_ms
+    /// Whether this instance backs off now, as it asked.
+    pub fn is_backing_off(&self, now_ms: u64) -> bool {
+        self.backoff_until_ms.get() > now_ms
     }
 
     /// The rate that it takes from all instances together, as its last answer said, or a peer since.
@@ -364,18 +364,18 @@
     }
 
     /// Has it get nothing until a time, which it asked for itself.
-    pub fn hold_back(&self, until_ms: u64) {
-        self.held_back_until_ms.set(self.held_back_until_ms.get().max(until_ms));
+    pub fn throttle(&self, until_ms: u64) {
+        self.throttled_until_ms.set(self.throttled_until_ms.get().max(until_ms));
     }
 
     /// Until when it gets nothing because it asked for that.
-    pub fn held_back_until_ms(&self) -> u64 {
-        self.held_back_until_ms.get()
+    pub fn throttled_until_ms(&self) -> u64 {
+        self.throttled_until_ms.get()
     }
 
     /// Whether it gets nothing now because it asked for that.
-    pub fn is_held_back(&self, now_ms: u64) -> bool {
-        self.held_back_until_ms() > now_ms
+    pub fn is_throttled(&self, now_ms: u64) -> bool {
+        self.throttled_until_ms() > now_ms
     }
 
     /// What others have running there, as it told itself a moment ago.
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -75,8 +75,8 @@
                     return true;
                 }
                 Err(Failure::Leaving) => self.node.notice(&addr, Sign::Leaving),
-                Err(Failure::Resting { for_ms }) => {
-                    self.node.notice(&addr, Sign::Resting { for_ms });
+                Err(Failure::BackOff { for_ms }) => {
+                    self.node.notice(&addr, Sign::BackOff { for_ms });
                 }
                 Err(_) => self.node.notice(&addr, Sign::Refused),
             }
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -317,14 +317,14 @@
         Err(error) if error.is_connect() || error.is_builder() => return Tried::NotSent,
         Err(_) => return Tried::Unknown,
     };
-    if let Some(for_ms) = rest_ms(&response) {
-        node.notice(addr, Sign::Resting { for_ms });
+    if let Some(for_ms) = backoff_ms(&response) {
+        node.notice(addr, Sign::BackOff { for_ms });
     }
     read_answer(response).await
 }
 
-/// For how long an upstream that refuses a request wants nothing from this instance, if it says so.
-pub(super) fn rest_ms(response: &reqwest::Response) -> Option<u64> {
+/// For how long an upstream that refuses a request asks this instance to back off, if it does.
+pub(super) fn backoff_ms(response: &reqwest::Response) -> Option<u64> {
     if !matches!(response.status().as_u16(), 429 | 503) {
         return None;
     }
@@ -357,8 +357,8 @@
 
 fn no_upstream(node: &Node, call: &Call) -> Error {
     let service = call.service.to_string();
-    let rest_ms = node.snapshot().rest_left_ms(&call.service, node.clock.now_ms());
-    Kind::NoUpstream { service, retry_after_ms: rest_ms.unwrap_or(NO_UPSTREAM_RETRY_MS) }.into()
+    let backoff_ms = node.snapshot().backoff_left_ms(&call.service, node.clock.now_ms());
+    Kind::NoUpstream { service, retry_after_ms: backoff_ms.unwrap_or(NO_UPSTREAM_RETRY_MS) }.into()
 }
 
 fn no_key(call: &Call) -> Error {
--- a/src/request/engine.rs
+++ b/src/request/engine.rs
@@ -59,8 +59,8 @@
     Unreachable,
     /// The engine takes no new work, or not this model.
     Leaving,
-    /// The engine is full and wants nothing from this instance for so long.
-    Resting {
+    /// The engine is full and asks this instance to back off for so long.
+    BackOff {
         /// How long.
         for_ms: u64,
     },
@@ -142,20 +142,20 @@
 
     async fn open(&self, request: reqwest::RequestBuilder) -> Result<Events, Failure> {
         let response = request.send().await.map_err(|_| Failure::Unreachable)?;
-        let rest_ms = call::rest_ms(&response);
+        let backoff_ms = call::backoff_ms(&response);
         match response.status().as_u16() {
             200 => Ok(events(response)),
             503 => match response.json::<Refusal>().await {
                 Ok(Refusal { leaving: true }) => Err(Failure::Leaving),
-                _ => Err(refused(rest_ms)),
+                _ => Err(refused(backoff_ms)),
             },
-            _ => Err(refused(rest_ms)),
+            _ => Err(refused(backoff_ms)),
         }
     }
 }
 
-fn refused(rest_ms: Option<u64>) -> Failure {
-    rest_ms.map_or(Failure::Refused, |for_ms| Failure::Resting { for_ms })
+fn refused(backoff_ms: Option<u64>) -> Failure {
+    backoff_ms.map_or(Failure::Refused, |for_ms| Failure::BackOff { for_ms })
 }
 
 /// The events of an answer in the form that engines and peers both use.
--- a/standin/src/fault.rs
+++ b/standin/src/fault.rs
@@ -27,8 +27,8 @@
     LoseReply { count: u32 },
     /// Refuse everything with 503.
     Down { down: bool },
-    /// Refuse everything but questions for the load with 503, and ask for rest.
-    Rest { rest_s: u32 },
+    /// Refuse everything but questions for the load with 503, and ask for backoff.
+    BackOff { backoff_s: u32 },
     /// Answer the next reads with the data before the last change.
     Stale { count: u32 },
 }
@@ -39,8 +39,8 @@
     delay_ms: AtomicU64,
     lose_replies: AtomicU32,
     down: AtomicBool,
-    rest_s: AtomicU32,
-    /// Requests that were refused with a rest.
+    backoff_s: AtomicU32,
+    /// Requests that were refused so.
     refused: AtomicU32,
     stale_reads: AtomicU32,
     /// Notified when the stand-in has to die.
@@ -54,7 +54,7 @@
             delay_ms: AtomicU64::new(0),
             lose_replies: AtomicU32::new(0),
             down: AtomicBool::new(false),
-            rest_s: AtomicU32::new(0),
+            backoff_s: AtomicU32::new(0),
             refused: AtomicU32::new(0),
             stale_reads: AtomicU32::new(0),
             death: Notify::new(),
@@ -72,7 +72,7 @@
             Order::Delay { ms } => self.delay_ms.store(*ms, Ordering::SeqCst),
             Order::LoseReply { count } => self.lose_replies.store(*count, Ordering::SeqCst),
             Order::Down { down } => self.down.store(*down, Ordering::SeqCst),
-            Order::Rest { rest_s } => self.rest_s.store(*rest_s, Ordering::SeqCst),
+            Order::BackOff { backoff_s } => self.backoff_s.store(*backoff_s, Ordering::SeqCst),
             Order::Stale { count } => self.stale_reads.store(*count, Ordering::SeqCst),
         }
     }
@@ -84,7 +84,7 @@
         let _ = paused.wait_for(|paused| !paused).await;
     }
 
-    /// How many requests were refused with a rest.
+    /// How many requests were refused so.
     pub fn refused(&self) -> u32 {
         self.refused.load(Ordering::SeqCst)
     }
@@ -129,11 +129,11 @@
             ctrl.skip_rest();
             return;
         }
-        let rest_s = self.0.rest_s.load(Ordering::SeqCst);
-        if rest_s > 0 && req.uri().path() != "/load" {
+        let backoff_s = self.0.backoff_s.load(Ordering::SeqCst);
+        if backoff_s > 0 && req.uri().path() != "/load" {
             self.0.refused.fetch_add(1, Ordering::SeqCst);
             res.status_code(StatusCode::SERVICE_UNAVAILABLE);
-            res.headers_mut().insert("retry-after", rest_s.into());
+            res.headers_mut().insert("retry-after", backoff_s.into());
             ctrl.skip_rest();
             return;
         }
--- a/tests/fakes/src/signals.rs
+++ b/tests/fakes/src/signals.rs
@@ -7,8 +7,8 @@
     pub limit_per_s: Option<f64>,
     /// Whether it is leaving.
     pub is_leaving: bool,
-    /// For how many seconds it wants nothing from whomever it refuses.
-    pub rest_s: Option<f64>,
+    /// For how many seconds it asks whomever it refuses to back off.
+    pub backoff_s: Option<f64>,
 }
 
 impl Signals {
@@ -21,7 +21,7 @@
 
     /// The headers of a refusal.
     pub fn refusing(&self) -> Vec<(&'static str, String)> {
-        let rest = self.rest_s.map(|rest_s| ("Retry-After", rest_s.to_string()));
-        self.headers().into_iter().chain(rest).collect()
+        let backoff = self.backoff_s.map(|seconds| ("Retry-After", seconds.to_string()));
+        self.headers().into_iter().chain(backoff).collect()
     }
 }
--- a/tests/gateway/rest.rs
+++ b/tests/gateway/backoff.rs
@@ -1,4 +1,4 @@
-//! Upstreams that refuse a request and want nothing from that instance for a while.
+//! Upstreams that refuse a request and ask that instance to back off.
 
 use std::time::{Duration, Instant};
 
@@ -10,28 +10,28 @@
 use crate::load::{self, AT_ONCE, CALL_EVERY, STREAM_EVERY, booking_or_look_up};
 use crate::support::{self, call, plan};
 
-/// How long they want rest.
-const REST_S: f64 = 3.0;
-const REST: Duration = Duration::from_secs(3);
-/// From so long after a refusal on, the rest counts.
+/// For how long they ask.
+const BACKOFF_S: f64 = 3.0;
+const BACKOFF: Duration = Duration::from_secs(3);
+/// From so long after a refusal on, it counts.
 const BOUND: Duration = Duration::from_millis(500);
-/// What may reach an upstream from one instance in its rest.
+/// What may reach an upstream from one instance meanwhile.
 const ALLOWED: usize = 2;
 
-fn resting() -> Signals {
-    Signals { rest_s: Some(REST_S), ..Signals::default() }
+fn backing_off() -> Signals {
+    Signals { backoff_s: Some(BACKOFF_S), ..Signals::default() }
 }
 
-/// The most requests that came within a rest that any request began.
-fn most_in_a_rest(seen: &[Seen]) -> usize {
+/// The most requests that came within a backoff that any request began.
+fn most_in_a_backoff(seen: &[Seen]) -> usize {
     let within = |refused: &Seen| {
-        let rest = refused.at + BOUND..refused.at + REST;
-        seen.iter().filter(|seen| rest.contains(&seen.at)).count()
+        let backoff = refused.at + BOUND..refused.at + BACKOFF;
+        seen.iter().filter(|seen| backoff.contains(&seen.at)).count()
     };
     seen.iter().map(within).max().unwrap_or(0)
 }
 
-/// One of three services is full and asks for rest, the others answer with errors: their repeats look for
+/// One of three services is full and asks for backoff, the others answer with errors: their repeats look for
 /// another one.
 #[parameterized(
     errors = { Fault::Error },
@@ -39,43 +39,43 @@
     silent = { Fault::Mute },
 )]
 #[test_macro(tokio::test)]
-async fn an_upstream_that_wants_rest_gets_none_of_an_instances_requests(fault: Fault) {
+async fn an_upstream_that_asks_for_backoff_gets_none_of_an_instances_requests(fault: Fault) {
     let running = support::start(1).await;
     let [full, others @ ..] = &*running.site.services else { panic!("there are services") };
     full.fail(Fault::Full);
-    full.signal(resting());
+    full.signal(backing_off());
     others.iter().for_each(|other| other.fail(fault));
-    let until = Instant::now() + 2 * REST;
+    let until = Instant::now() + 2 * BACKOFF;
     load::play(&running, CALL_EVERY, booking_or_look_up, until).await;
-    let most = most_in_a_rest(&full.seen());
-    assert!(most <= ALLOWED, "{most} requests in a rest");
+    let most = most_in_a_backoff(&full.seen());
+    assert!(most <= ALLOWED, "{most} requests in a backoff");
 }
 
-/// Of many instances, each is refused for itself, once in a rest, but for what was under way.
+/// Of many instances, each is refused for itself, once in a backoff, but for what was under way.
 #[parameterized(nine_instances = { 9 }, many_instances = { 73 })]
 #[test_macro(tokio::test)]
-async fn each_instance_keeps_to_the_rest_that_it_was_asked_for(instances: u8) {
+async fn each_instance_backs_off_for_as_long_as_it_was_asked(instances: u8) {
     let running = support::start(instances).await;
     let full = &running.site.services[0];
     full.fail(Fault::Full);
-    full.signal(resting());
-    let until = Instant::now() + 2 * REST;
+    full.signal(backing_off());
+    let until = Instant::now() + 2 * BACKOFF;
     let look_up = |_| call("GET", "/look/seat");
     let got = load::play(&running, CALL_EVERY, look_up, until).await;
     let most = usize::from(instances) * (2 + ALLOWED);
     let seen = full.seen().len();
-    assert!(seen <= most, "{seen} requests in two rests of {instances} instances");
+    assert!(seen <= most, "{seen} requests in two backoffs of {instances} instances");
     assert_eq!(got.iter().filter(|got| got.status != 200).count(), 0, "others take them");
 }
 
-/// Where all upstreams rest, callers are refused at once, not run, and told not to come before one of them
+/// Where all upstreams ask for backoff, callers are refused at once, not run, and told not to come before one of them
 /// takes work again; then they are served.
 #[tokio::test]
 async fn a_refusal_says_when_the_first_upstream_takes_work_again() {
     let running = support::start(1).await;
     let services = &running.site.services;
     services.iter().for_each(|service| service.fail(Fault::Full));
-    services.iter().for_each(|service| service.signal(resting()));
+    services.iter().for_each(|service| service.signal(backing_off()));
     let since = Instant::now();
     let look_up = |_| call("GET", "/look/seat");
     load::play(&running, CALL_EVERY, look_up, since + BOUND).await;
@@ -87,10 +87,10 @@
     assert!(refused.took <= AT_ONCE, "refused after {:?}", refused.took);
     let after = Duration::from_secs_f64(refused.retry_after_s.expect("it says when"));
     let first_refused = services.iter().flat_map(|service| service.seen()).map(|seen| seen.at);
-    let first_free = first_refused.min().expect("they were asked") + REST;
+    let first_free = first_refused.min().expect("they were asked") + BACKOFF;
     let slack = Duration::from_millis(50);
     assert!(asked_at + after + slack >= first_free, "{after:?} is too early");
-    assert!(after <= REST + Duration::from_secs(1), "{after:?} is too late");
+    assert!(after <= BACKOFF + Duration::from_secs(1), "{after:?} is too late");
     tokio::time::sleep_until((asked_at + after + slack).into()).await;
     let served = load::ask(running.front(0), call("POST", "/book/berth")).await;
     assert_eq!(served.status, 200);
@@ -98,12 +98,12 @@
 
 /// Streams, those that go on after a loss and those that go on from copies; others take them.
 #[tokio::test]
-async fn an_engine_that_wants_rest_gets_no_streams_in_it() {
+async fn an_engine_that_asks_for_backoff_gets_no_streams() {
     let running = support::start(1).await;
     let [full, torn, ..] = &*running.site.engines else { panic!("there are engines") };
     full.fail(engine::Fault::Full);
-    full.signal(resting());
-    let until = Instant::now() + 2 * REST;
+    full.signal(backing_off());
+    let until = Instant::now() + 2 * BACKOFF;
     let tear = async {
         while Instant::now() < until {
             tokio::time::sleep(Duration::from_millis(700)).await;
@@ -114,19 +114,19 @@
     };
     let streams = load::play(&running, STREAM_EVERY, |_| plan(), until);
     let (got, ()) = tokio::join!(streams, tear);
-    let most = most_in_a_rest(&full.seen());
-    assert!(most <= ALLOWED, "{most} requests in a rest");
+    let most = most_in_a_backoff(&full.seen());
+    assert!(most <= ALLOWED, "{most} requests in a backoff");
     assert_eq!(got.iter().filter(|got| got.status != 200).count(), 0, "others take them");
 }
 
-/// A rest that an upstream states in a way that can't be read, or of no length, is none.
+/// A backoff that an upstream states in a way that can't be read, or of no length, is none.
 #[parameterized(nothing = { 0.0 }, negative = { -3.0 }, endless = { f64::INFINITY }, no_number = { f64::NAN })]
 #[test_macro(tokio::test)]
-async fn a_rest_of_no_length_holds_nothing_back(rest_s: f64) {
+async fn a_backoff_of_no_length_throttles_nothing(backoff_s: f64) {
     let running = support::start(1).await;
     let services = &running.site.services;
     services.iter().for_each(|service| service.fail(Fault::Full));
-    let signals = Signals { rest_s: Some(rest_s), ..Signals::default() };
+    let signals = Signals { backoff_s: Some(backoff_s), ..Signals::default() };
     services.iter().for_each(|service| service.signal(signals));
     assert_eq!(load::ask(running.front(0), call("GET", "/look/seat")).await.status, 503);
     services.iter().for_each(|service| service.fail(Fault::None));
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -16,7 +16,7 @@
 /// How long callers go on after that.
 const LOAD: Duration = Duration::from_secs(6);
 
-const LEAVING: Signals = Signals { limit_per_s: None, is_leaving: true, rest_s: None };
+const LEAVING: Signals = Signals { limit_per_s: None, is_leaving: true, backoff_s: None };
 
 fn late(seen: &[Seen], said_at: Instant) -> usize {
     seen.iter().filter(|seen| seen.at > said_at + BOUND).count()
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! The gateway as real processes on loopback, before fakes that speak the platform's protocol.
 
+mod backoff;
 mod calls;
 mod clock;
 mod configuration;
@@ -19,7 +20,6 @@
 mod permits;
 mod quarantine;
 mod rate_limit;
-mod rest;
 mod silence;
 mod stops;
 mod store;
--- a/tests/gateway/permits.rs
+++ b/tests/gateway/permits.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use siskinrock::gateway::policy::named_rates::NamedRates;
-use siskinrock::gateway::policy::rate_limit::{self, Limiter, Quorum};
-use siskinrock::gateway::rate::{Permit, Rate, Told};
+use siskinrock::gateway::policy::rate_limit::{self, Limiter, Liveness};
+use siskinrock::gateway::rate::{NamedRate, Permit, Rate};
 use yare::parameterized;
 
 /// Any span of this length counts.
@@ -41,7 +41,7 @@
     id: Arc<str>,
     started_ms: u64,
     limiter: Limiter,
-    held_back_until_ms: u64,
+    throttled_until_ms: u64,
 }
 
 struct Fleet {
@@ -55,7 +55,7 @@
             id: Arc::from(format!("edge-{number}")),
             started_ms: 0,
             limiter: Limiter::default(),
-            held_back_until_ms: 0,
+            throttled_until_ms: 0,
         };
         Fleet { instances: (0..count).map(new).collect(), trouble }
     }
@@ -107,24 +107,25 @@
 
     /// Whether an instance may send one request.
     fn asks(&mut self, me: usize, rate: Rate, now_ms: u64) -> bool {
-        if self.instances[me].held_back_until_ms > now_ms {
+        if self.instances[me].throttled_until_ms > now_ms {
             return false;
         }
         let known = self.known(me, now_ms);
         let ids = known.iter().map(|number| &self.instances[*number].id);
-        let keeper = rate_limit::keeper(UPSTREAM, ids).cloned().expect("it knows itself");
-        let keeper = self.instances.iter().position(|other| other.id == keeper).unwrap();
-        let permit = if self.runs(keeper, now_ms) && self.reach(me, keeper, now_ms) {
-            let seen = self.known(keeper, now_ms);
-            let quorum = Quorum { alive: seen.len(), silent: self.silent(keeper, &seen, now_ms) };
-            let lives_ms = now_ms - self.instances[keeper].started_ms;
-            let limiter = &mut self.instances[keeper].limiter;
-            limiter.ask(&Arc::from(UPSTREAM), rate, quorum, lives_ms)
+        let owner = rate_limit::bucket_owner(UPSTREAM, ids).cloned().expect("it knows itself");
+        let owner = self.instances.iter().position(|other| other.id == owner).unwrap();
+        let permit = if self.runs(owner, now_ms) && self.reach(me, owner, now_ms) {
+            let seen = self.known(owner, now_ms);
+            let liveness =
+                Liveness { alive: seen.len(), silent: self.silent(owner, &seen, now_ms) };
+            let lives_ms = now_ms - self.instances[owner].started_ms;
+            let limiter = &mut self.instances[owner].limiter;
+            limiter.ask(&Arc::from(UPSTREAM), rate, liveness, lives_ms)
         } else {
             Permit::Wait { after_ms: 250 }
         };
         if let Permit::Wait { after_ms } = permit {
-            self.instances[me].held_back_until_ms = now_ms + after_ms;
+            self.instances[me].throttled_until_ms = now_ms + after_ms;
         }
         permit == Permit::Granted
     }
@@ -133,7 +134,7 @@
         for instance in &mut self.instances {
             instance.started_ms = now_ms;
             instance.limiter = Limiter::default();
-            instance.held_back_until_ms = 0;
+            instance.throttled_until_ms = 0;
         }
     }
 
@@ -192,11 +193,11 @@
     }
 }
 
-/// A keeper that has just started may not know the others yet.
+/// An owner that has just started may not know the others yet.
 #[test]
 fn who_has_just_started_grants_nothing() {
     let mut limiter = Limiter::default();
-    let alone = Quorum { alive: 1, silent: 0 };
+    let alone = Liveness { alive: 1, silent: 0 };
     let asked = limiter.ask(&Arc::from(UPSTREAM), Rate::per_s(1_000.0), alone, 100);
     assert_eq!(asked, Permit::Wait { after_ms: 1_400 });
 }
@@ -225,17 +226,17 @@
 
 /// Of nine instances, one that goes gives up only the upstreams whose buckets it kept.
 #[test]
-fn other_upstreams_keep_their_keepers_when_an_instance_goes() {
+fn other_upstreams_keep_their_bucket_owners_when_an_instance_goes() {
     let all: Vec<Arc<str>> = (0..9).map(|number| Arc::from(format!("edge-{number}"))).collect();
     for upstream in (0..100).map(|number| format!("i-{number}")) {
-        let before = rate_limit::keeper(&upstream, all.iter());
-        let after = rate_limit::keeper(&upstream, all[1..].iter());
+        let before = rate_limit::bucket_owner(&upstream, all.iter());
+        let after = rate_limit::bucket_owner(&upstream, all[1..].iter());
         assert!(before == after || before == Some(&all[0]));
     }
 }
 
-fn told(per_s: f64, age_ms: u64) -> Told {
-    Told { upstream: Arc::from(UPSTREAM), rate: Rate::per_s(per_s), age_ms }
+fn told(per_s: f64, age_ms: u64) -> NamedRate {
+    NamedRate { upstream: Arc::from(UPSTREAM), rate: Rate::per_s(per_s), age_ms }
 }
 
 /// Instances that tell each other all that they know don't keep a rate alive that nobody names any more.
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -109,35 +109,35 @@
     assert_eq!(whole["usage"]["completion_tokens"], 2);
 }
 
-/// What an upstream that wants rest gets from one router while it rests: one that was under way, and one
+/// What an upstream that asks for backoff gets from one router meanwhile: one that was under way, and one
 /// before the control thread has heard of it.
-const IN_A_REST: u32 = 2;
-const REST_S: u32 = 2;
+const IN_A_BACKOFF: u32 = 2;
+const BACKOFF_S: u32 = 2;
 
 /// A service that refuses with Retry-After got every second call all the same.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_service_that_wants_rest_gets_no_calls_in_it() {
+async fn a_service_that_asks_for_backoff_gets_no_calls_in_it() {
     let cluster = Cluster::start(Shape { routers: 1, ..Shape::default() }).await;
-    let resting = &cluster.seats[0];
-    resting.fault(&Order::Rest { rest_s: REST_S });
-    let until = Instant::now() + Duration::from_secs(u64::from(REST_S)) * 3 / 4;
+    let full = &cluster.seats[0];
+    full.fault(&Order::BackOff { backoff_s: BACKOFF_S });
+    let until = Instant::now() + Duration::from_secs(u64::from(BACKOFF_S)) * 3 / 4;
     let mut number = 0;
     while Instant::now() < until {
         cluster.book(0, &format!("seat-{number}"), 0).await;
         number += 1;
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    let refused = resting.faults.refused();
+    let refused = full.faults.refused();
     assert!(refused > 0, "it was asked");
-    assert!(refused <= 1 + IN_A_REST, "{refused} of {number} calls went there");
+    assert!(refused <= 1 + IN_A_BACKOFF, "{refused} of {number} calls went there");
 }
 
-/// Where all upstreams rest, a call is refused at once, has not run, and its caller is told when the first
+/// Where all upstreams ask for backoff, a call is refused at once, has not run, and its caller is told when the first
 /// of them takes work again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_call_is_refused_at_once_where_all_services_rest() {
+async fn a_call_is_refused_at_once_where_all_services_ask_for_backoff() {
     let cluster = Cluster::start(Shape { routers: 1, ..Shape::default() }).await;
-    cluster.seats.iter().for_each(|seats| seats.fault(&Order::Rest { rest_s: REST_S }));
+    cluster.seats.iter().for_each(|seats| seats.fault(&Order::BackOff { backoff_s: BACKOFF_S }));
     for number in 0..20 {
         cluster.book(0, &format!("first-{number}"), 0).await;
         tokio::time::sleep(Duration::from_millis(20)).await;
@@ -147,6 +147,6 @@
     assert!(asked.elapsed() < Duration::from_millis(500), "{:?}", asked.elapsed());
     assert_eq!((reply.status, &*reply.code, &*reply.ran), (503, "no_upstream", "no"));
     let after_s: u32 = reply.retry_after.expect("it says when").parse().unwrap();
-    assert!((1..=REST_S + 1).contains(&after_s), "{after_s}");
+    assert!((1..=BACKOFF_S + 1).contains(&after_s), "{after_s}");
     assert_eq!(cluster.seats.iter().map(|seats| seats.faults.refused()).max(), Some(1));
 }
