--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod history;
 pub mod lost;
 pub mod memory;
+pub mod signals;
 pub mod tasks;
 pub mod world;
--- a/tests/soak/src/world.rs
+++ b/tests/soak/src/world.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 use siskinrock_fakes::process::{GRACE, Process, wait_for};
 use siskinrock_fakes::proxy::{Harm, Proxy};
+use siskinrock_fakes::signals::Signals;
 use siskinrock_fakes::site::{self, KEY, Place, SECOND_KEY, Site};
 use siskinrock_fakes::{engine, service, store};
 use tokio::task::JoinSet;
@@ -17,6 +18,7 @@
 use crate::checks::{self, Outcome, Report, Run};
 use crate::faults::{self, Fault, Sizes, Timed};
 use crate::history::{History, Span, Target};
+use crate::signals::{self, Limit};
 use crate::{callers, memory, tasks};
 
 /// The pause between two looks whether a gateway has ended.
@@ -86,7 +88,10 @@
     }
     let mut callers = callers::start(&world, &mut random);
     callers.spawn(watch_memory(Arc::clone(&world)));
-    let mut broken = play(&world, &faults).await;
+    let limits = signals::draw(seed, sizes.services, setup.length);
+    let (mut broken, over_limits) =
+        tokio::join!(play(&world, &faults), play_limits(&world, &limits));
+    broken.extend(over_limits);
     tokio::time::sleep(SETTLE).await;
     world.is_calm.store(true, Ordering::SeqCst);
     tokio::time::sleep(CALM).await;
@@ -181,6 +186,22 @@
     tasks::join_all(playing).await
 }
 
+/// Has services name their rates; returns which were not kept to.
+async fn play_limits(world: &World, limits: &[Limit]) -> Vec<String> {
+    let start = Instant::now();
+    let play = async |limit: &Limit| {
+        let service = &world.site.services[limit.service];
+        tokio::time::sleep_until(start + limit.at).await;
+        let from = Instant::now();
+        service.signal(limit.signals());
+        tokio::time::sleep_until(start + limit.at + limit.lasts).await;
+        service.signal(Signals::default());
+        signals::check(limit, Span { from, until: Instant::now() }, &service.seen())
+    };
+    let played = futures_util::future::join_all(limits.iter().map(play)).await;
+    played.into_iter().flatten().collect()
+}
+
 impl World {
     /// Begins a fault; returns the process that it told to stop, if it was one and ran.
     fn begin(&self, fault: Fault) -> Option<u32> {
