A rate and a leaving are heard of in answers that belong to other requests as well

Trace: all four instances had been killed and started again, and the service answered for other requests for 1.7 s. Such an answer was dropped before what the upstream says of itself was read, so the instances heard of no rate (log: `upstream changed its rate limit` 1.3 s after the start, as the crossing ended).

Ruled out: the owner of the bucket (others were held to their rates all the while); the start alone (each instance has at most what it sends before its first answer).

Mend: what an answer takes away, a rate or a leaving, is taken in whomever it answers. It lifts nothing there, since an answer to another request may be late.

--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -284,6 +284,7 @@
         let now_ms = self.traffic.now_ms();
         if marks.id.is_some() && marks.id != self.job.demand.id {
             self.traffic.metrics.count("answers_of_other_requests");
+            self.traffic.note_bounds(worker, marks);
             return Some(lost("the answer belongs to another request", Loss::Left));
         }
         if response.status().as_u16() == 421 {
--- a/src/gateway/traffic/signals.rs
+++ b/src/gateway/traffic/signals.rs
@@ -32,17 +32,26 @@
         if let Some(load) = marks.load {
             worker.tell(load, self.now_ms());
         }
-        if marks.is_leaving && worker.note_said_leaving() {
-            self.log_leaving(worker, "its answer");
-            self.shared.signal(Signal::Departure(Departure::of(&worker.upstream)));
-        }
         let is_refusal = matches!(status, 429 | 503);
         if let Some(after_ms) = marks.retry_after_ms.filter(|after_ms| is_refusal && *after_ms > 0)
         {
             self.note_backoff(worker, after_ms);
         }
-        self.set_rate_limit(worker, marks.rate_limit, self.now_ms(), "its answer");
+        if marks.rate_limit.is_none() {
+            self.set_rate_limit(worker, None, self.now_ms(), "its answer");
+        }
+        self.note_bounds(worker, marks);
+    }
+
+    /// Takes in what an upstream no longer takes. That holds in an answer to another request as well, which
+    /// may be late: it lifts nothing.
+    pub fn note_bounds(&self, worker: &Worker, marks: &Marks) {
+        if marks.is_leaving && worker.note_said_leaving() {
+            self.log_leaving(worker, "its answer");
+            self.shared.signal(Signal::Departure(Departure::of(&worker.upstream)));
+        }
         if let Some(rate) = marks.rate_limit {
+            self.set_rate_limit(worker, Some(rate), self.now_ms(), "its answer");
             self.shared.signal(Signal::Rate(Arc::clone(&worker.upstream.id), rate));
         }
     }
--- a/tests/gateway/rate_limit.rs
+++ b/tests/gateway/rate_limit.rs
@@ -186,3 +186,16 @@
     let taken = limited.seen().len() - before;
     assert!(taken * 6 > got.len(), "{taken} of {} calls went to one of three services", got.len());
 }
+
+/// An instance that had just started heard of the rate in no answer that it could pass on, since the upstream
+/// answered for other requests, and sent as much as it liked.
+#[tokio::test]
+async fn a_rate_is_heard_of_in_answers_that_belong_to_other_requests() {
+    let running = support::start(1).await;
+    let crossing = &running.site.services[0];
+    crossing.fail(Fault::Crossed);
+    running.site.services.iter().for_each(|service| service.signal(limiting()));
+    let named_at = Instant::now();
+    load::play(&running, CALL_EVERY, booking_or_look_up, named_at + LOAD).await;
+    assert_within(&crossing.seen(), named_at);
+}
