--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -60,7 +60,7 @@
     quarantine: Quarantine,
     /// The version of it that traffic has.
     quarantine_version: u64,
-    /// The token buckets that this instance keeps for all.
+    /// The token buckets that this instance owns, for all.
     limiter: Limiter,
     /// The rates that upstreams named to any instance.
     named_rates: NamedRates,
--- a/src/gateway/membership/message.rs
+++ b/src/gateway/membership/message.rs
@@ -31,7 +31,7 @@
     Digest(Digest),
     /// What changed in the list of upstreams, and that there is a newer configuration.
     Changes(Changes),
-    /// Asks its receiver, who keeps an upstream's token bucket, for a permit.
+    /// Asks its receiver, who owns an upstream's token bucket, for a permit.
     AskPermit(PermitAsk),
     /// Answers that, by its number.
     Permit(u64, Permit),
--- a/src/gateway/policy/rate_limit.rs
+++ b/src/gateway/policy/rate_limit.rs
@@ -1,6 +1,6 @@
 //! The rate that an upstream in need takes from all instances together: pure types and steps.
 //!
-//! One instance, the same in the eyes of all, keeps the token bucket of an upstream that limits its
+//! One instance, the same in the eyes of all, owns the token bucket of an upstream that limits its
 //! rate, and the others ask it before each request. Shares that each instance kept for itself would
 //! either go unused or, with hundreds of instances, add up to a burst. See
 //! [docs/DESIGN.md](../../../docs/DESIGN.md).
@@ -27,7 +27,7 @@
 /// for the only one.
 const SETTLED_MS: u64 = 1_500;
 
-/// The instance that keeps an upstream's bucket: the highest by rendezvous hashing, so that only the
+/// The instance that owns an upstream's bucket: the highest by rendezvous hashing, so that only the
 /// upstreams of one that comes or goes change hands.
 pub fn bucket_owner<'a>(
     upstream: &str,
@@ -53,7 +53,7 @@
     }
 }
 
-/// The buckets that this instance keeps.
+/// The buckets that this instance owns.
 #[derive(Debug, Default)]
 pub struct Limiter {
     buckets: BTreeMap<Arc<str>, Bucket>,
