Members find out by comparing in which they differ; arrivals of a whole fleet are no longer repeated by all

Cause (class: what is told of each by each): the arrival of each instance was a rumor that every other one repeated to four or five others in six rounds, some thirty times its own card for each instance, and all members again to each new one. It grows with the square of the fleet.

Ruled out: fewer rounds for all rumors (a death would be missed by more); longer pauses (the same bytes later).

Change: a rumor that is heard again is told less often (Demers et al., PODC 1987); of arrivals a bounded number is told at once; a new member is told a few others; two that ping each other with different sums compare them part by part, a part holding some four members, and tell each other only what differs. Contacts, which all ask at a start, are not compared with for that.

--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -265,13 +265,24 @@
                 });
             }
             Message::Ack(probe) => self.hear_probe(probe, now_ms, |membership, probe| {
-                membership.hear_ack(probe, now_ms, &mut fastrand::Rng::new());
+                membership.hear_ack(probe, now_ms);
             }),
             Message::PingOther(probe, target) => {
                 self.board.borrow_mut().membership.hear_ping_other(probe, target, from);
                 self.flush();
             }
             Message::Rumors(rumors) => self.hear_rumors(rumors, now_ms),
+            Message::Sums(sums, is_answer) => {
+                let mut board = self.board.borrow_mut();
+                board.membership.hear_sums(&sums, is_answer, from, &mut fastrand::Rng::new());
+                drop(board);
+                self.flush();
+            }
+            Message::Members(members) => {
+                self.board.borrow_mut().membership.hear_members(members, now_ms);
+                self.note_membership();
+                self.dirty.notify_one();
+            }
             Message::Loads(news) => self.hear_loads(news, now_ms),
             Message::Digest(digest) => self.hear_digest(digest, now_ms),
             Message::Changes(changes) => self.hear_changes(changes, from, now_ms),
--- a/src/gateway/membership/card.rs
+++ b/src/gateway/membership/card.rs
@@ -12,10 +12,13 @@
 pub enum Phase {
     /// It doesn't know enough yet.
     #[default]
+    #[serde(rename = "a")]
     Starting,
     /// It does.
+    #[serde(rename = "r")]
     Ready,
     /// A planned stop is under way.
+    #[serde(rename = "t")]
     Stopping,
 }
 
@@ -45,10 +48,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Standing {
     /// It lives.
+    #[serde(rename = "a")]
     Alive,
     /// It did not answer one of its observers.
+    #[serde(rename = "s")]
     Suspect,
     /// It is gone.
+    #[serde(rename = "d")]
     Dead,
 }
 
--- a/src/gateway/membership/members.rs
+++ b/src/gateway/membership/members.rs
@@ -14,6 +14,7 @@
 use super::card::{Card, Member, Phase, Standing, Versions};
 use super::message::{Message, Probe};
 use super::rumors::{FANOUT, Rumor, Rumors};
+use super::sums::Sums;
 use crate::decide::Random;
 
 /// Observers that agree.
@@ -21,8 +22,10 @@
 /// In one of so many rounds, another failure domain is told as well: of a domain with ten instances,
 /// each rumor then leaves it some ten times.
 const TOLD_FAR: u64 = 4;
-/// Members that are told to one that knows others than we do.
-const MOST_TOLD: usize = 16;
+/// Members in one message, so that it stays under 2 KB.
+const MOST_IN_MESSAGE: usize = 16;
+/// Members that are told at once to one that is new, or that knows others than we do.
+const MOST_TOLD: usize = 4 * MOST_IN_MESSAGE;
 
 /// The members, as one instance knows them.
 #[derive(Debug)]
@@ -155,42 +158,68 @@
 
     /// Takes in a rumor about a member. Returns whether it was new.
     pub fn hear_of(&mut self, card: Card, standing: Standing, by: Arc<str>, now_ms: u64) -> bool {
+        let rumor = Rumor::Member { card, standing, by };
+        let known = self.take_in(&rumor, now_ms);
+        match known {
+            News::Known => self.rumors.heard(&rumor),
+            News::Old => {}
+            News::Arrival => self.rumors.add_arrival(rumor, self.members.len() + 1),
+            News::Urgent => self.tell(rumor),
+        }
+        matches!(known, News::Arrival | News::Urgent)
+    }
+
+    /// Takes in members that another one knows already, so that they are news to few: of those, only
+    /// what is urgent is told on.
+    pub fn hear_members(&mut self, members: Vec<Rumor>, now_ms: u64) {
+        for rumor in members {
+            if self.take_in(&rumor, now_ms) == News::Urgent {
+                self.tell(rumor);
+            }
+        }
+    }
+
+    fn take_in(&mut self, rumor: &Rumor, now_ms: u64) -> News {
+        let Rumor::Member { card, standing, by } = rumor else { return News::Old };
+        let standing = *standing;
         if card.registration.id == self.me().id {
-            return self.hear_of_me(card, standing);
+            self.hear_of_me(card, standing);
+            return News::Old;
         }
         let known = self.members.get_mut(&card.registration.id);
         let Some(member) = known else {
             // Who is dead before it was known is remembered, so that old news don't bring it back.
-            return self.add(card, standing, by, now_ms);
+            self.add(card, standing, by, now_ms);
+            return News::of(Standing::Alive, card, standing);
         };
-        let is_newer = (card.version, standing) > (member.card.version, member.standing);
+        let before = member.standing;
+        let is_newer = (card.version, standing) > (member.card.version, before);
         let suspects = standing == Standing::Suspect && card.version == member.card.version;
-        let is_agreement = suspects
-            && member.standing == Standing::Suspect
-            && member.suspected_by.insert(Arc::clone(&by));
+        let is_agreement =
+            suspects && before == Standing::Suspect && member.suspected_by.insert(Arc::clone(by));
         if !is_newer {
             if is_agreement && member.suspected_by.len() == AGREED {
-                self.tell(Rumor::Member { card, standing, by });
+                return News::Urgent;
             }
-            return false;
+            let is_same = (card.version, standing) == (member.card.version, before);
+            return if is_same { News::Known } else { News::Old };
         }
         if card.version > member.card.version {
             member.suspected_by.clear();
         }
         if standing == Standing::Suspect {
-            member.suspected_by.insert(Arc::clone(&by));
+            member.suspected_by.insert(Arc::clone(by));
         }
-        if standing != member.standing {
+        if standing != before {
             member.since_ms = now_ms;
         }
         member.card = card.clone();
         member.standing = standing;
         self.note_changed(&card.registration.id);
-        self.tell(Rumor::Member { card, standing, by });
-        true
+        News::of(before, card, standing)
     }
 
-    fn add(&mut self, card: Card, standing: Standing, by: Arc<str>, now_ms: u64) -> bool {
+    fn add(&mut self, card: &Card, standing: Standing, by: &Arc<str>, now_ms: u64) {
         let id = Arc::clone(&card.registration.id);
         let suspects = standing == Standing::Suspect;
         let member = Member {
@@ -198,23 +227,20 @@
             versions: Versions::default(),
             standing,
             since_ms: now_ms,
-            suspected_by: suspects.then(|| Arc::clone(&by)).into_iter().collect(),
+            suspected_by: suspects.then(|| Arc::clone(by)).into_iter().collect(),
         };
         self.members.insert(Arc::clone(&id), member);
         self.note_changed(&id);
-        self.tell(Rumor::Member { card, standing, by });
-        true
     }
 
     /// Refutes what others think of this instance, or of a former one under its name.
-    fn hear_of_me(&mut self, card: Card, standing: Standing) -> bool {
+    fn hear_of_me(&mut self, card: &Card, standing: Standing) {
         let is_other_life = card.registration.incarnation != self.me().incarnation;
         let is_wrong = standing != Standing::Alive || is_other_life;
         if is_wrong && card.version >= self.card.version {
             self.card.version = card.version;
             self.announce();
         }
-        false
     }
 
     /// Takes in what a probe's sender says of itself and of others.
@@ -281,27 +307,65 @@
     }
 
     fn sum_up(&self) -> u64 {
-        let known = self.members.values().filter(|member| member.is_alive());
-        let known = known.map(|member| &member.card).chain([&self.card]);
-        known.fold(0, |sum, card| {
+        self.cards().fold(0, |sum, card| {
             sum ^ xxh3_64_with_seed(card.registration.id.as_bytes(), card.version)
         })
     }
 
-    /// Tells all members to one that is new.
-    fn tell_everything(&mut self, to: SocketAddr) {
-        let all: Vec<Rumor> = self.alive().map(|member| self.rumor_of(member)).collect();
-        for part in all.chunks(MOST_TOLD) {
-            self.out.push((to, Message::Rumors(part.to_vec())));
+    /// The cards of all that live, this instance's own included.
+    fn cards(&self) -> impl Iterator<Item = &Card> {
+        self.alive().map(|member| &member.card).chain([&self.card])
+    }
+
+    /// Compares with another instance what is known.
+    fn compare(&mut self, to: SocketAddr) {
+        let sums = Sums::over(self.cards(), Sums::parts_for(self.members.len()));
+        self.out.push((to, Message::Sums(sums, false)));
+    }
+
+    /// Tells what another one lacks, or knows otherwise, as its sums say; unless they are an answer, it
+    /// gets this instance's own.
+    pub fn hear_sums(
+        &mut self,
+        sums: &Sums,
+        is_answer: bool,
+        from: SocketAddr,
+        random: &mut dyn Random,
+    ) {
+        let own = Sums::over(self.cards(), sums.parts());
+        if own.parts() != sums.parts() {
+            return;
+        }
+        let members: Vec<Rumor> = self
+            .from_anywhere(random)
+            .filter(|member| own.differ_at(sums, &member.card.registration.id))
+            .map(|member| self.rumor_of(member))
+            .take(MOST_TOLD)
+            .collect();
+        self.tell_members(members, from);
+        if !is_answer {
+            self.out.push((from, Message::Sums(own, true)));
+        }
+    }
+
+    /// Tells some members to one that is new; it finds the others by comparing.
+    fn introduce(&mut self, to: SocketAddr, random: &mut dyn Random) {
+        let alive = self.from_anywhere(random).filter(|member| member.is_alive());
+        let members = alive.map(|member| self.rumor_of(member)).take(MOST_IN_MESSAGE).collect();
+        self.tell_members(members, to);
+    }
+
+    fn tell_members(&mut self, members: Vec<Rumor>, to: SocketAddr) {
+        for part in members.chunks(MOST_IN_MESSAGE) {
+            self.out.push((to, Message::Members(part.to_vec())));
         }
     }
 
-    /// A few members, different ones each time.
-    fn sample(&self, most: usize, random: &mut dyn Random) -> Vec<Rumor> {
-        let start = random.below(self.members.len().max(1) as u64) as usize;
-        let from_start = self.members.values().cycle().skip(start);
-        let some = from_start.take(most.min(self.members.len()));
-        some.map(|member| self.rumor_of(member)).collect()
+    /// All members in the order of their ids, from a different one on each time.
+    fn from_anywhere(&self, random: &mut dyn Random) -> impl Iterator<Item = &Member> {
+        let count = self.members.len();
+        let start = random.below(count.max(1) as u64) as usize;
+        self.members.values().cycle().skip(start).take(count)
     }
 
     /// Who is told in one round.
@@ -325,6 +389,27 @@
     }
 }
 
+/// What a rumor about a member is to the one that hears it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum News {
+    /// Something older than what is known.
+    Old,
+    /// What is known.
+    Known,
+    /// That an instance lives, as most do.
+    Arrival,
+    /// Anything else.
+    Urgent,
+}
+
+impl News {
+    /// What a card is that is newer than what was known, which stood so before.
+    fn of(before: Standing, card: &Card, standing: Standing) -> News {
+        let is_alive = before == Standing::Alive && standing == Standing::Alive;
+        if is_alive && card.phase != Phase::Stopping { News::Arrival } else { News::Urgent }
+    }
+}
+
 /// Leaves a few of all, drawn without order.
 fn pick<T>(all: &mut Vec<T>, most: usize, random: &mut dyn Random) {
     for index in 0..most.min(all.len()) {
--- a/src/gateway/membership/members/probing.rs
+++ b/src/gateway/membership/members/probing.rs
@@ -7,7 +7,7 @@
 use super::super::card::{Member, Standing};
 use super::super::message::{Message, Probe};
 use super::super::rumors::Rumor;
-use super::{AGREED, MOST_TOLD, Membership};
+use super::{AGREED, Membership};
 use crate::decide::Random;
 
 /// The pause between two pings of an instance by one of its observers.
@@ -197,33 +197,32 @@
         let version = ping.card.version;
         let id = Arc::clone(&ping.card.registration.id);
         let is_new = !self.members.contains_key(&id);
-        let knows_others = ping.known_sum != self.known_sum();
         self.hear(ping, now_ms);
-        let mut rumors = self.told_to(&id, version);
+        let rumors = self.told_to(&id, version);
         if is_new {
-            self.tell_everything(from);
-        } else if knows_others {
-            rumors.extend(self.sample(MOST_TOLD, random));
+            self.introduce(from, random);
         }
         let answer = Probe { number, ..self.probe(rumors) };
         self.out.push((from, Message::Ack(answer)));
     }
 
     /// Takes in an answer to a ping of this instance, or passes on one to a ping for another.
-    pub fn hear_ack(&mut self, ack: Probe, now_ms: u64, random: &mut dyn Random) {
+    pub fn hear_ack(&mut self, ack: Probe, now_ms: u64) {
         if let Some((asker, number)) = self.relayed.remove(&ack.number) {
             self.out.push((asker, Message::Ack(Probe { number, ..ack.clone() })));
         }
         let id = Arc::clone(&ack.card.registration.id);
         let addr = ack.card.registration.peer_addr;
         let knows_others = ack.known_sum != self.known_sum();
-        if let Some(observation) = self.observed.get_mut(&id) {
+        let observation = self.observed.get_mut(&id);
+        let is_observed = observation.is_some();
+        if let Some(observation) = observation {
             observation.is_answered = true;
         }
         self.hear(ack, now_ms);
-        if knows_others {
-            let told = self.sample(MOST_TOLD, random);
-            self.out.push((addr, Message::Rumors(told)));
+        // The contacts, whom all ask at a start, are compared with only if they are observed.
+        if knows_others && is_observed {
+            self.compare(addr);
         }
     }
 
--- a/src/gateway/membership/message.rs
+++ b/src/gateway/membership/message.rs
@@ -10,9 +10,10 @@
 use super::super::rate::{NamedRate, Permit, Rate};
 use super::card::{Card, Versions};
 use super::rumors::Rumor;
+use super::sums::Sums;
 
 /// The version of the datagrams' layout. Instances of another one are not understood.
-const LAYOUT: u8 = 3;
+const LAYOUT: u8 = 4;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -25,6 +26,10 @@
     PingOther(Probe, SocketAddr),
     /// News for all.
     Rumors(Vec<Rumor>),
+    /// Sums over what the sender knows of members, part by part; it was asked for them if `true`.
+    Sums(Sums, bool),
+    /// Members that the receiver lacks or knows otherwise. No news: others know them already.
+    Members(Vec<Rumor>),
     /// What the sender has running at upstreams, for its failure domain.
     Loads(LoadNews),
     /// What all instances of a failure domain have running, for another one.
--- a/src/gateway/membership/mod.rs
+++ b/src/gateway/membership/mod.rs
@@ -3,7 +3,8 @@
 //! Each instance pings a few others, its successors on a ring that all compute alike, so that each
 //! is observed by as many. What doesn't answer, neither directly nor through others, is suspected;
 //! it may refute that by a higher version of itself, else it is dead when two observers agree or a
-//! moment has passed. What is learned spreads as rumors, each sent a bounded number of times.
+//! moment has passed. What is learned spreads as rumors, each sent a bounded number of times; what
+//! rumors left out, members find by comparing [`Sums`] with those they ping.
 //!
 //! The protocol follows SWIM (Das, Gupta, Motivala: "SWIM: Scalable Weakly-consistent
 //! Infection-style Process Group Membership Protocol", DSN 2002); an instance that was itself late
@@ -16,8 +17,10 @@
 mod members;
 mod message;
 mod rumors;
+mod sums;
 
 pub use self::card::{Card, Member, Phase, Standing, Versions};
 pub use self::members::{Membership, PROBE_MS};
 pub use self::message::{Message, PermitAsk, Probe, SignalNews, decode, encode};
 pub use self::rumors::{GOSSIP_MS, Rumor, Rumors};
+pub use self::sums::Sums;
--- a/src/gateway/membership/rumors.rs
+++ b/src/gateway/membership/rumors.rs
@@ -17,11 +17,15 @@
 pub(super) const FANOUT: usize = 4;
 /// The most rumors in one message, so that it stays under 4 KB.
 const MOST_IN_MESSAGE: usize = 32;
+/// The most arrivals that are told at once: in a start of the whole fleet, each instance would repeat the
+/// arrival of all others many times. Those left out come to light when members compare what they know.
+const MOST_ARRIVALS: usize = MOST_IN_MESSAGE / 2;
 
 /// A piece of news that all instances should have soon.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Rumor {
     /// How an instance stands.
+    #[serde(rename = "m")]
     Member {
         /// What it said of itself.
         card: Card,
@@ -66,6 +70,7 @@
 struct Pending {
     rumor: Rumor,
     rounds_left: u32,
+    is_arrival: bool,
 }
 
 /// The rumors that this instance still tells.
@@ -78,7 +83,30 @@
     /// Takes up a rumor, to be told in so many rounds that all of a fleet have very likely heard it.
     pub fn add(&mut self, rumor: Rumor, instances: usize) {
         let rounds_left = rounds(instances);
-        self.pending.insert(rumor.subject(), Pending { rumor, rounds_left });
+        self.pending.insert(rumor.subject(), Pending { rumor, rounds_left, is_arrival: false });
+    }
+
+    /// Takes up the rumor that an instance lives, unless there are too many of the kind.
+    pub fn add_arrival(&mut self, rumor: Rumor, instances: usize) {
+        let subject = rumor.subject();
+        let arrivals = self.pending.values().filter(|pending| pending.is_arrival).count();
+        if arrivals < MOST_ARRIVALS || self.pending.contains_key(&subject) {
+            let rounds_left = rounds(instances);
+            self.pending.insert(subject, Pending { rumor, rounds_left, is_arrival: true });
+        }
+    }
+
+    /// Notes that another instance told the same: it need not be told as often from here.
+    pub fn heard(&mut self, rumor: &Rumor) {
+        let subject = rumor.subject();
+        let Some(pending) = self.pending.get_mut(&subject) else { return };
+        if pending.rumor != *rumor {
+            return;
+        }
+        pending.rounds_left -= 1;
+        if pending.rounds_left == 0 {
+            self.pending.remove(&subject);
+        }
     }
 
     /// Whether there is nothing to tell.
--- a/tests/gateway/membership.rs
+++ b/tests/gateway/membership.rs
@@ -165,7 +165,7 @@
             Some(Message::Ping(probe)) => {
                 membership.hear_ping(probe, from, now_ms, &mut self.random);
             }
-            Some(Message::Ack(probe)) => membership.hear_ack(probe, now_ms, &mut self.random),
+            Some(Message::Ack(probe)) => membership.hear_ack(probe, now_ms),
             Some(Message::PingOther(probe, target)) => {
                 membership.hear_ping_other(probe, target, from);
             }
@@ -175,6 +175,10 @@
                     membership.hear_of(card, standing, by, now_ms);
                 }
             }
+            Some(Message::Sums(sums, is_answer)) => {
+                membership.hear_sums(&sums, is_answer, from, &mut self.random);
+            }
+            Some(Message::Members(members)) => membership.hear_members(members, now_ms),
             _ => {}
         }
     }
