--- a/bench/src/forwarder.rs
+++ b/bench/src/forwarder.rs
@@ -39,6 +39,7 @@
         directory: None,
         peer,
         metrics: None,
+        link_mbps: 0,
         seeds: Vec::new(),
         keep_ms: 5_000,
         grace_ms: 1_000,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -15,6 +15,7 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -22,19 +23,22 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
 
+use self::knowledge::Guest;
 use super::dialect::Dialect;
 use super::directory::Directory;
 use super::fleet::Fleet;
 use super::instance::Registration;
-use super::loads::{Loads, Told};
+use super::loads::{Loads, Part, Told};
 use super::membership::{Membership, Phase, Standing, Versions};
 use super::metrics::Metrics;
+use super::policy::active;
 use super::policy::departures::Departures;
 use super::policy::found::Found;
 use super::policy::named_rates::NamedRates;
 use super::policy::quarantine::Quarantine;
 use super::policy::rate_limit::Limiter;
-use super::policy::watchers;
+use super::policy::subset::Share;
+use super::policy::watchers::{self, Rank};
 use super::rate::Permit;
 use super::route::Config;
 use super::settings::Settings;
@@ -74,8 +78,14 @@
     first_hand: usize,
     /// Upstreams that any instance lost, with the time until which that counts.
     lost: BTreeMap<Arc<str>, u64>,
-    /// The instances that take callers.
+    /// The instances that callers are sent to.
     fronts: Arc<Vec<Front>>,
+    /// The phase of this instance as of when they were worked out.
+    fronts_phase: Phase,
+    /// The others of this failure domain that place requests, also while they start or stop.
+    placing_near: Vec<SocketAddr>,
+    /// Whether this instance is one of those.
+    is_placing: bool,
     phase: Phase,
     is_directory_lost: bool,
     /// When the directory last answered.
@@ -86,6 +96,8 @@
     is_outage_own: bool,
     messages: u64,
     told: Told,
+    /// Whether the last whole message on the traffic here said that there is none.
+    has_told_nothing: bool,
     /// What peers were told that this instance knows.
     told_versions: Versions,
     /// The revisions of the list that were pushed last.
@@ -93,7 +105,39 @@
     /// What is new came from the directory, so that others don't have it yet.
     is_first_to_tell: bool,
     behind_since_ms: Option<u64>,
-    is_fetching: bool,
+    is_fetching_config: bool,
+    is_fetching_list: bool,
+    /// Until when no list is fetched, after a fetch that brought nothing.
+    list_retry_ms: u64,
+    /// Instances that hold the whole list, as others told.
+    list_holders_told: VecDeque<SocketAddr>,
+    /// What `fleet` holds.
+    part: Part,
+    /// Whether more changed in that than went into a message.
+    is_behind: bool,
+    /// The share of the large services that is to be fetched.
+    wanted_share: Option<Share>,
+    /// Until when this instance holds more of them than its rank asks for.
+    wide_until_ms: u64,
+    /// Since when it has no reason to hold all of them.
+    narrows_since_ms: Option<u64>,
+    /// Since when too few instances hear from the directory.
+    few_watch_since_ms: Option<u64>,
+    /// Upstreams of large services that traffic knows for a moment although this instance doesn't hold them.
+    guests: BTreeMap<Arc<str>, Guest>,
+    /// Grows with each of them.
+    guest_changes: u64,
+    /// What traffic's list was made from.
+    published: Option<Published>,
+}
+
+/// What a list for traffic was made from; a list that is made from the same is the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Published {
+    fleet: u64,
+    found: u64,
+    guests: (u64, usize),
+    share: Share,
 }
 
 /// The control thread's state.
@@ -145,7 +189,7 @@
             fleet: Fleet::default(),
             found: Found::default(),
             has_fleet: false,
-            membership: Membership::new(me.clone(), &contacts, start_version()),
+            membership: Membership::new(me.clone(), settings.link_mbps, &contacts, start_version()),
             loads: Loads::new(Arc::clone(&settings.domain), window_ms),
             quarantine: Quarantine::default(),
             quarantine_version: 0,
@@ -157,6 +201,9 @@
             first_hand: 0,
             lost: BTreeMap::new(),
             fronts: Arc::default(),
+            fronts_phase: Phase::Starting,
+            placing_near: Vec::new(),
+            is_placing: true,
             phase: Phase::Starting,
             is_directory_lost: false,
             answered_ms: 0,
@@ -165,11 +212,24 @@
             is_outage_own: false,
             messages: 0,
             told: Told::default(),
+            has_told_nothing: false,
             told_versions: Versions::default(),
             pushed: VecDeque::new(),
             is_first_to_tell: false,
             behind_since_ms: None,
-            is_fetching: false,
+            is_fetching_config: false,
+            is_fetching_list: false,
+            list_retry_ms: 0,
+            list_holders_told: VecDeque::new(),
+            part: knowledge::everything(),
+            is_behind: false,
+            wanted_share: None,
+            wide_until_ms: 0,
+            narrows_since_ms: None,
+            few_watch_since_ms: None,
+            guests: BTreeMap::new(),
+            guest_changes: 0,
+            published: None,
         };
         let board = RefCell::new(board);
         let broken_watch = Notify::new();
@@ -206,6 +266,7 @@
         tokio::task::spawn_local(Rc::clone(self).tell_loads());
         tokio::task::spawn_local(Rc::clone(self).tell_digests());
         tokio::task::spawn_local(Rc::clone(self).tell_newer());
+        tokio::task::spawn_local(Rc::clone(self).ask_changes());
         tokio::task::spawn_local(Rc::clone(self).seek_successors());
         tokio::task::spawn_local(Rc::clone(self).keep_quarantine());
         tokio::task::spawn_local(Rc::clone(self).keep_signals());
@@ -258,18 +319,13 @@
         let phase = board.phase;
         let versions = Control::versions(&board);
         let is_first_hand = Control::is_first_hand(&board);
-        board.membership.set_me(phase, is_first_hand, versions);
+        let share = board.part.share;
+        board.membership.set_me(phase, is_first_hand, share, versions);
         self.note_members(&mut board);
         board.lost.retain(|_, until_ms| *until_ms > now_ms);
         let before = self.shared.view.load();
-        let upstreams = board.found.merge(&board.fleet.upstreams);
-        let fleet = if before.fleet.upstreams == *upstreams {
-            Arc::clone(&before.fleet)
-        } else {
-            let mut fleet = board.fleet.clone();
-            fleet.upstreams = upstreams.into_owned();
-            Arc::new(fleet)
-        };
+        let share = Control::traffic_share(&board);
+        let fleet = self.traffic_list(&mut board, share, &before.fleet);
         let version = board.quarantine.version();
         let is_quarantine_new = version != board.quarantine_version;
         let quarantine = if is_quarantine_new {
@@ -285,6 +341,8 @@
             is_directory_silent: board.is_directory_lost,
             fronts: Arc::clone(&board.fronts),
             instances: board.membership.alive().count() as u32 + 1,
+            share,
+            large: board.part.large.clone(),
             others: board.loads.held(),
             sent: Arc::new(board.loads.sent(now_ms)),
             lost: Arc::new(board.lost.keys().cloned().collect()),
@@ -312,6 +370,39 @@
         }
     }
 
+    /// The share of the large services that traffic uses, also where this instance holds all for others.
+    fn traffic_share(board: &Board) -> Share {
+        if !board.part.share.is_all() || board.part.large.is_empty() {
+            return board.part.share;
+        }
+        Control::suitable_share(board)
+    }
+
+    /// The list of upstreams for traffic, which is made anew only if something changed.
+    fn traffic_list(&self, board: &mut Board, share: Share, before: &Arc<Fleet>) -> Arc<Fleet> {
+        let published = Published {
+            fleet: board.fleet.changes(),
+            found: board.found.changes(),
+            guests: (board.guest_changes, board.guests.len()),
+            share,
+        };
+        if board.published.replace(published) == Some(published) {
+            return Arc::clone(before);
+        }
+        let mut upstreams = board.found.merge(&board.fleet.upstreams).into_owned();
+        if !share.is_all() {
+            let holds = knowledge::holds(&self.me.id, &Part { share, ..board.part.clone() });
+            upstreams.retain(|id, upstream| holds(id, &upstream.service));
+        }
+        for Guest { upstream, .. } in board.guests.values() {
+            upstreams.entry(Arc::clone(&upstream.id)).or_insert_with(|| upstream.clone());
+        }
+        if before.upstreams == upstreams {
+            return Arc::clone(before);
+        }
+        Arc::new(Fleet::of(board.fleet.revision, upstreams))
+    }
+
     /// Follows what changed among the members: who takes callers, and whose load has ended.
     fn note_members(&self, board: &mut Board) {
         let now_ms = self.clock.now_ms();
@@ -326,22 +417,39 @@
             }
         }
         self.doubt_directory(board);
-        let has_own = board.fronts.iter().any(|front| front.addr == self.me.front_addr);
-        if changed.is_empty() && has_own == (board.phase == Phase::Ready) {
+        let has_own = board.fronts_phase == board.phase;
+        if changed.is_empty() && has_own {
             return;
         }
-        let mut fronts = Vec::new();
-        if board.phase == Phase::Ready {
-            fronts.push(Front { addr: self.me.front_addr, domain: Arc::clone(&self.me.domain) });
-        }
-        for member in board.membership.alive() {
-            let takes_callers = member.card.phase == Phase::Ready;
-            if takes_callers && member.standing == Standing::Alive {
-                let Registration { front_addr, domain, .. } = &member.card.registration;
-                fronts.push(Front { addr: *front_addr, domain: Arc::clone(domain) });
-            }
+        board.fronts_phase = board.phase;
+        self.note_fronts(board);
+    }
+
+    /// Works out where callers are sent, and who hears of loads here.
+    fn note_fronts(&self, board: &mut Board) {
+        let me = board.membership.my_card();
+        let ready = board.membership.alive().filter(|member| member.standing == Standing::Alive);
+        let ready = ready.map(|member| &member.card).filter(|card| card.phase == Phase::Ready);
+        let mut domains: BTreeMap<&str, Vec<(Rank, &Registration)>> = BTreeMap::new();
+        for card in ready.chain((board.phase == Phase::Ready).then_some(me)) {
+            let ranked = (card.rank(), &card.registration);
+            domains.entry(&card.registration.domain).or_default().push(ranked);
         }
+        let active = domains.into_values().flat_map(|ranked| active::active(ranked.into_iter()));
+        let front = |registration: &Registration| Front {
+            addr: registration.front_addr,
+            domain: Arc::clone(&registration.domain),
+        };
+        let fronts = active.map(front).collect();
+        let near = board.membership.alive().map(|member| &member.card).chain([me]);
+        let near = near.filter(|card| card.registration.domain == self.me.domain);
+        let placing = active::active(near.map(|card| (card.rank(), &card.registration)));
+        let is_placing = placing.iter().any(|registration| registration.id == self.me.id);
+        let others = placing.into_iter().filter(|registration| registration.id != self.me.id);
+        let placing_near = others.map(|registration| registration.peer_addr).collect();
         board.fronts = Arc::new(fronts);
+        board.is_placing = is_placing;
+        board.placing_near = placing_near;
     }
 
     /// Has this instance's own watch checked if another one has lost the directory: a watch waits for
@@ -372,6 +480,8 @@
         self.metrics.gauge("config_version", versions.config);
         self.metrics.gauge("list_revision", versions.fleet);
         self.metrics.gauge("upstreams", board.fleet.upstreams.len() as u64);
+        self.metrics.gauge("large_services", board.part.large.len() as u64);
+        self.metrics.gauge("share_halvings", u64::from(board.part.share.halvings()));
         self.metrics.gauge("peers", board.membership.alive().count() as u64);
         let is_first_hand = Control::is_first_hand(&board);
         self.metrics.gauge("is_watching_directory", u64::from(is_first_hand));
--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -9,9 +9,9 @@
 use super::super::fleet::Change;
 use super::super::membership::Phase;
 use super::super::metrics::Time;
+use super::super::policy::subset::Share;
 use super::super::policy::watchers::{self, Turn};
-use super::Control;
-use super::knowledge::{self, Known};
+use super::{Board, Control};
 
 /// The wait after a call that failed; doubled up to the longest.
 const RETRY_MS: u64 = 150;
@@ -22,11 +22,15 @@
 const LEASE_MS: u64 = 30_000;
 /// The pause between renewals, a third of the lease.
 const RENEW_MS: u64 = 10_000;
+/// The longest pause after a renewal that failed: three more are made before the lease ends.
+const REGISTER_RETRY_MOST_MS: u64 = 5_000;
 /// How long an instance that starts asks seeds: one that starts at the same time knows everything
 /// within a few round trips.
 const START_MS: u64 = 400;
 /// The first pause between two questions, doubled each time.
 const FIRST_PAUSE_MS: u64 = 20;
+/// The pause after which a seed is asked for the last time.
+const LAST_PAUSE_MS: u64 = 160;
 /// Within which time those that heard nothing ask the directory, not all at once.
 const START_SPREAD_MS: u64 = 600;
 /// How often an instance looks whether it should watch the directory.
@@ -43,9 +47,16 @@
 impl Control {
     pub(super) async fn follow_directory(self: Rc<Control>) {
         let mut retry_ms = RETRY_MS;
+        let mut is_history_gone = false;
         self.ask_seeds().await;
         loop {
             self.wait_for_turn().await;
+            if let Some(revision) = self.told_revision().filter(|_| !is_history_gone) {
+                slog::info!(self.log, "directory watched from where peers know it";
+                    "revision" => revision);
+                is_history_gone = !self.watch(revision).await;
+                continue;
+            }
             let listed = self.timed("list", self.directory.list()).await;
             match listed {
                 Ok(listing) => {
@@ -53,7 +64,7 @@
                     let revision = listing.revision;
                     self.directory_answered();
                     self.take_listing(listing);
-                    self.watch(revision).await;
+                    is_history_gone = !self.watch(revision).await;
                 }
                 Err(fault) => {
                     self.directory_failed(&fault);
@@ -65,16 +76,28 @@
         }
     }
 
-    /// Follows the changes until they are no longer kept.
-    pub(super) async fn watch(&self, mut revision: u64) {
+    /// The revision up to which peers told this instance everything, configurations included: it need
+    /// not read anew what they read.
+    fn told_revision(&self) -> Option<u64> {
+        let board = self.board.borrow();
+        let versions = Control::versions(&board);
+        let has_config =
+            board.config.is_some() && versions.config >= board.membership.newest_config();
+        (board.has_fleet && board.part.share.is_all() && has_config).then_some(versions.fleet)
+    }
+
+    /// Follows the changes. Returns whether the watch was left to others; it ends also when the changes
+    /// are no longer kept.
+    pub(super) async fn watch(&self, mut revision: u64) -> bool {
         let mut retry_ms = RETRY_MS;
-        let mut is_check = false;
+        // Others should hear at once that this instance hears from the directory.
+        let mut is_check = true;
         loop {
             let turn = self.turn();
             if !turn.watches() {
                 self.board.borrow_mut().is_watching = false;
                 slog::info!(self.log, "directory left to others"; "revision" => revision);
-                return;
+                return true;
             }
             let wait_ms = if is_check { CHECK_WAIT_MS } else { turn.wait_ms() };
             let watched = tokio::select! {
@@ -103,7 +126,7 @@
                 }
                 Err(fault @ Fault::HistoryGone) => {
                     slog::info!(self.log, "directory read anew"; "why" => %fault);
-                    return;
+                    return false;
                 }
                 Err(fault) => {
                     self.directory_failed(&fault);
@@ -117,22 +140,39 @@
 
     /// Where this instance stands among those that hear from the directory.
     fn turn(&self) -> Turn {
-        let board = self.board.borrow();
+        self.turn_of(&self.board.borrow())
+    }
+
+    pub(super) fn turn_of(&self, board: &Board) -> Turn {
         let first_hand = board.membership.alive().filter(|member| member.card.is_first_hand);
-        Turn::of(&self.me.id, first_hand.map(|member| &*member.card.registration.id))
+        Turn::of(board.membership.my_rank(), first_hand.map(|member| member.card.rank()))
     }
 
     /// How many times longer than the first in rank it waits for a directory that answers nobody.
     fn patience(&self) -> u64 {
-        let board = self.board.borrow();
-        let alive = board.membership.alive().map(|member| &*member.card.registration.id);
-        Turn::patience(Turn::of(&self.me.id, alive).before)
+        Turn::patience(self.board.borrow().membership.before_me())
     }
 
     fn should_watch(&self) -> bool {
+        let now_ms = self.clock.now_ms();
         let turn = self.turn();
-        let is_settling = turn.others == 0 && self.clock.now_ms() < SETTLE_MS;
-        !self.board.borrow().has_fleet || (turn.watches() && !is_settling)
+        let board = self.board.borrow();
+        let before_me = board.membership.before_me();
+        if !board.has_fleet {
+            if !self.has_seeds() {
+                return true;
+            }
+            // Those that others know of are told soon, and know too few yet to tell their rank.
+            let is_alone = board.membership.alive().next().is_none();
+            let since_ms = if is_alone { START_MS } else { SETTLE_MS };
+            return now_ms >= since_ms && watchers::may_read(before_me, now_ms - since_ms);
+        }
+        let is_settling = turn.others == 0 && now_ms < SETTLE_MS;
+        if is_settling || !turn.watches() {
+            return false;
+        }
+        let short_ms = board.few_watch_since_ms.map_or(0, |since_ms| now_ms - since_ms);
+        watchers::may_read(before_me, short_ms)
     }
 
     /// Whether there are others whom it asks when it starts; the seeds themselves ask nobody.
@@ -142,7 +182,9 @@
     }
 
     /// Asks the seeds what they know before the directory is asked: reading everything is dear for
-    /// the directory when many start at once. The seeds, whom all ask, read it themselves.
+    /// the directory when many start at once. The seeds, whom all ask, read it themselves. After a few
+    /// questions it leaves it to its peers to tell what they know: in a large fleet that starts together
+    /// the seeds would do nothing but answer.
     async fn ask_seeds(&self) {
         if !self.has_seeds() {
             return;
@@ -151,14 +193,11 @@
         let patience_ms = START_MS + fastrand::u64(..START_SPREAD_MS);
         let mut pause_ms = FIRST_PAUSE_MS;
         while self.clock.now_ms() < patience_ms && !self.board.borrow().has_fleet {
-            let seed = seeds[fastrand::usize(..seeds.len())];
-            let limit = Duration::from_millis(START_MS);
-            let asked = tokio::time::timeout(limit, knowledge::fetch(seed, Known::default()));
-            if let Ok(Some(known)) = asked.await
-                && known.config.is_some()
-            {
-                self.take_knowledge(known, seed);
-                return;
+            if pause_ms <= LAST_PAUSE_MS {
+                let seed = seeds[fastrand::usize(..seeds.len())];
+                if self.fetch_config(seed).await {
+                    self.fetch_list(seed).await;
+                }
             }
             tokio::time::sleep(Duration::from_millis(fastrand::u64(pause_ms..2 * pause_ms))).await;
             pause_ms = (pause_ms * 2).min(RETRY_MOST_MS);
@@ -234,6 +273,9 @@
         if board.fleet.replace(listing.revision, upstreams, &foreign, now_ms) {
             board.has_fleet = true;
         }
+        board.part.share = Share::ALL;
+        board.wanted_share = None;
+        Control::note_large(&mut board);
         board.is_first_to_tell = true;
         drop(board);
         self.publish();
@@ -267,6 +309,7 @@
         }
         let mut board = self.board.borrow_mut();
         board.fleet.apply(changes.revision, of_upstreams, now_ms);
+        Control::note_large(&mut board);
         board.is_first_to_tell = true;
         drop(board);
         self.publish();
@@ -306,6 +349,7 @@
     }
 
     pub(super) async fn keep_registration(self: Rc<Control>) {
+        let mut retry_ms = RETRY_MOST_MS;
         loop {
             if self.is_stopping() {
                 // A registration that was under way when the stop began has just come about.
@@ -323,11 +367,15 @@
             };
             match kept {
                 Ok(()) if self.is_stopping() => {}
-                Ok(()) => tokio::time::sleep(Duration::from_millis(RENEW_MS)).await,
+                Ok(()) => {
+                    retry_ms = RETRY_MOST_MS;
+                    tokio::time::sleep(Duration::from_millis(RENEW_MS)).await;
+                }
                 Err(Fault::LeaseEnded) => self.board.borrow_mut().lease = None,
                 Err(fault) => {
                     slog::info!(self.log, "registration not renewed"; "why" => %fault);
-                    tokio::time::sleep(Duration::from_millis(RETRY_MOST_MS)).await;
+                    tokio::time::sleep(Duration::from_millis(retry_ms)).await;
+                    retry_ms = (retry_ms * 2).min(REGISTER_RETRY_MOST_MS);
                 }
             }
         }
@@ -338,9 +386,9 @@
     pub(super) fn registers(&self) -> bool {
         let now_ms = self.clock.now_ms();
         let board = self.board.borrow();
-        let others = board.membership.alive().map(|member| &*member.card.registration.id);
+        let others = board.membership.alive().map(|member| member.card.rank());
         let knows_others = now_ms >= REGISTER_LOOK_MS || !self.has_seeds();
-        knows_others && watchers::registers(&self.me.id, others)
+        knows_others && watchers::registers(board.membership.my_rank(), others)
     }
 
     fn is_stopping(&self) -> bool {
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -7,11 +7,14 @@
 
 use tokio::net::UdpSocket;
 
-use super::super::fleet::Delta;
+use super::super::fleet::{Delta, Upstream};
 use super::super::instance::Registration;
-use super::super::loads::{Changes, DIGEST_MS, Digest, LoadNews};
-use super::super::membership::{self, GOSSIP_MS, Message, PROBE_MS, Probe, Rumor, Versions};
-use super::{Board, Control, LOST_TOLD_MS};
+use super::super::loads::{Changes, DIGEST_MS, Digest, LoadNews, Part};
+use super::super::membership::{
+    self, Card, ChangesAsk, GOSSIP_MS, Message, PROBE_MS, Probe, Rumor, Versions,
+};
+use super::super::policy::watchers;
+use super::{Board, Control, LOST_TOLD_MS, knowledge};
 
 /// How long news gather before peers hear of them: a burst of placements or losses comes within a few
 /// milliseconds.
@@ -31,6 +34,12 @@
 const PUSHES_REPEATED: usize = 2;
 /// Peers of the same failure domain that get everything in each round, for what was lost on the way.
 const REFRESHED: usize = 3;
+/// Instances that push changes of large services to those that hold a part of them: the first in rank of
+/// those that hear from the directory, and one for what gets lost.
+const PUSHERS: usize = 2;
+/// How often, on average, an instance asks what it was not told: of a service of which it holds a part,
+/// or because a message was lost.
+const ASK_MS: u64 = 1_000;
 
 impl Control {
     /// Sends the messages that the membership has to send.
@@ -59,7 +68,13 @@
 
     /// One living peer of each other failure domain.
     pub(super) fn one_of_each_other_domain(&self, board: &Board) -> Vec<SocketAddr> {
-        let alive = board.membership.alive().map(|member| &member.card.registration);
+        self.one_of_each(board, |_| true)
+    }
+
+    /// One living peer of each other failure domain for which something holds.
+    fn one_of_each(&self, board: &Board, holds: impl Fn(&Card) -> bool) -> Vec<SocketAddr> {
+        let cards = board.membership.alive().map(|member| &member.card);
+        let alive = cards.filter(|card| holds(card)).map(|card| &card.registration);
         let mut far: Vec<&Registration> =
             alive.filter(|other| other.domain != self.me.domain).collect();
         fastrand::shuffle(&mut far);
@@ -77,6 +92,7 @@
             self.refresh_loads();
             self.dirty.notify_one();
             self.note_gauges(now_ms);
+            self.settle_share(now_ms);
             self.fetch_if_behind(now_ms);
             self.tell_quarantine_to_one();
             self.tell_signals_to_one();
@@ -89,7 +105,15 @@
         let mut board = self.board.borrow_mut();
         board.membership.tick(now_ms, &mut fastrand::Rng::new());
         board.fleet.expire(now_ms);
+        board.guests.retain(|_, guest| guest.until_ms > now_ms);
         let is_heard = Control::is_directory_heard(&board);
+        let first_hand = board.membership.alive().filter(|member| member.card.is_first_hand);
+        let watching = first_hand.count() + usize::from(Control::is_first_hand(&board));
+        if watchers::are_enough(watching) {
+            board.few_watch_since_ms = None;
+        } else {
+            board.few_watch_since_ms.get_or_insert(now_ms);
+        }
         if board.found.note_directory(is_heard, now_ms) {
             slog::info!(self.log, "engines found meanwhile count only as listed");
         }
@@ -135,7 +159,7 @@
             let sent = change.sent;
             let news = self.load_news(&mut board);
             let news = LoadNews { held: change.held, sent, places: change.places, ..news };
-            let near = self.near_peers(&board);
+            let near = board.placing_near.clone();
             drop(board);
             self.send(&Message::Loads(news), &near);
         }
@@ -169,7 +193,14 @@
             sent_by_ended,
             ..self.load_news(&mut board)
         };
-        let mut near = self.near_peers(&board);
+        let says_nothing = news.held.is_empty()
+            && news.sent_by_ended.is_empty()
+            && news.sent.iter().flatten().all(|sent| sent.requests + sent.repeats == 0);
+        if says_nothing && std::mem::replace(&mut board.has_told_nothing, true) {
+            return;
+        }
+        board.has_told_nothing = says_nothing;
+        let mut near = board.placing_near.clone();
         drop(board);
         fastrand::shuffle(&mut near);
         near.truncate(REFRESHED);
@@ -179,12 +210,16 @@
     /// Takes its turn in telling other failure domains what this one has running.
     pub(super) async fn tell_digests(self: Rc<Control>) {
         loop {
-            let here = self.near_peers(&self.board.borrow()).len() as u64 + 1;
+            let here = self.board.borrow().placing_near.len() as u64 + 1;
             let pause_ms = here * DIGEST_MS / 2 + fastrand::u64(..=here * DIGEST_MS);
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             let now_ms = self.clock.now_ms();
             let own = self.shared.own();
             let mut board = self.board.borrow_mut();
+            if !board.is_placing {
+                // It doesn't hear what the others have.
+                continue;
+            }
             let far = self.one_of_each_other_domain(&board);
             let digest = board.loads.digest(&own, now_ms, &mut fastrand::Rng::new());
             drop(board);
@@ -199,22 +234,34 @@
             tokio::time::sleep(Duration::from_millis(NEWS_MS)).await;
             let mut board = self.board.borrow_mut();
             let versions = Control::versions(&board);
-            if versions == board.told_versions {
+            let told = std::mem::replace(&mut board.told_versions, versions);
+            let is_config_new = told.config != versions.config;
+            let is_list_new = told.fleet != versions.fleet && board.part.share.is_all();
+            if !is_config_new && !is_list_new {
                 continue;
             }
-            board.told_versions = versions;
+            let since = board.pushed.front().copied().unwrap_or(0);
             let changes = self.changes(&mut board);
-            let mut addrs = self.near_peers(&board);
+            // Those that hold a part of the list are told that part, below.
+            let hears = |card: &Card| is_config_new || card.share.is_all();
+            let alive = board.membership.alive().map(|member| &member.card);
+            let near = alive.filter(|card| hears(card)).map(|card| &card.registration);
+            let near = near.filter(|other| other.domain == self.me.domain);
+            let mut addrs: Vec<SocketAddr> = near.map(|other| other.peer_addr).collect();
             fastrand::shuffle(&mut addrs);
             addrs.truncate(NEWER_NEAR);
-            let mut far = self.one_of_each_other_domain(&board);
+            let mut far = self.one_of_each(&board, hears);
             if !std::mem::take(&mut board.is_first_to_tell) {
                 fastrand::shuffle(&mut far);
                 far.truncate(usize::from(fastrand::u32(..NEWER_FAR) == 0));
             }
             addrs.extend(far);
+            let parts = if is_list_new { self.parts_since(&board, since) } else { Vec::new() };
             drop(board);
             self.send(&Message::Changes(changes), &addrs);
+            for (addr, changes) in parts {
+                self.send(&Message::Changes(changes), &[addr]);
+            }
         }
     }
 
@@ -222,18 +269,112 @@
     fn changes(&self, board: &mut Board) -> Changes {
         let Versions { config, fleet } = Control::versions(board);
         let since = board.pushed.front().copied().unwrap_or(0);
+        let nothing = Changes {
+            from: Arc::clone(&self.me.id),
+            config,
+            since: u64::MAX,
+            fleet: Delta { revision: fleet, ..Delta::default() },
+            holder: self.list_holder_to_tell(board),
+            part: None,
+        };
+        if !board.part.share.is_all() {
+            return nothing;
+        }
         board.pushed.push_back(fleet);
         if board.pushed.len() > PUSHES_REPEATED {
             board.pushed.pop_front();
         }
         let delta = board.fleet.since(since);
-        let from = Arc::clone(&self.me.id);
-        let is_short = rmp_serde::to_vec(&delta).is_ok_and(|bytes| bytes.len() <= PUSHED_BYTES);
-        if is_short && !delta.is_whole {
-            return Changes { from, config, since, fleet: delta };
+        if is_short(&delta) { Changes { since, fleet: delta, ..nothing } } else { nothing }
+    }
+
+    /// What changed since a revision, for each instance that holds a part of it.
+    fn parts_since(&self, board: &Board, since: u64) -> Vec<(SocketAddr, Changes)> {
+        let is_pusher = Control::is_first_hand(board) && self.turn_of(board).before < PUSHERS;
+        if !is_pusher || board.part.large.is_empty() {
+            return Vec::new();
+        }
+        let delta = board.fleet.since(since);
+        if delta.is_whole {
+            return Vec::new();
         }
-        let nothing = Delta { revision: fleet, ..Delta::default() };
-        Changes { from, config, since: u64::MAX, fleet: nothing }
+        let service_of = |id: &Arc<str>| board.fleet.service_of(id);
+        let gone: Vec<(Arc<str>, Arc<str>)> =
+            delta.gone.iter().filter_map(|id| Some((Arc::clone(id), service_of(id)?))).collect();
+        let members = board.membership.alive().filter(|member| !member.card.share.is_all());
+        let mut parts = Vec::new();
+        for member in members {
+            let Card { registration, share, .. } = &member.card;
+            let part = Part { share: *share, large: board.part.large.clone() };
+            let holds = knowledge::holds(&registration.id, &part);
+            let is_held = |upstream: &&Upstream| holds(&upstream.id, &upstream.service);
+            let gone = gone.iter().filter(|(id, service)| holds(id, service));
+            let fleet = Delta {
+                revision: delta.revision,
+                is_whole: false,
+                upstreams: delta.upstreams.iter().filter(is_held).cloned().collect(),
+                gone: gone.map(|(id, _)| Arc::clone(id)).collect(),
+                lapsed: Vec::new(),
+            };
+            if fleet.upstreams.is_empty() && fleet.gone.is_empty() {
+                continue;
+            }
+            parts.push((registration.peer_addr, self.part_changes(board, since, fleet, part)));
+        }
+        parts
+    }
+
+    /// A message of a part's changes since a revision, or that there are too many of them.
+    fn part_changes(&self, board: &Board, since: u64, fleet: Delta, part: Part) -> Changes {
+        let is_short = is_short(&fleet);
+        let nothing = Delta { revision: fleet.revision, ..Delta::default() };
+        Changes {
+            from: Arc::clone(&self.me.id),
+            config: Control::versions(board).config,
+            since: if is_short { since } else { u64::MAX },
+            fleet: if is_short { fleet } else { nothing },
+            holder: None,
+            part: Some(part),
+        }
+    }
+
+    /// Asks now and then one that holds all upstreams what it was not told, where there are too many of
+    /// them to tell all to everyone.
+    pub(super) async fn ask_changes(self: Rc<Control>) {
+        loop {
+            let pause_ms = ASK_MS / 2 + fastrand::u64(..ASK_MS);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            let board = self.board.borrow();
+            let has_part = board.has_fleet && !board.part.large.is_empty();
+            if !has_part || Control::is_first_hand(&board) {
+                continue;
+            }
+            let ask = ChangesAsk {
+                id: Arc::clone(&self.me.id),
+                versions: Control::versions(&board),
+                share: board.part.share,
+            };
+            let holders: Vec<SocketAddr> = Control::list_holders(&board).collect();
+            drop(board);
+            if let Some(addr) = fastrand::choice(holders) {
+                self.send(&Message::AskChanges(ask), &[addr]);
+            }
+        }
+    }
+
+    fn hear_changes_ask(&self, ask: &ChangesAsk, from: SocketAddr) {
+        let board = self.board.borrow();
+        let versions = Control::versions(&board);
+        let is_newer = versions.config > ask.versions.config || versions.fleet > ask.versions.fleet;
+        if !board.part.share.is_all() || !is_newer {
+            return;
+        }
+        let part = Part { share: ask.share, large: board.part.large.clone() };
+        let since = ask.versions.fleet;
+        let fleet = board.fleet.since_for(since, knowledge::holds(&ask.id, &part));
+        let changes = self.part_changes(&board, since, fleet, part);
+        drop(board);
+        self.send(&Message::Changes(changes), &[from]);
     }
 
     pub(super) async fn hear_peers(self: Rc<Control>, socket: Rc<UdpSocket>) {
@@ -286,6 +427,9 @@
             Message::Loads(news) => self.hear_loads(news, now_ms),
             Message::Digest(digest) => self.hear_digest(digest, now_ms),
             Message::Changes(changes) => self.hear_changes(changes, from, now_ms),
+            Message::AskChanges(ask) => self.hear_changes_ask(&ask, from),
+            Message::AskUpstream(id) => self.hear_upstream_ask(&id, from),
+            Message::Upstream(upstream) => self.take_guest(upstream),
             Message::AskPermit(ask) => self.hear_permit_ask(ask, from),
             Message::Permit(number, permit) => self.hear_permit(number, permit),
             Message::Signals(news) => self.hear_signals(news),
@@ -366,7 +510,7 @@
         if !board.loads.hear_digest(digest, now_ms) {
             return;
         }
-        let near = self.near_peers(&board);
+        let near = board.placing_near.clone();
         drop(board);
         self.dirty.notify_one();
         if let Some(digest) = passed_on {
@@ -378,13 +522,45 @@
         let mut board = self.board.borrow_mut();
         let versions = Versions { config: changes.config, fleet: changes.fleet.revision };
         board.membership.note_versions(&changes.from, versions);
-        let known = board.fleet.revision;
-        let is_usable = board.has_fleet && changes.since <= known && changes.fleet.revision > known;
-        drop(board);
-        if is_usable {
-            self.take_delta(changes.fleet, from);
+        if let Some(part) = &changes.part {
+            self.follow_large(&mut board, part);
+        }
+        let Changes { since, fleet: delta, part, holder, .. } = changes;
+        if let Some(holder) = holder {
+            Control::note_list_holder(&mut board, holder);
+        }
+        let is_all = board.part.share.is_all();
+        let is_of_share = part.as_ref().is_none_or(|part| part.share == board.part.share);
+        let is_whole_list = is_all && part.is_none_or(|part| part.share.is_all());
+        if is_whole_list && board.has_fleet && since <= board.fleet.revision {
+            drop(board);
+            self.take_delta(delta, from);
             self.publish();
+        } else if !is_all && board.has_fleet && is_of_share {
+            self.take_part(&mut board, since, delta, now_ms);
+            drop(board);
+            self.dirty.notify_one();
+        } else {
+            drop(board);
         }
         self.fetch_if_behind(now_ms);
     }
+
+    /// Takes in changes of what this instance holds.
+    fn take_part(&self, board: &mut Board, since: u64, mut delta: Delta, now_ms: u64) {
+        if since == u64::MAX {
+            // The sender has more news than go into a message.
+            board.is_behind |= delta.revision > board.fleet.revision;
+            return;
+        }
+        let holds = knowledge::holds(&self.me.id, &board.part);
+        delta.upstreams.retain(|upstream| holds(&upstream.id, &upstream.service));
+        board.fleet.patch(delta, since, now_ms);
+    }
+}
+
+/// Whether changes go into one message.
+fn is_short(delta: &Delta) -> bool {
+    let is_short = rmp_serde::to_vec(delta).is_ok_and(|bytes| bytes.len() <= PUSHED_BYTES);
+    is_short && !delta.is_whole
 }
--- a/src/gateway/control/signals.rs
+++ b/src/gateway/control/signals.rs
@@ -24,6 +24,8 @@
                         ..SignalNews::default()
                     }),
                     Signal::PermitWanted(request) => self.ask_permit(request),
+                    Signal::NoUpstreamLeft => self.widen_share(),
+                    Signal::UpstreamWanted(id) => self.ask_upstream(id),
                 }
             }
         }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -3,8 +3,9 @@
 //! An empty or old reading must not empty the list, and after an outage of the directory entries
 //! that lapsed meanwhile get a short time to come back before they count as gone.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -83,17 +84,43 @@
     /// Entries that lapsed around an outage, with the time at which they count as gone.
     #[serde(skip)]
     lapsed: BTreeMap<Arc<str>, u64>,
-    /// The revision at which each upstream last changed or went.
+    /// When each upstream last changed or went.
     #[serde(skip)]
-    changed: BTreeMap<Arc<str>, u64>,
+    changed: BTreeMap<Arc<str>, Changed>,
+    /// The same in the order of revisions.
+    #[serde(skip)]
+    history: BTreeSet<(u64, Arc<str>)>,
     /// From which revision on all changes are in `changed`.
     #[serde(skip)]
     changed_from: u64,
+    /// Grows with each change of `upstreams`.
+    #[serde(skip)]
+    changes: u64,
     /// Until when a lapse may be the outage's doing.
     #[serde(skip)]
     settling_until_ms: u64,
 }
 
+/// The last change of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Changed {
+    revision: u64,
+    service: Arc<str>,
+}
+
+/// A part of a whole list that goes into one answer.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// The revision of the list when this part was read.
+    pub revision: u64,
+    /// Upstreams in the order of their ids.
+    pub upstreams: Vec<Upstream>,
+    /// Those of them that lapsed around an outage and may come back.
+    pub lapsed: Vec<Arc<str>>,
+    /// Whether there are more behind the last one.
+    pub has_more: bool,
+}
+
 /// What changed after a revision, or everything, as one instance tells another.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
@@ -111,25 +138,145 @@
 
 /// Upstreams that went are remembered up to so many changes, for those that ask what changed.
 const REMEMBERED: usize = 4_000;
+/// Upstreams in a page: some 50 KB, which the slowest links carry in a tenth of a second.
+const PAGE_UPSTREAMS: usize = 500;
 
 impl Fleet {
+    /// A list of upstreams without a history.
+    pub fn of(revision: u64, upstreams: BTreeMap<Arc<str>, Upstream>) -> Fleet {
+        Fleet { revision, upstreams, ..Fleet::default() }
+    }
+
     /// What changed after a revision.
     pub fn since(&self, revision: u64) -> Delta {
-        let is_whole = revision < self.changed_from || revision == 0;
-        let is_asked = |id: &Arc<str>| {
-            is_whole || self.changed.get(id).is_some_and(|changed| *changed > revision)
+        self.since_for(revision, |_, _| true)
+    }
+
+    /// What changed after a revision among the upstreams that an instance holds, by id and service.
+    pub fn since_for(&self, revision: u64, holds: impl Fn(&str, &str) -> bool) -> Delta {
+        let mut delta = Delta { revision: self.revision, ..Delta::default() };
+        delta.is_whole = revision < self.changed_from || revision == 0;
+        let is_held = |upstream: &&Upstream| holds(&upstream.id, &upstream.service);
+        let lapsed = self.lapsed.keys().filter_map(|id| self.upstreams.get(id)).filter(is_held);
+        delta.lapsed = lapsed.map(|upstream| Arc::clone(&upstream.id)).collect();
+        if delta.is_whole {
+            delta.upstreams = self.upstreams.values().filter(is_held).cloned().collect();
+            return delta;
+        }
+        for (_, id) in self.history.range((revision + 1, Arc::from(""))..) {
+            match self.upstreams.get(id) {
+                Some(upstream) if holds(id, &upstream.service) => {
+                    delta.upstreams.push(upstream.clone());
+                }
+                None if self.changed.get(id).is_some_and(|known| holds(id, &known.service)) => {
+                    delta.gone.push(Arc::clone(id));
+                }
+                _ => {}
+            }
+        }
+        delta
+    }
+
+    /// The part of the whole list behind an id, of the upstreams that an instance holds.
+    pub fn page(&self, after: &str, holds: impl Fn(&str, &str) -> bool) -> Page {
+        let behind = (Bound::Excluded(after), Bound::Unbounded);
+        let held = self.upstreams.range::<str, _>(behind).map(|(_, upstream)| upstream);
+        let mut held = held.filter(|upstream| holds(&upstream.id, &upstream.service));
+        let upstreams: Vec<Upstream> = held.by_ref().take(PAGE_UPSTREAMS).cloned().collect();
+        let lapsed = upstreams.iter().filter(|upstream| self.lapsed.contains_key(&upstream.id));
+        let lapsed = lapsed.map(|upstream| Arc::clone(&upstream.id)).collect();
+        let has_more = held.next().is_some();
+        Page { revision: self.revision, upstreams, lapsed, has_more }
+    }
+
+    /// Takes in changes of the upstreams that this instance holds, in any order: what is known of an
+    /// upstream at a later revision stays. The list is as new as `delta` only if nothing is missing
+    /// between it and what was known, that is, if it holds all changes since a known revision.
+    pub fn patch(&mut self, delta: Delta, since: u64, now_ms: u64) {
+        let revision = delta.revision;
+        let is_newer = |fleet: &Fleet, id: &Arc<str>| {
+            fleet.changed.get(id).is_none_or(|known| known.revision <= revision)
         };
-        let upstreams = self.upstreams.values().filter(|upstream| is_asked(&upstream.id));
-        let gone = self.changed.keys().filter(|id| !self.upstreams.contains_key(*id));
-        Delta {
-            revision: self.revision,
-            is_whole,
-            upstreams: upstreams.cloned().collect(),
-            gone: gone.filter(|id| !is_whole && is_asked(id)).cloned().collect(),
-            lapsed: self.lapsed.keys().cloned().collect(),
+        for upstream in delta.upstreams {
+            if is_newer(self, &upstream.id) {
+                self.put(upstream, revision);
+            }
+        }
+        for id in delta.gone {
+            if is_newer(self, &id) {
+                self.remove(&id, revision);
+            }
+        }
+        for id in delta.lapsed {
+            if self.upstreams.contains_key(&id) {
+                self.lapsed.entry(id).or_insert(now_ms + RETURN_MS);
+            }
+        }
+        if since <= self.revision {
+            self.revision = self.revision.max(revision);
         }
     }
 
+    /// Takes in the pages of a whole list, all read at `revision` or later. What is known of an upstream
+    /// at a later revision stays.
+    pub fn adopt(&mut self, revision: u64, pages: Vec<Page>, now_ms: u64) {
+        let lapsed: Vec<Arc<str>> = pages.iter().flat_map(|page| page.lapsed.clone()).collect();
+        let listed: BTreeMap<Arc<str>, Upstream> = pages
+            .into_iter()
+            .flat_map(|page| page.upstreams)
+            .map(|upstream| (Arc::clone(&upstream.id), upstream))
+            .collect();
+        let is_older = |fleet: &Fleet, id: &Arc<str>| {
+            fleet.changed.get(id).is_none_or(|known| known.revision <= revision)
+        };
+        let missing = self.upstreams.keys().filter(|id| !listed.contains_key(*id));
+        let missing: Vec<Arc<str>> = missing.filter(|id| is_older(self, id)).cloned().collect();
+        missing.iter().for_each(|id| self.remove(id, revision));
+        for (id, upstream) in listed {
+            if is_older(self, &id) && self.upstreams.get(&id) != Some(&upstream) {
+                self.put(upstream, revision);
+            }
+        }
+        for id in lapsed {
+            if self.upstreams.contains_key(&id) {
+                self.lapsed.entry(id).or_insert(now_ms + RETURN_MS);
+            }
+        }
+        if self.revision == 0 {
+            self.changed_from = revision;
+        }
+        self.revision = revision;
+    }
+
+    /// Drops the upstreams that this instance holds no longer, by id and service.
+    pub fn narrow(&mut self, holds: impl Fn(&str, &str) -> bool) {
+        let is_held = |upstream: &Upstream| holds(&upstream.id, &upstream.service);
+        let left: Vec<Arc<str>> = self
+            .upstreams
+            .values()
+            .filter(|upstream| !is_held(upstream))
+            .map(|upstream| Arc::clone(&upstream.id))
+            .collect();
+        for id in left {
+            self.upstreams.remove(&id);
+            self.lapsed.remove(&id);
+            if let Some(known) = self.changed.remove(&id) {
+                self.history.remove(&(known.revision, id));
+            }
+        }
+        self.changes += 1;
+    }
+
+    /// The service of an upstream, also of one that went lately.
+    pub fn service_of(&self, id: &str) -> Option<Arc<str>> {
+        self.changed.get(id).map(|known| Arc::clone(&known.service))
+    }
+
+    /// A number that differs from an earlier one if the upstreams do.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Takes in what another instance tells; something older changes nothing.
     pub fn take(&mut self, delta: Delta, now_ms: u64) -> bool {
         if delta.revision < self.revision {
@@ -150,18 +297,39 @@
         true
     }
 
-    fn note_change(&mut self, id: &Arc<str>) {
-        self.changed.insert(Arc::clone(id), self.revision);
-        if self.changed.len() <= self.upstreams.len() + REMEMBERED {
-            return;
+    fn put(&mut self, upstream: Upstream, revision: u64) {
+        let id = Arc::clone(&upstream.id);
+        let service = Arc::clone(&upstream.service);
+        self.lapsed.remove(&id);
+        self.upstreams.insert(Arc::clone(&id), upstream);
+        self.note_change(&id, service, revision);
+    }
+
+    fn remove(&mut self, id: &Arc<str>, revision: u64) {
+        self.lapsed.remove(id);
+        // One that was never known is remembered too, so that older news don't bring it in.
+        let service = self.upstreams.remove(id).map_or(Arc::from(""), |known| known.service);
+        self.note_change(id, service, revision);
+    }
+
+    fn note_change(&mut self, id: &Arc<str>, service: Arc<str>, revision: u64) {
+        self.changes += 1;
+        let before = self.changed.insert(Arc::clone(id), Changed { revision, service });
+        if let Some(before) = before {
+            self.history.remove(&(before.revision, Arc::clone(id)));
+        }
+        self.history.insert((revision, Arc::clone(id)));
+        if self.changed.len() > self.upstreams.len() + REMEMBERED {
+            self.forget_oldest_gone();
         }
-        let gone = self.changed.iter().filter(|(id, _)| !self.upstreams.contains_key(*id));
-        let oldest = gone.min_by_key(|(_, revision)| **revision);
-        let Some((id, revision)) = oldest.map(|(id, revision)| (Arc::clone(id), *revision)) else {
-            return;
-        };
-        self.changed.remove(&id);
-        self.changed_from = self.changed_from.max(revision);
+    }
+
+    fn forget_oldest_gone(&mut self) {
+        let mut gone = self.history.iter().filter(|(_, id)| !self.upstreams.contains_key(id));
+        let Some(oldest) = gone.next().cloned() else { return };
+        self.history.remove(&oldest);
+        self.changed.remove(&oldest.1);
+        self.changed_from = self.changed_from.max(oldest.0);
     }
 
     /// Notes that the directory answers again after an outage.
@@ -204,18 +372,15 @@
         }
         let now = self.upstreams.values();
         let put = now.filter(|upstream| before.get(&upstream.id) != Some(*upstream));
-        let put: Vec<Arc<str>> = put.map(|upstream| Arc::clone(&upstream.id)).collect();
-        for id in &put {
-            self.lapsed.remove(id);
-            self.note_change(id);
+        let put: Vec<(Arc<str>, Arc<str>)> = put.map(name).collect();
+        for (id, service) in put {
+            self.lapsed.remove(&id);
+            self.note_change(&id, service, revision);
         }
-        for id in before
-            .keys()
-            .filter(|id| !self.upstreams.contains_key(*id))
-            .cloned()
-            .collect::<Vec<_>>()
-        {
-            self.note_change(&id);
+        let gone = before.values().filter(|known| !self.upstreams.contains_key(&known.id));
+        let gone: Vec<(Arc<str>, Arc<str>)> = gone.map(name).collect();
+        for (id, service) in gone {
+            self.note_change(&id, service, revision);
         }
         true
     }
@@ -228,26 +393,13 @@
         self.revision = revision;
         for change in changes {
             match change {
-                Change::Put(upstream) => {
-                    let id = Arc::clone(&upstream.id);
-                    self.lapsed.remove(&id);
-                    self.upstreams.insert(Arc::clone(&id), upstream);
-                    self.note_change(&id);
-                }
-                Change::Foreign(id) => {
-                    self.lapsed.remove(&id);
-                    if self.upstreams.remove(&id).is_some() {
-                        self.note_change(&id);
-                    }
-                }
+                Change::Put(upstream) => self.put(upstream, revision),
+                Change::Foreign(id) => self.remove(&id, revision),
                 Change::Gone(id) => match self.grace(&id, now_ms) {
                     Some(until_ms) => {
                         self.lapsed.insert(id, until_ms);
                     }
-                    None => {
-                        self.upstreams.remove(&id);
-                        self.note_change(&id);
-                    }
+                    None => self.remove(&id, revision),
                 },
             }
         }
@@ -258,9 +410,7 @@
         let over = self.lapsed.iter().filter(|(_, until_ms)| **until_ms <= now_ms);
         let over: Vec<Arc<str>> = over.map(|(id, _)| Arc::clone(id)).collect();
         for id in &over {
-            self.lapsed.remove(id);
-            self.upstreams.remove(id);
-            self.note_change(id);
+            self.remove(id, self.revision);
         }
         !over.is_empty()
     }
@@ -275,3 +425,7 @@
         (until_ms > now_ms).then_some(until_ms)
     }
 }
+
+fn name(upstream: &Upstream) -> (Arc<str>, Arc<str>) {
+    (Arc::clone(&upstream.id), Arc::clone(&upstream.service))
+}
--- a/src/gateway/loads/message.rs
+++ b/src/gateway/loads/message.rs
@@ -1,10 +1,13 @@
 //! The messages about traffic.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use super::super::fleet::Delta;
+use super::super::policy::subset::Share;
 use super::own::{Held, Sent};
 
 /// What an instance tells its failure domain.
@@ -54,4 +57,17 @@
     pub since: u64,
     /// What changed in the list of upstreams.
     pub fleet: Delta,
+    /// An instance that holds the whole list, for those that have none.
+    pub holder: Option<SocketAddr>,
+    /// If `fleet` holds only what the receiver holds of large services, these.
+    pub part: Option<Part>,
+}
+
+/// Which part of the list of upstreams a message holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The share of the large services.
+    pub share: Share,
+    /// The services that are too large to be held whole.
+    pub large: BTreeSet<Arc<str>>,
 }
--- a/src/gateway/membership/card.rs
+++ b/src/gateway/membership/card.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::super::instance::Registration;
+use super::super::policy::subset::Share;
+use super::super::policy::watchers::{self, Rank};
 
 /// Whether an instance takes callers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,6 +44,17 @@
     pub phase: Phase,
     /// Whether the directory answers it, so that it hears of changes by itself.
     pub is_first_hand: bool,
+    /// The speed of its link; 0 if that is not known.
+    pub link_mbps: u32,
+    /// The share of the large services that it holds.
+    pub share: Share,
+}
+
+impl Card {
+    /// Its place in the order of the fleet.
+    pub fn rank(&self) -> Rank {
+        watchers::rank(&self.registration.id, self.link_mbps)
+    }
 }
 
 /// Whether an instance is thought to live. Of one version, a later variant counts more.
--- a/src/gateway/membership/members.rs
+++ b/src/gateway/membership/members.rs
@@ -11,6 +11,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::super::instance::Registration;
+use super::super::policy::subset::Share;
+use super::super::policy::watchers::{self, Rank};
 use super::card::{Card, Member, Phase, Standing, Versions};
 use super::message::{Message, Probe};
 use super::rumors::{FANOUT, Rumor, Rumors};
@@ -24,6 +26,11 @@
 const TOLD_FAR: u64 = 4;
 /// Members in one message, so that it stays under 2 KB.
 const MOST_IN_MESSAGE: usize = 16;
+/// Members that were not known, below which a comparison was hardly worth its bytes.
+const FEW_UNKNOWN: usize = 8;
+/// The pause after such a comparison, for each member: the more there are, the more often one of them has
+/// just changed, which rumors tell.
+const COMPARE_PAUSE_MS: u64 = 1;
 /// Members that are told at once to one that is new, or that knows others than we do.
 const MOST_TOLD: usize = 4 * MOST_IN_MESSAGE;
 
@@ -36,6 +43,8 @@
     /// Addresses to ask while nobody is known.
     contacts: BTreeSet<SocketAddr>,
     observed: BTreeMap<Arc<str>, probing::Observation>,
+    /// Another member that was pinged in this round, a different one each time.
+    sampled: Option<Arc<str>>,
     /// Pings for others: the number that was sent, who asked, and with which number.
     relayed: BTreeMap<u64, (SocketAddr, u64)>,
     rumors: Rumors,
@@ -46,20 +55,35 @@
     changed: Vec<Arc<str>>,
     /// The sum over what is known, until that changes.
     known_sum: Option<u64>,
+    /// From when on what is known is compared with others again.
+    compare_from_ms: u64,
 }
 
 impl Membership {
     /// An instance that knows only where to ask. `version` should grow from start to start; one that
     /// doesn't is raised when the instance hears of its former self.
-    pub fn new(registration: Registration, contacts: &[SocketAddr], version: u64) -> Membership {
+    pub fn new(
+        registration: Registration,
+        link_mbps: u32,
+        contacts: &[SocketAddr],
+        version: u64,
+    ) -> Membership {
         let me = registration.peer_addr;
-        let card = Card { registration, version, phase: Phase::Starting, is_first_hand: false };
+        let card = Card {
+            registration,
+            version,
+            phase: Phase::Starting,
+            is_first_hand: false,
+            link_mbps,
+            share: Share::ALL,
+        };
         Membership {
             card,
             versions: Versions::default(),
             members: BTreeMap::new(),
             contacts: contacts.iter().copied().filter(|addr| *addr != me).collect(),
             observed: BTreeMap::new(),
+            sampled: None,
             relayed: BTreeMap::new(),
             rumors: Rumors::default(),
             number: 0,
@@ -68,6 +92,7 @@
             out: Vec::new(),
             changed: Vec::new(),
             known_sum: None,
+            compare_from_ms: 0,
         }
     }
 
@@ -107,14 +132,39 @@
     }
 
     /// Changes what this instance says of itself; all hear of it.
-    pub fn set_me(&mut self, phase: Phase, is_first_hand: bool, versions: Versions) {
+    pub fn set_me(&mut self, phase: Phase, is_first_hand: bool, share: Share, versions: Versions) {
         self.versions = versions;
-        if self.card.phase == phase && self.card.is_first_hand == is_first_hand {
-            return;
+        let card = Card { phase, is_first_hand, share, ..self.card.clone() };
+        if self.card != card {
+            self.card = card;
+            self.announce();
         }
-        self.card.phase = phase;
-        self.card.is_first_hand = is_first_hand;
-        self.announce();
+    }
+
+    /// What this instance says of itself.
+    pub fn my_card(&self) -> &Card {
+        &self.card
+    }
+
+    /// This instance's place in the order of the fleet.
+    pub fn my_rank(&self) -> Rank {
+        self.card.rank()
+    }
+
+    /// How many living members come before this instance in that order.
+    pub fn before_me(&self) -> usize {
+        let me = self.my_rank();
+        self.alive().filter(|member| member.card.rank() < me).count()
+    }
+
+    /// The living members that hold all upstreams, as far as their rank says.
+    pub fn keepers(&self) -> Vec<&Member> {
+        watchers::keepers(self.alive().map(|member| (member.card.rank(), member)))
+    }
+
+    /// The newest version of the configuration that any member told.
+    pub fn newest_config(&self) -> u64 {
+        self.members.values().map(|member| member.versions.config).max().unwrap_or(0)
     }
 
     /// Tells some others that this instance ends now.
@@ -172,11 +222,17 @@
     /// Takes in members that another one knows already, so that they are news to few: of those, only
     /// what is urgent is told on.
     pub fn hear_members(&mut self, members: Vec<Rumor>, now_ms: u64) {
+        let mut unknown = 0;
         for rumor in members {
-            if self.take_in(&rumor, now_ms) == News::Urgent {
+            let news = self.take_in(&rumor, now_ms);
+            unknown += usize::from(matches!(news, News::Arrival | News::Urgent));
+            if news == News::Urgent {
                 self.tell(rumor);
             }
         }
+        // What little differs is mostly on its way as rumors.
+        let pause_ms = COMPARE_PAUSE_MS * self.members.len() as u64;
+        self.compare_from_ms = if unknown < FEW_UNKNOWN { now_ms + pause_ms } else { now_ms };
     }
 
     fn take_in(&mut self, rumor: &Rumor, now_ms: u64) -> News {
@@ -287,7 +343,7 @@
     fn announce(&mut self) {
         self.card.version += 1;
         self.known_sum = None;
-        let by = Arc::clone(&self.card.registration.id);
+        let by = nobody();
         self.tell(Rumor::Member { card: self.card.clone(), standing: Standing::Alive, by });
     }
 
@@ -295,7 +351,10 @@
         Rumor::Member {
             card: member.card.clone(),
             standing: member.standing,
-            by: Arc::clone(&self.me().id),
+            by: match member.standing {
+                Standing::Suspect => Arc::clone(&self.me().id),
+                Standing::Alive | Standing::Dead => nobody(),
+            },
         }
     }
 
@@ -318,7 +377,10 @@
     }
 
     /// Compares with another instance what is known.
-    fn compare(&mut self, to: SocketAddr) {
+    fn compare(&mut self, to: SocketAddr, now_ms: u64) {
+        if now_ms < self.compare_from_ms {
+            return;
+        }
         let sums = Sums::over(self.cards(), Sums::parts_for(self.members.len()));
         self.out.push((to, Message::Sums(sums, false)));
     }
@@ -337,7 +399,7 @@
             return;
         }
         let members: Vec<Rumor> = self
-            .from_anywhere(random)
+            .members_in_turn(random)
             .filter(|member| own.differ_at(sums, &member.card.registration.id))
             .map(|member| self.rumor_of(member))
             .take(MOST_TOLD)
@@ -350,7 +412,7 @@
 
     /// Tells some members to one that is new; it finds the others by comparing.
     fn introduce(&mut self, to: SocketAddr, random: &mut dyn Random) {
-        let alive = self.from_anywhere(random).filter(|member| member.is_alive());
+        let alive = self.members_in_turn(random).filter(|member| member.is_alive());
         let members = alive.map(|member| self.rumor_of(member)).take(MOST_IN_MESSAGE).collect();
         self.tell_members(members, to);
     }
@@ -362,7 +424,7 @@
     }
 
     /// All members in the order of their ids, from a different one on each time.
-    fn from_anywhere(&self, random: &mut dyn Random) -> impl Iterator<Item = &Member> {
+    fn members_in_turn(&self, random: &mut dyn Random) -> impl Iterator<Item = &Member> {
         let count = self.members.len();
         let start = random.below(count.max(1) as u64) as usize;
         self.members.values().cycle().skip(start).take(count)
@@ -410,6 +472,11 @@
     }
 }
 
+/// Who says that an instance lives or is dead doesn't matter, and its name would be a fifth of the message.
+fn nobody() -> Arc<str> {
+    Arc::from("")
+}
+
 /// Leaves a few of all, drawn without order.
 fn pick<T>(all: &mut Vec<T>, most: usize, random: &mut dyn Random) {
     for index in 0..most.min(all.len()) {
--- a/src/gateway/membership/members/probing.rs
+++ b/src/gateway/membership/members/probing.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::super::super::policy::watchers::rank;
+use super::super::super::policy::watchers::ring_position;
 use super::super::card::{Member, Standing};
 use super::super::message::{Message, Probe};
 use super::super::rumors::Rumor;
@@ -56,6 +56,7 @@
         }
         self.forget(now_ms);
         self.observe();
+        self.sample(random);
         self.seek(random);
     }
 
@@ -131,14 +132,31 @@
         }
     }
 
+    /// Pings one more member, drawn anew each time: what members that compare find out spreads over the
+    /// whole fleet in few rounds, while along the ring it would take as many as there are members.
+    fn sample(&mut self, random: &mut dyn Random) {
+        let others = self.alive().map(|member| &member.card.registration);
+        let others: Vec<_> =
+            others.filter(|other| !self.observed.contains_key(&other.id)).collect();
+        if others.is_empty() {
+            self.sampled = None;
+            return;
+        }
+        let other = others[random.below(others.len() as u64) as usize];
+        let (id, addr) = (Arc::clone(&other.id), other.peer_addr);
+        let probe = self.probe(Vec::new());
+        self.out.push((addr, Message::Ping(probe)));
+        self.sampled = Some(id);
+    }
+
     /// The next living members on the ring.
     fn successors(&self) -> Vec<Arc<str>> {
-        let me = rank(&self.me().id);
+        let me = ring_position(&self.me().id);
         let mut ring: Vec<(u64, &Arc<str>)> = self
             .alive()
             .map(|member| &member.card.registration.id)
-            // Ranks behind this one begin again at the top.
-            .map(|id| (rank(id).wrapping_sub(me), id))
+            // Positions behind this one begin again at the top.
+            .map(|id| (ring_position(id).wrapping_sub(me), id))
             .collect();
         ring.sort_unstable();
         ring.into_iter().take(OBSERVED).map(|(_, id)| Arc::clone(id)).collect()
@@ -220,9 +238,9 @@
             observation.is_answered = true;
         }
         self.hear(ack, now_ms);
-        // The contacts, whom all ask at a start, are compared with only if they are observed.
-        if knows_others && is_observed {
-            self.compare(addr);
+        // Contacts, whom all ask at a start, are not compared with for that.
+        if knows_others && (is_observed || self.sampled.as_ref() == Some(&id)) {
+            self.compare(addr, now_ms);
         }
     }
 
--- a/src/gateway/membership/message.rs
+++ b/src/gateway/membership/message.rs
@@ -5,8 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::super::fleet::Departure;
+use super::super::fleet::{Departure, Upstream};
 use super::super::loads::{Changes, Digest, LoadNews};
+use super::super::policy::subset::Share;
 use super::super::rate::{NamedRate, Permit, Rate};
 use super::card::{Card, Versions};
 use super::rumors::Rumor;
@@ -36,6 +37,12 @@
     Digest(Digest),
     /// What changed in the list of upstreams, and that there is a newer configuration.
     Changes(Changes),
+    /// Asks its receiver, who holds all upstreams, what changed.
+    AskChanges(ChangesAsk),
+    /// Asks its receiver, who holds all upstreams, for one of them.
+    AskUpstream(Arc<str>),
+    /// Answers that.
+    Upstream(Upstream),
     /// Asks its receiver, who owns an upstream's token bucket, for a permit.
     AskPermit(PermitAsk),
     /// Answers that, by its number.
@@ -73,6 +80,17 @@
     pub rate: Rate,
 }
 
+/// A question of what changed in the list of upstreams, and whether there is a newer configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangesAsk {
+    /// Who asks.
+    pub id: Arc<str>,
+    /// What it knows.
+    pub versions: Versions,
+    /// The share of the large services that it holds.
+    pub share: Share,
+}
+
 /// A ping or its answer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Probe {
--- a/src/gateway/membership/mod.rs
+++ b/src/gateway/membership/mod.rs
@@ -21,6 +21,6 @@
 
 pub use self::card::{Card, Member, Phase, Standing, Versions};
 pub use self::members::{Membership, PROBE_MS};
-pub use self::message::{Message, PermitAsk, Probe, SignalNews, decode, encode};
+pub use self::message::{ChangesAsk, Message, PermitAsk, Probe, SignalNews, decode, encode};
 pub use self::rumors::{GOSSIP_MS, Rumor, Rumors};
 pub use self::sums::Sums;
--- a/src/gateway/membership/rumors.rs
+++ b/src/gateway/membership/rumors.rs
@@ -19,7 +19,7 @@
 const MOST_IN_MESSAGE: usize = 32;
 /// The most arrivals that are told at once: in a start of the whole fleet, each instance would repeat the
 /// arrival of all others many times. Those left out come to light when members compare what they know.
-const MOST_ARRIVALS: usize = MOST_IN_MESSAGE / 2;
+const MOST_ARRIVALS: usize = 2 * MOST_IN_MESSAGE;
 
 /// A piece of news that all instances should have soon.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,7 +31,7 @@
         card: Card,
         /// Whether it is thought to live.
         standing: Standing,
-        /// Who says so.
+        /// Who says so, of a suspicion.
         by: Arc<str>,
     },
     /// An upstream was lost.
--- a/src/gateway/native/settings.rs
+++ b/src/gateway/native/settings.rs
@@ -22,6 +22,7 @@
   --peer IP:PORT        SISKINROCK_PEER           where peers reach it, TCP and UDP [127.0.0.1:7411]
   --directory IP:PORT   SISKINROCK_DIRECTORY      where callers ask for addresses [nowhere]
   --metrics IP:PORT     SISKINROCK_METRICS        where its metrics are served [nowhere]
+  --link-mbps N         SISKINROCK_LINK_MBPS      the speed of its link, 0 if not known [0]
   --seeds ADDRS         SISKINROCK_SEEDS          peers to begin with, with commas
   --keep-ms N           SISKINROCK_KEEP_MS        how long callers keep an address [5000]
   --grace-ms N          SISKINROCK_GRACE_MS       how long a planned stop may take [30000]
@@ -63,6 +64,7 @@
     let peer = reader.parsed("--peer", "127.0.0.1:7411", ADDRESS);
     let directory = reader.optional("--directory", ADDRESS);
     let metrics = reader.optional("--metrics", ADDRESS);
+    let link_mbps = reader.within("--link-mbps", 0, 0, 1_000_000);
     let seeds = reader.addresses("--seeds");
     let keep_ms = reader.within("--keep-ms", 5_000, 100, 600_000);
     let grace_ms = reader.within("--grace-ms", 30_000, 500, 600_000);
@@ -77,6 +79,7 @@
             directory,
             peer: peer?,
             metrics,
+            link_mbps: link_mbps? as u32,
             seeds,
             keep_ms: keep_ms?,
             grace_ms: grace_ms?,
--- a/src/gateway/policy/found.rs
+++ b/src/gateway/policy/found.rs
@@ -19,18 +19,28 @@
 pub struct Found {
     known: BTreeMap<Arc<str>, Upstream>,
     until_ms: Option<u64>,
+    /// Grows with each change of `known`.
+    changes: u64,
 }
 
 impl Found {
     /// Adds an upstream; tells whether it is new.
     pub fn add(&mut self, upstream: Upstream) -> bool {
+        self.changes += 1;
         self.known.retain(|_, known| known.addr != upstream.addr || known.id == upstream.id);
         self.known.insert(Arc::clone(&upstream.id), upstream).is_none()
     }
 
     /// Drops one that the directory says is gone.
     pub fn remove(&mut self, id: &str) {
-        self.known.remove(id);
+        if self.known.remove(id).is_some() {
+            self.changes += 1;
+        }
+    }
+
+    /// A number that differs from an earlier one if what is known does.
+    pub fn changes(&self) -> u64 {
+        self.changes
     }
 
     /// Notes whether any instance hears from the directory. Tells whether what was found has just
@@ -44,7 +54,7 @@
         if now_ms < until_ms {
             return false;
         }
-        *self = Found::default();
+        *self = Found { changes: self.changes + 1, ..Found::default() };
         true
     }
 
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -4,6 +4,7 @@
 //! that owns time. The shell ([`super::traffic`], [`super::call`], [`super::stream`]) turns what
 //! arrives into their inputs and their outputs into calls; see [docs/DESIGN.md](../../../docs/DESIGN.md).
 
+pub mod active;
 pub mod admission;
 pub mod budget;
 pub mod coincidence;
@@ -23,4 +24,5 @@
 pub mod sought;
 pub mod spread;
 pub mod stop;
+pub mod subset;
 pub mod watchers;
--- a/src/gateway/questions.rs
+++ b/src/gateway/questions.rs
@@ -1,5 +1,6 @@
 //! Small questions to this instance, each answered at once: addresses, readiness, metrics.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
@@ -24,6 +25,34 @@
     pub each_ms: u64,
 }
 
+/// A bounded number of places; cloning shares them.
+#[derive(Debug, Clone)]
+pub struct Places(Rc<Cell<usize>>);
+
+/// One of them, which is free again when it is dropped.
+#[derive(Debug)]
+pub struct Place(Rc<Cell<usize>>);
+
+impl Places {
+    /// So many places, all free.
+    pub fn new(count: usize) -> Places {
+        Places(Rc::new(Cell::new(count)))
+    }
+
+    /// A free place, if there is one.
+    pub fn take(&self) -> Option<Place> {
+        let left = self.0.get().checked_sub(1)?;
+        self.0.set(left);
+        Some(Place(Rc::clone(&self.0)))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() + 1);
+    }
+}
+
 /// Serves small questions on a listener of their own, each answered by `reply`.
 pub async fn serve<F, R>(listener: TcpListener, reply: F)
 where
@@ -31,13 +60,14 @@
     R: Future<Output = Answer> + 'static,
 {
     let unlimited = Limit { connections: usize::MAX, each_ms: u64::MAX };
-    serve_within(listener, unlimited, reply).await;
+    serve_within(listener, unlimited, || reply.clone()).await;
 }
 
-/// Serves questions within a limit.
-pub async fn serve_within<F, R>(listener: TcpListener, limit: Limit, reply: F)
+/// Serves questions within a limit, those of each connection by a reply of its own.
+pub async fn serve_within<M, F, R>(listener: TcpListener, limit: Limit, reply_of: M)
 where
-    F: Fn(Request<Incoming>) -> R + Clone + 'static,
+    M: Fn() -> F,
+    F: Fn(Request<Incoming>) -> R + 'static,
     R: Future<Output = Answer> + 'static,
 {
     let open = Rc::new(());
@@ -50,7 +80,7 @@
             continue;
         }
         let place = Rc::clone(&open);
-        let reply = reply.clone();
+        let reply = reply_of();
         tokio::task::spawn_local(async move {
             let _place = place;
             let _ = stream.set_nodelay(true);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,5 +1,6 @@
 //! Starting and stopping a gateway: one thread for control, one for traffic.
 
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -7,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::{BodyExt, Collected, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Request};
@@ -16,13 +18,13 @@
 
 use super::answer::{self, Answer};
 use super::control::Control;
-use super::control::knowledge::{FETCH_TIMEOUT_MS, KNOWLEDGE_PATH, Known};
+use super::control::knowledge::{CONFIG_PATH, ConfigAsk, FETCH_TIMEOUT_MS, LIST_PATH, ListAsk};
 use super::dialect::{Dialect, Question};
 use super::directory::Directory;
 use super::membership::Phase;
 use super::metrics::Metrics;
 use super::policy::stop::Stop;
-use super::questions::Limit;
+use super::questions::{Limit, Place, Places};
 use super::settings::Settings;
 use super::traffic::Traffic;
 use super::view::{Shared, View};
@@ -34,9 +36,13 @@
 const SWEEP_MS: u64 = 100;
 /// How often a planned stop looks whether all requests have ended.
 const STOP_STEP_MS: u64 = 25;
-/// Peers that may fetch at once. When all have started together, a list of hundreds of kilobytes reaches so
-/// few in time over a slow link; those turned away ask the ones that have it meanwhile.
-const PEERS_AT_ONCE: usize = 4;
+/// Peers that may fetch a page of the list at once: so few get it in time over a slow link; those turned
+/// away ask others.
+const LISTS_AT_ONCE: usize = 4;
+/// Connections of peers; a configuration is sent to as many as ask for it.
+const PEERS_AT_ONCE: usize = 64;
+/// The longest question of a peer: a few names and numbers.
+const LONGEST_ASK_BYTES: usize = 4 << 10;
 /// The stack of a thread; its futures live on the heap.
 const STACK_BYTES: usize = 512 << 10;
 
@@ -269,24 +275,46 @@
 async fn serve_peers(control: &Rc<Control>, addr: SocketAddr) -> Result<()> {
     let listener = listen(addr).await?;
     let control = Rc::clone(control);
-    let reply = move |request: Request<Incoming>| {
-        let control = Rc::clone(&control);
-        async move {
-            if request.uri().path() != KNOWLEDGE_PATH {
-                return answer::whole(404, HeaderMap::new(), Bytes::new());
-            }
-            let known = Known::read(request.uri().query().unwrap_or_default());
-            match rmp_serde::to_vec(&control.knowledge(known)) {
-                Ok(body) => answer::whole(200, HeaderMap::new(), Bytes::from(body)),
-                Err(_) => answer::whole(500, HeaderMap::new(), Bytes::new()),
+    let places = Places::new(LISTS_AT_ONCE);
+    let reply_of = move || {
+        let (control, places) = (Rc::clone(&control), places.clone());
+        // A connection that asked for a list holds its place until it ends: the answer takes as long.
+        let place: Rc<OnceCell<Place>> = Rc::default();
+        move |request: Request<Incoming>| {
+            if request.uri().path() == LIST_PATH && place.get().is_none() {
+                places.take().map(|taken| place.set(taken));
             }
+            let has_place = place.get().is_some();
+            peer_reply(Rc::clone(&control), request, has_place)
         }
     };
     let limit = Limit { connections: PEERS_AT_ONCE, each_ms: FETCH_TIMEOUT_MS };
-    tokio::task::spawn_local(questions::serve_within(listener, limit, reply));
+    tokio::task::spawn_local(questions::serve_within(listener, limit, reply_of));
     Ok(())
 }
 
+/// Answers a peer; one that asks for a list and found no place is to ask another instance.
+async fn peer_reply(control: Rc<Control>, request: Request<Incoming>, has_place: bool) -> Answer {
+    let refused = |status| answer::whole(status, HeaderMap::new(), Bytes::new());
+    let path = request.uri().path().to_owned();
+    let body = Limited::new(request.into_body(), LONGEST_ASK_BYTES).collect().await;
+    let Ok(body) = body.map(Collected::to_bytes) else { return refused(400) };
+    let answered = match &*path {
+        CONFIG_PATH => rmp_serde::from_slice::<ConfigAsk>(&body)
+            .map(|asked| rmp_serde::to_vec(&control.config_for(asked)).ok()),
+        LIST_PATH if !has_place => return refused(503),
+        LIST_PATH => rmp_serde::from_slice::<ListAsk>(&body).map(|asked| {
+            control.list_for(&asked).and_then(|listed| rmp_serde::to_vec(&listed).ok())
+        }),
+        _ => return refused(404),
+    };
+    match answered {
+        Ok(Some(body)) => answer::whole(200, HeaderMap::new(), Bytes::from(body)),
+        Ok(None) => refused(503),
+        Err(_) => refused(400),
+    }
+}
+
 /// Serves callers' questions, the readiness and the metrics, each on its own address.
 async fn serve_questions(parts: &Parts) -> Result<()> {
     let mut addrs = vec![parts.settings.readiness, parts.settings.directory];
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -20,6 +20,8 @@
     pub peer: SocketAddr,
     /// Where its metrics are served.
     pub metrics: Option<SocketAddr>,
+    /// The speed of its link, by which the instances that others fetch from are chosen; 0 if not known.
+    pub link_mbps: u32,
     /// Peers to begin with.
     pub seeds: Vec<SocketAddr>,
     /// How long callers may keep an address.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -237,6 +237,9 @@
     /// it has to be read anew, others go first. False if the caller has left or its time is over.
     async fn come_back(&mut self) -> bool {
         let part = self.part().filter(|_| self.last_event.is_some());
+        if let Some(part) = part {
+            self.traffic.find_place(&self.job.service, part).await;
+        }
         let Some(part) = part.filter(|part| self.traffic.has_forgotten(*part)) else { return true };
         self.is_late = true;
         self.traffic.recall(&self.job.service, part).await;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -43,7 +43,7 @@
 use super::policy::silence;
 use super::policy::stop::Stop;
 use super::settings::Settings;
-use super::view::{Shared, View};
+use super::view::{Shared, Signal, View};
 use super::worker::Worker;
 use crate::clock::Clock;
 use crate::log;
@@ -326,8 +326,11 @@
             }
         }
         let unseen = self.unseen(&view, service, wish.need);
-        let index = placement::choose(&candidates, wish, unseen, &mut fastrand::Rng::new())?;
-        Some(Rc::clone(fitting[index]))
+        let index = placement::choose(&candidates, wish, unseen, &mut fastrand::Rng::new());
+        if index.is_none_or(|index| candidates[index].is_suspect) && view.large.contains(service) {
+            self.shared.signal(Signal::NoUpstreamLeft);
+        }
+        Some(Rc::clone(fitting[index?]))
     }
 
     /// How many channels this instance may have open to one upstream of a service.
@@ -336,7 +339,7 @@
         let all = view.config.as_ref().and_then(|config| config.services.get(service));
         let all = all.map_or(u32::MAX, |service| service.max_channels);
         // One in ten stays free: others may know of more or fewer instances.
-        (all - all / 10) / view.instances.max(1) + CHANNEL_SLACK
+        (all - all / 10) / view.holders(service).max(1) + CHANNEL_SLACK
     }
 
     /// Makes a call of this system's own to an engine; its status and body.
--- a/src/gateway/traffic/places.rs
+++ b/src/gateway/traffic/places.rs
@@ -12,7 +12,7 @@
 
 use super::super::dialect::{Demand, PromptPart};
 use super::super::policy::recall;
-use super::super::view::View;
+use super::super::view::{Signal, View};
 use super::super::worker::Worker;
 use super::Traffic;
 
@@ -24,6 +24,9 @@
 /// How long after its start an instance may ask engines what they keep: callers that come back
 /// later than that have waited too long anyway.
 const RECALL_WITHIN_MS: u64 = 8_000;
+/// How long a caller that goes on waits for the address of the engine that holds its prompt: a few round
+/// trips between failure domains.
+const FIND_MS: u64 = 100;
 /// How often a caller that waits for the place of its prompt looks: a few times in a round trip
 /// between failure domains and the news that follows it.
 const LOOK_MS: u64 = 10;
@@ -71,6 +74,27 @@
         self.worker(&id)
     }
 
+    /// Waits a moment for an engine that held a prompt last, where this instance knows only its id since
+    /// it holds a part of its service: it asks for the rest.
+    pub async fn find_place(&self, service: &str, part: u64) {
+        let view = self.shared.view.load();
+        let last = self.places_of(part, &view).pop();
+        let Some(id) = last.filter(|id| view.large.contains(service) && self.worker(id).is_none())
+        else {
+            return;
+        };
+        drop(view);
+        self.shared.signal(Signal::UpstreamWanted(Arc::clone(&id)));
+        let until_ms = self.now_ms() + FIND_MS;
+        while self.now_ms() < until_ms {
+            tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+            self.view();
+            if self.worker(&id).is_some() {
+                return;
+            }
+        }
+    }
+
     /// The engines that read a part of a prompt; the last one that this instance knows of is last.
     fn places_of(&self, part: u64, view: &View) -> Vec<Arc<str>> {
         let mut engines: Vec<Arc<str>> = view.places.of(part).cloned().collect();
@@ -134,7 +158,7 @@
 
     /// Asks this instance's share of the engines of a service what they keep, and tells peers.
     async fn ask_kept(self: Rc<Traffic>, service: Arc<str>) {
-        let instances = self.shared.view.load().instances;
+        let instances = self.shared.view.load().holders(&service);
         let now_ms = self.now_ms();
         let mut random = fastrand::Rng::new();
         let workers = self.workers.borrow().values().map(Rc::clone).collect::<Vec<_>>();
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,6 +1,6 @@
 //! What the control thread publishes for the others to read.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -15,6 +15,7 @@
 use super::policy::departures::Departures;
 use super::policy::named_rates::NamedRates;
 use super::policy::quarantine::Suspects;
+use super::policy::subset::Share;
 use super::rate::{Permit, Rate};
 use super::route::Config;
 
@@ -33,6 +34,10 @@
     pub fronts: Arc<Vec<Front>>,
     /// Instances that live, with this one.
     pub instances: u32,
+    /// The share of the large services that is in `fleet`.
+    pub share: Share,
+    /// The services that are too large to be held whole.
+    pub large: BTreeSet<Arc<str>>,
     /// What the others have running at upstreams.
     pub others: Arc<BTreeMap<Arc<str>, Held>>,
     /// Upstreams that others lost in the last moments.
@@ -58,6 +63,17 @@
     pub domain: Arc<str>,
 }
 
+impl View {
+    /// How many living instances hold an upstream of a service, about.
+    pub fn holders(&self, service: &str) -> u32 {
+        if self.large.contains(service) {
+            self.share.holders(self.instances)
+        } else {
+            self.instances
+        }
+    }
+}
+
 /// What both threads share.
 #[derive(Debug)]
 pub struct Shared {
@@ -90,6 +106,10 @@
     Departure(Departure),
     /// A request is to be sent to such an upstream.
     PermitWanted(PermitRequest),
+    /// No upstream is left of a service of which this instance holds a part.
+    NoUpstreamLeft,
+    /// A request goes on at an upstream that this instance doesn't hold.
+    UpstreamWanted(Arc<str>),
 }
 
 /// A request for a permit to send one request.
@@ -127,6 +147,8 @@
             is_directory_silent: false,
             fronts: Arc::default(),
             instances: 1,
+            share: Share::ALL,
+            large: BTreeSet::new(),
             others: Arc::default(),
             lost: Arc::default(),
             sent: Arc::default(),
--- a/tests/fakes/src/store.rs
+++ b/tests/fakes/src/store.rs
@@ -160,13 +160,16 @@
     fn range(&self, request: &Message) -> (u16, Value) {
         /// Small, so that listings have several pages.
         const PAGE: usize = 5;
+        /// The most pages, so that a listing of thousands ends.
+        const PAGES: usize = 10;
         let prefix = request.query("path-prefix").unwrap_or_default();
         let after = request.query("after").unwrap_or_default();
         let items = self.lock();
         let fits = |key: &&String| key.starts_with(prefix) && key.as_str() > after;
         let keys: Vec<&String> = items.items.keys().filter(fits).collect();
-        let page: Vec<Value> = keys.iter().take(PAGE).map(|key| items.item(key)).collect();
-        (200, json!({"items": page, "has-more": keys.len() > PAGE, "at": items.revision}))
+        let most = PAGE.max(items.items.len() / PAGES);
+        let page: Vec<Value> = keys.iter().take(most).map(|key| items.item(key)).collect();
+        (200, json!({"items": page, "has-more": keys.len() > most, "at": items.revision}))
     }
 
     async fn watch(&self, after: u64, wait_ms: u64) -> (u16, Value) {
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -2,10 +2,13 @@
 
 use std::net::SocketAddr;
 
+use siskinrock::gateway::control::knowledge::{CONFIG_PATH, ConfigAsk, LIST_PATH, ListAsk};
 use siskinrock_fakes::caller::{self, Call};
+use siskinrock_fakes::http::Connection;
 use siskinrock_fakes::process::wait_for;
 use siskinrock_fakes::site::{KEY, SECOND_KEY, config};
 use siskinrock_fakes::store::Fault;
+use tokio::net::TcpStream;
 
 use crate::support::{self, Running, call};
 
@@ -107,23 +110,84 @@
     assert!(!running.gateways[0].is_ready().await);
 }
 
+/// A question of one instance to another, at the path where that serves it.
+fn question(path: &str, asked: &impl serde::Serialize) -> Call {
+    Call { body: rmp_serde::to_vec(asked).unwrap(), ..call("POST", path) }
+}
+
+/// Where an instance serves its peers.
+fn peer_addr(running: &Running, index: usize) -> SocketAddr {
+    SocketAddr::new(running.front(index).ip(), running.place.base_port + 8)
+}
+
+/// Connections that hold all places for lists at an instance.
+async fn hold_lists(running: &Running, index: usize) -> Vec<Connection> {
+    let list = list_question();
+    let mut holding = Vec::new();
+    for _ in 0..LISTS_AT_ONCE {
+        let stream = TcpStream::connect(peer_addr(running, index)).await.unwrap();
+        let mut connection = Connection::new(stream);
+        connection.write(&list.encode()).await.unwrap();
+        // It may have been turned away, while others fetch.
+        let _ = connection.read_answer().await;
+        holding.push(connection);
+    }
+    holding
+}
+
+fn list_question() -> Call {
+    let asked = ListAsk { id: "edge-9".into(), since: 0, share: None, after: "".into() };
+    question(LIST_PATH, &asked)
+}
+
+/// Instances that serve a list to so many at once.
+const LISTS_AT_ONCE: usize = 4;
+
 /// All instances started at once and asked the first one that had the list: none of them got it in time,
 /// and all asked again. Those beyond a few are turned away at once, and one that hangs holds no place.
 #[tokio::test]
-async fn a_few_peers_are_served_at_once_and_the_others_turned_away() {
-    const AT_ONCE: usize = 4;
+async fn a_few_lists_are_served_at_once_and_the_others_turned_away() {
     let running = support::start(1).await;
-    let peers = SocketAddr::new(running.front(0).ip(), running.place.base_port + 8);
-    let mut hanging = Vec::new();
-    for _ in 0..AT_ONCE {
-        hanging.push(tokio::net::TcpStream::connect(peers).await.unwrap());
-    }
-    let fetch = Call { body: Vec::new(), ..call("GET", "/peer/knowledge") };
-    let turned_away = caller::send(peers, &fetch).await;
-    assert!(turned_away.is_err(), "{turned_away:?}");
+    let peers = peer_addr(&running, 0);
+    let holding = hold_lists(&running, 0).await;
+    let turned_away = caller::send(peers, &list_question()).await.unwrap();
+    assert_eq!(turned_away.status(), 503);
+    let config = question(CONFIG_PATH, &ConfigAsk { known: 0 });
+    assert_eq!(caller::send(peers, &config).await.unwrap().status(), 200, "it waits for no list");
     wait_for("the places are free again", async || {
-        caller::send(peers, &fetch).await.is_ok_and(|answer| answer.status() == 200)
+        caller::send(peers, &list_question()).await.is_ok_and(|answer| answer.status() == 200)
     })
     .await;
-    drop(hanging);
+    drop(holding);
+}
+
+/// With lists of 300 KB on full links, an operator's change was in force only after four seconds: it came
+/// in one answer with the list.
+#[tokio::test]
+async fn a_configuration_waits_for_no_list() {
+    /// Six, of which four watch the store and two rely on the others.
+    const INSTANCES: usize = 6;
+    let running = std::sync::Arc::new(support::start(INSTANCES as u8).await);
+    let held = std::sync::Arc::clone(&running);
+    let holding = tokio::spawn(async move {
+        loop {
+            let mut connections = Vec::new();
+            for index in 0..INSTANCES {
+                connections.extend(hold_lists(&held, index).await);
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+        }
+    });
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    running.site.store.put("op/config", &config(7, &[KEY], &["fresh"]));
+    let since = std::time::Instant::now();
+    for index in 0..INSTANCES {
+        wait_for("the route is in force", async || {
+            status(&running, index, &call("GET", "/fresh/a")).await == 200
+        })
+        .await;
+    }
+    let taken = since.elapsed();
+    holding.abort();
+    assert!(taken.as_millis() < 2_000, "in force after {taken:?}");
 }
--- a/tests/gateway/layers.rs
+++ b/tests/gateway/layers.rs
@@ -5,8 +5,10 @@
 use std::path::Path;
 
 /// What a decision may use: data, hashes of data, other decisions, and injected randomness.
-const FOR_POLICY: [&str; 12] = [
+const FOR_POLICY: [&str; 14] = [
+    "serde::",
     "std::borrow::",
+    "std::cmp::",
     "std::collections::",
     "std::net::SocketAddr",
     "std::sync::Arc",
--- a/tests/gateway/membership.rs
+++ b/tests/gateway/membership.rs
@@ -9,6 +9,7 @@
 use siskinrock::gateway::membership::{
     self, Card, GOSSIP_MS, Membership, Message, PROBE_MS, Phase, Rumor, Rumors, Standing, Versions,
 };
+use siskinrock::gateway::policy::subset::Share;
 use yare::parameterized;
 
 /// How long rumors gather before they are told, as in the product.
@@ -69,7 +70,8 @@
 
 fn card(index: usize, version: u64) -> Card {
     let registration = registration(index, 1);
-    Card { registration, version, phase: Phase::Ready, is_first_hand: false }
+    let phase = Phase::Ready;
+    Card { registration, version, phase, is_first_hand: false, link_mbps: 0, share: Share::ALL }
 }
 
 impl World {
@@ -103,8 +105,8 @@
 
     fn fresh(index: usize, life: u64, version: u64) -> Membership {
         let mut membership =
-            Membership::new(registration(index, life), &[addr(0), addr(1), addr(2)], version);
-        membership.set_me(Phase::Ready, false, Versions::default());
+            Membership::new(registration(index, life), 0, &[addr(0), addr(1), addr(2)], version);
+        membership.set_me(Phase::Ready, false, Share::ALL, Versions::default());
         membership
     }
 
@@ -281,6 +283,64 @@
     assert!(met_ms.is_some(), "{count} instances don't know each other");
 }
 
+/// A fleet that starts together. When each instance repeated the arrival of all others some thirty times, a
+/// start of 985 cost 2.5 MB an instance, and those whose processor time was used up took each other for
+/// dead. `SISKINROCK_START_INSTANCES` plays another size.
+#[parameterized(hundreds = { 300 }, thousand = { 1_000 })]
+fn a_start_of_the_whole_fleet_is_cheap(count: usize) {
+    /// Within which all know each other: callers come later than that.
+    const MET_MS: u64 = 6_000;
+    /// What an instance sends for each other one, on average: its card goes to it a few times.
+    const MOST_BYTES_FOR_EACH: u64 = 500;
+    /// What the busiest sends: its link of 10 Mbit/s carries it in a second and a half.
+    const MOST_BYTES: u64 = 1_900_000;
+    let named = std::env::var("SISKINROCK_START_INSTANCES").ok();
+    let count = named.and_then(|count| count.parse().ok()).unwrap_or(count);
+    let mut world = World::start(count, 7);
+    let met_ms = world.settle(MET_MS);
+    let sent: Vec<u64> = world.instances.iter().map(|instance| instance.sent_bytes).collect();
+    let mean = sent.iter().sum::<u64>() / count as u64;
+    let most = *sent.iter().max().expect("there are instances");
+    println!(
+        "{count} instances met after {met_ms:?} ms, {mean} bytes sent by each, {most} at most"
+    );
+    assert!(met_ms.is_some(), "{count} instances don't know each other");
+    assert!(mean <= MOST_BYTES_FOR_EACH * count as u64, "{mean} bytes each");
+    assert!(most <= MOST_BYTES, "{most} bytes");
+}
+
+/// Rumors that others tell as well are told less often.
+#[test]
+fn what_others_tell_is_not_told_as_often() {
+    let mut rumors = Rumors::default();
+    let lost = Rumor::Lost("i-1".into());
+    rumors.add(lost.clone(), 195);
+    (0..3).for_each(|_| rumors.heard(&lost));
+    rumors.heard(&Rumor::Lost("i-2".into()));
+    let rounds = (0..10).filter(|_| !rumors.round().is_empty()).count();
+    assert_eq!(rounds, 2);
+}
+
+/// Of the arrivals of a whole fleet a few are told; what is urgent is told however many there are.
+#[test]
+fn arrivals_of_a_whole_fleet_leave_room_for_what_is_urgent() {
+    let mut rumors = Rumors::default();
+    let of = |index, standing| {
+        let by = "edge-0".into();
+        Rumor::Member { card: card(index, 1), standing, by }
+    };
+    (0..500).for_each(|index| rumors.add_arrival(of(index, Standing::Alive), 500));
+    rumors.add(of(900, Standing::Dead), 500);
+    let mut told = Vec::new();
+    while !rumors.is_empty() {
+        told.extend(rumors.round());
+    }
+    told.dedup();
+    assert!(told.contains(&of(900, Standing::Dead)));
+    let arrivals = (0..500).filter(|index| told.contains(&of(*index, Standing::Alive)));
+    assert_eq!(arrivals.count(), 64, "members find the others by comparing");
+}
+
 /// Callers are sent to an instance until its peers find it gone, and its load weighs on engines. With
 /// a time that grew with the fleet, 195 instances took 9 s and 361 took 16 s.
 #[parameterized(nine = { 9 }, thirty = { 30 }, many = { 195 }, target = { 361 })]
@@ -369,7 +429,7 @@
 fn a_planned_stop_and_an_end_are_told_at_once() {
     let mut world = World::start(195, 31);
     world.settle(5_000).expect("all know each other");
-    world.instances[4].membership.set_me(Phase::Stopping, false, Versions::default());
+    world.instances[4].membership.set_me(Phase::Stopping, false, Share::ALL, Versions::default());
     world.flush(4);
     world.run_until(world.now_ms + 400);
     let phase = |other: &Instance| other.membership.get("edge-4").map(|known| known.card.phase);
@@ -455,7 +515,7 @@
 /// Old news, news about oneself and bytes without sense change nothing.
 #[test]
 fn old_forged_and_unreadable_messages_change_nothing() {
-    let mut membership = Membership::new(registration(0, 1), &[], 50);
+    let mut membership = Membership::new(registration(0, 1), 0, &[], 50);
     let by = || "edge-9".into();
     assert!(membership.hear_of(card(1, 7), Standing::Alive, by(), 0));
     assert!(!membership.hear_of(card(1, 6), Standing::Dead, by(), 10), "older");
--- a/tests/gateway/watchers.rs
+++ b/tests/gateway/watchers.rs
@@ -1,13 +1,13 @@
 //! Which instances call the directory: pure steps over the ids of those that live.
 
-use siskinrock::gateway::policy::watchers::{self, Turn};
+use siskinrock::gateway::policy::watchers::{self, Rank, Turn, rank};
 
 fn ids(count: usize) -> Vec<String> {
     (0..count).map(|number| format!("edge-{number}")).collect()
 }
 
-fn others<'a>(all: &'a [String], me: &'a str) -> impl Iterator<Item = &'a str> + 'a {
-    all.iter().map(String::as_str).filter(move |id| *id != me)
+fn others(all: &[String], me: &str) -> impl Iterator<Item = Rank> {
+    all.iter().filter(move |id| *id != me).map(|id| rank(id, 10))
 }
 
 /// Calls of the directory are paid for, so their number must not follow the fleet's.
@@ -15,9 +15,9 @@
 fn four_watch_and_four_register_however_many_there_are() {
     for count in [1, 4, 9, 30, 195, 361, 1_000] {
         let all = ids(count);
-        let watches = |id: &&String| Turn::of(id, others(&all, id)).watches();
+        let watches = |id: &&String| Turn::of(rank(id, 10), others(&all, id)).watches();
         assert_eq!(all.iter().filter(watches).count(), count.min(4), "of {count}");
-        let registers = |id: &&String| watchers::registers(id, others(&all, id));
+        let registers = |id: &&String| watchers::registers(rank(id, 10), others(&all, id));
         assert_eq!(all.iter().filter(registers).count(), count.min(4), "of {count}");
     }
 }
@@ -27,7 +27,7 @@
 fn the_next_in_rank_watches_for_one_that_is_turned_away() {
     let all = ids(9);
     let watching = |first_hand: &[String]| -> Vec<String> {
-        let watches = |id: &&String| Turn::of(id, others(first_hand, id)).watches();
+        let watches = |id: &&String| Turn::of(rank(id, 10), others(first_hand, id)).watches();
         all.iter().filter(watches).cloned().collect()
     };
     let before = watching(&all);
