--- a/bench/src/forwarder.rs
+++ b/bench/src/forwarder.rs
@@ -40,6 +40,7 @@
         peer,
         metrics: None,
         link_mbps: 0,
+        reports_usage: false,
         seeds: Vec::new(),
         keep_ms: 5_000,
         grace_ms: 1_000,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -302,6 +302,13 @@
         return if lease.channel.written() == 0 { unsent() } else { Outcome::TimeOver };
     };
     drop(timing);
+    let may_have_run = match &result {
+        Ok((whole, marks)) => !marks.not_run && whole.status != 421,
+        Err(fault) => matches!(fault, Fault::Broken { .. }),
+    };
+    if may_have_run {
+        traffic.note_begun(job, now_ms);
+    }
     job.record_time(&traffic.metrics, Time::Upstream, traffic.now_ms() - now_ms);
     judge(traffic, job, worker, lease, result)
 }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -6,6 +6,7 @@
 //! registration.
 
 mod directory;
+mod duties;
 mod exchange;
 pub mod knowledge;
 mod permits;
@@ -34,10 +35,12 @@
 use super::policy::active;
 use super::policy::departures::Departures;
 use super::policy::found::Found;
+use super::policy::lease::{DutyLease, Holder};
 use super::policy::named_rates::NamedRates;
 use super::policy::quarantine::Quarantine;
 use super::policy::rate_limit::Limiter;
 use super::policy::subset::Share;
+use super::policy::usage::{Counter, Usage};
 use super::policy::watchers::{self, Rank};
 use super::rate::Permit;
 use super::route::Config;
@@ -129,6 +132,16 @@
     guest_changes: u64,
     /// What traffic's list was made from.
     published: Option<Published>,
+    /// The lease of the duties that one instance at a time has.
+    duty_lease: DutyLease,
+    /// Who holds it, as the directory last said.
+    duty_holder: Option<Holder>,
+    /// What this instance counts for the report of usage.
+    counter: Counter,
+    /// What all counted, if this instance may have to report it.
+    usage: Usage,
+    /// The last window that this instance reported.
+    reported_window: Option<u64>,
 }
 
 /// What a list for traffic was made from; a list that is made from the same is the same.
@@ -184,6 +197,7 @@
         };
         let contacts = settings.seeds.clone();
         let window_ms = settings.repeat_window_ms;
+        let lease_ms = directory.duties().map_or(0, |duties| duties.terms().lease_ms);
         let board = Board {
             config: None,
             fleet: Fleet::default(),
@@ -230,6 +244,11 @@
             guests: BTreeMap::new(),
             guest_changes: 0,
             published: None,
+            duty_lease: DutyLease::new(lease_ms),
+            duty_holder: None,
+            counter: Counter::default(),
+            usage: Usage::default(),
+            reported_window: None,
         };
         let board = RefCell::new(board);
         let broken_watch = Notify::new();
@@ -270,6 +289,8 @@
         tokio::task::spawn_local(Rc::clone(self).seek_successors());
         tokio::task::spawn_local(Rc::clone(self).keep_quarantine());
         tokio::task::spawn_local(Rc::clone(self).keep_signals());
+        tokio::task::spawn_local(Rc::clone(self).tell_usage());
+        tokio::task::spawn_local(Rc::clone(self).keep_duties());
         tokio::task::spawn_local(Rc::clone(self).publish_changes());
     }
 
--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -9,6 +9,7 @@
 use super::super::fleet::Change;
 use super::super::membership::Phase;
 use super::super::metrics::Time;
+use super::super::policy::lease::Holder;
 use super::super::policy::subset::Share;
 use super::super::policy::watchers::{self, Turn};
 use super::{Board, Control};
@@ -299,6 +300,7 @@
                 Removed::Upstream(id) => of_upstreams.push(Change::Gone(id)),
                 // Peers tell by their beats whether an instance lives.
                 Removed::Instance(_) => {}
+                Removed::Holder => self.note_holder(None),
             }
         }
         for change in &of_upstreams {
@@ -340,6 +342,7 @@
             Record::Crashes(record) => {
                 self.take_crashes(record, "directory");
             }
+            Record::Holder(holder) => self.note_holder(Some(holder)),
             Record::Unreadable { key, detail } => {
                 slog::warn!(self.log, "record refused; what is in force stays";
                     "key" => key, "detail" => detail);
@@ -348,6 +351,14 @@
         }
     }
 
+    /// Notes who has the duties that one instance at a time has.
+    fn note_holder(&self, holder: Option<Holder>) {
+        let now_ms = self.clock.now_ms();
+        let mut board = self.board.borrow_mut();
+        board.duty_lease.note_holder(holder.as_ref(), now_ms);
+        board.duty_holder = holder;
+    }
+
     pub(super) async fn keep_registration(self: Rc<Control>) {
         let mut retry_ms = RETRY_MOST_MS;
         loop {
--- /dev/null
+++ b/src/gateway/control/duties.rs
@@ -0,0 +1,333 @@
+//! The controller of duties that one instance at a time has: it keeps the lease, gathers what all count,
+//! and reports it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::super::directory::Fault;
+use super::super::duties::{DutyCalls, Fence, Report, Written};
+use super::super::loads::Held;
+use super::super::membership::{Message, Phase};
+use super::super::policy::lease::{Action, Try};
+use super::super::policy::scaling::{Known, Order, Scaler, Seen};
+use super::super::policy::usage::{Schedule, UsageNews, Window};
+use super::super::policy::watchers;
+use super::super::view::DutyView;
+use super::{Board, Control};
+use crate::clock;
+
+/// How often it looks what is due.
+const LOOK_MS: u64 = 200;
+/// How often an instance tells what it counted.
+const TELL_MS: u64 = 500;
+/// How often one tells that counted nothing: its clock counts all the same.
+const TELL_NOTHING_MS: u64 = 4_000;
+/// The pause after a call that failed.
+const RETRY_MS: u64 = 300;
+/// The longest pause, where the platform answers none.
+const RETRY_MOST_MS: u64 = 2_000;
+
+impl Control {
+    /// Has the first few in rank know what this instance counted.
+    pub(super) async fn tell_usage(self: Rc<Control>) {
+        if self.usage_schedule().is_none() {
+            return;
+        }
+        let mut told_ms = 0;
+        loop {
+            tokio::time::sleep(Duration::from_millis(TELL_MS)).await;
+            let now_ms = self.clock.now_ms();
+            let mut board = self.board.borrow_mut();
+            for (organisation, began_ms) in self.shared.take_begun() {
+                board.counter.count(organisation, began_ms);
+            }
+            let slots = board.counter.told(now_ms);
+            if slots.is_empty() && now_ms < told_ms + TELL_NOTHING_MS {
+                continue;
+            }
+            told_ms = now_ms;
+            let news = UsageNews {
+                id: self.me.id.clone(),
+                incarnation: self.me.incarnation,
+                steady_ms: now_ms,
+                wall_ms: clock::wall_ms(),
+                slots,
+            };
+            let addrs = self.duty_candidates(&board);
+            board.usage.hear(news.clone(), now_ms);
+            drop(board);
+            self.send(&Message::Usage(news), &addrs);
+        }
+    }
+
+    pub(super) fn hear_usage(&self, news: UsageNews) {
+        let now_ms = self.clock.now_ms();
+        self.board.borrow_mut().usage.hear(news, now_ms);
+    }
+
+    /// The other instances that may hold the lease.
+    fn duty_candidates(&self, board: &Board) -> Vec<SocketAddr> {
+        let me = (board.membership.my_rank(), self.me.peer_addr);
+        let alive = board.membership.alive();
+        let alive = alive.map(|member| (member.card.rank(), member.card.registration.peer_addr));
+        let mut first = watchers::watchers(alive.chain([me]));
+        first.retain(|addr| *addr != self.me.peer_addr);
+        first
+    }
+
+    fn usage_schedule(&self) -> Option<Schedule> {
+        self.directory.duties().and_then(|duties| duties.terms().usage)
+    }
+
+    /// Takes the lease if it is free and this instance may hold it, and does the duties while it does.
+    pub(super) async fn keep_duties(self: Rc<Control>) {
+        let Some(duties) = self.directory.duties() else { return };
+        let mut reported = BTreeSet::new();
+        let mut scaler = Scaler::default();
+        let mut retry_ms = RETRY_MS;
+        loop {
+            tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+            let kept = self.keep_lease(duties).await;
+            let done = match kept {
+                Ok(()) => self.do_duties(duties, &mut reported, &mut scaler).await,
+                Err(fault) => Err(fault),
+            };
+            self.publish_duties();
+            match done {
+                Ok(()) => retry_ms = RETRY_MS,
+                Err(fault) => {
+                    slog::info!(self.log, "duty not done yet"; "why" => %fault);
+                    self.metrics.count("duty_faults");
+                    tokio::time::sleep(Duration::from_millis(retry_ms)).await;
+                    retry_ms = (retry_ms * 2).min(RETRY_MOST_MS);
+                }
+            }
+        }
+    }
+
+    async fn do_duties(
+        &self,
+        duties: &dyn DutyCalls,
+        reported: &mut BTreeSet<u64>,
+        scaler: &mut Scaler,
+    ) -> Result<(), Fault> {
+        let usage = self.report_usage(duties, reported).await;
+        let scaling = self.order_workers(duties, scaler).await;
+        usage.and(scaling)
+    }
+
+    async fn keep_lease(&self, duties: &dyn DutyCalls) -> Result<(), Fault> {
+        let now_ms = self.clock.now_ms();
+        let action = {
+            let mut board = self.board.borrow_mut();
+            let before_me = board.membership.before_me();
+            let is_candidate = board.phase == Phase::Ready && watchers::may_hold(before_me);
+            let has_it = board.duty_lease.token(now_ms).is_some();
+            if !is_candidate && !has_it {
+                return Ok(());
+            }
+            board.duty_lease.next(before_me, fastrand::u64(1..1 << 53), now_ms)
+        };
+        match action {
+            None => Ok(()),
+            Some(Action::Take { nonce }) => self.take_lease(duties, nonce).await,
+            Some(Action::ReadBack) => {
+                let holder = duties.holder().await?;
+                let now_ms = self.clock.now_ms();
+                let mut board = self.board.borrow_mut();
+                board.duty_lease.note_read(holder.as_ref(), now_ms);
+                board.duty_holder = holder;
+                Ok(())
+            }
+            Some(Action::Renew { lease }) => {
+                let renewed = self.directory.renew(lease).await;
+                let mut board = self.board.borrow_mut();
+                match renewed {
+                    Ok(()) => board.duty_lease.note_renewed(now_ms),
+                    Err(Fault::LeaseEnded) => {
+                        slog::warn!(self.log, "lease of the duties has ended");
+                        board.duty_lease.note_ended(self.clock.now_ms());
+                    }
+                    Err(fault) => return Err(fault),
+                }
+                Ok(())
+            }
+        }
+    }
+
+    async fn take_lease(&self, duties: &dyn DutyCalls, nonce: u64) -> Result<(), Fault> {
+        let asked_ms = self.clock.now_ms();
+        let ttl_ms = self.board.borrow().duty_lease.ttl_ms();
+        let lease = duties.grant(ttl_ms).await?;
+        let taken = Try { nonce, lease, asked_ms };
+        let written = duties.take(&self.me.id, nonce, lease).await;
+        let now_ms = self.clock.now_ms();
+        let mut board = self.board.borrow_mut();
+        match written {
+            Ok(Written::Now(token)) => {
+                board.duty_lease.note_taken(taken, token);
+                slog::info!(self.log, "duties taken over"; "token" => token);
+                self.metrics.count("duties_taken");
+                Ok(())
+            }
+            Ok(Written::Before(holder)) => {
+                board.duty_lease.note_holder(Some(&holder), now_ms);
+                board.duty_holder = Some(holder);
+                Ok(())
+            }
+            Err(fault @ Fault::Refused { .. }) => Err(fault),
+            Err(fault) => {
+                board.duty_lease.note_unsure(taken);
+                Err(fault)
+            }
+        }
+    }
+
+    /// The right to act, if this instance has it at this moment.
+    fn fence(&self) -> Option<Fence> {
+        let token = self.board.borrow().duty_lease.token(self.clock.now_ms())?;
+        Some(Fence { holder: self.me.id.clone(), token })
+    }
+
+    /// Reports the windows that are due.
+    async fn report_usage(
+        &self,
+        duties: &dyn DutyCalls,
+        reported: &mut BTreeSet<u64>,
+    ) -> Result<(), Fault> {
+        let Some(schedule) = duties.terms().usage else { return Ok(()) };
+        if self.fence().is_none() {
+            reported.clear();
+            return Ok(());
+        }
+        let true_ms = self.board.borrow().usage.true_ms(self.clock.now_ms());
+        let due: Vec<Window> = schedule.due(true_ms).collect();
+        let oldest = due.first().map_or(0, |window| window.number);
+        reported.retain(|number| *number >= oldest);
+        for window in due {
+            if reported.contains(&window.number) {
+                continue;
+            }
+            let report = self.report_of(duties, window).await?;
+            let Some(fence) = self.fence() else { return Ok(()) };
+            match duties.send_report(fence, report).await {
+                Ok(()) => {
+                    slog::info!(self.log, "usage reported"; "window" => window.number);
+                    self.metrics.count("usage_reports");
+                    reported.insert(window.number);
+                    self.board.borrow_mut().reported_window = Some(window.number);
+                }
+                Err(Fault::Superseded) => {
+                    slog::warn!(self.log, "usage not reported: a later holder was seen";
+                        "window" => window.number);
+                    self.board.borrow_mut().duty_lease.note_ended(self.clock.now_ms());
+                    return Ok(());
+                }
+                Err(fault) => return Err(fault),
+            }
+        }
+        Ok(())
+    }
+
+    /// The one report of a window: what an earlier holder stored, or else what is known now. It is
+    /// stored before it is sent, so that whoever takes over sends the same.
+    async fn report_of(&self, duties: &dyn DutyCalls, window: Window) -> Result<Report, Fault> {
+        let counts = self.board.borrow().usage.counted(window);
+        let report = duties.report(window.number, &counts);
+        match duties.store_report(window.number, report.clone()).await? {
+            Written::Now(_) => Ok(report),
+            Written::Before(stored) => {
+                slog::info!(self.log, "an earlier holder's report is sent again";
+                    "window" => window.number);
+                Ok(stored)
+            }
+        }
+    }
+
+    /// Orders the workers that are wanted and not there.
+    async fn order_workers(
+        &self,
+        duties: &dyn DutyCalls,
+        scaler: &mut Scaler,
+    ) -> Result<(), Fault> {
+        if !duties.terms().orders_workers {
+            return Ok(());
+        }
+        if self.fence().is_none() {
+            scaler.clear();
+            return Ok(());
+        }
+        for order in self.due_orders(scaler) {
+            let Some(fence) = self.fence() else { return Ok(()) };
+            let sent = duties.order(fence, &order).await;
+            let now_ms = self.clock.now_ms();
+            slog::info!(self.log, "workers ordered"; "service" => &*order.subject.service,
+                "domain" => &*order.subject.domain, "spot" => order.subject.is_spot,
+                "desired" => order.desired, "fault" => sent.as_ref().err().map(ToString::to_string));
+            match sent {
+                Ok(()) => scaler.note_sent(&order, true, now_ms),
+                Err(Fault::Superseded) => scaler.note_none_left(&order, now_ms),
+                Err(fault) => {
+                    scaler.note_sent(&order, false, now_ms);
+                    return Err(fault);
+                }
+            }
+            self.metrics.count("worker_orders");
+        }
+        Ok(())
+    }
+
+    fn due_orders(&self, scaler: &mut Scaler) -> Vec<Order> {
+        let now_ms = self.clock.now_ms();
+        let board = self.board.borrow();
+        let Some(config) = board.config.as_ref().filter(|_| board.has_fleet) else {
+            return Vec::new();
+        };
+        let own = self.shared.own();
+        let mut orders = Vec::new();
+        for (name, service) in &config.services {
+            let Some(terms) = &service.scaling else { continue };
+            let memory_tokens = service.engine.as_ref().and_then(|engine| engine.memory_tokens);
+            let Some(memory_tokens) = memory_tokens else { continue };
+            let of_service = || {
+                let all = board.fleet.upstreams.values();
+                all.filter(|upstream| upstream.service == *name)
+            };
+            let mut workers: BTreeMap<(Arc<str>, bool), Seen> = BTreeMap::new();
+            for upstream in of_service() {
+                let key = (Arc::clone(&upstream.domain), upstream.is_spot);
+                let seen = workers.entry(key).or_default();
+                let counted = if upstream.is_leaving { &mut seen.leaving } else { &mut seen.ready };
+                *counted += 1;
+            }
+            let held = board.loads.held();
+            let others = of_service().filter_map(|upstream| held.get(&upstream.id));
+            let is_of_service = |held: &&Held| {
+                let upstream = board.fleet.upstreams.get(&held.upstream);
+                upstream.is_some_and(|upstream| upstream.service == *name)
+            };
+            let all = others.chain(own.held.iter().filter(is_of_service));
+            let tokens: u64 = all.map(|held| held.reserved_tokens).sum();
+            let filled = tokens as f64 / memory_tokens as f64;
+            let known = Known { service: name, terms, workers: &workers, filled };
+            orders.extend(scaler.step(&known, now_ms));
+        }
+        orders
+    }
+
+    fn publish_duties(&self) {
+        let board = self.board.borrow();
+        let token = board.duty_lease.token(self.clock.now_ms());
+        let holder = match token {
+            Some(_) => Some(self.me.id.clone()),
+            None => board.duty_holder.as_ref().map(|holder| holder.id.clone()),
+        };
+        let reported = board.reported_window;
+        drop(board);
+        self.metrics.gauge("holds_duties", u64::from(token.is_some()));
+        self.shared.set_duties(DutyView { holder, token, reported });
+    }
+}
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -433,6 +433,7 @@
             Message::AskPermit(ask) => self.hear_permit_ask(ask, from),
             Message::Permit(number, permit) => self.hear_permit(number, permit),
             Message::Signals(news) => self.hear_signals(news),
+            Message::Usage(news) => self.hear_usage(news),
         }
     }
 
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -5,8 +5,10 @@
 use futures_util::future::LocalBoxFuture;
 
 use super::crash::CrashRecord;
+use super::duties::DutyCalls;
 use super::fleet::Upstream;
 use super::instance::Registration;
+use super::policy::lease::Holder;
 use super::route::Config;
 
 /// Why a call to the directory brought nothing.
@@ -30,6 +32,9 @@
     /// A lease has ended.
     #[display("the lease has ended; the instance registers again")]
     LeaseEnded,
+    /// Another instance that came later has called.
+    #[display("a higher fencing token was seen; this instance no longer has the duty")]
+    Superseded,
     /// It sent something that can't be read.
     #[display("the directory's answer can't be read ({detail}); check that versions agree")]
     Unreadable {
@@ -49,6 +54,8 @@
     Instance(Registration),
     /// What is known of a request that crashes upstreams.
     Crashes(CrashRecord),
+    /// Who has the duties that one instance at a time has.
+    Holder(Holder),
     /// An entry among the upstreams that names none to use: another writer made it.
     ForeignUpstream {
         /// The id under which it stands.
@@ -72,6 +79,8 @@
     Upstream(Arc<str>),
     /// An instance of ours, by id.
     Instance(Arc<str>),
+    /// The entry of whoever had the duties.
+    Holder,
 }
 
 /// Everything in the directory at one revision.
@@ -122,4 +131,9 @@
 
     /// Ends a lease, which removes the registration under it.
     fn release(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), Fault>>;
+
+    /// The calls of duties, where there are any.
+    fn duties(&self) -> Option<&dyn DutyCalls> {
+        None
+    }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -37,6 +37,9 @@
     /// stands for.
     #[serde(default)]
     pub listed_at: u64,
+    /// Whether it may be reclaimed at any time by whoever runs it.
+    #[serde(default)]
+    pub is_spot: bool,
 }
 
 impl Upstream {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -1,5 +1,6 @@
 //! Callers' connections: reading requests within the limits, and passing each to its service.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -160,6 +161,7 @@
         route,
         demand,
         body,
+        has_begun: Cell::new(false),
     })
 }
 
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,5 +1,6 @@
 //! A request on its way through this instance: what the caller wants, and by when.
 
+use std::cell::Cell;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -36,6 +37,8 @@
     pub headers: HeaderMap,
     /// Its whole body.
     pub body: Bytes,
+    /// Whether it is known to have begun to run.
+    pub has_begun: Cell<bool>,
 }
 
 impl Job {
--- a/src/gateway/membership/message.rs
+++ b/src/gateway/membership/message.rs
@@ -8,6 +8,7 @@
 use super::super::fleet::{Departure, Upstream};
 use super::super::loads::{Changes, Digest, LoadNews};
 use super::super::policy::subset::Share;
+use super::super::policy::usage::UsageNews;
 use super::super::rate::{NamedRate, Permit, Rate};
 use super::card::{Card, Versions};
 use super::rumors::Rumor;
@@ -49,6 +50,8 @@
     Permit(u64, Permit),
     /// What upstreams said in their answers.
     Signals(SignalNews),
+    /// What the sender counted for the report of usage.
+    Usage(UsageNews),
 }
 
 /// What upstreams said to instances in their answers.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod crash;
 pub mod dialect;
 pub mod directory;
+pub mod duties;
 pub mod events;
 pub mod failure;
 pub mod fingerprint;
--- a/src/gateway/native/document.rs
+++ b/src/gateway/native/document.rs
@@ -266,6 +266,7 @@
         is_leaving: entry.leaving,
         born_ms: None,
         listed_at: 0,
+        is_spot: false,
     });
     Document { config: Arc::new(config), upstreams: upstreams.collect() }
 }
@@ -284,6 +285,7 @@
         max_channels: entry.max_channels.unwrap_or(u32::MAX),
         health_path: entry.health_path.unwrap_or_else(|| Arc::from(HEALTH_PATH)),
         engine,
+        scaling: None,
     }
 }
 
--- a/src/gateway/native/mod.rs
+++ b/src/gateway/native/mod.rs
@@ -15,7 +15,9 @@
 use crate::settings::Environment;
 
 pub mod document;
+pub mod duties;
 pub mod file;
+mod operate;
 pub mod quarantine;
 pub mod settings;
 pub mod wire;
--- a/src/gateway/native/settings.rs
+++ b/src/gateway/native/settings.rs
@@ -80,6 +80,7 @@
             peer: peer?,
             metrics,
             link_mbps: link_mbps? as u32,
+            reports_usage: false,
             seeds,
             keep_ms: keep_ms?,
             grace_ms: grace_ms?,
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -13,6 +13,9 @@
 /// The path of the quarantine; with a fingerprint behind it, of one request there.
 pub const QUARANTINE_PATH: &str = "/quarantine";
 
+/// The path of the duties that one instance at a time has.
+pub const DUTIES_PATH: &str = "/duties";
+
 /// A request that crashed upstreams, as operators see it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineEntry {
@@ -36,6 +39,11 @@
     match (method, one) {
         (&Method::DELETE, Some(fingerprint)) => lift(fingerprint, shared),
         (&Method::GET, None) if path == QUARANTINE_PATH => list(shared, now_ms),
+        (&Method::GET, None) if path == DUTIES_PATH => {
+            // Names and numbers always serialize.
+            let duties = serde_json::to_string(&shared.duties()).unwrap_or_default();
+            text(200, "application/json", duties)
+        }
         _ => text(200, "text/plain; version=0.0.4", metrics.render()),
     }
 }
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -90,6 +90,31 @@
     pub health_path: Arc<str>,
     /// What its model engines are, if it has any.
     pub engine: Option<Engine>,
+    /// How many workers it may have, if that is ordered.
+    pub scaling: Option<Scaling>,
+}
+
+/// The terms on which workers of a service are ordered.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Scaling {
+    /// The fewest workers of a failure domain, of both kinds together.
+    pub least: u32,
+    /// The most.
+    pub most: u32,
+    /// How long a worker takes to start.
+    pub boot_ms: u64,
+    /// What a worker that may be reclaimed costs, against an ordinary one; 1 where there are none.
+    pub spot_price: f64,
+    /// What a worker costs, by failure domain.
+    pub prices: BTreeMap<Arc<str>, f64>,
+}
+
+impl Scaling {
+    /// Whether the terms make sense; by others, nothing is ordered.
+    pub fn is_sound(&self) -> bool {
+        let has_prices = !self.prices.is_empty() && self.prices.values().all(|price| *price >= 0.0);
+        self.least <= self.most && self.most > 0 && self.spot_price >= 0.0 && has_prices
+    }
 }
 
 /// The bounds of the model engines of a service.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -28,6 +28,8 @@
     pub keep_ms: u64,
     /// How long a planned stop may take.
     pub grace_ms: u64,
+    /// Whether the requests of each organisation are counted, for a report of usage.
+    pub reports_usage: bool,
     /// Repeats for each request of a service, over all instances.
     pub repeat_ratio: f64,
     /// Repeats beyond the ratio, over all instances.
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -111,6 +111,7 @@
             if !splitter.push(&data, &mut events) {
                 return lost("an event has no end", Loss::Left);
             }
+            traffic.note_begun(&self.job, heard_ms);
             if reading.take().is_some() {
                 traffic.tell_peers();
             }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -74,6 +74,8 @@
     pub connections: Cell<usize>,
     /// The planned stop that is under way.
     pub stop: Cell<Option<Stop>>,
+    /// Whether usage is reported.
+    reports_usage: bool,
     /// Set when a planned stop gives its last answers.
     pub last_answers: watch::Sender<bool>,
     /// A sum of what runs here, as it was at the last look.
@@ -111,8 +113,10 @@
         log: slog::Logger,
         metrics: Arc<Metrics>,
     ) -> Rc<Traffic> {
+        let reports_usage = settings.reports_usage;
         Rc::new(Traffic {
             settings,
+            reports_usage,
             dialect,
             shared,
             clock,
@@ -177,6 +181,14 @@
         answer::failed(failure, after_ms)
     }
 
+    /// Notes that a request began to run at a time; each counts once, however often it is sent.
+    pub fn note_begun(&self, job: &Job, began_ms: u64) {
+        let Some(organisation) = &job.organisation else { return };
+        if self.reports_usage && !job.has_begun.replace(true) {
+            self.shared.note_begun(Arc::clone(organisation), began_ms);
+        }
+    }
+
     /// Notes how long an attempt at a repeatable route took, answered or not.
     pub fn note_latency(&self, job: &Job, value_ms: u64) {
         let mut latencies = self.latencies.borrow_mut();
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwap;
+use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::crash::Crash;
@@ -95,6 +96,21 @@
     pub signalled: Notify,
     /// What traffic has for it.
     signals: Mutex<Vec<Signal>>,
+    /// Requests that began to run: whose they were, and when.
+    begun: Mutex<Vec<(Arc<str>, u64)>>,
+    /// How the duties stand that one instance at a time has.
+    duties: Mutex<DutyView>,
+}
+
+/// How the duties stand that one instance at a time has, as operators see it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DutyView {
+    /// Who has them, as far as this instance knows.
+    pub holder: Option<Arc<str>>,
+    /// The fencing token, if it is this instance.
+    pub token: Option<u64>,
+    /// The last window of usage that this instance reported.
+    pub reported: Option<u64>,
 }
 
 /// What traffic has for the controller of what upstreams ask for.
@@ -137,6 +153,10 @@
 /// Reports that wait for the control thread; a crash of a service brings some hundred at once.
 const MOST_REPORTS: usize = 4_096;
 
+/// Requests that began and wait to be counted, which happens twice a second; where no usage is reported,
+/// nobody takes them.
+const MOST_BEGUN: usize = 16_384;
+
 impl Shared {
     /// Nothing known yet.
     pub fn new() -> Arc<Shared> {
@@ -169,6 +189,8 @@
             quarantined: watch::Sender::new(0),
             signalled: Notify::new(),
             signals: Mutex::default(),
+            begun: Mutex::default(),
+            duties: Mutex::default(),
         })
     }
 
@@ -198,6 +220,29 @@
         std::mem::take(&mut *self.signals.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Notes that a request of an organisation began to run at a time.
+    pub fn note_begun(&self, organisation: Arc<str>, began_ms: u64) {
+        let mut begun = self.begun.lock().unwrap_or_else(PoisonError::into_inner);
+        if begun.len() < MOST_BEGUN {
+            begun.push((organisation, began_ms));
+        }
+    }
+
+    /// Takes the requests that began since this was last asked.
+    pub fn take_begun(&self) -> Vec<(Arc<str>, u64)> {
+        std::mem::take(&mut *self.begun.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// How the duties stand.
+    pub fn duties(&self) -> DutyView {
+        self.duties.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Replaces how the duties stand.
+    pub fn set_duties(&self, duties: DutyView) {
+        *self.duties.lock().unwrap_or_else(PoisonError::into_inner) = duties;
+    }
+
     /// Replaces what is told to peers.
     pub fn set_own(&self, own: Own) {
         *self.own.lock().unwrap_or_else(PoisonError::into_inner) = own;
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,6 +25,7 @@
   gateway     forward by routes, as a configuration file or the platform says
   check       check the settings of a router without serving; check gateway: those of a gateway
   ctl         ask and command a running system
+  duties      show which instance reports usage and orders workers
   quarantine  list the requests that crash upstreams, and lift their quarantine
   help        this page; also --help after each command
 ";
@@ -38,7 +39,9 @@
         Some("ctl") if wants_help || arguments.is_empty() => print(ctl::HELP),
         Some("gateway") if wants_help => print(native::settings::HELP),
         Some("quarantine") if wants_help => print(native::quarantine::HELP),
-        Some("quarantine") => quarantine(arguments),
+        Some("quarantine") => ask(native::quarantine::run(arguments, &environment)),
+        Some("duties") if wants_help => print(native::duties::HELP),
+        Some("duties") => ask(native::duties::run(arguments, &environment)),
         Some("router") => serve(arguments),
         Some("gateway") => forward(arguments),
         Some("check") if arguments.first().is_some_and(|first| first == "gateway") => {
@@ -217,11 +220,11 @@
     }
 }
 
-/// Lists the quarantine of a running gateway, or lifts one.
-fn quarantine(arguments: Vec<OsString>) -> ExitCode {
+/// Prints what an operator asks of a running gateway.
+fn ask(asked: impl Future<Output = Result<String, Error>>) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let Ok(runtime) = runtime else { return ExitCode::from(EXIT_FAILED) };
-    match runtime.block_on(native::quarantine::run(arguments, &environment)) {
+    match runtime.block_on(asked) {
         Ok(text) => print(&format!("{text}\n")),
         Err(error) if error.code() == "settings" => fail(&error, EXIT_USAGE),
         Err(error) => fail(&error, EXIT_FAILED),
--- a/tests/fakes/src/lib.rs
+++ b/tests/fakes/src/lib.rs
@@ -2,6 +2,7 @@
 //! services, and a proxy that harms connections. Everything listens on loopback.
 
 pub mod caller;
+pub mod cloud;
 pub mod engine;
 pub mod http;
 pub mod process;
--- a/tests/fakes/src/store.rs
+++ b/tests/fakes/src/store.rs
@@ -12,6 +12,9 @@
 
 use crate::http::{self, Connection, Message};
 
+/// How often the store looks for leases that have ended.
+const LEASE_LOOK: Duration = Duration::from_millis(50);
+
 /// How the store misbehaves.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -56,6 +59,18 @@
         let items: Arc<Mutex<Items>> = Arc::default();
         let changed = Arc::new(watch::Sender::new(0));
         let (shared, told) = (Arc::clone(&items), Arc::clone(&changed));
+        let (leased, expired) = (Arc::clone(&items), Arc::clone(&changed));
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(LEASE_LOOK).await;
+                let mut items = leased.lock().expect("no holder panics");
+                let before = items.revision;
+                items.end_leases();
+                if items.revision != before {
+                    expired.send_modify(|count| *count += 1);
+                }
+            }
+        });
         let (addr, _) = http::listen(addr, move |connection| {
             let store = Store {
                 addr: SocketAddr::from(([127, 0, 0, 1], 0)),
@@ -145,6 +160,7 @@
         let id = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
         let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
         match path.strip_prefix("/siskinrock/").unwrap_or_default() {
+            "kv-key" => self.one(request),
             "kv-range" => self.range(request),
             "kv-watch" => {
                 self.watch(number("after").unwrap_or(0), number("wait-ms").unwrap_or(0)).await
@@ -157,6 +173,13 @@
         }
     }
 
+    fn one(&self, request: &Message) -> (u16, Value) {
+        let key = request.query("key").unwrap_or_default();
+        let mut items = self.lock();
+        items.end_leases();
+        if items.items.contains_key(key) { (200, items.item(key)) } else { (404, json!({})) }
+    }
+
     fn range(&self, request: &Message) -> (u16, Value) {
         /// Small, so that listings have several pages.
         const PAGE: usize = 5;
@@ -219,6 +242,10 @@
 
     fn transact(&self, body: &Value) -> (u16, Value) {
         let mut items = self.lock();
+        items.end_leases();
+        if let Some(conflict) = items.conflict(body) {
+            return (412, json!({ "items": [conflict] }));
+        }
         for write in body["writes"].as_array().into_iter().flatten() {
             let key = write["key"].as_str().unwrap_or_default();
             if key.starts_with("op/") || key.starts_with("servers/") {
@@ -235,6 +262,28 @@
 }
 
 impl Items {
+    /// Removes what was written under leases that have ended.
+    fn end_leases(&mut self) {
+        let is_over = |(since, ttl): &(Instant, Duration)| since.elapsed() >= *ttl;
+        let over: Vec<u64> =
+            self.leases.iter().filter(|(_, lease)| is_over(lease)).map(|(id, _)| *id).collect();
+        let held = |(_, _, lease): &(Vec<u8>, u64, u64)| over.contains(lease);
+        let keys: Vec<String> =
+            self.items.iter().filter(|(_, item)| held(item)).map(|(key, _)| key.clone()).collect();
+        keys.iter().for_each(|key| self.remove(key));
+    }
+
+    /// The first item that is not as a transaction expects it.
+    fn conflict(&self, body: &Value) -> Option<Value> {
+        let expected = body["expected-revision"].as_array()?;
+        let differs = |row: &&Value| {
+            let known = self.items.get(row["key"].as_str().unwrap_or_default());
+            known.map_or(0, |item| item.1) != row["mod-revision"].as_u64().unwrap_or(0)
+        };
+        let key = expected.iter().find(differs)?["key"].as_str()?;
+        Some(self.items.get(key).map_or(json!({"key": key, "deleted": true}), |_| self.item(key)))
+    }
+
     fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) -> u64 {
         self.revision += 1;
         self.events.push((self.revision, key.to_owned(), Some(value.clone())));
--- /dev/null
+++ b/tests/gateway/duties.rs
@@ -0,0 +1,450 @@
+//! Duties that one instance at a time has: the lease in every order of events, the counts, and real
+//! processes before a platform that misbehaves.
+
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::time::Duration;
+
+use siskinrock::gateway::policy::lease::{Action, DutyLease, Holder, Try};
+use siskinrock::gateway::policy::usage::{Counter, Schedule, Usage, UsageNews, Window};
+use siskinrock_fakes::caller;
+use siskinrock_fakes::cloud::{Cloud, Fault};
+use siskinrock_fakes::process::wait_for;
+use siskinrock_fakes::store;
+use yare::parameterized;
+
+use crate::support::{self, Running, call};
+
+/// The lease in the exploration below, in steps of its time; its margin is one step.
+const TTL: u64 = 6;
+/// Events in a row that are explored.
+const DEPTH: usize = 16;
+/// Instances that may hold the lease there.
+const INSTANCES: usize = 3;
+
+/// The entry in the directory.
+#[derive(Debug, Clone)]
+struct Entry {
+    by: usize,
+    nonce: u64,
+    lease: u64,
+    token: u64,
+    until_ms: u64,
+}
+
+/// A write that the directory carries out when it likes to.
+#[derive(Debug, Clone)]
+struct Late {
+    by: usize,
+    nonce: u64,
+    lease: u64,
+    until_ms: u64,
+}
+
+/// What becomes of a call.
+#[derive(Debug, Clone, Copy)]
+enum Fate {
+    Done,
+    AnswerLost,
+    Lost,
+    Late,
+}
+
+#[derive(Debug, Clone)]
+struct World {
+    now_ms: u64,
+    entry: Option<Entry>,
+    revision: u64,
+    late: Vec<Late>,
+    leases: Vec<DutyLease>,
+}
+
+impl World {
+    fn new() -> World {
+        let leases = (0..INSTANCES).map(|_| DutyLease::new(TTL)).collect();
+        World { now_ms: 1, entry: None, revision: 0, late: Vec::new(), leases }
+    }
+
+    fn tick(&mut self) {
+        self.now_ms += 1;
+        if self.entry.as_ref().is_some_and(|entry| entry.until_ms <= self.now_ms) {
+            self.entry = None;
+        }
+    }
+
+    fn holder(&self) -> Option<Holder> {
+        let entry = self.entry.as_ref()?;
+        Some(Holder { id: entry.by.to_string().into(), nonce: entry.nonce, token: entry.token })
+    }
+
+    fn write(&mut self, late: Late) -> Option<u64> {
+        let Late { by, nonce, lease, until_ms } = late;
+        if self.entry.is_some() || until_ms <= self.now_ms {
+            return None;
+        }
+        self.revision += 1;
+        let token = self.revision;
+        self.entry = Some(Entry { by, nonce, lease, token, until_ms });
+        Some(token)
+    }
+
+    /// One instance looks what to do about its lease, and does it.
+    fn step(&mut self, by: usize, fate: Fate) {
+        let now_ms = self.now_ms;
+        // No two writes have the same nonce or lease.
+        let nonce = now_ms * 10 + by as u64;
+        match self.leases[by].next(0, nonce, now_ms) {
+            Some(Action::Take { nonce }) => self.take(by, nonce, fate),
+            Some(Action::ReadBack) if matches!(fate, Fate::Done) => {
+                let holder = self.holder();
+                self.leases[by].note_read(holder.as_ref(), now_ms);
+            }
+            Some(Action::Renew { lease }) => self.renew(by, lease, fate),
+            _ => {}
+        }
+    }
+
+    fn take(&mut self, by: usize, nonce: u64, fate: Fate) {
+        let now_ms = self.now_ms;
+        let write = Late { by, nonce, lease: nonce, until_ms: now_ms + TTL };
+        let tried = Try { nonce, lease: nonce, asked_ms: now_ms };
+        match fate {
+            Fate::Done => match self.write(write) {
+                Some(token) => self.leases[by].note_taken(tried, token),
+                None => {
+                    let holder = self.holder();
+                    self.leases[by].note_holder(holder.as_ref(), now_ms);
+                }
+            },
+            Fate::AnswerLost => {
+                self.write(write);
+                self.leases[by].note_unsure(tried);
+            }
+            Fate::Lost => self.leases[by].note_unsure(tried),
+            Fate::Late => {
+                self.late.push(write);
+                self.leases[by].note_unsure(tried);
+            }
+        }
+    }
+
+    fn renew(&mut self, by: usize, lease: u64, fate: Fate) {
+        let now_ms = self.now_ms;
+        let arrives = matches!(fate, Fate::Done | Fate::AnswerLost);
+        let is_there = self.entry.as_ref().is_some_and(|entry| entry.lease == lease);
+        if let Some(entry) = self.entry.as_mut().filter(|entry| arrives && entry.lease == lease) {
+            entry.until_ms = now_ms + TTL;
+        }
+        match fate {
+            Fate::Done if is_there => self.leases[by].note_renewed(now_ms),
+            Fate::Done => self.leases[by].note_ended(now_ms),
+            _ => {}
+        }
+    }
+
+    /// What an entry that went, or one that is there, tells whoever watches the directory.
+    fn see(&mut self, by: usize) {
+        let holder = self.holder();
+        let now_ms = self.now_ms;
+        self.leases[by].note_holder(holder.as_ref(), now_ms);
+    }
+
+    /// All worlds that follow by one event.
+    fn next(&self) -> Vec<World> {
+        let mut worlds = Vec::new();
+        let mut add = |change: &dyn Fn(&mut World)| {
+            let mut world = self.clone();
+            change(&mut world);
+            worlds.push(world);
+        };
+        add(&World::tick);
+        for by in 0..INSTANCES {
+            add(&|world| world.see(by));
+            for fate in [Fate::Done, Fate::AnswerLost, Fate::Lost, Fate::Late] {
+                add(&|world| world.step(by, fate));
+            }
+        }
+        for index in 0..self.late.len() {
+            add(&|world| {
+                let late = world.late.remove(index);
+                world.write(late);
+            });
+        }
+        worlds
+    }
+
+    /// Who may act now, with which token.
+    fn acting(&self) -> Vec<(usize, u64)> {
+        let tokens = self.leases.iter().enumerate();
+        tokens.filter_map(|(by, lease)| Some((by, lease.token(self.now_ms)?))).collect()
+    }
+
+    fn check(&self) {
+        let acting = self.acting();
+        assert!(acting.len() <= 1, "two may act at {}: {self:?}", self.now_ms);
+        for (by, token) in acting {
+            let entry = self.entry.as_ref().expect("the holder's entry outlasts its belief");
+            assert_eq!((entry.by, entry.token), (by, token), "{self:?}");
+        }
+    }
+}
+
+/// Every order of looks, lost answers, late writes, pauses (an instance that does nothing while time
+/// passes) and takeovers, up to a depth: never may two act, none may act without its entry in the directory,
+/// and so tokens rise from holder to holder and none is used by two.
+#[test]
+fn in_every_order_of_events_one_instance_at_most_may_act() {
+    let mut seen = HashSet::new();
+    let mut left = VecDeque::from([(World::new(), 0)]);
+    let most = std::env::var("SISKINROCK_LEASE_STATES").ok();
+    let most: usize = most.and_then(|most| most.parse().ok()).unwrap_or(60_000);
+    while let Some((world, depth)) = left.pop_front() {
+        for next in world.next() {
+            next.check();
+            let is_new = seen.len() < most && seen.insert(format!("{next:?}"));
+            if is_new && depth + 1 < DEPTH {
+                left.push_back((next, depth + 1));
+            }
+        }
+    }
+    println!("{} states explored, up to {DEPTH} events deep", seen.len());
+    assert!(seen.len() > 10_000);
+}
+
+/// An instance that stood still for longer than its lease, or was suspended, does nothing by it.
+#[test]
+fn a_holder_that_was_paused_acts_only_by_a_lease_that_lasts() {
+    let mut lease = DutyLease::new(3_000);
+    lease.note_taken(Try { nonce: 1, lease: 5, asked_ms: 1_000 }, 41);
+    assert_eq!(lease.token(3_400), Some(41));
+    assert_eq!(
+        lease.token(3_600),
+        None,
+        "it stops before the directory gives the lease to another"
+    );
+    assert!(matches!(lease.next(0, 9, 4_100), Some(Action::Take { nonce: 9 })));
+    lease.note_renewed(4_100);
+    assert_eq!(lease.token(4_200), None, "a renewal that comes after its end changes nothing");
+}
+
+/// Those that come later in rank leave the lease to the others for a moment.
+#[test]
+fn the_first_in_rank_takes_a_lease_that_is_free() {
+    let mut lease = DutyLease::new(3_000);
+    let holder = Holder { id: "edge-1".into(), nonce: 3, token: 7 };
+    lease.note_holder(Some(&holder), 500);
+    assert_eq!(lease.next(0, 9, 9_000), None, "another one has it");
+    lease.note_holder(None, 9_000);
+    assert_eq!(lease.next(2, 9, 9_500), None);
+    assert_eq!(lease.next(2, 9, 9_600), Some(Action::Take { nonce: 9 }));
+}
+
+fn news(
+    id: &str,
+    incarnation: u64,
+    steady_ms: u64,
+    wall_ms: u64,
+    counter: &mut Counter,
+) -> UsageNews {
+    let slots = counter.told(steady_ms);
+    UsageNews { id: id.into(), incarnation, steady_ms, wall_ms, slots }
+}
+
+fn total(usage: &Usage, number: u64) -> u64 {
+    usage.counted(Window { number, length_ms: 5_000 }).values().sum()
+}
+
+/// Messages come twice, late and not at all; an instance that ended keeps what it had told, and none of
+/// it counts again when it is back.
+#[parameterized(few = { 3, 7 }, some = { 30, 11 }, many = { 100, 13 })]
+fn counts_are_whole_whatever_becomes_of_messages(instances: usize, seed: u64) {
+    const START_MS: u64 = 1_000_000_000;
+    // Clocks of the time of day differ, some of them by seconds.
+    let skew_ms = |index: usize| if index.is_multiple_of(5) { 1_400 } else { index as u64 % 3 };
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut usage = Usage::default();
+    let mut truth: BTreeMap<u64, u64> = BTreeMap::new();
+    let mut counters: Vec<(u64, Counter)> = Vec::new();
+    counters.resize_with(instances, || (1, Counter::default()));
+    let mut sent: Vec<UsageNews> = Vec::new();
+    for now_ms in (0..30_000).step_by(20) {
+        counters[random.usize(..instances)].1.count("huka".into(), now_ms);
+        *truth.entry((START_MS + now_ms) / 5_000).or_insert(0) += 1;
+        if now_ms % 500 == 0 {
+            for (index, (incarnation, counter)) in counters.iter_mut().enumerate() {
+                let wall_ms = START_MS + now_ms + skew_ms(index);
+                let told = news(&format!("edge-{index}"), *incarnation, now_ms, wall_ms, counter);
+                sent.push(told.clone());
+                if random.u32(..5) > 0 {
+                    usage.hear(told, now_ms);
+                }
+            }
+        }
+        if now_ms % 3_000 == 1_000 {
+            // It ends right after it told the last of what it counted, and starts anew.
+            let index = random.usize(..instances);
+            let (incarnation, counter) = &mut counters[index];
+            let wall_ms = START_MS + now_ms + skew_ms(index);
+            let last = news(&format!("edge-{index}"), *incarnation, now_ms, wall_ms, counter);
+            usage.hear(last, now_ms);
+            (*incarnation, *counter) = (*incarnation + 1, Counter::default());
+        }
+        if let Some(old) = sent.last().cloned() {
+            usage.hear(old, now_ms);
+        }
+    }
+    for number in (START_MS / 5_000)..(START_MS + 20_000) / 5_000 {
+        let (counted, began) = (total(&usage, number), truth[&number]);
+        let off = counted.abs_diff(began) as f64 / began as f64;
+        assert!(off <= 0.05, "window {number}: {counted} of {began}");
+    }
+}
+
+/// A window is reported from a moment after its end, when its counts are known, as long as it is taken.
+#[test]
+fn windows_are_due_after_their_end() {
+    let schedule = Schedule { window_ms: 5_000, late_ms: 10_000 };
+    let due = |true_ms| schedule.due(true_ms).map(|window| window.number).collect::<Vec<_>>();
+    assert_eq!(due(102_499), [17, 18]);
+    assert_eq!(due(102_500), [17, 18, 19], "its end was at 100,000");
+    assert_eq!(due(109_999), [18, 19, 20]);
+    assert_eq!(due(110_000), [19, 20], "the one that ended at 95,000 isn't taken any more");
+}
+
+const WINDOW_MS: u64 = 1_000;
+const LATE_MS: u64 = 4_000;
+const LEASE_MS: u64 = 1_200;
+
+/// Gateways that have duties, before a platform that takes them.
+async fn start(gateways: u8) -> (Running, Cloud) {
+    let cloud = Cloud::start().await;
+    let mut running = support::start(gateways).await;
+    for gateway in &mut running.gateways {
+        let bounds = format!(
+            "[bounds]\nlease-ms = {LEASE_MS}\nreport-window-s = {}\nusage-late-s = {}",
+            WINDOW_MS / 1_000,
+            LATE_MS / 1_000
+        );
+        let addr = cloud.addr;
+        gateway.set("[bounds]", &bounds);
+        let duties = format!("[cloud]\naddress = \"{addr}\"\nduties = [\"usage_reporting\"]\n");
+        gateway.set("[provider]", &format!("{duties}[provider]"));
+        gateway.kill();
+        gateway.restart();
+    }
+    running.wait_until_ready().await;
+    (running, cloud)
+}
+
+/// Sends a call every 20 ms through all gateways in turn for a time; returns how many ran.
+async fn load(running: &Running, lasts: Duration) -> u64 {
+    let until = std::time::Instant::now() + lasts;
+    let mut ran = 0;
+    for index in 0.. {
+        if std::time::Instant::now() >= until {
+            break;
+        }
+        let front = running.front(index % running.gateways.len());
+        let answered = caller::send(front, &call("POST", "/book/a")).await;
+        ran += u64::from(answered.is_ok_and(|answer| answer.status() == 200));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    ran
+}
+
+/// Reports of each window are taken once, whatever the platform does; fences rise.
+fn assert_sound(cloud: &Cloud) {
+    let seen = cloud.seen();
+    let mut counts: BTreeMap<u64, Vec<u8>> = BTreeMap::new();
+    let mut holders: BTreeMap<u64, String> = BTreeMap::new();
+    for report in &seen {
+        let first = counts.entry(report.window).or_insert_with(|| report.body.clone());
+        assert_eq!(*first, report.body, "two reports of window {}", report.window);
+        let holder = holders.entry(report.token).or_insert_with(|| report.holder.clone());
+        assert_eq!(*holder, report.holder, "two holders have the token {}", report.token);
+    }
+}
+
+#[tokio::test]
+async fn usage_is_reported_once_a_window() {
+    let (running, cloud) = start(3).await;
+    let ran = load(&running, Duration::from_secs(4)).await;
+    wait_for("the last windows are reported", async || cloud.counted() >= ran).await;
+    assert_sound(&cloud);
+    assert_eq!(cloud.counted(), ran);
+    let held =
+        running.gateways.iter().filter(|gateway| gateway.logged().contains("duties taken over"));
+    assert_eq!(held.count(), 1);
+}
+
+/// The holder is killed, frozen past its lease or loses the platform's answers, in series.
+#[parameterized(
+    killed = { Trouble::Killed },
+    frozen = { Trouble::Frozen },
+    silent = { Trouble::Fault(Fault::AnswerLost) },
+    busy = { Trouble::Fault(Fault::Busy) },
+    late = { Trouble::Fault(Fault::Late) },
+    store_silent = { Trouble::StoreSilent },
+)]
+#[test_macro(tokio::test)]
+async fn one_report_a_window_whatever_becomes_of_the_holder(trouble: Trouble) {
+    let (mut running, cloud) = start(3).await;
+    load(&running, Duration::from_millis(1_500)).await;
+    for _ in 0..2 {
+        let holder = running.holder().await;
+        trouble.begin(&mut running, &cloud, holder);
+        tokio::time::sleep(Duration::from_millis(2 * LEASE_MS)).await;
+        trouble.end(&mut running, &cloud, holder);
+        running.wait_until_ready().await;
+        load(&running, Duration::from_millis(1_000)).await;
+    }
+    let newest = cloud.newest();
+    wait_for("windows are reported again", async || cloud.newest() > newest + 2).await;
+    assert_sound(&cloud);
+    cloud.assert_fences_rise();
+}
+
+/// What happens to the holder or the platform.
+#[derive(Debug, Clone, Copy)]
+enum Trouble {
+    Killed,
+    Frozen,
+    Fault(Fault),
+    StoreSilent,
+}
+
+impl Trouble {
+    fn begin(self, running: &mut Running, cloud: &Cloud, holder: usize) {
+        match self {
+            Trouble::Killed => running.gateways[holder].kill(),
+            Trouble::Frozen => running.gateways[holder].signal(libc::SIGSTOP),
+            Trouble::Fault(fault) => cloud.fail(fault),
+            Trouble::StoreSilent => running.site.store.fail(store::Fault::Silent),
+        }
+    }
+
+    fn end(self, running: &mut Running, cloud: &Cloud, holder: usize) {
+        match self {
+            Trouble::Killed => running.gateways[holder].restart(),
+            Trouble::Frozen => running.gateways[holder].signal(libc::SIGCONT),
+            Trouble::Fault(_) => cloud.fail(Fault::None),
+            Trouble::StoreSilent => running.site.store.fail(store::Fault::None),
+        }
+    }
+}
+
+impl Running {
+    /// The gateway that holds the duties.
+    async fn holder(&self) -> usize {
+        let mut holder = None;
+        wait_for("one holds the duties", async || {
+            for (index, gateway) in self.gateways.iter().enumerate() {
+                if gateway.metrics().await.contains("holds_duties 1") {
+                    holder = Some(index);
+                }
+            }
+            holder.is_some()
+        })
+        .await;
+        holder.unwrap()
+    }
+}
--- a/tests/gateway/patience.rs
+++ b/tests/gateway/patience.rs
@@ -25,6 +25,7 @@
         is_leaving: false,
         born_ms: None,
         listed_at,
+        is_spot: false,
     }
 }
 
--- /dev/null
+++ b/tests/gateway/scaling.rs
@@ -0,0 +1,210 @@
+//! How many workers are ordered: pure steps against a platform that starts them, takes them back and has
+//! none at times.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use siskinrock::gateway::policy::scaling::{Known, Order, Scaler, Seen};
+use siskinrock::gateway::route::Scaling;
+
+const ZONES: [&str; 4] = ["norte", "sur", "puerto", "rel"];
+const BOOT_MS: u64 = 4_000;
+/// How often the holder looks.
+const STEP_MS: u64 = 200;
+
+fn terms(spot_price: f64) -> Scaling {
+    let prices = ZONES.map(|zone| (Arc::from(zone), 1.0));
+    Scaling { least: 1, most: 48, boot_ms: BOOT_MS, spot_price, prices: prices.into() }
+}
+
+/// Workers that are there, by failure domain and whether they may be reclaimed.
+type Workers = BTreeMap<(Arc<str>, bool), Seen>;
+
+struct Platform {
+    now_ms: u64,
+    terms: Scaling,
+    scaler: Scaler,
+    workers: Workers,
+    /// Those that start, with the time at which they are there.
+    starting: Vec<(u64, (Arc<str>, bool), u32)>,
+    has_none: bool,
+    orders: Vec<(u64, Order)>,
+    filled: f64,
+}
+
+impl Platform {
+    fn new(spot_price: f64, each: u32) -> Platform {
+        let there = ZONES.map(|zone| ((Arc::from(zone), false), Seen { ready: each, leaving: 0 }));
+        Platform {
+            now_ms: 1_000,
+            terms: terms(spot_price),
+            scaler: Scaler::default(),
+            workers: there.into(),
+            starting: Vec::new(),
+            has_none: false,
+            orders: Vec::new(),
+            filled: 0.0,
+        }
+    }
+
+    fn play(&mut self, for_ms: u64) {
+        let until_ms = self.now_ms + for_ms;
+        while self.now_ms < until_ms {
+            self.now_ms += STEP_MS;
+            self.start_due();
+            let service = Arc::from("plan");
+            let known = Known {
+                service: &service,
+                terms: &self.terms,
+                workers: &self.workers,
+                filled: self.filled,
+            };
+            for order in self.scaler.step(&known, self.now_ms) {
+                self.take(order);
+            }
+        }
+    }
+
+    fn start_due(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, left) = self.starting.drain(..).partition(|(at_ms, ..)| *at_ms <= now_ms);
+        self.starting = left;
+        for (_, key, count) in due {
+            self.workers.entry(key).or_default().ready += count;
+        }
+    }
+
+    fn take(&mut self, order: Order) {
+        self.orders.push((self.now_ms, order.clone()));
+        if self.has_none && order.subject.is_spot {
+            return self.scaler.note_none_left(&order, self.now_ms);
+        }
+        self.scaler.note_sent(&order, true, self.now_ms);
+        let key = (Arc::clone(&order.subject.domain), order.subject.is_spot);
+        let there = self.workers.entry(key.clone()).or_default();
+        let starting: u32 = self
+            .starting
+            .iter()
+            .filter(|(_, other, _)| *other == key)
+            .map(|(.., count)| count)
+            .sum();
+        if order.desired < there.ready {
+            there.ready = order.desired;
+        } else if order.desired > there.ready + starting {
+            let count = order.desired - there.ready - starting;
+            self.starting.push((self.now_ms + BOOT_MS, key, count));
+        }
+    }
+
+    fn ready(&self, zone: &str, is_spot: bool) -> u32 {
+        self.workers.get(&(Arc::from(zone), is_spot)).map_or(0, |seen| seen.ready)
+    }
+
+    fn all(&self) -> u32 {
+        self.workers.values().map(|seen| seen.ready).sum()
+    }
+
+    fn lose(&mut self, zone: &str) {
+        self.workers.insert((Arc::from(zone), true), Seen::default());
+    }
+}
+
+/// At no moment are fewer there than before.
+#[test]
+fn workers_that_cost_less_take_the_place_of_others() {
+    let mut platform = Platform::new(0.2, 20);
+    for _ in 0..50 {
+        platform.play(STEP_MS);
+        assert!(platform.all() >= 80);
+    }
+    for zone in ZONES {
+        assert_eq!((platform.ready(zone, false), platform.ready(zone, true)), (1, 19));
+    }
+    let orders = platform.orders.len();
+    platform.play(60_000);
+    assert_eq!(platform.orders.len(), orders, "nothing is ordered without need");
+}
+
+#[test]
+fn where_none_cost_less_nothing_is_ordered_without_need() {
+    let mut platform = Platform::new(1.0, 20);
+    platform.play(30_000);
+    assert!(platform.orders.is_empty(), "{:?}", platform.orders);
+}
+
+/// What is reclaimed is ordered as ordinary workers at once, and given back when the others are there.
+#[test]
+fn reclaimed_workers_are_replaced() {
+    let mut platform = Platform::new(0.2, 20);
+    platform.play(10_000);
+    platform.has_none = true;
+    let leaving = Seen { ready: 0, leaving: 19 };
+    platform.workers.insert((Arc::from("sur"), true), leaving);
+    platform.play(STEP_MS);
+    let ordered: Vec<&Order> = platform.orders.iter().map(|(_, order)| order).collect();
+    let last = ordered.last().unwrap();
+    assert_eq!((&*last.subject.domain, last.subject.is_spot, last.desired), ("sur", false, 20));
+    platform.lose("sur");
+    platform.play(BOOT_MS + 1_000);
+    assert_eq!(platform.ready("sur", false), 20);
+    platform.has_none = false;
+    platform.play(30_000);
+    assert_eq!((platform.ready("sur", false), platform.ready("sur", true)), (1, 19));
+}
+
+/// Workers that crash are back within seconds, by themselves.
+#[test]
+fn a_crash_orders_nothing() {
+    let mut platform = Platform::new(0.2, 20);
+    platform.play(10_000);
+    let orders = platform.orders.len();
+    platform.lose("rel");
+    platform.play(4_000);
+    platform.workers.insert((Arc::from("rel"), true), Seen { ready: 19, leaving: 0 });
+    platform.play(10_000);
+    assert_eq!(platform.orders.len(), orders);
+}
+
+#[test]
+fn demand_raises_the_number_at_once_and_lowers_it_slowly() {
+    let mut platform = Platform::new(1.0, 20);
+    platform.filled = 60.0;
+    platform.play(BOOT_MS + 1_000);
+    assert_eq!(platform.all(), 134, "of 60 filled, at 45 in a hundred");
+    platform.filled = 10.0;
+    platform.play(10_000);
+    assert_eq!(platform.all(), 134);
+    platform.play(15_000);
+    assert_eq!(platform.all(), 23);
+    platform.filled = 1_000.0;
+    platform.play(BOOT_MS + 1_000);
+    assert_eq!(platform.all(), 4 * 48, "no more than the bound");
+}
+
+/// A holder that takes over in the middle of a change orders what the one before did.
+#[test]
+fn a_next_holder_goes_on() {
+    let mut platform = Platform::new(0.2, 20);
+    platform.play(STEP_MS);
+    platform.play(BOOT_MS);
+    platform.scaler.clear();
+    platform.lose("rel");
+    platform.play(20_000);
+    assert_eq!(platform.all(), 80);
+}
+
+/// Terms that make no sense order nothing.
+#[test]
+fn terms_without_sense_order_nothing() {
+    let unsound = [
+        Scaling { least: 9, most: 3, ..terms(0.2) },
+        Scaling { spot_price: -1.0, ..terms(0.2) },
+        Scaling { prices: BTreeMap::new(), ..terms(0.2) },
+        Scaling { prices: [(Arc::from("norte"), -2.0)].into(), ..terms(0.2) },
+    ];
+    for terms in unsound {
+        let mut platform = Platform { terms, ..Platform::new(0.2, 20) };
+        platform.play(2_000);
+        assert!(platform.orders.is_empty());
+    }
+}
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -20,7 +20,7 @@
 
 async fn with_store<R>(check: impl AsyncFnOnce(Site, Store) -> R) -> R {
     let site = Site::start(2, 15).await;
-    let client = Store::new(site.store.addr, log::discard());
+    let client = Store::new(site.store.addr, None, log::discard());
     LocalSet::new().run_until(check(site, client)).await
 }
 
