--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -5,12 +5,14 @@
 //! exchanges loads with peers, one fetches from a peer what the directory did not tell, one keeps the
 //! registration.
 
+mod changes;
 mod directory;
 mod duties;
 mod exchange;
 pub mod knowledge;
 mod permits;
 mod quarantine;
+mod shares;
 mod signals;
 mod successors;
 
@@ -24,7 +26,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
 
-use self::knowledge::Guest;
+use self::shares::Guest;
 use super::dialect::Dialect;
 use super::directory::Directory;
 use super::fleet::Fleet;
@@ -235,7 +237,7 @@
             is_fetching_list: false,
             list_retry_ms: 0,
             list_holders_told: VecDeque::new(),
-            part: knowledge::everything(),
+            part: shares::everything(),
             is_behind: false,
             wanted_share: None,
             wide_until_ms: 0,
@@ -412,7 +414,7 @@
         }
         let mut upstreams = board.found.merge(&board.fleet.upstreams).into_owned();
         if !share.is_all() {
-            let holds = knowledge::holds(&self.me.id, &Part { share, ..board.part.clone() });
+            let holds = shares::holds(&self.me.id, &Part { share, ..board.part.clone() });
             upstreams.retain(|id, upstream| holds(id, &upstream.service));
         }
         for Guest { upstream, .. } in board.guests.values() {
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -7,39 +7,19 @@
 
 use tokio::net::UdpSocket;
 
-use super::super::fleet::{Delta, Upstream};
 use super::super::instance::Registration;
-use super::super::loads::{Changes, DIGEST_MS, Digest, LoadNews, Part};
-use super::super::membership::{
-    self, Card, ChangesAsk, GOSSIP_MS, Message, PROBE_MS, Probe, Rumor, Versions,
-};
+use super::super::loads::{DIGEST_MS, Digest, LoadNews};
+use super::super::membership::{self, Card, GOSSIP_MS, Message, PROBE_MS, Probe, Rumor};
 use super::super::policy::watchers;
-use super::{Board, Control, LOST_TOLD_MS, knowledge};
+use super::{Board, Control, LOST_TOLD_MS};
 
 /// How long news gather before peers hear of them: a burst of placements or losses comes within a few
 /// milliseconds.
-const NEWS_MS: u64 = 5;
+pub(super) const NEWS_MS: u64 = 5;
 /// The longest datagram.
 const DATAGRAM_BYTES: usize = 32 << 10;
-/// The longest list of changes that is pushed; a longer one is fetched by those that need it.
-const PUSHED_BYTES: usize = 8 << 10;
-/// Peers of the same failure domain that are told of what is newer; each tells as many, so that all
-/// have it after a few hops.
-const NEWER_NEAR: usize = 3;
-/// One of so many instances also tells one of another failure domain: bytes between them are paid
-/// for, and whoever hears from the directory itself tells all of them.
-const NEWER_FAR: u32 = 4;
-/// Pushes of which each repeats the changes, its own included: who missed one uses the next. Whoever missed
-/// more fetches; repeated for longer, each change of a list of thousands comes a dozen times.
-const PUSHES_REPEATED: usize = 2;
 /// Peers of the same failure domain that get everything in each round, for what was lost on the way.
 const REFRESHED: usize = 3;
-/// Instances that push changes of large services to those that hold a part of them: the first in rank of
-/// those that hear from the directory, and one for what gets lost.
-const PUSHERS: usize = 2;
-/// How often, on average, an instance asks what it was not told: of a service of which it holds a part,
-/// or because a message was lost.
-const ASK_MS: u64 = 1_000;
 
 impl Control {
     /// Sends the messages that the membership has to send.
@@ -72,7 +52,11 @@
     }
 
     /// One living peer of each other failure domain for which something holds.
-    fn one_of_each(&self, board: &Board, holds: impl Fn(&Card) -> bool) -> Vec<SocketAddr> {
+    pub(super) fn one_of_each(
+        &self,
+        board: &Board,
+        holds: impl Fn(&Card) -> bool,
+    ) -> Vec<SocketAddr> {
         let cards = board.membership.alive().map(|member| &member.card);
         let alive = cards.filter(|card| holds(card)).map(|card| &card.registration);
         let mut far: Vec<&Registration> =
@@ -227,156 +211,6 @@
         }
     }
 
-    /// Tells a few peers that this instance has a newer configuration or list of upstreams.
-    pub(super) async fn tell_newer(self: Rc<Control>) {
-        loop {
-            self.newer.notified().await;
-            tokio::time::sleep(Duration::from_millis(NEWS_MS)).await;
-            let mut board = self.board.borrow_mut();
-            let versions = Control::versions(&board);
-            let told = std::mem::replace(&mut board.told_versions, versions);
-            let is_config_new = told.config != versions.config;
-            let is_list_new = told.fleet != versions.fleet && board.part.share.is_all();
-            if !is_config_new && !is_list_new {
-                continue;
-            }
-            let since = board.pushed.front().copied().unwrap_or(0);
-            let changes = self.changes(&mut board);
-            // Those that hold a part of the list are told that part, below.
-            let hears = |card: &Card| is_config_new || card.share.is_all();
-            let alive = board.membership.alive().map(|member| &member.card);
-            let near = alive.filter(|card| hears(card)).map(|card| &card.registration);
-            let near = near.filter(|other| other.domain == self.me.domain);
-            let mut addrs: Vec<SocketAddr> = near.map(|other| other.peer_addr).collect();
-            fastrand::shuffle(&mut addrs);
-            addrs.truncate(NEWER_NEAR);
-            let mut far = self.one_of_each(&board, hears);
-            if !std::mem::take(&mut board.is_first_to_tell) {
-                fastrand::shuffle(&mut far);
-                far.truncate(usize::from(fastrand::u32(..NEWER_FAR) == 0));
-            }
-            addrs.extend(far);
-            let parts = if is_list_new { self.parts_since(&board, since) } else { Vec::new() };
-            drop(board);
-            self.send(&Message::Changes(changes), &addrs);
-            for (addr, changes) in parts {
-                self.send(&Message::Changes(changes), &[addr]);
-            }
-        }
-    }
-
-    /// What changed lately in the list of upstreams, if that is not too long.
-    fn changes(&self, board: &mut Board) -> Changes {
-        let Versions { config, fleet } = Control::versions(board);
-        let since = board.pushed.front().copied().unwrap_or(0);
-        let nothing = Changes {
-            from: Arc::clone(&self.me.id),
-            config,
-            since: u64::MAX,
-            fleet: Delta { revision: fleet, ..Delta::default() },
-            holder: self.list_holder_to_tell(board),
-            part: None,
-        };
-        if !board.part.share.is_all() {
-            return nothing;
-        }
-        board.pushed.push_back(fleet);
-        if board.pushed.len() > PUSHES_REPEATED {
-            board.pushed.pop_front();
-        }
-        let delta = board.fleet.since(since);
-        if is_short(&delta) { Changes { since, fleet: delta, ..nothing } } else { nothing }
-    }
-
-    /// What changed since a revision, for each instance that holds a part of it.
-    fn parts_since(&self, board: &Board, since: u64) -> Vec<(SocketAddr, Changes)> {
-        let is_pusher = Control::is_first_hand(board) && self.turn_of(board).before < PUSHERS;
-        if !is_pusher || board.part.large.is_empty() {
-            return Vec::new();
-        }
-        let delta = board.fleet.since(since);
-        if delta.is_whole {
-            return Vec::new();
-        }
-        let service_of = |id: &Arc<str>| board.fleet.service_of(id);
-        let gone: Vec<(Arc<str>, Arc<str>)> =
-            delta.gone.iter().filter_map(|id| Some((Arc::clone(id), service_of(id)?))).collect();
-        let members = board.membership.alive().filter(|member| !member.card.share.is_all());
-        let mut parts = Vec::new();
-        for member in members {
-            let Card { registration, share, .. } = &member.card;
-            let part = Part { share: *share, large: board.part.large.clone() };
-            let holds = knowledge::holds(&registration.id, &part);
-            let is_held = |upstream: &&Upstream| holds(&upstream.id, &upstream.service);
-            let gone = gone.iter().filter(|(id, service)| holds(id, service));
-            let fleet = Delta {
-                revision: delta.revision,
-                is_whole: false,
-                upstreams: delta.upstreams.iter().filter(is_held).cloned().collect(),
-                gone: gone.map(|(id, _)| Arc::clone(id)).collect(),
-                lapsed: Vec::new(),
-            };
-            if fleet.upstreams.is_empty() && fleet.gone.is_empty() {
-                continue;
-            }
-            parts.push((registration.peer_addr, self.part_changes(board, since, fleet, part)));
-        }
-        parts
-    }
-
-    /// A message of a part's changes since a revision, or that there are too many of them.
-    fn part_changes(&self, board: &Board, since: u64, fleet: Delta, part: Part) -> Changes {
-        let is_short = is_short(&fleet);
-        let nothing = Delta { revision: fleet.revision, ..Delta::default() };
-        Changes {
-            from: Arc::clone(&self.me.id),
-            config: Control::versions(board).config,
-            since: if is_short { since } else { u64::MAX },
-            fleet: if is_short { fleet } else { nothing },
-            holder: None,
-            part: Some(part),
-        }
-    }
-
-    /// Asks now and then one that holds all upstreams what it was not told, where there are too many of
-    /// them to tell all to everyone.
-    pub(super) async fn ask_changes(self: Rc<Control>) {
-        loop {
-            let pause_ms = ASK_MS / 2 + fastrand::u64(..ASK_MS);
-            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-            let board = self.board.borrow();
-            let has_part = board.has_fleet && !board.part.large.is_empty();
-            if !has_part || Control::is_first_hand(&board) {
-                continue;
-            }
-            let ask = ChangesAsk {
-                id: Arc::clone(&self.me.id),
-                versions: Control::versions(&board),
-                share: board.part.share,
-            };
-            let holders: Vec<SocketAddr> = Control::list_holders(&board).collect();
-            drop(board);
-            if let Some(addr) = fastrand::choice(holders) {
-                self.send(&Message::AskChanges(ask), &[addr]);
-            }
-        }
-    }
-
-    fn hear_changes_ask(&self, ask: &ChangesAsk, from: SocketAddr) {
-        let board = self.board.borrow();
-        let versions = Control::versions(&board);
-        let is_newer = versions.config > ask.versions.config || versions.fleet > ask.versions.fleet;
-        if !board.part.share.is_all() || !is_newer {
-            return;
-        }
-        let part = Part { share: ask.share, large: board.part.large.clone() };
-        let since = ask.versions.fleet;
-        let fleet = board.fleet.since_for(since, knowledge::holds(&ask.id, &part));
-        let changes = self.part_changes(&board, since, fleet, part);
-        drop(board);
-        self.send(&Message::Changes(changes), &[from]);
-    }
-
     pub(super) async fn hear_peers(self: Rc<Control>, socket: Rc<UdpSocket>) {
         let mut buffer = vec![0; DATAGRAM_BYTES];
         loop {
@@ -518,50 +352,4 @@
             self.send(&Message::Digest(digest), &near);
         }
     }
-
-    fn hear_changes(self: &Rc<Control>, changes: Changes, from: SocketAddr, now_ms: u64) {
-        let mut board = self.board.borrow_mut();
-        let versions = Versions { config: changes.config, fleet: changes.fleet.revision };
-        board.membership.note_versions(&changes.from, versions);
-        if let Some(part) = &changes.part {
-            self.follow_large(&mut board, part);
-        }
-        let Changes { since, fleet: delta, part, holder, .. } = changes;
-        if let Some(holder) = holder {
-            Control::note_list_holder(&mut board, holder);
-        }
-        let is_all = board.part.share.is_all();
-        let is_of_share = part.as_ref().is_none_or(|part| part.share == board.part.share);
-        let is_whole_list = is_all && part.is_none_or(|part| part.share.is_all());
-        if is_whole_list && board.has_fleet && since <= board.fleet.revision {
-            drop(board);
-            self.take_delta(delta, from);
-            self.publish();
-        } else if !is_all && board.has_fleet && is_of_share {
-            self.take_part(&mut board, since, delta, now_ms);
-            drop(board);
-            self.dirty.notify_one();
-        } else {
-            drop(board);
-        }
-        self.fetch_if_behind(now_ms);
-    }
-
-    /// Takes in changes of what this instance holds.
-    fn take_part(&self, board: &mut Board, since: u64, mut delta: Delta, now_ms: u64) {
-        if since == u64::MAX {
-            // The sender has more news than go into a message.
-            board.is_behind |= delta.revision > board.fleet.revision;
-            return;
-        }
-        let holds = knowledge::holds(&self.me.id, &board.part);
-        delta.upstreams.retain(|upstream| holds(&upstream.id, &upstream.service));
-        board.fleet.patch(delta, since, now_ms);
-    }
-}
-
-/// Whether changes go into one message.
-fn is_short(delta: &Delta) -> bool {
-    let is_short = rmp_serde::to_vec(delta).is_ok_and(|bytes| bytes.len() <= PUSHED_BYTES);
-    is_short && !delta.is_whole
 }
