--- a/bench/src/lab/model.rs
+++ b/bench/src/lab/model.rs
@@ -11,7 +11,7 @@
 use rand_distr::{Distribution, Exp, LogNormal};
 use siskinrock::gateway::policy::admission::{self, Late, Load};
 use siskinrock::gateway::policy::engine::{self, Need};
-use siskinrock::gateway::policy::placement::{self, Candidate, Wish};
+use siskinrock::gateway::policy::placement::{self, Candidate, Constraints};
 use siskinrock::gateway::policy::silence::Patience;
 
 use super::experiment::{Experiment, Fault};
@@ -444,7 +444,7 @@
     }
 
     /// Chooses by the gateway's own decision; none if no engine is known.
-    fn choose(&mut self, index: usize, wish: &Wish) -> Option<usize> {
+    fn choose(&mut self, index: usize, constraints: &Constraints) -> Option<usize> {
         let instance = self.runs[index].instance;
         let held: Vec<Held> = (0..self.engines.len()).map(|at| self.seen(instance, at)).collect();
         let known = self.known();
@@ -467,8 +467,8 @@
             is_suspect: false,
         };
         let candidates: Vec<Candidate> = known.iter().map(candidate).collect();
-        let wish = Wish { need, ..wish.clone() };
-        placement::choose(&candidates, &wish, self.unseen(), &mut self.choices)
+        let constraints = Constraints { need, ..constraints.clone() };
+        placement::choose(&candidates, &constraints, self.unseen(), &mut self.choices)
             .map(|chosen| known[chosen])
     }
 
@@ -530,8 +530,9 @@
             let lost_ms = self.runs[index].lost_ms.unwrap_or(f64::NEG_INFINITY);
             self.is_on(Mechanism::Avoid) && lost_ms + AVOID_MS > self.now_ms
         });
-        let wish = Wish { not_domains: avoided.into_iter().collect(), ..Wish::default() };
-        match self.choose(index, &wish) {
+        let constraints =
+            Constraints { not_domains: avoided.into_iter().collect(), ..Constraints::default() };
+        match self.choose(index, &constraints) {
             Some(engine) => self.start(index, engine, false),
             None => self.schedule(self.now_ms + LOOK_AGAIN_MS, Event::Place { run: index }),
         }
@@ -559,12 +560,12 @@
         if !self.is_on(Mechanism::Copies) || is_last || self.runs[index].copy.is_some() {
             return;
         }
-        let wish = Wish {
+        let constraints = Constraints {
             not: vec![Arc::clone(&self.engines[engine].id)],
             apart_from: Some(Arc::clone(&self.engines[engine].domain)),
-            ..Wish::default()
+            ..Constraints::default()
         };
-        let Some(copy) = self.choose(index, &wish) else { return };
+        let Some(copy) = self.choose(index, &constraints) else { return };
         if self.engines[copy].runs.len() + self.engines[copy].copies < self.room() {
             self.engines[copy].copies += 1;
             self.runs[index].copy = Some(copy);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -16,7 +16,7 @@
 use super::failure::Failure;
 use super::job::Job;
 use super::metrics::Time;
-use super::policy::placement::Wish;
+use super::policy::placement::Constraints;
 use super::route::Repeat;
 use super::traffic::Traffic;
 use super::worker::{Lease, What, Worker};
@@ -77,7 +77,8 @@
 
 /// Serves a call that isn't a stream.
 pub async fn serve(traffic: &Rc<Traffic>, job: &Job) -> Answer {
-    let mut wish = Wish { near: Some(Arc::clone(&traffic.settings.domain)), ..Wish::default() };
+    let mut constraints =
+        Constraints { near: Some(Arc::clone(&traffic.settings.domain)), ..Constraints::default() };
     // Attempts that count against the route's bound, and all that reached an upstream.
     let mut sent = 0;
     let mut arrived = 0;
@@ -89,16 +90,16 @@
             let failure = if arrived == 0 { Failure::TimeOverUnsent } else { last };
             return finish(job, traffic, failure, may_have_run);
         }
-        let Some(worker) = traffic.choose(&job.service, &wish) else {
+        let Some(worker) = traffic.choose(&job.service, &constraints) else {
             return finish(job, traffic, last, may_have_run);
         };
-        wish.not.push(Arc::clone(&worker.upstream.id));
+        constraints.not.push(Arc::clone(&worker.upstream.id));
         let can_hedge = Mechanism::Hedge.is_on()
             && job.route.repeat == Repeat::Idempotent
             && sent + 1 < job.route.max_attempts;
         let (worker, outcome) = if can_hedge {
             let (worker, outcome, sent_besides) =
-                hedged(traffic, job, &worker, arrived == 0, &mut wish).await;
+                hedged(traffic, job, &worker, arrived == 0, &mut constraints).await;
             sent += sent_besides;
             (worker, outcome)
         } else {
@@ -118,7 +119,8 @@
                     && job.route.repeat == Repeat::Idempotent;
                 if may_repeat && sent < job.route.max_attempts {
                     log_attempt(traffic, job, &worker, "answered with an error; tried elsewhere");
-                    if let Some((better, by)) = second_opinion(traffic, job, &mut wish).await {
+                    if let Some((better, by)) = second_opinion(traffic, job, &mut constraints).await
+                    {
                         return deliver(traffic, job, &by, better);
                     }
                 }
@@ -173,7 +175,7 @@
     job: &Job,
     worker: &Rc<Worker>,
     is_first: bool,
-    wish: &mut Wish,
+    constraints: &mut Constraints,
 ) -> (Rc<Worker>, Outcome, u32) {
     let mut first = std::pin::pin!(attempt(traffic, job, worker, is_first));
     let Some(after_ms) = traffic.hedge_after_ms(job) else {
@@ -186,7 +188,7 @@
     };
     let other = match outcome {
         Some(outcome) => return (Rc::clone(worker), outcome, 0),
-        None => second_upstream(traffic, job, worker, wish),
+        None => second_upstream(traffic, job, worker, constraints),
     };
     let Some(other) = other else {
         let outcome = first.await;
@@ -224,17 +226,20 @@
     traffic: &Rc<Traffic>,
     job: &Job,
     worker: &Worker,
-    wish: &mut Wish,
+    constraints: &mut Constraints,
 ) -> Option<Rc<Worker>> {
     if !traffic.has_repeat(&job.service) {
         return None;
     }
-    let apart = Wish { not_domains: vec![Arc::clone(&worker.upstream.domain)], ..wish.clone() };
+    let apart = Constraints {
+        not_domains: vec![Arc::clone(&worker.upstream.domain)],
+        ..constraints.clone()
+    };
     let other = traffic.choose(&job.service, &apart)?;
     if traffic.is_doubtful(&other, traffic.now_ms()) {
         return None;
     }
-    wish.not.push(Arc::clone(&other.upstream.id));
+    constraints.not.push(Arc::clone(&other.upstream.id));
     Some(other)
 }
 
@@ -242,11 +247,11 @@
 async fn second_opinion(
     traffic: &Rc<Traffic>,
     job: &Job,
-    wish: &mut Wish,
+    constraints: &mut Constraints,
 ) -> Option<(Whole, Rc<Worker>)> {
     loop {
-        let worker = traffic.choose(&job.service, wish)?;
-        wish.not.push(Arc::clone(&worker.upstream.id));
+        let worker = traffic.choose(&job.service, constraints)?;
+        constraints.not.push(Arc::clone(&worker.upstream.id));
         match attempt(traffic, job, &worker, false).await {
             Outcome::Answered(whole) if whole.status < 500 => return Some((whole, worker)),
             Outcome::Throttled => {}
--- a/src/gateway/policy/placement.rs
+++ b/src/gateway/policy/placement.rs
@@ -32,7 +32,7 @@
 
 /// What the choice must and should keep to.
 #[derive(Debug, Clone, Default)]
-pub struct Wish {
+pub struct Constraints {
     /// What the request needs of an engine.
     pub need: Need,
     /// Upstreams that must not be chosen.
@@ -49,14 +49,14 @@
 ///
 /// An engine that crashes is back within a second or two under a new id, while its old entry
 /// lapses only after several missed heartbeats: each request sent to the old one is refused.
-pub fn passed<'a>(upstreams: impl Iterator<Item = &'a Upstream> + Clone) -> Vec<Arc<str>> {
+pub fn superseded<'a>(upstreams: impl Iterator<Item = &'a Upstream> + Clone) -> Vec<Arc<str>> {
     let mut youngest: BTreeMap<SocketAddr, u64> = BTreeMap::new();
     for upstream in upstreams.clone() {
         let listed_at = youngest.entry(upstream.addr).or_default();
         *listed_at = upstream.listed_at.max(*listed_at);
     }
-    let is_passed = |known: &&Upstream| known.listed_at < youngest[&known.addr];
-    upstreams.filter(is_passed).map(|known| Arc::clone(&known.id)).collect()
+    let is_superseded = |known: &&Upstream| known.listed_at < youngest[&known.addr];
+    upstreams.filter(is_superseded).map(|known| Arc::clone(&known.id)).collect()
 }
 
 /// The index of a good candidate; suspects only if nothing else is left.
@@ -65,14 +65,14 @@
 /// so, the more requests to the service others place `unseen`, before this instance hears of them.
 pub fn choose(
     candidates: &[Candidate],
-    wish: &Wish,
+    constraints: &Constraints,
     unseen: f64,
     random: &mut dyn Random,
 ) -> Option<usize> {
-    let fits = |candidate: &Candidate| !wish.not.contains(&candidate.id);
+    let fits = |candidate: &Candidate| !constraints.not.contains(&candidate.id);
     let fitting = candidates.iter().enumerate().filter(|(_, candidate)| fits(candidate));
     let (indices, costs): (Vec<usize>, Vec<f64>) =
-        fitting.map(|(index, candidate)| (index, cost(candidate, wish))).unzip();
+        fitting.map(|(index, candidate)| (index, cost(candidate, constraints))).unzip();
     let least = costs.iter().copied().min_by(f64::total_cmp)?;
     let good: Vec<f64> = costs.iter().copied().filter(|cost| cost - least < LAST_RESORT).collect();
     let spread = spread::spread(&good, unseen);
@@ -95,15 +95,15 @@
 /// Over any real load, so that such candidates are a last resort.
 const LAST_RESORT: f64 = 1e6;
 
-fn cost(candidate: &Candidate, wish: &Wish) -> f64 {
-    let mut cost = candidate.load.cost(wish.need) + FAILING_WEIGHT * candidate.failing;
-    if wish.near.as_ref().is_some_and(|near| *near != candidate.domain) {
+fn cost(candidate: &Candidate, constraints: &Constraints) -> f64 {
+    let mut cost = candidate.load.cost(constraints.need) + FAILING_WEIGHT * candidate.failing;
+    if constraints.near.as_ref().is_some_and(|near| *near != candidate.domain) {
         cost += DOMAIN_BONUS;
     }
-    if wish.not_domains.contains(&candidate.domain) {
+    if constraints.not_domains.contains(&candidate.domain) {
         cost += LAST_RESORT;
     }
-    if wish.apart_from.as_ref() == Some(&candidate.domain) {
+    if constraints.apart_from.as_ref() == Some(&candidate.domain) {
         cost += 2.0 * LAST_RESORT;
     }
     if candidate.is_suspect {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -23,7 +23,7 @@
 use super::job::Job;
 use super::policy::admission;
 use super::policy::engine::Need;
-use super::policy::placement::Wish;
+use super::policy::placement::Constraints;
 use super::policy::silence::Patience;
 use super::route::Repeat;
 use super::traffic::Traffic;
@@ -364,7 +364,7 @@
         {
             return Some((worker, None));
         }
-        let wish = Wish {
+        let constraints = Constraints {
             need: self.need(),
             not: self.left.clone(),
             not_domains: self.lost_domains(),
@@ -372,7 +372,7 @@
             near: Some(Arc::clone(&self.traffic.settings.domain)),
         };
         let prompt = &self.job.demand.prompt_parts;
-        let chosen = self.traffic.choose_for(&self.job.service, &wish, prompt);
+        let chosen = self.traffic.choose_for(&self.job.service, &constraints, prompt);
         chosen.map(|worker| (worker, None))
     }
 
--- a/src/gateway/stream/copy.rs
+++ b/src/gateway/stream/copy.rs
@@ -9,7 +9,7 @@
 
 use super::super::ablation::Mechanism;
 use super::super::dialect::Copy;
-use super::super::policy::placement::Wish;
+use super::super::policy::placement::Constraints;
 use super::super::route::{Engine, Repeat};
 use super::super::traffic::Traffic;
 use super::super::worker::{Count, What, Worker};
@@ -79,14 +79,14 @@
         let mut not = self.left.clone();
         not.push(Arc::clone(&worker.upstream.id));
         let need = self.need();
-        let wish = Wish {
+        let constraints = Constraints {
             need,
             not,
             not_domains: self.lost_domains(),
             apart_from: Some(Arc::clone(&worker.upstream.domain)),
             near: None,
         };
-        let chosen = self.traffic.choose(&self.job.service, &wish)?;
+        let chosen = self.traffic.choose(&self.job.service, &constraints)?;
         let has_room = || self.traffic.standing(&chosen).load.has_room(need);
         (self.is_fit(&chosen) && has_room()).then_some(chosen)
     }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -39,7 +39,7 @@
 use super::policy::latency::Latencies;
 use super::policy::losses::Losses;
 use super::policy::outages::{self, Outages};
-use super::policy::placement::{self, Candidate, Wish};
+use super::policy::placement::{self, Candidate, Constraints};
 use super::policy::silence;
 use super::policy::stop::Stop;
 use super::settings::Settings;
@@ -279,12 +279,12 @@
                 }
             }
         }
-        let passed = if Mechanism::Youngest.is_on() {
-            placement::passed(fleet.upstreams.values())
+        let superseded = if Mechanism::Youngest.is_on() {
+            placement::superseded(fleet.upstreams.values())
         } else {
             Vec::new()
         };
-        passed.iter().filter_map(|id| workers.get(id)).for_each(|worker| worker.replace());
+        superseded.iter().filter_map(|id| workers.get(id)).for_each(|worker| worker.replace());
         *self.fleet.borrow_mut() = Arc::clone(fleet);
     }
 
@@ -309,15 +309,15 @@
     }
 
     /// The best upstream of a service for a request.
-    pub fn choose(&self, service: &str, wish: &Wish) -> Option<Rc<Worker>> {
-        self.choose_for(service, wish, &[])
+    pub fn choose(&self, service: &str, constraints: &Constraints) -> Option<Rc<Worker>> {
+        self.choose_for(service, constraints, &[])
     }
 
     /// The best upstream of a service for a request with a prompt.
     pub fn choose_for(
         &self,
         service: &str,
-        wish: &Wish,
+        constraints: &Constraints,
         prompt: &[PromptPart],
     ) -> Option<Rc<Worker>> {
         let view = self.view();
@@ -337,8 +337,8 @@
                 candidate.load.kept_tokens = kept_tokens;
             }
         }
-        let unseen = self.unseen(&view, service, wish.need);
-        let index = placement::choose(&candidates, wish, unseen, &mut fastrand::Rng::new());
+        let unseen = self.unseen(&view, service, constraints.need);
+        let index = placement::choose(&candidates, constraints, unseen, &mut fastrand::Rng::new());
         if index.is_none_or(|index| candidates[index].is_suspect) && view.large.contains(service) {
             self.shared.signal(Signal::NoUpstreamLeft);
         }
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -9,7 +9,7 @@
 use siskinrock::gateway::policy::found::Found;
 use siskinrock::gateway::policy::losses::{Loss, Losses, Subject};
 use siskinrock::gateway::policy::outages::Outages;
-use siskinrock::gateway::policy::placement::{Candidate, Wish, choose};
+use siskinrock::gateway::policy::placement::{Candidate, Constraints, choose};
 use siskinrock::gateway::policy::spread;
 use siskinrock::platform::document;
 use yare::parameterized;
@@ -110,7 +110,7 @@
     let mut taken = [0; 16];
     for seed in 0..9 {
         let mut random = fastrand::Rng::with_seed(seed);
-        taken[choose(&candidates, &Wish::default(), 0.0, &mut random).unwrap()] += 1;
+        taken[choose(&candidates, &Constraints::default(), 0.0, &mut random).unwrap()] += 1;
     }
     assert!(taken.iter().all(|count| *count <= 3), "{taken:?}");
 }
@@ -128,7 +128,9 @@
             let mut taken = [0; 24];
             for instance in 0..10 {
                 let mut random = fastrand::Rng::with_seed(round * 10 + instance);
-                taken[choose(&candidates, &Wish::default(), unseen, &mut random).unwrap()] += 1;
+                taken
+                    [choose(&candidates, &Constraints::default(), unseen, &mut random).unwrap()] +=
+                    1;
             }
             taken.into_iter().max().unwrap()
         };
@@ -155,13 +157,13 @@
 fn suspects_and_lost_domains_are_a_last_resort() {
     let mut random = fastrand::Rng::with_seed(1);
     let mut candidates = vec![candidate("near", "a", 0.0), candidate("far", "b", 20.0)];
-    let wish = Wish { not_domains: vec!["a".into()], ..Wish::default() };
+    let constraints = Constraints { not_domains: vec!["a".into()], ..Constraints::default() };
     for _ in 0..50 {
-        assert_eq!(choose(&candidates, &wish, 0.0, &mut random), Some(1));
+        assert_eq!(choose(&candidates, &constraints, 0.0, &mut random), Some(1));
     }
     candidates[1].is_suspect = true;
-    assert_eq!(choose(&candidates, &wish, 0.0, &mut random), Some(0));
-    let nobody = Wish { not: vec!["near".into(), "far".into()], ..Wish::default() };
+    assert_eq!(choose(&candidates, &constraints, 0.0, &mut random), Some(0));
+    let nobody = Constraints { not: vec!["near".into(), "far".into()], ..Constraints::default() };
     assert_eq!(choose(&candidates, &nobody, 0.0, &mut random), None);
 }
 
@@ -220,12 +222,12 @@
     let mut candidates: Vec<Candidate> =
         names.iter().map(|name| candidate(name, name, 0.0)).collect();
     candidates.iter_mut().for_each(|known| known.is_suspect = &*known.id == "gone");
-    let wish = Wish {
+    let constraints = Constraints {
         not_domains: vec!["lost".into()],
         apart_from: Some("own".into()),
-        ..Wish::default()
+        ..Constraints::default()
     };
-    let chosen = choose(&candidates, &wish, 0.0, &mut fastrand::Rng::new());
+    let chosen = choose(&candidates, &constraints, 0.0, &mut fastrand::Rng::new());
     assert_eq!(&*candidates[chosen.unwrap()].id, expected);
 }
 
--- a/tests/gateway/engine.rs
+++ b/tests/gateway/engine.rs
@@ -1,7 +1,7 @@
 //! What requests cost an engine, in tokens: pure steps, and a load that is played against them.
 
 use siskinrock::gateway::policy::engine::{Load, Need};
-use siskinrock::gateway::policy::placement::{Candidate, Wish, choose};
+use siskinrock::gateway::policy::placement::{Candidate, Constraints, choose};
 use siskinrock::platform::document;
 use siskinrock_fakes::site::{KEY, config};
 use yare::parameterized;
@@ -93,8 +93,9 @@
             is_suspect: false,
         };
         let candidates: Vec<Candidate> = engines.iter().enumerate().map(candidate).collect();
-        let wish = Wish { need, ..Wish::default() };
-        let chosen = choose(&candidates, &wish, 0.0, &mut random).expect("engines take work");
+        let constraints = Constraints { need, ..Constraints::default() };
+        let chosen =
+            choose(&candidates, &constraints, 0.0, &mut random).expect("engines take work");
         without_room += usize::from(!engines[chosen].has_room(need));
         engines[chosen].runs += 1.0;
         engines[chosen].reserved_tokens += need.memory_tokens();
--- a/tests/gateway/patience.rs
+++ b/tests/gateway/patience.rs
@@ -163,11 +163,11 @@
 fn of_entries_with_one_address_the_youngest_counts() {
     let all = [at("old", 80, 5), at("older", 80, 3), at("new", 80, 9), at("other", 81, 1)];
     let passed: Vec<String> =
-        placement::passed(all.iter()).iter().map(ToString::to_string).collect();
+        placement::superseded(all.iter()).iter().map(ToString::to_string).collect();
     assert_eq!(passed, ["old", "older"]);
     let unknown = [at("a", 80, 0), at("b", 80, 0)];
-    assert!(placement::passed(unknown.iter()).is_empty(), "no evidence, no verdict");
-    assert!(placement::passed([].iter()).is_empty());
+    assert!(placement::superseded(unknown.iter()).is_empty(), "no evidence, no verdict");
+    assert!(placement::superseded([].iter()).is_empty());
 }
 
 /// An engine that was found during an outage of the directory and crashed again stood for its next
@@ -184,7 +184,7 @@
     assert_eq!(names(&found, &fleet), ["found"]);
     fleet.apply(9, vec![Change::Put(at("next", 80, 9))], 100);
     assert_eq!(names(&found, &fleet), ["next", "old"]);
-    assert_eq!(placement::passed(fleet.upstreams.values()), [Arc::from("old")]);
+    assert_eq!(placement::superseded(fleet.upstreams.values()), [Arc::from("old")]);
 }
 
 #[test]
