--- a/src/gateway/policy/scaling.rs
+++ b/src/gateway/policy/scaling.rs
@@ -1,9 +1,10 @@
 //! How many workers of a service are wanted in each failure domain, and of which kind: pure steps.
 //!
 //! The total follows the demand that is measured, never below what was there before any demand was
-//! seen for long enough. Workers that may be reclaimed at any time, with all streams that run there, are
-//! ordered only where no others can be had. An order states a number, and is repeated while its effect is
-//! not seen: one that was lost may still be carried out after newer ones. See [docs/design/duties.md](../../../docs/design/duties.md).
+//! seen for long enough. Workers that may be reclaimed and cost less take the place of the others once
+//! they are there; where they are reclaimed, or none can be had, ordinary ones are wanted again. An order
+//! states a number, and is repeated while its effect is not seen: one that was lost may still be carried
+//! out after newer ones. See [docs/design/duties.md](../../../docs/design/duties.md).
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -130,8 +131,7 @@
         orders
     }
 
-    /// How many are wanted of each kind in a failure domain: some that may be reclaimed only while others
-    /// are missing and none of them can be had.
+    /// How many are wanted of each kind in a failure domain.
     fn kinds(
         &mut self,
         known: &Known<'_>,
@@ -139,19 +139,18 @@
         wanted: u32,
         now_ms: u64,
     ) -> (u32, u32) {
-        let subject = |is_spot| Subject {
-            service: Arc::clone(known.service),
-            domain: Arc::clone(domain),
-            is_spot,
-        };
-        let missing = wanted.saturating_sub(self.present(known, &subject(false), now_ms));
-        let has_spot = self.present(known, &subject(true), now_ms) > 0;
-        let ordered = self.ordered.get(&subject(false));
-        let is_refused = ordered.is_some_and(|ordered| ordered.none_left_until_ms > now_ms);
-        let is_needed = has_spot || is_refused;
+        let Scaling { spot_price, least, most, .. } = *known.terms;
+        if spot_price >= 1.0 {
+            return (wanted, 0);
+        }
+        let service = Arc::clone(known.service);
+        let subject = Subject { service, domain: Arc::clone(domain), is_spot: true };
+        let there = self.present(known, &subject, now_ms);
+        let kept = least.min(wanted);
+        let ordinary = kept + (wanted - kept).saturating_sub(there);
         // The bounds are for both kinds together.
-        let most_spot = known.terms.most - wanted;
-        (wanted, if is_needed { missing.min(most_spot) } else { 0 })
+        let spot = (wanted - kept).min(most.saturating_sub(ordinary));
+        (ordinary, spot)
     }
 
     /// Workers that are there, or were a moment ago and haven't said that they leave.
--- a/tests/gateway/scaling.rs
+++ b/tests/gateway/scaling.rs
@@ -76,7 +76,7 @@
 
     fn take(&mut self, order: Order) {
         self.orders.push((self.now_ms, order.clone()));
-        if self.has_none && !order.subject.is_spot {
+        if self.has_none && order.subject.is_spot {
             return self.scaler.note_none_left(&order, self.now_ms);
         }
         self.scaler.note_sent(&order, true, self.now_ms);
@@ -105,31 +105,51 @@
     }
 
     fn lose(&mut self, zone: &str) {
-        self.workers.insert((Arc::from(zone), false), Seen::default());
+        self.workers.insert((Arc::from(zone), true), Seen::default());
     }
 }
 
+/// At no moment are fewer there than before.
 #[test]
-fn nothing_is_ordered_without_need() {
-    for spot_price in [0.2, 1.0] {
-        let mut platform = Platform::new(spot_price, 20);
-        platform.play(30_000);
-        assert!(platform.orders.is_empty(), "{:?}", platform.orders);
+fn workers_that_cost_less_take_the_place_of_others() {
+    let mut platform = Platform::new(0.2, 20);
+    for _ in 0..50 {
+        platform.play(STEP_MS);
+        assert!(platform.all() >= 80);
+    }
+    for zone in ZONES {
+        assert_eq!((platform.ready(zone, false), platform.ready(zone, true)), (1, 19));
     }
+    let orders = platform.orders.len();
+    platform.play(60_000);
+    assert_eq!(platform.orders.len(), orders, "nothing is ordered without need");
 }
 
-/// Workers that may be reclaimed come where no others can be had, and go when those are there.
 #[test]
-fn workers_that_may_be_reclaimed_stand_in_for_others() {
+fn where_none_cost_less_nothing_is_ordered_without_need() {
+    let mut platform = Platform::new(1.0, 20);
+    platform.play(30_000);
+    assert!(platform.orders.is_empty(), "{:?}", platform.orders);
+}
+
+/// What is reclaimed is ordered as ordinary workers at once, and given back when the others are there.
+#[test]
+fn reclaimed_workers_are_replaced() {
     let mut platform = Platform::new(0.2, 20);
-    platform.play(2_000);
+    platform.play(10_000);
     platform.has_none = true;
-    platform.workers.insert((Arc::from("sur"), false), Seen { ready: 8, leaving: 12 });
-    platform.play(BOOT_MS + 2_000);
-    assert_eq!((platform.ready("sur", false), platform.ready("sur", true)), (8, 12));
+    let leaving = Seen { ready: 0, leaving: 19 };
+    platform.workers.insert((Arc::from("sur"), true), leaving);
+    platform.play(STEP_MS);
+    let ordered: Vec<&Order> = platform.orders.iter().map(|(_, order)| order).collect();
+    let last = ordered.last().unwrap();
+    assert_eq!((&*last.subject.domain, last.subject.is_spot, last.desired), ("sur", false, 20));
+    platform.lose("sur");
+    platform.play(BOOT_MS + 1_000);
+    assert_eq!(platform.ready("sur", false), 20);
     platform.has_none = false;
     platform.play(30_000);
-    assert_eq!((platform.ready("sur", false), platform.ready("sur", true)), (20, 0));
+    assert_eq!((platform.ready("sur", false), platform.ready("sur", true)), (1, 19));
 }
 
 /// Workers that crash are back within seconds, by themselves.
@@ -140,7 +160,7 @@
     let orders = platform.orders.len();
     platform.lose("rel");
     platform.play(4_000);
-    platform.workers.insert((Arc::from("rel"), false), Seen { ready: 20, leaving: 0 });
+    platform.workers.insert((Arc::from("rel"), true), Seen { ready: 19, leaving: 0 });
     platform.play(10_000);
     assert_eq!(platform.orders.len(), orders);
 }
