--- a/tests/gateway/large_services.rs
+++ b/tests/gateway/large_services.rs
@@ -31,7 +31,7 @@
 
 async fn gauge(running: &Running, index: usize, name: &str) -> u64 {
     let metrics = running.gateways[index].metrics().await;
-    let line = metrics.lines().find(|line| line.starts_with(&format!("{name} ")));
+    let line = metrics.lines().find(|line| line.starts_with(&format!("siskinrock_{name} ")));
     line.and_then(|line| line.split(' ').nth(1)?.parse::<f64>().ok()).unwrap_or(0.0) as u64
 }
 
