--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,9 +1,11 @@
 //! The control thread: it keeps the configuration, the list of upstreams and the peers new, and
 //! publishes what traffic reads.
 //!
-//! Its controllers share one blackboard: one follows the directory, one keeps the membership and
-//! exchanges loads with peers, one fetches from a peer what the directory did not tell, one keeps the
-//! registration.
+//! Its controllers share one blackboard. `directory` follows the directory and keeps the registration;
+//! `exchange` keeps the membership and exchanges loads with peers; `changes` tells peers what is newer, and
+//! `knowledge` fetches it from them; `shares` says how much of the large services is held here; `duties`
+//! does what one instance at a time may do; `permits`, `signals`, `quarantine` and `successors` each keep
+//! what upstreams or requests have caused.
 
 mod changes;
 mod directory;
--- a/src/gateway/control/duties.rs
+++ b/src/gateway/control/duties.rs
@@ -73,7 +73,7 @@
         let me = (board.membership.my_rank(), self.me.peer_addr);
         let alive = board.membership.alive();
         let alive = alive.map(|member| (member.card.rank(), member.card.registration.peer_addr));
-        let mut first = watchers::watchers(alive.chain([me]));
+        let mut first = watchers::duty_candidates(alive.chain([me]));
         first.retain(|addr| *addr != self.me.peer_addr);
         first
     }
--- a/src/gateway/control/shares.rs
+++ b/src/gateway/control/shares.rs
@@ -78,8 +78,7 @@
             return;
         }
         let since_ms = *board.narrows_since_ms.get_or_insert(now_ms);
-        let is_settled =
-            watchers::never_keeps_all(before_me) || now_ms >= since_ms + NARROW_AFTER_MS;
+        let is_settled = watchers::is_far_behind(before_me) || now_ms >= since_ms + NARROW_AFTER_MS;
         let suitable = Control::suitable_share(&board);
         let is_wide = suitable > share && (share.is_all() || suitable > share.narrower());
         if is_wide && is_settled && !board.is_watching && now_ms >= board.wide_until_ms {
--- a/src/gateway/policy/watchers.rs
+++ b/src/gateway/policy/watchers.rs
@@ -103,8 +103,8 @@
     before < KEEPERS
 }
 
-/// Whether an instance's rank is so far behind that it will hardly come to hold all upstreams soon.
-pub fn never_keeps_all(before: usize) -> bool {
+/// Whether so many come before an instance that it will hardly have to hold all upstreams soon.
+pub fn is_far_behind(before: usize) -> bool {
     before >= 4 * KEEPERS
 }
 
@@ -113,8 +113,8 @@
     first(KEEPERS, alive)
 }
 
-/// The instances that watch the directory where it answers all, of all that live with their ranks.
-pub fn watchers<T>(alive: impl Iterator<Item = (Rank, T)>) -> Vec<T> {
+/// The instances that may have duties that one instance at a time has, of all that live with their ranks.
+pub fn duty_candidates<T>(alive: impl Iterator<Item = (Rank, T)>) -> Vec<T> {
     first(WATCHERS, alive)
 }
 
