Instances that have just started don't take themselves for those that hold all upstreams

Their logs: the list came 0.15 s after the start, and at 0.23 s, when each knew a few others, most found themselves among the first eight and fetched everything.

Cause: the same as for parts that seemed too narrow: a rank among the few members known so far.

Change: the same five seconds.

--- a/src/gateway/control/shares.rs
+++ b/src/gateway/control/shares.rs
@@ -17,8 +17,8 @@
 const GUEST_MS: u64 = 1_000;
 /// How long an instance holds more of the large services than it must, after it had no upstream left.
 const WIDE_MS: u64 = 30_000;
-/// From when on an instance that started knows about all members: with the few of the first moments, each
-/// part would seem too narrow, and all instances would fetch more of the list at once.
+/// From when on an instance that started knows about all members: among the few of the first moments, each
+/// would take its part for too narrow, or itself for one that holds all, and all would fetch at once.
 const MEMBERS_KNOWN_MS: u64 = 5_000;
 /// How long an instance must have no reason to hold all upstreams before it leaves them to others: ranks
 /// change while many start or end.
@@ -71,7 +71,7 @@
         let share = board.part.share;
         if watchers::keeps_all(before_me) {
             board.narrows_since_ms = None;
-            if !share.is_all() {
+            if !share.is_all() && now_ms >= MEMBERS_KNOWN_MS {
                 board.wanted_share = Some(Share::ALL);
             }
             return;
