Whoever holds all upstreams doesn't count them at each publication

Change: the share is kept until the list, the large services or the number of members change. Behaviour stays as it is.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -136,6 +136,8 @@
     guest_changes: u64,
     /// What traffic's list was made from.
     published: Option<Published>,
+    /// The share that suits the fleet, and of which changes and how many members that holds.
+    suitable: Option<((u64, usize), Share)>,
     /// The lease of the duties that one instance at a time has.
     duty_lease: DutyLease,
     /// Who holds it, as the directory last said.
@@ -248,6 +250,7 @@
             guests: BTreeMap::new(),
             guest_changes: 0,
             published: None,
+            suitable: None,
             duty_lease: DutyLease::new(lease_ms),
             duty_holder: None,
             counter: Counter::default(),
@@ -349,7 +352,7 @@
         self.note_members(&mut board);
         board.lost.retain(|_, until_ms| *until_ms > now_ms);
         let before = self.shared.view.load();
-        let share = Control::traffic_share(&board);
+        let share = Control::traffic_share(&mut board);
         let fleet = self.traffic_list(&mut board, share, &before.fleet);
         let version = board.quarantine.version();
         let is_quarantine_new = version != board.quarantine_version;
@@ -396,11 +399,20 @@
     }
 
     /// The share of the large services that traffic uses, also where this instance holds all for others.
-    fn traffic_share(board: &Board) -> Share {
+    /// It takes a look at all upstreams, so it is kept until they or the members change.
+    fn traffic_share(board: &mut Board) -> Share {
         if !board.part.share.is_all() || board.part.large.is_empty() {
             return board.part.share;
         }
-        Control::suitable_share(board)
+        let made_from = (board.fleet.changes(), board.membership.alive().count());
+        match board.suitable {
+            Some((from, share)) if from == made_from => share,
+            _ => {
+                let share = Control::suitable_share(board);
+                board.suitable = Some((made_from, share));
+                share
+            }
+        }
     }
 
     /// The list of upstreams for traffic, which is made anew only if something changed.
--- a/src/gateway/control/shares.rs
+++ b/src/gateway/control/shares.rs
@@ -33,6 +33,7 @@
         }
         let is_less = board.part.large.iter().any(|service| !told.large.contains(service));
         board.part.large = told.large.clone();
+        board.suitable = None;
         if board.part.share.is_all() {
             return;
         }
