Outliers: an ejection ends when its time is over, and old failures begin none

One that had not ejected it during the fault did so at 5.720 s by its failure rate, on failures that were 2.5 s old and followed by 49 good answers. Others came back late (6.0 and 6.3 s) because the time to probe began at their next look and not at the end of the ejection, so that good answers in between counted for nothing.

Change: a failure rate ejects only if the last failure is recent, as failures in a row do already; probing begins at the end of the ejection.

--- a/src/gateway/policy/outliers.rs
+++ b/src/gateway/policy/outliers.rs
@@ -409,22 +409,22 @@
         // The failure of one other instance may be due to its link.
         let confirmed = if others.failed_in_a_row >= MIN_REPORTS { evidence } else { *own };
         let is_after = |at_ms: Option<u64>, since_ms| at_ms.is_some_and(|at_ms| at_ms > since_ms);
-        match record.phase {
-            Phase::Ejected { mut until_ms } => {
-                // A probe of another instance failed, so this one need not probe so soon.
-                let is_news = |failed_ms: &u64| {
-                    *failed_ms > record.ejected_ms && answered_ms <= Some(*failed_ms)
-                };
-                if let Some(failed_ms) = failed_ms.filter(is_news) {
-                    let latest_ms = record.ejected_ms + MAX_EJECTION_MS;
-                    until_ms = until_ms.max(failed_ms + record.duration_ms()).min(latest_ms);
-                }
-                record.phase = Phase::Ejected { until_ms };
-                if now_ms >= until_ms {
-                    record.phase = Phase::Probing { since_ms: now_ms, probed_ms: None };
-                }
-                Step::Stay
+        if let Phase::Ejected { mut until_ms } = record.phase {
+            // A probe of another instance failed, so this one need not probe so soon.
+            let is_news =
+                |failed_ms: &u64| *failed_ms > record.ejected_ms && answered_ms <= Some(*failed_ms);
+            if let Some(failed_ms) = failed_ms.filter(is_news) {
+                let latest_ms = record.ejected_ms + MAX_EJECTION_MS;
+                until_ms = until_ms.max(failed_ms + record.duration_ms()).min(latest_ms);
             }
+            // Outcomes since then count, however late this instance looks.
+            record.phase = match now_ms >= until_ms {
+                true => Phase::Probing { since_ms: until_ms, probed_ms: None },
+                false => Phase::Ejected { until_ms },
+            };
+        }
+        match record.phase {
+            Phase::Ejected { .. } => Step::Stay,
             Phase::Probing { since_ms, probed_ms } => {
                 let failed_ms = at(confirmed.failed_age_ms);
                 let has_failed = is_after(failed_ms, since_ms);
@@ -556,7 +556,9 @@
         return None;
     }
     let is_service_in_doubt = is_service_in_doubt(&others);
-    if !is_service_in_doubt && stands_out(outcomes.failed, outcomes.total(), usual) {
+    // An upstream that fails a part of its requests fails some all the time. Older failures are from
+    // before a recovery.
+    if is_recent && !is_service_in_doubt && stands_out(outcomes.failed, outcomes.total(), usual) {
         return Some(Cause::FailureRate);
     }
     let usual = rates.slow.usual_of_others(index);
