Settings: the address from which an instance connects to upstreams

Without it the system chooses, as before. The fakes can then tell instances apart and cut the links of some of them.

--- a/bench/src/forwarder.rs
+++ b/bench/src/forwarder.rs
@@ -38,6 +38,7 @@
         readiness: None,
         directory: None,
         peer,
+        upstream_source: None,
         metrics: None,
         link_mbps: 0,
         reports_usage: false,
--- a/src/gateway/channel.rs
+++ b/src/gateway/channel.rs
@@ -5,7 +5,7 @@
 
 use std::cell::Cell;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -19,7 +19,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
 /// How long sent bytes may stay unacknowledged: enough for four retransmissions on a link that loses
@@ -80,9 +80,23 @@
     ///
     /// Any fault but [`Fault::Broken`].
     pub async fn open(addr: SocketAddr, timeout_ms: u64) -> Result<Channel, Fault> {
+        Channel::open_from(None, addr, timeout_ms).await
+    }
+
+    /// Opens a connection from a local address within `timeout_ms`; the system chooses the address
+    /// if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Any fault but [`Fault::Broken`].
+    pub async fn open_from(
+        source: Option<IpAddr>,
+        addr: SocketAddr,
+        timeout_ms: u64,
+    ) -> Result<Channel, Fault> {
         let not_sent = |detail: String| Fault::NotSent { detail };
         let timeout = Duration::from_millis(timeout_ms);
-        let stream = match tokio::time::timeout(timeout, TcpStream::connect(addr)).await {
+        let stream = match tokio::time::timeout(timeout, connect(source, addr)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
                 return Err(Fault::Refused);
@@ -141,6 +155,13 @@
     }
 }
 
+async fn connect(source: Option<IpAddr>, addr: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else { return TcpStream::connect(addr).await };
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(addr).await
+}
+
 /// The text of a hyper error and its cause, which names the error of the socket.
 pub fn error_with_cause(error: &hyper::Error) -> String {
     match std::error::Error::source(error) {
--- a/src/gateway/control/rediscovery.rs
+++ b/src/gateway/control/rediscovery.rs
@@ -94,7 +94,8 @@
         let view = self.shared.view.load_full();
         let service = view.config.as_ref()?.services.get(&lost.service)?;
         let engine = service.engine.as_ref()?;
-        let mut channel = Channel::open(lost.addr, ANSWER_TIMEOUT_MS).await.ok()?;
+        let source = self.settings.upstream_source;
+        let mut channel = Channel::open_from(source, lost.addr, ANSWER_TIMEOUT_MS).await.ok()?;
         let get_request = |path: &str| {
             let request = Request::get(path).header(HOST, lost.addr.to_string());
             request.body(Full::<Bytes>::default()).ok()
--- a/src/gateway/native/settings.rs
+++ b/src/gateway/native/settings.rs
@@ -21,6 +21,7 @@
   --front IP:PORT       SISKINROCK_FRONT          where callers send requests [127.0.0.1:7410]
   --peer IP:PORT        SISKINROCK_PEER           where peers reach it, TCP and UDP [127.0.0.1:7411]
   --directory IP:PORT   SISKINROCK_DIRECTORY      where callers ask for addresses [nowhere]
+  --upstream-source IP  SISKINROCK_UPSTREAM_SOURCE where it connects to upstreams from [chosen by the system]
   --metrics IP:PORT     SISKINROCK_METRICS        where its metrics are served [nowhere]
   --link-mbps N         SISKINROCK_LINK_MBPS      the speed of its link, 0 if not known [0]
   --seeds ADDRS         SISKINROCK_SEEDS          peers to begin with, with commas
@@ -63,6 +64,7 @@
     let front = reader.parsed("--front", "127.0.0.1:7410", ADDRESS);
     let peer = reader.parsed("--peer", "127.0.0.1:7411", ADDRESS);
     let directory = reader.optional("--directory", ADDRESS);
+    let upstream_source = reader.optional("--upstream-source", "an address such as 10.0.0.5");
     let metrics = reader.optional("--metrics", ADDRESS);
     let link_mbps = reader.within("--link-mbps", 0, 0, 1_000_000);
     let seeds = reader.addresses("--seeds");
@@ -78,6 +80,7 @@
             readiness: directory,
             directory,
             peer: peer?,
+            upstream_source,
             metrics,
             link_mbps: link_mbps? as u32,
             reports_usage: false,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of a gateway, checked, whoever they come from.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 /// What one gateway needs to know to start.
@@ -18,6 +18,8 @@
     pub directory: Option<SocketAddr>,
     /// Where peers talk to it, over TCP and UDP.
     pub peer: SocketAddr,
+    /// The address from which it connects to upstreams; the system chooses one if there is none.
+    pub upstream_source: Option<IpAddr>,
     /// Where its metrics are served.
     pub metrics: Option<SocketAddr>,
     /// The speed of its link, by which the instances that others fetch from are chosen; 0 if not known.
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -308,7 +308,9 @@
                         self.mark_restarted(known);
                     }
                     self.outages.borrow_mut().note_alive(&upstream.service, now_ms);
-                    workers.insert(Arc::clone(id), Worker::new(upstream.clone(), now_ms));
+                    let source = self.settings.upstream_source;
+                    let worker = Worker::reached_from(source, upstream.clone(), now_ms);
+                    workers.insert(Arc::clone(id), worker);
                 }
             }
         }
--- a/src/gateway/traffic/endings.rs
+++ b/src/gateway/traffic/endings.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::watch;
 
-use super::super::channel::{Channel, Fault};
+use super::super::channel::Fault;
 use super::super::worker::Worker;
 use super::Traffic;
 
@@ -31,7 +31,7 @@
         let traffic = Rc::clone(self);
         let worker = Rc::clone(worker);
         tokio::task::spawn_local(async move {
-            let opened = Channel::open(worker.upstream.addr, EXIT_CHECK_TIMEOUT_MS).await;
+            let opened = worker.connect(EXIT_CHECK_TIMEOUT_MS).await;
             let has_exited = matches!(opened, Err(Fault::Refused));
             traffic.exit_checks.borrow_mut().remove(&worker.upstream.id);
             slog::info!(traffic.log, "upstream closed a connection during a request";
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::rc::Rc;
 
 use tokio::sync::watch;
@@ -53,6 +54,8 @@
     pub reserved_tokens: Cell<u64>,
     /// Grows each time it is found silent; those who wait for it then leave.
     pub silences: watch::Sender<u64>,
+    /// Where connections to it come from.
+    source: Option<IpAddr>,
     open: Cell<u32>,
     idle: RefCell<VecDeque<Idle>>,
     listed_ms: u64,
@@ -153,7 +156,13 @@
 impl Worker {
     /// An upstream that nothing has been sent to.
     pub fn new(upstream: Upstream, now_ms: u64) -> Rc<Worker> {
+        Worker::reached_from(None, upstream, now_ms)
+    }
+
+    /// The same, with connections from a local address.
+    pub fn reached_from(source: Option<IpAddr>, upstream: Upstream, now_ms: u64) -> Rc<Worker> {
         Rc::new(Worker {
+            source,
             runs: Cell::new(0),
             copies: Cell::new(0),
             reading: Cell::new(0),
@@ -226,10 +235,19 @@
         }
         self.open.set(self.open.get() + 1);
         let open = OpenGuard(Rc::clone(self));
-        let channel = Channel::open(self.upstream.addr, CONNECT_TIMEOUT_MS).await?;
+        let channel = self.connect(CONNECT_TIMEOUT_MS).await?;
         Ok(Lease { channel, _open: open })
     }
 
+    /// Opens a connection that isn't counted.
+    ///
+    /// # Errors
+    ///
+    /// Any fault but `Broken`.
+    pub async fn connect(&self, timeout_ms: u64) -> Result<Channel, channel::Fault> {
+        Channel::open_from(self.source, self.upstream.addr, timeout_ms).await
+    }
+
     fn take_idle(&self) -> Option<Idle> {
         self.idle.borrow_mut().pop_front()
     }
