--- a/tests/fakes/src/http.rs
+++ b/tests/fakes/src/http.rs
@@ -3,13 +3,15 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::links::{Cut, Link, Links};
+
 /// A request or an answer that was read whole.
 #[derive(Debug, Clone, Default)]
 pub struct Message {
@@ -50,11 +52,19 @@
 
 /// The process of a fake: what accepts its connections and serves them.
 #[derive(Debug, Clone, Default)]
-pub struct Process(Arc<Mutex<Option<AbortHandle>>>);
+pub struct Process {
+    task: Arc<Mutex<Option<AbortHandle>>>,
+    links: Links,
+}
 
 impl Process {
+    /// Cuts it off from these addresses; an empty list joins it to all.
+    pub fn cut_from(&self, sources: &[Ipv4Addr], how: Cut) {
+        self.links.cut(sources, how);
+    }
+
     fn set(&self, process: Option<AbortHandle>) -> Option<AbortHandle> {
-        std::mem::replace(&mut *self.0.lock().expect("no holder panics"), process)
+        std::mem::replace(&mut *self.task.lock().expect("no holder panics"), process)
     }
 
     /// Serves each connection to an address by `serve`, until it crashes; returns the address.
@@ -63,7 +73,7 @@
         F: Fn(Connection) -> R + Send + 'static,
         R: Future<Output = ()> + Send + 'static,
     {
-        let (addr, task) = listen(addr, serve).await;
+        let (addr, task) = self.links.listen(addr, serve).await;
         self.set(Some(task.abort_handle()));
         addr
     }
@@ -77,12 +87,14 @@
 
     /// Whether it has ended.
     pub fn has_crashed(&self) -> bool {
-        self.0.lock().expect("no holder panics").is_none()
+        self.task.lock().expect("no holder panics").is_none()
     }
 }
 
 /// A connection with what was read too far.
 pub struct Connection {
+    /// The link that it goes over, where it may be cut; it is left before the socket is closed.
+    link: Option<Link>,
     /// The socket.
     pub stream: TcpStream,
     left: Vec<u8>,
@@ -92,7 +104,12 @@
     /// Over a socket.
     pub fn new(stream: TcpStream) -> Connection {
         let _ = stream.set_nodelay(true);
-        Connection { stream, left: Vec::new() }
+        Connection { link: None, stream, left: Vec::new() }
+    }
+
+    /// Over a socket of a link.
+    pub(crate) fn over(stream: TcpStream, link: Link) -> Connection {
+        Connection { link: Some(link), ..Connection::new(stream) }
     }
 
     /// Reads one request; `None` at the end.
@@ -178,6 +195,9 @@
 
     /// Writes bytes as they are.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if let Some(link) = &self.link {
+            link.wait_until_passing().await;
+        }
         self.stream.write_all(bytes).await
     }
 
@@ -223,18 +243,5 @@
     F: Fn(Connection) -> R + Send + 'static,
     R: Future<Output = ()> + Send + 'static,
 {
-    let listener = TcpListener::bind(addr).await.expect("a loopback address is free");
-    let addr = listener.local_addr().expect("a listener has an address");
-    let task = tokio::spawn(async move {
-        let mut connections = tokio::task::JoinSet::new();
-        loop {
-            tokio::select! {
-                accepted = listener.accept() => if let Ok((stream, _)) = accepted {
-                    connections.spawn(serve(Connection::new(stream)));
-                },
-                Some(_) = connections.join_next() => {}
-            }
-        }
-    });
-    (addr, task)
+    Links::default().listen(addr, serve).await
 }
--- a/tests/fakes/src/lib.rs
+++ b/tests/fakes/src/lib.rs
@@ -1,10 +1,11 @@
 //! Small fakes that speak the platform's published protocol: its store, model engines, plain
-//! services, and a proxy that harms connections. Everything listens on loopback.
+//! services, links that can be cut, and a proxy that harms connections. Everything listens on loopback.
 
 pub mod caller;
 pub mod cloud;
 pub mod engine;
 pub mod http;
+pub mod links;
 pub mod process;
 pub mod proxy;
 pub mod service;
--- a/tests/fakes/src/site.rs
+++ b/tests/fakes/src/site.rs
@@ -1,10 +1,11 @@
 //! A small site: a store, engines and services in three zones, and settings files for gateways.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 
 use serde_json::{Value, json};
 
 use crate::engine::EngineFake;
+use crate::links::Cut;
 use crate::service::ServiceFake;
 use crate::store::Store;
 
@@ -58,6 +59,13 @@
         ZONES[index * ZONES.len() / self.engines.len()]
     }
 
+    /// Cuts the links between all upstreams and these addresses, and joins all others.
+    pub fn cut_from(&self, sources: &[Ipv4Addr], how: Cut) {
+        let engines = self.engines.iter().map(|engine| &engine.process);
+        let services = self.services.iter().map(|service| &service.process);
+        engines.chain(services).for_each(|process| process.cut_from(sources, how));
+    }
+
     /// Writes an engine's entry.
     pub fn list_engine(&self, index: usize, state: &str) {
         let engine = &self.engines[index];
@@ -147,6 +155,7 @@
 readiness = "{ip}:{}"
 control = "{ip}:{}"
 directory = "{ip}:{}"
+upstream-source = "{ip}"
 [bounds]
 grace-s = {grace_s:.1}
 retry-budget-ratio = 0.8
--- /dev/null
+++ b/tests/gateway/cut_off.rs
@@ -0,0 +1,132 @@
+//! Instances that reach no upstream, while callers, the store and the other instances reach them.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use siskinrock_fakes::links::Cut;
+use siskinrock_fakes::site::{Site, ZONES};
+
+use crate::load::{Received, booking_or_look_up, send};
+use crate::support::{self, Running, plan};
+
+/// How long after the beginning of a cut its callers may be served worse (`contact-ms`).
+const CONTACT: Duration = Duration::from_secs(3);
+/// How long the callers of cut instances are compared with the others after that.
+const COMPARED: Duration = Duration::from_secs(4);
+/// How long after the end of a cut everything is as before.
+const RECOVERY: Duration = Duration::from_secs(3);
+/// Interval between calls to one instance.
+const CALL_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between streams to one instance.
+const STREAM_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// What became of the requests to an instance.
+#[derive(Debug, Default, Clone, Copy)]
+struct Tally {
+    sent: usize,
+    served: usize,
+}
+
+impl Tally {
+    fn add(&mut self, received: &Received) {
+        self.sent += 1;
+        self.served += usize::from(received.status == 200);
+    }
+
+    fn plus(self, other: Tally) -> Tally {
+        Tally { sent: self.sent + other.sent, served: self.served + other.served }
+    }
+}
+
+/// Sends calls and streams to each instance for some time; returns what became of them, by
+/// instance.
+async fn load_all(running: &Running, lasts: Duration) -> BTreeMap<usize, Vec<Received>> {
+    let until = Instant::now() + lasts;
+    let mut senders = tokio::task::JoinSet::new();
+    for index in 0..running.gateways.len() {
+        let front = running.front(index);
+        senders.spawn(async move {
+            let mut sent = tokio::task::JoinSet::new();
+            let mut next_stream = Instant::now();
+            let mut number = index as u64;
+            while Instant::now() < until {
+                if Instant::now() >= next_stream {
+                    sent.spawn(send(front, plan()));
+                    next_stream += STREAM_INTERVAL;
+                }
+                sent.spawn(send(front, booking_or_look_up(number)));
+                number += 1;
+                tokio::time::sleep(CALL_INTERVAL).await;
+            }
+            (index, sent.join_all().await)
+        });
+    }
+    senders.join_all().await.into_iter().collect()
+}
+
+/// What became of the first attempts at the instances that are cut off, and at the others.
+fn compare(all: &BTreeMap<usize, Vec<Received>>, cut: &[usize]) -> (Tally, Tally) {
+    let mut tallies = (Tally::default(), Tally::default());
+    for (index, received) in all {
+        let tally = if cut.contains(index) { &mut tallies.0 } else { &mut tallies.1 };
+        received.iter().for_each(|received| tally.add(received));
+    }
+    tallies
+}
+
+/// The bounds of the platform's rule: not less than two thirds as often as at the others, unless
+/// no more than 10 and one in 50 of all first attempts fail at the cut instances.
+fn assert_served_alike((cut, others): (Tally, Tally)) {
+    let all = cut.plus(others);
+    let failed = cut.sent - cut.served;
+    let is_far_worse = 3 * cut.served * others.sent < 2 * others.served * cut.sent;
+    let are_many = failed > 10 + all.sent / 50;
+    assert!(!(is_far_worse && are_many), "cut off {cut:?}, others {others:?}");
+}
+
+fn zone(zone: usize, all: usize) -> Vec<usize> {
+    (0..all).filter(move |number| number % ZONES.len() == zone).collect()
+}
+
+fn sources(running: &Running, instances: &[usize]) -> Vec<Ipv4Addr> {
+    instances.iter().map(|index| running.place.ip(*index as u8)).collect()
+}
+
+fn assert_ran_once(running: &Running, all: &BTreeMap<usize, Vec<Received>>) {
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for service in &running.site.services {
+        for seen in service.seen().iter().filter(|seen| seen.ran && seen.request.start.0 == "POST")
+        {
+            let id = seen.request.header("x-request-id").unwrap_or_default();
+            *runs.entry(id.to_owned()).or_default() += 1;
+        }
+    }
+    assert!(runs.values().all(|runs| *runs == 1), "a booking ran twice");
+    for received in all.values().flatten().filter(|received| received.status == 503) {
+        assert_eq!(runs.get(&received.id), None, "refused and run");
+    }
+}
+
+/// Guards against RECOVER: callers of instances that were cut off from all upstreams were refused, while the
+/// other instances served theirs.
+#[tokio::test]
+async fn callers_of_instances_that_reach_no_upstream_are_served() {
+    let how = Cut::Hang;
+    let running = support::start_site(Site::start(4, 15).await, 9).await;
+    let cut = zone(0, 9);
+    load_all(&running, Duration::from_secs(2)).await;
+    for _ in 0..2 {
+        running.site.cut_from(&sources(&running, &cut), how);
+        let before = load_all(&running, CONTACT).await;
+        let during = load_all(&running, COMPARED).await;
+        assert_served_alike(compare(&during, &cut));
+        assert_ran_once(&running, &before);
+        assert_ran_once(&running, &during);
+        running.site.cut_from(&[], how);
+        load_all(&running, RECOVERY).await;
+        let after = load_all(&running, Duration::from_secs(1)).await;
+        let (cut, others) = compare(&after, &cut);
+        assert_eq!(cut.served + others.served, cut.sent + others.sent, "after the cut");
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod concurrency;
 mod configuration;
 mod connections;
+mod cut_off;
 mod decisions;
 mod departures;
 mod duties;
