Brittle upstreams: rejections are told to all instances and kept below the bound

Upstreams say in their answers how many requests they may turn away in a second (Server-Brittle) before they fall over, summed over all instances; nothing read it, and each instance learned of a full upstream by a rejection of its own.

Change: policy/rejections counts those of all instances, which are told at once, and pauses an upstream while half of its bound was turned away within the last second. The fakes learn to fall over.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -45,6 +45,7 @@
 use super::policy::quarantine::Quarantine;
 use super::policy::rate_limit::Limiter;
 use super::policy::rediscovered::Rediscovered;
+use super::policy::rejections::Rejections;
 use super::policy::subset::Share;
 use super::policy::usage::{Counter, Usage};
 use super::policy::watchers::{self, Rank};
@@ -80,6 +81,8 @@
     advertised_rates: AdvertisedRates,
     /// Upstreams that announced to any instance that they are shutting down.
     departures: Departures,
+    /// Requests that brittle upstreams turned away, from any instance.
+    rejections: Rejections,
     /// Permit requests to other instances that are not answered yet, by number.
     pending_permits: BTreeMap<u64, oneshot::Sender<Permit>>,
     /// The number of the last permit request.
@@ -235,6 +238,7 @@
             limiter: Limiter::default(),
             advertised_rates: AdvertisedRates::default(),
             departures: Departures::default(),
+            rejections: Rejections::default(),
             pending_permits: BTreeMap::new(),
             last_permit_number: 0,
             watching_peers: 0,
@@ -404,6 +408,7 @@
             quarantine,
             advertised_rates: state.advertised_rates.clone(),
             departures: state.departures.clone(),
+            paused: state.rejections.paused(),
         };
         drop(before);
         let has_rumors = state.membership.has_rumors();
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -111,6 +111,7 @@
         state.quarantine.forget(now_ms);
         state.advertised_rates.forget(now_ms);
         state.departures.expire(now_ms);
+        state.rejections.expire(now_ms);
     }
 
     /// Gossips rumors: new ones at once, and each repeated in a few more rounds.
--- a/src/gateway/control/signals.rs
+++ b/src/gateway/control/signals.rs
@@ -1,4 +1,5 @@
-//! Distributes to all instances what upstreams announce in their answers: rate limits and departures.
+//! Distributes to all instances what upstreams announce in their answers: rate limits, departures, and
+//! rejections by brittle ones.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +24,10 @@
                         departures: vec![departure],
                         ..SignalUpdate::default()
                     }),
+                    Signal::Rejection(rejection) => self.record_and_send(SignalUpdate {
+                        rejections: vec![rejection],
+                        ..SignalUpdate::default()
+                    }),
                     Signal::CutOff(is_cut_off) => {
                         self.state.borrow_mut().is_cut_off = is_cut_off;
                         self.dirty.notify_one();
@@ -67,6 +72,13 @@
         let now_ms = self.clock.now_ms();
         update.rates.retain(|rate| state.advertised_rates.note(rate, now_ms));
         update.departures.retain(|departure| state.departures.note(departure, now_ms));
+        for rejection in &update.rejections {
+            if let Some(until_ms) = state.rejections.note(rejection, now_ms) {
+                slog::info!(self.log, "brittle upstream paused"; "upstream" => &*rejection.upstream,
+                    "bound_per_s" => rejection.bound, "for_ms" => until_ms - now_ms);
+                self.metrics.count("upstreams_paused");
+            }
+        }
         if update.is_empty() {
             return None;
         }
@@ -80,6 +92,7 @@
         let update = SignalUpdate {
             rates: state.advertised_rates.all(self.clock.now_ms()),
             departures: state.departures.to_vec(),
+            rejections: Vec::new(),
             must_forward: false,
         };
         if update.is_empty() {
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -102,6 +102,9 @@
     pub is_leaving: bool,
     /// The rate that the upstream takes from all instances together, if it limits that.
     pub rate_limit: Option<Rate>,
+    /// The number of requests that the upstream may turn away in a second for want of room; with more,
+    /// it falls over.
+    pub max_rejections_per_s: Option<u32>,
 }
 
 /// An upstream's load.
--- a/src/gateway/membership/descriptor.rs
+++ b/src/gateway/membership/descriptor.rs
@@ -50,7 +50,6 @@
     /// The share of the large services that it holds.
     pub share: Share,
     /// Whether it reaches no upstream, so that callers and other instances send it no requests.
-    #[serde(default)]
     pub is_cut_off: bool,
 }
 
--- a/src/gateway/membership/message.rs
+++ b/src/gateway/membership/message.rs
@@ -7,6 +7,7 @@
 
 use super::super::fleet::{Departure, Upstream};
 use super::super::loads::{Changes, Digest, LoadUpdate};
+use super::super::policy::rejections::Rejection;
 use super::super::policy::subset::Share;
 use super::super::policy::usage::UsageUpdate;
 use super::super::rate::{AdvertisedRate, Permit, Rate};
@@ -15,7 +16,7 @@
 use super::sums::BucketChecksums;
 
 /// Version of the datagram layout; datagrams of any other version are rejected.
-const LAYOUT: u8 = 5;
+const LAYOUT: u8 = 6;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -64,14 +65,16 @@
     pub rates: Vec<AdvertisedRate>,
     /// Upstreams that advertised that they are leaving.
     pub departures: Vec<Departure>,
+    /// Requests that brittle upstreams turned away just now.
+    pub rejections: Vec<Rejection>,
     /// Whether the receiver forwards the entries that are new to it within its failure domain.
     pub must_forward: bool,
 }
 
 impl SignalUpdate {
-    /// Whether there are neither rates nor departures.
+    /// Whether there is nothing in it.
     pub fn is_empty(&self) -> bool {
-        self.rates.is_empty() && self.departures.is_empty()
+        self.rates.is_empty() && self.departures.is_empty() && self.rejections.is_empty()
     }
 }
 
--- a/src/gateway/native/wire.rs
+++ b/src/gateway/native/wire.rs
@@ -35,6 +35,9 @@
 /// Requests a second that an upstream takes from all instances together.
 const RATE_LIMIT: HeaderName = HeaderName::from_static("siskinrock-rate-limit");
 
+/// How many requests an upstream may turn away in a second before it falls over.
+const MAX_REJECTIONS: HeaderName = HeaderName::from_static("siskinrock-max-rejections");
+
 /// Headers that only the system may set, and the caller's key, which goes no further.
 const RESERVED: [HeaderName; 7] =
     [AUTHORIZATION, LAST_EVENT, UPSTREAM, ORGANISATION, PRIORITY, COPY_TO, GO_ON_FROM];
@@ -134,6 +137,8 @@
             retry_after_ms: dialect::seconds_ms(headers, &RETRY_AFTER),
             is_leaving: text(headers, &LEAVING).is_some_and(|value| value.trim() == "1"),
             rate_limit: text(headers, &RATE_LIMIT).and_then(Rate::parse),
+            max_rejections_per_s: number(headers, &MAX_REJECTIONS)
+                .and_then(|bound| u32::try_from(bound).ok()),
         }
     }
 
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -27,6 +27,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod rediscovered;
+pub mod rejections;
 pub mod relay;
 pub mod room;
 pub mod scaling;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -310,6 +310,7 @@
         if is_fleet_new || !view.departures.is_same_data(&self.departures.borrow()) {
             self.apply_departures(&view.departures);
         }
+        self.apply_pauses(&view);
         view
     }
 
--- a/src/gateway/traffic/signals.rs
+++ b/src/gateway/traffic/signals.rs
@@ -8,8 +8,9 @@
 use super::super::dialect::Marks;
 use super::super::fleet::Departure;
 use super::super::policy::departures::Departures;
+use super::super::policy::rejections::Rejection;
 use super::super::rate::{Permit, Rate};
-use super::super::view::{PermitRequest, Signal};
+use super::super::view::{PermitRequest, Signal, View};
 use super::super::worker::Worker;
 use super::Traffic;
 
@@ -19,6 +20,9 @@
 /// How long an upstream is throttled if the owner of its bucket does not answer. The owner may have
 /// died, which is known within a second or two.
 const UNANSWERED_THROTTLE_MS: u64 = 250;
+/// How long a brittle upstream gets nothing from this instance after each request that it turned away:
+/// the time in which all instances learn of it.
+const REJECTION_PAUSE_MS: u64 = 30;
 /// Range of the random delay that spreads the retries of callers that were refused because all
 /// upstreams were throttled.
 const MAX_RETRY_JITTER_MS: u64 = 500;
@@ -43,6 +47,9 @@
         {
             self.note_backoff(worker, after_ms);
         }
+        if is_refusal && metadata.not_run {
+            self.note_rejection(worker, metadata);
+        }
         if metadata.rate_limit.is_none() {
             self.set_rate_limit(worker, None, self.now_ms(), "its response");
         }
@@ -89,6 +96,30 @@
         }
     }
 
+    /// Has all instances keep the rejections of a brittle upstream below the number that fells it.
+    fn note_rejection(&self, worker: &Worker, metadata: &Marks) {
+        let bound = metadata.max_rejections_per_s;
+        let id = Arc::clone(&worker.upstream.id);
+        if let Some(rejection) = bound.and_then(|bound| Rejection::new(id, bound)) {
+            self.metrics.count("brittle_rejections");
+            worker.throttle(self.now_ms() + REJECTION_PAUSE_MS);
+            self.shared.signal(Signal::Rejection(rejection));
+        }
+    }
+
+    /// Sends nothing to brittle upstreams that turned too many requests away.
+    pub(super) fn apply_pauses(&self, view: &View) {
+        if view.paused.is_empty() {
+            return;
+        }
+        let workers = self.workers.borrow();
+        for (id, until_ms) in view.paused.iter() {
+            if let Some(worker) = workers.get(id) {
+                worker.throttle(*until_ms);
+            }
+        }
+    }
+
     /// Records the rate limit that an upstream advertised; `by` names the source in the log.
     fn set_rate_limit(&self, worker: &Worker, rate: Option<Rate>, at_ms: u64, by: &'static str) {
         let previous = worker.set_rate_limit(rate, at_ms);
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -18,6 +18,7 @@
 use super::policy::advertised_rates::AdvertisedRates;
 use super::policy::departures::Departures;
 use super::policy::quarantine::Suspects;
+use super::policy::rejections::Rejection;
 use super::policy::subset::Share;
 use super::rate::{Permit, Rate};
 use super::route::Config;
@@ -65,6 +66,8 @@
     pub advertised_rates: AdvertisedRates,
     /// Upstreams that said to any instance that they leave.
     pub departures: Departures,
+    /// Brittle upstreams that turned too many requests away, and until when they get none.
+    pub paused: Arc<BTreeMap<Arc<str>, u64>>,
 }
 
 /// An instance that takes callers.
@@ -140,6 +143,8 @@
     Departure(Departure),
     /// A request is to be sent to such an upstream.
     PermitWanted(PermitRequest),
+    /// A brittle upstream turned a request of this instance away.
+    Rejection(Rejection),
     /// This instance is cut off from all upstreams, or no longer.
     CutOff(bool),
     /// No upstream is left of a service of which this instance holds a part.
@@ -202,6 +207,7 @@
             quarantine: Arc::default(),
             advertised_rates: AdvertisedRates::default(),
             departures: Departures::default(),
+            paused: Arc::default(),
         };
         let view = ArcSwap::from_pointee(view);
         let is_configured = watch::Sender::new(false);
--- a/tests/fakes/src/service.rs
+++ b/tests/fakes/src/service.rs
@@ -1,9 +1,12 @@
 //! A plain service: calls that run once each time they arrive, and its faults.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use tokio::sync::Semaphore;
+
 use crate::engine::Seen;
 use crate::http::{self, Connection, Message, Process};
 use crate::signals::Signals;
@@ -34,8 +37,45 @@
     Crossed,
 }
 
+/// What fells a service.
+#[derive(Debug, Clone, Copy)]
+pub struct Brittle {
+    /// Requests turned away in a second that it bears.
+    pub bound: u32,
+    /// Requests that it runs at once.
+    pub places: usize,
+    /// Requests that it lets wait.
+    pub waiting: usize,
+}
+
+/// A service that may fall over.
+#[derive(Debug)]
+struct Falling {
+    brittle: Brittle,
+    /// From when on it falls over.
+    from: Instant,
+    places: Arc<Semaphore>,
+    /// Requests that run or wait.
+    present: usize,
+    rejected: VecDeque<Instant>,
+    falls: usize,
+}
+
+impl Falling {
+    /// Counts a request that is turned away. Returns whether that was one too many.
+    fn reject(&mut self) -> bool {
+        let now = Instant::now();
+        self.rejected.push_back(now);
+        self.rejected.retain(|at| now.duration_since(*at) < Duration::from_secs(1));
+        let falls = now >= self.from && self.rejected.len() > self.brittle.bound as usize;
+        self.falls += usize::from(falls);
+        falls
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
+    falling: Option<Falling>,
     fault: Fault,
     signals: Signals,
     seen: Vec<Seen>,
@@ -63,6 +103,8 @@
 
 /// What a service says of its state, to whoever asks whether it lives: no call runs for that.
 const REPORT: &str = r#"{"stage": "both", "models": [], "queued": 0, "active": 0}"#;
+/// How long it is away after it fell over.
+const FALLEN: Duration = Duration::from_secs(2);
 /// How long a call takes at first.
 const WORK_MS: u64 = 5;
 /// How long after an answer the extra one comes.
@@ -95,6 +137,50 @@
         self.listen(&self.addr.to_string()).await;
     }
 
+    /// Has limited room from now on, and falls over from a time on.
+    pub fn be_brittle(&self, brittle: Brittle, from: Instant) {
+        let places = Arc::new(Semaphore::new(brittle.places));
+        let (present, rejected, falls) = (0, VecDeque::new(), 0);
+        self.lock().falling = Some(Falling { brittle, from, places, present, rejected, falls });
+    }
+
+    /// How often it fell over.
+    pub fn falls(&self) -> usize {
+        self.lock().falling.as_ref().map_or(0, |falling| falling.falls)
+    }
+
+    /// Comes back some time after it fell over.
+    fn fall(&self) {
+        let fallen = self.clone();
+        tokio::spawn(async move {
+            fallen.process.crash();
+            if let Some(falling) = &mut fallen.lock().falling {
+                falling.present = 0;
+                falling.places = Arc::new(Semaphore::new(falling.brittle.places));
+                falling.rejected.clear();
+            }
+            tokio::time::sleep(FALLEN).await;
+            fallen.listen(&fallen.addr.to_string()).await;
+        });
+    }
+
+    /// Whether there is room for one more request, which then counts as present.
+    fn enter(&self) -> Option<Arc<Semaphore>> {
+        let mut state = self.lock();
+        let Some(falling) = &mut state.falling else { return Some(Arc::new(Semaphore::new(1))) };
+        if falling.present >= falling.brittle.places + falling.brittle.waiting {
+            return None;
+        }
+        falling.present += 1;
+        Some(Arc::clone(&falling.places))
+    }
+
+    fn leave(&self) {
+        if let Some(falling) = &mut self.lock().falling {
+            falling.present = falling.present.saturating_sub(1);
+        }
+    }
+
     /// Has calls with this body end its process.
     pub fn crash_on(&self, body: &[u8]) {
         self.lock().crashes_on = Some(body.to_vec());
@@ -158,9 +244,17 @@
                 Some(expected) if expected != self.id => Some(421),
                 _ => (fault == Fault::Full).then_some(503),
             };
+            let places = self.enter();
+            let refused = refused.or(places.is_none().then_some(503));
+            if places.is_none() && self.lock().falling.as_mut().is_some_and(Falling::reject) {
+                self.fall();
+            }
             let is_late = fault == Fault::LateFull;
             self.note(&request, refused.is_none() && !is_late);
             if let Some(status) = refused {
+                if places.is_some() {
+                    self.leave();
+                }
                 if self.refuse(&mut connection, &id, status).await.is_err() {
                     return;
                 }
@@ -171,7 +265,12 @@
                 return std::future::pending().await;
             }
             let work_ms = self.lock().work_ms;
-            tokio::time::sleep(Duration::from_millis(work_ms)).await;
+            if let Some(places) = places {
+                let place = places.acquire().await;
+                tokio::time::sleep(Duration::from_millis(work_ms)).await;
+                drop(place);
+                self.leave();
+            }
             let answered = match fault {
                 Fault::LateFull => self.refuse(&mut connection, &id, 503).await,
                 Fault::LostAnswer => return connection.reset(),
--- a/tests/fakes/src/signals.rs
+++ b/tests/fakes/src/signals.rs
@@ -11,6 +11,8 @@
     pub backoff_s: Option<f64>,
     /// How long work takes there, in percent of the usual time, if it says so.
     pub slowness_percent: Option<u32>,
+    /// How many requests it may turn away in a second before it falls over, if it says so.
+    pub brittle: Option<u32>,
 }
 
 impl Signals {
@@ -18,7 +20,8 @@
     pub fn headers(&self) -> Vec<(&'static str, String)> {
         let limit = self.limit_per_s.map(|per_s| ("Server-Limit", per_s.to_string()));
         let leaving = self.is_leaving.then(|| ("Server-Leaving", "1".to_owned()));
-        limit.into_iter().chain(leaving).collect()
+        let brittle = self.brittle.map(|bound| ("Server-Brittle", bound.to_string()));
+        limit.into_iter().chain(leaving).chain(brittle).collect()
     }
 
     /// Its load: requests that run, wait and can run at once, and its slowness.
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -17,8 +17,13 @@
 /// How long callers send requests after the announcement.
 const LOAD_DURATION: Duration = Duration::from_secs(6);
 
-const LEAVING: Signals =
-    Signals { limit_per_s: None, is_leaving: true, backoff_s: None, slowness_percent: None };
+const LEAVING: Signals = Signals {
+    limit_per_s: None,
+    is_leaving: true,
+    backoff_s: None,
+    slowness_percent: None,
+    brittle: None,
+};
 
 fn count_after_bound(seen: &[Seen], announced_at: Instant) -> usize {
     seen.iter().filter(|seen| seen.at > announced_at + DRAIN_BOUND).count()
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod admission_load;
 mod admission_queue;
 mod backoff;
+mod brittle;
 mod calls;
 mod clock;
 mod concurrency;
