Reproduce DRAIN: a failing test of a store that comes back from an older copy

The fakes' store learns the term: it can be set back to a copy, gives revisions out again, answers 410 to a watch from one that it doesn't have, and counts its eras in Store-Era. An item that is written again keeps the revision at which it was created, as the platform's does.

--- a/tests/fakes/src/store.rs
+++ b/tests/fakes/src/store.rs
@@ -33,10 +33,29 @@
     Slow,
 }
 
+/// A stored item.
+#[derive(Debug, Clone)]
+struct Stored {
+    value: Vec<u8>,
+    created: u64,
+    revision: u64,
+    lease: u64,
+}
+
+/// What the store holds at a moment.
+#[derive(Debug, Clone)]
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Stored>,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+}
+
 #[derive(Debug, Default)]
 struct Items {
+    /// How often it has come back from a copy.
+    era: u64,
     revision: u64,
-    items: BTreeMap<String, (Vec<u8>, u64, u64)>,
+    items: BTreeMap<String, Stored>,
     events: Vec<(u64, String, Option<Vec<u8>>)>,
     kept_from: u64,
     leases: BTreeMap<u64, (Instant, Duration)>,
@@ -107,6 +126,24 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// What it holds now.
+    pub fn copy(&self) -> Copy {
+        let items = self.lock();
+        let Items { revision, items, leases, .. } = &*items;
+        Copy { revision: *revision, items: items.clone(), leases: leases.clone() }
+    }
+
+    /// Loses what was done since a copy; its revisions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut items = self.lock();
+        items.era += 1;
+        items.events.retain(|(revision, _, _)| *revision <= copy.revision);
+        let Copy { revision, items: stored, leases } = copy.clone();
+        (items.revision, items.items, items.leases) = (revision, stored, leases);
+        drop(items);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
     /// Writes an item, as the operator or an upstream does.
     pub fn put(&self, key: &str, value: &Value) -> u64 {
         let mut items = self.lock();
@@ -133,7 +170,8 @@
             self.lock().calls += 1;
             match fault {
                 Fault::Busy => {
-                    if connection.answer(503, &[], b"").await.is_err() {
+                    let era = self.lock().era.to_string();
+                    if connection.answer(503, &[("Store-Era", &era)], b"").await.is_err() {
                         return;
                     }
                     continue;
@@ -148,7 +186,8 @@
                 return std::future::pending().await;
             }
             let body = body.to_string().into_bytes();
-            if connection.answer(status, &[], &body).await.is_err() {
+            let era = self.lock().era.to_string();
+            if connection.answer(status, &[("Store-Era", &era)], &body).await.is_err() {
                 return;
             }
         }
@@ -229,7 +268,7 @@
     fn end(&self, id: u64) -> (u16, Value) {
         let mut items = self.lock();
         items.leases.remove(&id);
-        let held = |(_, _, lease): &(Vec<u8>, u64, u64)| *lease == id;
+        let held = |item: &Stored| item.lease == id;
         let keys: Vec<String> =
             items.items.iter().filter(|(_, item)| held(item)).map(|(key, _)| key.clone()).collect();
         for key in keys {
@@ -267,7 +306,7 @@
         let is_over = |(since, ttl): &(Instant, Duration)| since.elapsed() >= *ttl;
         let over: Vec<u64> =
             self.leases.iter().filter(|(_, lease)| is_over(lease)).map(|(id, _)| *id).collect();
-        let held = |(_, _, lease): &(Vec<u8>, u64, u64)| over.contains(lease);
+        let held = |item: &Stored| over.contains(&item.lease);
         let keys: Vec<String> =
             self.items.iter().filter(|(_, item)| held(item)).map(|(key, _)| key.clone()).collect();
         keys.iter().for_each(|key| self.remove(key));
@@ -278,7 +317,7 @@
         let expected = body["expected-revision"].as_array()?;
         let differs = |row: &&Value| {
             let known = self.items.get(row["key"].as_str().unwrap_or_default());
-            known.map_or(0, |item| item.1) != row["mod-revision"].as_u64().unwrap_or(0)
+            known.map_or(0, |item| item.revision) != row["mod-revision"].as_u64().unwrap_or(0)
         };
         let key = expected.iter().find(differs)?["key"].as_str()?;
         Some(self.items.get(key).map_or(json!({"key": key, "deleted": true}), |_| self.item(key)))
@@ -287,7 +326,9 @@
     fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) -> u64 {
         self.revision += 1;
         self.events.push((self.revision, key.to_owned(), Some(value.clone())));
-        self.items.insert(key.to_owned(), (value, self.revision, lease));
+        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let item = Stored { value, created, revision: self.revision, lease };
+        self.items.insert(key.to_owned(), item);
         self.revision
     }
 
@@ -299,13 +340,18 @@
     }
 
     fn item(&self, key: &str) -> Value {
-        let (value, revision, lease) = &self.items[key];
+        let Stored { value, created, revision, lease } = &self.items[key];
         json!({"key": key, "value": STANDARD.encode(value), "mod-revision": revision,
-            "created": revision, "lease": lease})
+            "created": created, "lease": lease})
+    }
+
+    /// When an item that was written at a revision was created.
+    fn created(&self, key: &str, revision: u64) -> u64 {
+        self.items.get(key).map_or(revision, |item| item.created)
     }
 
     fn changes(&self, after: u64) -> Option<(u16, Value)> {
-        if after < self.kept_from {
+        if after < self.kept_from || after > self.revision {
             return Some((410, json!({})));
         }
         let newer: Vec<Value> = self
@@ -314,7 +360,8 @@
             .filter(|(revision, _, _)| *revision > after)
             .map(|(revision, key, value)| match value {
                 Some(value) => json!({"key": key, "value": STANDARD.encode(value),
-                    "mod-revision": revision, "created": revision, "lease": 0}),
+                    "mod-revision": revision, "created": self.created(key, *revision),
+                    "lease": 0}),
                 None => json!({"key": key, "mod-revision": revision, "deleted": true}),
             })
             .collect();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -38,6 +38,7 @@
 mod speed;
 mod stops;
 mod store;
+mod store_era;
 mod streams;
 mod subset;
 mod support;
