DRAIN: what a store lost stands, and its revisions never go back for us

What callers saw: requests reached an upstream 2,025 and 2,122 ms after the store had accepted that it leaves (bound 2,000 ms).

Cause: the store had come back from an older copy at revision 61, where all instances knew 64. They took revisions to grow for ever: Fleet::replace and Fleet::apply dropped everything below 64, so the leaving at 63 was never seen, by nobody. A watch from 64 that began later would have missed it as well. Class: an order that another system hands out is taken for one that lasts.

Change: policy/eras makes positions of era and revision, which only grow; the store's client reads the era (Store-Era), and refuses a watch of another era like one whose history is gone. What was known stands until something newer says otherwise: a leaving, with the position at which it was read, against a list of a later era; a removal for five seconds, in which whoever removed it does so again; an upstream that registered since the copy as long as entries that lapsed in an outage. On a new era instances register again, store their quarantines again, and a holder of the duties acts on nothing until it has read its entry back, with a token that is higher in every era.

Ruled out: the entry coming back as ready (the leaving was written after the return), and a watch alone going on from an old revision (five watchers had read everything again).

Found on the way, by own tests: a second list of the same era undid a leaving that a peer had told in between, and a removal likewise; both keep the position at which they were first known.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -41,6 +41,7 @@
 use super::policy::active;
 use super::policy::advertised_rates::AdvertisedRates;
 use super::policy::departures::Departures;
+use super::policy::eras;
 use super::policy::lease::{DutyLease, Holder};
 use super::policy::quarantine::Quarantine;
 use super::policy::rate_limit::Limiter;
@@ -108,6 +109,8 @@
     is_routing: bool,
     phase: Phase,
     is_directory_lost: bool,
+    /// The era of the directory's list, as last published.
+    directory_era: Option<u64>,
     /// When the directory last answered.
     directory_answered_ms: u64,
     /// The directory's lease on this instance's registration.
@@ -198,6 +201,10 @@
     directory_check: Notify,
     /// Requests that a new snapshot be published.
     dirty: Notify,
+    /// Has this instance register at once, since the directory came back from an older copy.
+    must_register: Notify,
+    /// Has this instance store its quarantine records again, for the same reason.
+    must_store_quarantine: Notify,
     /// Signals that rumors wait to be sent.
     rumors: Notify,
     /// Signals that this instance has a newer configuration or upstream list to announce.
@@ -252,6 +259,7 @@
             is_routing: true,
             phase: Phase::Starting,
             is_directory_lost: false,
+            directory_era: None,
             directory_answered_ms: 0,
             registration_lease: None,
             is_watching: false,
@@ -300,6 +308,8 @@
             watch_restart,
             directory_check,
             dirty,
+            must_register: Notify::new(),
+            must_store_quarantine: Notify::new(),
             rumors: Notify::new(),
             newer_versions: Notify::new(),
             socket: RefCell::new(None),
@@ -372,6 +382,7 @@
         }
         let phase = state.phase;
         let versions = Control::versions(&state);
+        self.handle_restored_directory(&mut state, versions.fleet);
         let has_working_watch = Control::has_working_watch(&state);
         let share = state.held_part.share;
         let is_cut_off = state.is_cut_off;
@@ -574,7 +585,8 @@
         let state = self.state.borrow();
         let versions = Control::versions(&state);
         self.metrics.gauge("config_version", versions.config);
-        self.metrics.gauge("list_revision", versions.fleet);
+        self.metrics.gauge("list_revision", eras::revision_of(versions.fleet));
+        self.metrics.gauge("directory_era", eras::era_of(versions.fleet));
         self.metrics.gauge("upstreams", state.fleet.upstreams.len() as u64);
         self.metrics.gauge("large_services", state.held_part.large.len() as u64);
         self.metrics.gauge("share_halvings", u64::from(state.held_part.share.halvings()));
--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -9,6 +9,7 @@
 use super::super::fleet::Change;
 use super::super::membership::Phase;
 use super::super::metrics::Time;
+use super::super::policy::eras;
 use super::super::policy::lease::Holder;
 use super::super::policy::subset::Share;
 use super::super::policy::watchers::{self, WatchPosition};
@@ -54,7 +55,7 @@
             self.wait_until_watcher().await;
             if let Some(revision) = self.revision_from_peers().filter(|_| !is_history_gone) {
                 slog::info!(self.log, "watching the directory from the revision that peers sent";
-                    "revision" => revision);
+                    "era" => eras::era_of(revision), "revision" => eras::revision_of(revision));
                 is_history_gone = !self.watch(revision).await;
                 continue;
             }
@@ -98,7 +99,7 @@
             if !position.is_watcher() {
                 self.state.borrow_mut().is_watching = false;
                 slog::info!(self.log, "stopped watching the directory; other instances watch it";
-                    "revision" => revision);
+                    "era" => eras::era_of(revision), "revision" => eras::revision_of(revision));
                 return true;
             }
             let wait_ms = if is_check { CHECK_WATCH_WAIT_MS } else { position.wait_ms() };
@@ -110,7 +111,7 @@
                 }
                 () = self.watch_restart.notified() => {
                     slog::info!(self.log, "directory watch lags behind peers; restarting it";
-                        "revision" => revision);
+                        "era" => eras::era_of(revision), "revision" => eras::revision_of(revision));
                     continue;
                 }
             };
@@ -255,11 +256,31 @@
             state.is_directory_lost = true;
             slog::warn!(self.log, "directory lost"; "why" => %fault,
                 "config_version" => state.config.as_ref().map_or(0, |config| config.version),
-                "fleet_revision" => state.fleet.revision);
+                "era" => eras::era_of(state.fleet.revision),
+                "fleet_revision" => eras::revision_of(state.fleet.revision));
             self.dirty.notify_one();
         }
     }
 
+    /// Handles that the list of upstreams is of a new era: the directory came back from an older copy, and
+    /// has lost what this instance wrote there since.
+    pub(super) fn handle_restored_directory(&self, state: &mut ControlState, list_position: u64) {
+        if !state.has_fleet {
+            return;
+        }
+        let era = eras::era_of(list_position);
+        let Some(before) = state.directory_era.replace(era).filter(|before| era > *before) else {
+            return;
+        };
+        slog::warn!(self.log, "directory came back from an older copy"; "era" => era,
+            "before" => before, "revision" => eras::revision_of(list_position));
+        self.metrics.count("directory_restores");
+        state.registration_lease = None;
+        state.duty_lease.note_restored();
+        self.must_register.notify_one();
+        self.must_store_quarantine.notify_one();
+    }
+
     pub(super) fn apply_listing(&self, listing: Listing) {
         let now_ms = self.clock.now_ms();
         let mut upstreams = Vec::new();
@@ -275,8 +296,13 @@
             }
         }
         let mut state = self.state.borrow_mut();
-        slog::info!(self.log, "directory listed"; "revision" => listing.revision,
+        let (era, revision) = (eras::era_of(listing.revision), eras::revision_of(listing.revision));
+        slog::info!(self.log, "directory listed"; "era" => era, "revision" => revision,
             "upstreams" => upstreams.len());
+        if state.has_fleet && era > eras::era_of(state.fleet.revision) {
+            // What was registered since the copy is written again.
+            state.fleet.regained(now_ms);
+        }
         if state.fleet.replace(listing.revision, upstreams, &unusable, now_ms) {
             state.has_fleet = true;
         }
@@ -386,7 +412,10 @@
                 Ok(()) if self.is_stopping() => {}
                 Ok(()) => {
                     retry_ms = MAX_RETRY_MS;
-                    tokio::time::sleep(Duration::from_millis(RENEW_INTERVAL_MS)).await;
+                    tokio::select! {
+                        () = tokio::time::sleep(Duration::from_millis(RENEW_INTERVAL_MS)) => {}
+                        () = self.must_register.notified() => {}
+                    }
                 }
                 Err(Fault::LeaseEnded) => self.state.borrow_mut().registration_lease = None,
                 Err(fault) => {
--- a/src/gateway/control/duties.rs
+++ b/src/gateway/control/duties.rs
@@ -11,6 +11,7 @@
 use super::super::duties::{CreateOutcome, DutyCalls, Fence, Report};
 use super::super::loads::UpstreamLoad;
 use super::super::membership::{Message, Phase};
+use super::super::policy::eras;
 use super::super::policy::lease::{AcquireAttempt, Action};
 use super::super::policy::scaling::{Scaler, ServiceState, WorkerCounts, WorkerOrder};
 use super::super::policy::usage::{Schedule, UsageUpdate, Window};
@@ -191,7 +192,9 @@
     /// The fence under which duty calls are made, if this instance holds the lease at this moment.
     fn fence(&self) -> Option<Fence> {
         let token = self.state.borrow().duty_lease.token(self.clock.now_ms())?;
-        Some(Fence { holder: self.me.id.clone(), token })
+        // The entry may have been lost with an older era, which the next renewal shows.
+        let is_of_this_era = eras::era_of(token) == self.directory.era();
+        is_of_this_era.then(|| Fence { holder: self.me.id.clone(), token })
     }
 
     /// Reports the usage windows that are due.
@@ -202,7 +205,6 @@
     ) -> Result<(), Fault> {
         let Some(schedule) = duties.duty_settings().usage else { return Ok(()) };
         if self.fence().is_none() {
-            reported.clear();
             return Ok(());
         }
         let cluster_ms = self.state.borrow().usage.cluster_ms(self.clock.now_ms());
--- a/src/gateway/control/fetch.rs
+++ b/src/gateway/control/fetch.rs
@@ -22,6 +22,7 @@
 use super::super::instance::Registration;
 use super::super::loads::UpstreamSubset;
 use super::super::membership::Member;
+use super::super::policy::eras;
 use super::super::policy::subset::{self, Share};
 use super::super::route::Config;
 use super::{Control, ControlState, shares};
@@ -344,7 +345,8 @@
         let Pages { part: Some(part), revision, pages } = pages else { return };
         let mut state = self.state.borrow_mut();
         slog::info!(self.log, "upstreams fetched from peers"; "peer" => %from,
-            "revision" => revision, "before" => state.fleet.revision, "pages" => pages.len(),
+            "revision" => eras::revision_of(revision),
+            "before" => eras::revision_of(state.fleet.revision), "pages" => pages.len(),
             "halvings" => part.share.halvings());
         state.has_fleet = true;
         state.is_outage_local = state.is_directory_lost;
@@ -389,7 +391,8 @@
             state.has_fleet = true;
             state.is_outage_local = state.is_directory_lost;
             slog::debug!(self.log, "upstream changes from a peer applied"; "peer" => %from,
-                "revision" => revision, "before" => state.fleet.revision);
+                "revision" => eras::revision_of(revision),
+                "before" => eras::revision_of(state.fleet.revision));
             state.fleet.take(delta, now_ms);
         }
     }
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -26,6 +26,7 @@
             let left_ms = next_judgement_ms.map(|at_ms| at_ms.saturating_sub(self.clock.now_ms()));
             tokio::select! {
                 () = self.shared.reported.notified() => {}
+                () = self.must_store_quarantine.notified() => self.store_quarantine_again(),
                 () = sleep_or_wait_forever(left_ms) => {}
             }
             for report in self.shared.take_reports() {
@@ -112,6 +113,15 @@
         self.metrics.count("requests_quarantined");
     }
 
+    /// Stores all quarantined requests again, if this instance is one of those that do so for all.
+    fn store_quarantine_again(self: &Rc<Control>) {
+        if !self.should_register() {
+            return;
+        }
+        let quarantined = self.state.borrow().quarantine.quarantined();
+        quarantined.into_iter().for_each(|fingerprint| self.store_record(fingerprint));
+    }
+
     /// Stores the record of a request in the directory, retrying while it is unreachable.
     fn store_record(self: &Rc<Control>, fingerprint: Fingerprint) {
         let control = Rc::clone(self);
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -86,7 +86,7 @@
 /// Everything in the directory at one revision.
 #[derive(Debug, Clone, Default)]
 pub struct Listing {
-    /// The revision before which all changes are in it.
+    /// The revision, with its era (see [`super::policy::eras`]), before which all changes are in it.
     pub revision: u64,
     /// All records.
     pub records: Vec<Record>,
@@ -132,6 +132,12 @@
     /// Ends a lease, which removes the registration under it.
     fn release(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), Fault>>;
 
+    /// The era that the directory last named; it grows each time the directory comes back from an older
+    /// copy of itself.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// The calls of duties, where there are any.
     fn duties(&self) -> Option<&dyn DutyCalls> {
         None
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::policy::eras::{self, Known, Reconciled};
+
 /// How long an entry that lapsed in an outage of the directory may take to come back: upstreams
 /// register again within two seconds, and the bound for work at a leaving upstream is as long, so
 /// a little is kept back for requests under way.
@@ -37,6 +39,9 @@
     /// stands for.
     #[serde(default)]
     pub listed_at: u64,
+    /// The position at which its leaving was first read; 0 if it isn't leaving.
+    #[serde(default)]
+    pub left_at: u64,
     /// Whether it may be reclaimed at any time by whoever runs it.
     #[serde(default)]
     pub is_spot: bool,
@@ -77,7 +82,8 @@
     Foreign(Arc<str>),
 }
 
-/// All upstreams, with the directory's revision that they were read at.
+/// All upstreams, with the directory's revision that they were read at. Revisions here are positions:
+/// they have their era, so they never go back (see [`super::policy::eras`]).
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fleet {
     /// The newest revision taken in.
@@ -87,6 +93,9 @@
     /// Entries that lapsed around an outage, with the time at which they count as gone.
     #[serde(skip)]
     lapsed: BTreeMap<Arc<str>, u64>,
+    /// Entries that a list of a new era names although they had been removed, and when they are believed.
+    #[serde(skip)]
+    doubted: BTreeMap<Arc<str>, (Upstream, u64)>,
     /// When each upstream last changed or went.
     #[serde(skip)]
     changed: BTreeMap<Arc<str>, Changed>,
@@ -109,6 +118,23 @@
 struct Changed {
     revision: u64,
     service: Arc<str>,
+    /// Where its entry was created.
+    created: u64,
+    /// Where its entry was first known to be gone, if it is.
+    gone_at: Option<u64>,
+}
+
+impl Changed {
+    /// The change of an upstream's entry at a revision.
+    fn of(upstream: &Upstream, revision: u64) -> Changed {
+        let service = Arc::clone(&upstream.service);
+        Changed { revision, service, created: upstream.listed_at, gone_at: None }
+    }
+
+    /// The removal of its entry at a revision; it may be known to be gone already.
+    fn removed(self, revision: u64) -> Changed {
+        Changed { revision, gone_at: self.gone_at.or(Some(revision)), ..self }
+    }
 }
 
 /// A part of a whole list that goes into one answer.
@@ -192,6 +218,26 @@
         Page { revision: self.revision, upstreams, lapsed, has_more }
     }
 
+    /// The entry to believe of an upstream that a list names, which was read at a revision. One that
+    /// was removed since is kept aside, in case its removal isn't written again.
+    fn admit(&mut self, listed: Upstream, revision: u64, now_ms: u64) -> Option<Upstream> {
+        let known = match (self.upstreams.get(&listed.id), self.changed.get(&listed.id)) {
+            (Some(known), _) => Some(Known::Listed(known)),
+            (None, Some(Changed { gone_at: Some(at), created, .. })) => {
+                Some(Known::Gone { at: *at, created: *created })
+            }
+            (None, _) => None,
+        };
+        match eras::reconcile(known, listed, revision) {
+            Reconciled::Believed(upstream) => Some(upstream),
+            Reconciled::Doubted(upstream) => {
+                let until_ms = now_ms + eras::DOUBT_MS;
+                self.doubted.entry(Arc::clone(&upstream.id)).or_insert((upstream, until_ms));
+                None
+            }
+        }
+    }
+
     /// Takes in changes of the upstreams that this instance holds, in any order: what is known of an
     /// upstream at a later revision stays. The list is as new as `delta` only if nothing is missing
     /// between it and what was known, that is, if it holds all changes since a known revision.
@@ -201,7 +247,9 @@
             fleet.changed.get(id).is_none_or(|known| known.revision <= revision)
         };
         for upstream in delta.upstreams {
-            if is_newer(self, &upstream.id) {
+            if is_newer(self, &upstream.id)
+                && let Some(upstream) = self.admit(upstream, revision, now_ms)
+            {
                 self.put(upstream, revision);
             }
         }
@@ -236,7 +284,10 @@
         let missing: Vec<Arc<str>> = missing.filter(|id| is_older(self, id)).cloned().collect();
         missing.iter().for_each(|id| self.remove(id, revision));
         for (id, upstream) in listed {
-            if is_older(self, &id) && self.upstreams.get(&id) != Some(&upstream) {
+            if is_older(self, &id)
+                && let Some(upstream) = self.admit(upstream, revision, now_ms)
+                && self.upstreams.get(&id) != Some(&upstream)
+            {
                 self.put(upstream, revision);
             }
         }
@@ -288,7 +339,11 @@
         if delta.is_whole {
             self.replace(delta.revision, delta.upstreams, &[], now_ms);
         } else {
-            let put = delta.upstreams.into_iter().map(Change::Put);
+            let upstreams = delta.upstreams.into_iter();
+            let put: Vec<Upstream> = upstreams
+                .filter_map(|upstream| self.admit(upstream, delta.revision, now_ms))
+                .collect();
+            let put = put.into_iter().map(Change::Put);
             let gone = delta.gone.into_iter().map(Change::Gone);
             self.apply(delta.revision, put.chain(gone).collect(), now_ms);
         }
@@ -300,24 +355,33 @@
         true
     }
 
-    fn put(&mut self, upstream: Upstream, revision: u64) {
+    fn put(&mut self, mut upstream: Upstream, revision: u64) {
         let id = Arc::clone(&upstream.id);
-        let service = Arc::clone(&upstream.service);
+        if upstream.is_leaving && upstream.left_at == 0 {
+            let known = self.upstreams.get(&id).filter(|known| known.is_leaving);
+            upstream.left_at = known.map_or(revision, |known| known.left_at);
+        }
+        let changed = Changed::of(&upstream, revision);
         self.lapsed.remove(&id);
+        self.doubted.remove(&id);
         self.upstreams.insert(Arc::clone(&id), upstream);
-        self.note_change(&id, service, revision);
+        self.note_change(&id, changed);
     }
 
     fn remove(&mut self, id: &Arc<str>, revision: u64) {
         self.lapsed.remove(id);
+        self.doubted.remove(id);
         // One that was never known is remembered too, so that older news don't bring it in.
-        let service = self.upstreams.remove(id).map_or(Arc::from(""), |known| known.service);
-        self.note_change(id, service, revision);
+        let listed = self.upstreams.remove(id).map(|known| Changed::of(&known, revision));
+        let known = listed.or_else(|| self.changed.get(id).cloned());
+        let unknown = || Changed { revision, service: Arc::from(""), created: 0, gone_at: None };
+        self.note_change(id, known.unwrap_or_else(unknown).removed(revision));
     }
 
-    fn note_change(&mut self, id: &Arc<str>, service: Arc<str>, revision: u64) {
+    fn note_change(&mut self, id: &Arc<str>, changed: Changed) {
         self.changes += 1;
-        let before = self.changed.insert(Arc::clone(id), Changed { revision, service });
+        let revision = changed.revision;
+        let before = self.changed.insert(Arc::clone(id), changed);
         if let Some(before) = before {
             self.history.remove(&(before.revision, Arc::clone(id)));
         }
@@ -354,8 +418,10 @@
             return false;
         }
         self.revision = revision;
+        let listed =
+            listed.into_iter().filter_map(|upstream| self.admit(upstream, revision, now_ms));
         let mut listed: BTreeMap<Arc<str>, Upstream> =
-            listed.into_iter().map(|upstream| (Arc::clone(&upstream.id), upstream)).collect();
+            listed.map(|upstream| (Arc::clone(&upstream.id), upstream)).collect();
         let missing: Vec<Upstream> = self
             .upstreams
             .values()
@@ -373,17 +439,18 @@
         if before.is_empty() {
             self.changed_from = revision;
         }
+        let change = |known: &Upstream| (Arc::clone(&known.id), Changed::of(known, revision));
         let now = self.upstreams.values();
         let put = now.filter(|upstream| before.get(&upstream.id) != Some(*upstream));
-        let put: Vec<(Arc<str>, Arc<str>)> = put.map(name).collect();
-        for (id, service) in put {
+        let put: Vec<(Arc<str>, Changed)> = put.map(change).collect();
+        for (id, changed) in put {
             self.lapsed.remove(&id);
-            self.note_change(&id, service, revision);
+            self.note_change(&id, changed);
         }
         let gone = before.values().filter(|known| !self.upstreams.contains_key(&known.id));
-        let gone: Vec<(Arc<str>, Arc<str>)> = gone.map(name).collect();
-        for (id, service) in gone {
-            self.note_change(&id, service, revision);
+        let gone: Vec<(Arc<str>, Changed)> = gone.map(change).collect();
+        for (id, changed) in gone {
+            self.note_change(&id, changed.removed(revision));
         }
         true
     }
@@ -408,14 +475,22 @@
         }
     }
 
-    /// Drops the entries whose time to come back is over; tells whether any was.
+    /// Drops the entries whose time to come back is over, and takes in those whose removal was not
+    /// written again; tells whether there were any.
     pub fn expire(&mut self, now_ms: u64) -> bool {
         let over = self.lapsed.iter().filter(|(_, until_ms)| **until_ms <= now_ms);
         let over: Vec<Arc<str>> = over.map(|(id, _)| Arc::clone(id)).collect();
         for id in &over {
             self.remove(id, self.revision);
         }
-        !over.is_empty()
+        let is_due = |(_, (_, until_ms)): &(&Arc<str>, &(Upstream, u64))| *until_ms <= now_ms;
+        let due = self.doubted.iter().filter(is_due);
+        let due: Vec<Upstream> = due.map(|(_, (upstream, _))| upstream.clone()).collect();
+        let has_due = !due.is_empty();
+        for upstream in due {
+            self.put(upstream, self.revision);
+        }
+        !over.is_empty() || has_due
     }
 
     /// Until when an entry that is missing now is kept, if it is at all.
@@ -428,7 +503,3 @@
         (until_ms > now_ms).then_some(until_ms)
     }
 }
-
-fn name(upstream: &Upstream) -> (Arc<str>, Arc<str>) {
-    (Arc::clone(&upstream.id), Arc::clone(&upstream.service))
-}
--- a/src/gateway/policy/lease.rs
+++ b/src/gateway/policy/lease.rs
@@ -60,6 +60,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Held {
+    nonce: u64,
     lease: u64,
     token: u64,
     expires_ms: u64,
@@ -126,7 +127,8 @@
     pub fn note_acquired(&mut self, attempt: AcquireAttempt, token: u64) {
         let expires_ms = attempt.requested_ms + self.ttl_ms;
         let renew_at_ms = attempt.requested_ms + self.ttl_ms / RENEWALS_PER_LEASE;
-        self.held = Some(Held { lease: attempt.lease, token, expires_ms, renew_at_ms });
+        let AcquireAttempt { nonce, lease, .. } = attempt;
+        self.held = Some(Held { nonce, lease, token, expires_ms, renew_at_ms });
         self.unconfirmed = None;
         self.free_since_ms = None;
     }
@@ -157,6 +159,15 @@
         }
     }
 
+    /// Records that the directory came back from an older copy, which may have lost the entry or
+    /// hold that of an earlier holder. A holder stops until it has read its own entry back.
+    pub fn note_restored(&mut self) {
+        if let Some(Held { nonce, lease, expires_ms, .. }) = self.held.take() {
+            let requested_ms = expires_ms.saturating_sub(self.ttl_ms);
+            self.unconfirmed = Some(AcquireAttempt { nonce, lease, requested_ms });
+        }
+    }
+
     /// Records that the lease has ended, as reported by the directory or by a service that checks
     /// fencing tokens.
     pub fn note_ended(&mut self, now_ms: u64) {
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -14,6 +14,7 @@
 pub mod concurrency;
 pub mod departures;
 pub mod engine;
+pub mod eras;
 pub mod hedge;
 pub mod isolation;
 pub mod latency;
--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -387,6 +387,12 @@
         self.records.get(&fingerprint).is_some_and(|record| record.until_ms.is_some())
     }
 
+    /// Returns the quarantined requests.
+    pub fn quarantined(&self) -> Vec<Fingerprint> {
+        let quarantined = self.records.iter().filter(|(_, record)| record.until_ms.is_some());
+        quarantined.map(|(fingerprint, _)| *fingerprint).collect()
+    }
+
     /// Returns the record of a request in the form that peers receive.
     pub fn record(&self, fingerprint: Fingerprint, now_ms: u64) -> Option<CrashRecord> {
         let record = self.records.get(&fingerprint)?;
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -16,6 +16,7 @@
 use super::super::dialect::{Copy, Dispatch, Marks};
 use super::super::headers;
 use super::super::metrics::Time;
+use super::super::policy::eras;
 use super::super::policy::outcomes;
 use super::super::policy::silence::{Silence, Verdict};
 use super::super::route::{Repeat, Route};
@@ -116,7 +117,7 @@
             "pending_tokens" => placement.load.pending_tokens,
             "reserved_tokens" => placement.load.reserved_tokens, "kept_tokens" => cached_tokens,
             "speed" => placement.load.running_speed,
-            "list_revision" => traffic.shared.view.load().fleet.revision);
+            "list_revision" => eras::revision_of(traffic.shared.view.load().fleet.revision));
         let reading_timer =
             prefill_count.as_ref().and_then(|_| traffic.time_reading(worker, &placement.load));
         traffic.note_prompt_locations(&self.job.demand, worker);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod departures;
 mod duties;
 mod engine;
+mod eras;
 mod explain;
 mod front;
 mod isolation;
