Soak and fakes: gateways that are cut off, a store that comes back from older copies

The soak draws cuts of one gateway or of a zone (hang, reset, live on; several in a row) and returns of the store from older copies, apart from its other faults, so that these stay what they were for each seed. What the operator and the upstreams had written is written again 0.6 s later. Proxies can be cut by the address that connects, as the fakes can.

--- a/tests/fakes/src/links.rs
+++ b/tests/fakes/src/links.rs
@@ -85,6 +85,19 @@
     where
         F: Fn(Connection) -> R + Send + 'static,
         R: Future<Output = ()> + Send + 'static,
+    {
+        self.accept(addr, move |stream, link| serve(Connection::over(stream, link))).await
+    }
+
+    /// The same with the bare socket; its link has to be dropped before it.
+    pub async fn accept<F, R>(
+        &self,
+        addr: &str,
+        serve: F,
+    ) -> (SocketAddr, tokio::task::JoinHandle<()>)
+    where
+        F: Fn(TcpStream, Link) -> R + Send + 'static,
+        R: Future<Output = ()> + Send + 'static,
     {
         let listener = TcpListener::bind(addr).await.expect("a loopback address is free");
         let addr = listener.local_addr().expect("a listener has an address");
@@ -97,7 +110,7 @@
                 tokio::select! {
                     accepted = listener.accept() => if let Ok((stream, peer)) = accepted {
                         let link = links.add(&stream, peer);
-                        connections.spawn(serve(Connection::over(stream, link)));
+                        connections.spawn(serve(stream, link));
                     },
                     Some(_) = connections.join_next() => {}
                 }
--- a/tests/fakes/src/proxy.rs
+++ b/tests/fakes/src/proxy.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::links::{Link, Links};
+
 /// What happens to connections.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Harm {
@@ -30,21 +32,19 @@
     /// Where it listens.
     pub addr: SocketAddr,
     harm: Arc<watch::Sender<Harm>>,
+    /// The links to whoever connects.
+    pub links: Links,
 }
 
 impl Proxy {
     /// Starts one before `target`.
     pub async fn start(target: SocketAddr) -> Proxy {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback address is free");
-        let addr = listener.local_addr().expect("a listener has an address");
+        let links = Links::default();
         let harm = Arc::new(watch::Sender::new(Harm::None));
         let shared = Arc::clone(&harm);
-        tokio::spawn(async move {
-            while let Ok((caller, _)) = listener.accept().await {
-                tokio::spawn(join(caller, target, shared.subscribe()));
-            }
-        });
-        Proxy { addr, harm }
+        let serve = move |caller, link| join(caller, target, shared.subscribe(), link);
+        let (addr, _) = links.accept("127.0.0.1:0", serve).await;
+        Proxy { addr, harm, links }
     }
 
     /// Harms all connections from now on, open ones too.
@@ -53,7 +53,7 @@
     }
 }
 
-async fn join(caller: TcpStream, target: SocketAddr, harm: watch::Receiver<Harm>) {
+async fn join(caller: TcpStream, target: SocketAddr, harm: watch::Receiver<Harm>, link: Link) {
     let mut resets = harm.clone();
     if *harm.borrow() == Harm::Reset {
         return reset(caller);
@@ -63,10 +63,11 @@
     let (mut from_caller, mut to_caller) = caller.into_split();
     let (mut from_server, mut to_server) = server.into_split();
     tokio::select! {
-        () = pass(&mut from_caller, &mut to_server, harm.clone(), false) => {}
-        () = pass(&mut from_server, &mut to_caller, harm, true) => {}
+        () = pass(&mut from_caller, &mut to_server, harm.clone(), &link, false) => {}
+        () = pass(&mut from_server, &mut to_caller, harm, &link, true) => {}
         _ = resets.wait_for(|harm| *harm == Harm::Reset) => {}
     }
+    drop(link);
     if *resets.borrow() == Harm::Reset
         && let Ok(caller) = from_caller.reunite(to_caller)
     {
@@ -79,8 +80,13 @@
     let _ = stream.set_linger(Some(Duration::ZERO));
 }
 
-async fn pass<R, W>(from: &mut R, to: &mut W, mut harm: watch::Receiver<Harm>, is_back: bool)
-where
+async fn pass<R, W>(
+    from: &mut R,
+    to: &mut W,
+    mut harm: watch::Receiver<Harm>,
+    link: &Link,
+    is_back: bool,
+) where
     R: AsyncReadExt + Unpin,
     W: AsyncWriteExt + Unpin,
 {
@@ -94,6 +100,7 @@
         if harm.wait_for(|harm| !blocks(harm)).await.is_err() {
             return;
         }
+        link.wait_until_passing().await;
         let now = *harm.borrow();
         if let Harm::Delay(delay_ms) = now {
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
--- a/tests/fakes/src/store.rs
+++ b/tests/fakes/src/store.rs
@@ -1,6 +1,6 @@
 //! The platform's store: items with revisions, watches, leases, and its faults.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -50,6 +50,11 @@
     leases: BTreeMap<u64, (Instant, Duration)>,
 }
 
+/// What the operator and the upstreams wrote and the store lost: the keys with their values, none if they
+/// were removed, and the revisions that the copy has of them.
+#[derive(Debug, Clone, Default)]
+pub struct Lost(Vec<(String, Option<Vec<u8>>, Option<u64>)>);
+
 #[derive(Debug, Default)]
 struct Items {
     /// How often it has come back from a copy.
@@ -133,15 +138,33 @@
         Copy { revision: *revision, items: items.clone(), leases: leases.clone() }
     }
 
-    /// Loses what was done since a copy; its revisions are given out again.
-    pub fn restore(&self, copy: &Copy) {
+    /// Loses what was done since a copy; its revisions are given out again. Returns what the operator and
+    /// the upstreams had written.
+    pub fn restore(&self, copy: &Copy) -> Lost {
         let mut items = self.lock();
+        let lost = items.changes_since(copy);
         items.era += 1;
         items.events.retain(|(revision, _, _)| *revision <= copy.revision);
         let Copy { revision, items: stored, leases } = copy.clone();
         (items.revision, items.items, items.leases) = (revision, stored, leases);
         drop(items);
         self.changed.send_modify(|count| *count += 1);
+        lost
+    }
+
+    /// Writes again what it lost, unless it was changed since.
+    pub fn write_again(&self, lost: Lost) {
+        let mut items = self.lock();
+        for (key, value, before) in lost.0 {
+            let now = items.items.get(&key).map(|item| item.revision);
+            match value {
+                _ if now != before => {}
+                Some(value) => drop(items.put(&key, value, 0)),
+                None => items.remove(&key),
+            }
+        }
+        drop(items);
+        self.changed.send_modify(|count| *count += 1);
     }
 
     /// Writes an item, as the operator or an upstream does.
@@ -312,6 +335,20 @@
         keys.iter().for_each(|key| self.remove(key));
     }
 
+    /// What the operator and the upstreams changed since a copy.
+    fn changes_since(&self, copy: &Copy) -> Lost {
+        let is_theirs = |key: &&String| key.starts_with("op/") || key.starts_with("servers/");
+        let keys: BTreeSet<&String> =
+            self.items.keys().chain(copy.items.keys()).filter(is_theirs).collect();
+        let change = |key: &String| {
+            let (now, before) = (self.items.get(key), copy.items.get(key));
+            let is_changed = now.map(|item| item.revision) != before.map(|item| item.revision);
+            let value = now.map(|item| item.value.clone());
+            is_changed.then(|| (key.clone(), value, before.map(|item| item.revision)))
+        };
+        Lost(keys.into_iter().filter_map(change).collect())
+    }
+
     /// The first item that is not as a transaction expects it.
     fn conflict(&self, body: &Value) -> Option<Value> {
         let expected = body["expected-revision"].as_array()?;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -35,6 +35,7 @@
 mod rate_limit;
 mod room;
 mod scaling;
+mod short_silence;
 mod silence;
 mod speed;
 mod stops;
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use siskinrock_fakes::links::Cut;
 use siskinrock_fakes::proxy::Harm;
+use siskinrock_fakes::site::ZONES;
 use siskinrock_fakes::{engine, service, store};
 
 /// Series of planned stops of a seed, which may overlap.
@@ -11,6 +13,16 @@
 const ROLL_STEP_MS: std::ops::RangeInclusive<u64> = 300..=800;
 /// Gateways of a series; with more, the last would be stopped long after all other faults.
 const LONGEST_ROLL: usize = 16;
+/// Keeps the draws of a seed apart.
+const SALT: u64 = 0x5c_u64.rotate_left(32);
+/// Cuts of a seed.
+const MOST_CUTS: usize = 3;
+const CUT_LASTS_MS: std::ops::Range<u64> = 300..3_000;
+/// Between the end of a cut and the next one.
+const CUT_PAUSE_MS: std::ops::Range<u64> = 50..1_500;
+/// Returns of the store from older copies of a seed.
+const MOST_RESTORES: usize = 2;
+const RESTORE_LASTS_MS: std::ops::Range<u64> = 300..2_000;
 /// How long after a stop of a series another order may come: up to the end of most stops.
 const BESIDE_MS: u64 = 2_500;
 
@@ -43,12 +55,35 @@
     Store(store::Fault),
     /// The store forgets its history.
     Forget,
+    /// The store is away, and comes back from a copy that it had when the fault began.
+    Restore,
+    /// Gateways reach no upstream: one, or all of a zone.
+    CutOff(Cutoff, Cut),
     /// A route is added, or a key taken away.
     Configure,
     /// An engine leaves as planned, and comes back.
     Leave(usize),
 }
 
+/// Which gateways are cut off.
+#[derive(Debug, Clone, Copy)]
+pub enum Cutoff {
+    /// This one.
+    One(usize),
+    /// All of this zone.
+    Zone(usize),
+}
+
+impl Cutoff {
+    /// The gateways, of so many.
+    pub fn gateways(self, all: usize) -> Vec<usize> {
+        match self {
+            Cutoff::One(index) => vec![index],
+            Cutoff::Zone(zone) => (0..all).filter(|index| index % ZONES.len() == zone).collect(),
+        }
+    }
+}
+
 /// A fault, when it begins, and how long it lasts.
 #[derive(Debug, Clone, Copy)]
 pub struct Timed {
@@ -117,6 +152,45 @@
     }
 }
 
+/// Draws cuts of gateways from all upstreams, and losses of what the store acknowledged; apart from the other
+/// faults, so that these stay what they were for each seed.
+pub fn draw_cuts_and_restores(seed: u64, sizes: Sizes, length: Duration) -> Vec<Timed> {
+    let mut random = fastrand::Rng::with_seed(seed ^ SALT);
+    let mut faults = Vec::new();
+    draw_cuts(&mut random, sizes, length, &mut faults);
+    draw_restores(&mut random, length, &mut faults);
+    faults
+}
+
+/// Adds cuts of gateways from all upstreams, some of which follow each other closely.
+fn draw_cuts(random: &mut fastrand::Rng, sizes: Sizes, length: Duration, faults: &mut Vec<Timed>) {
+    let cutoff = match random.bool() {
+        true => Cutoff::One(random.usize(..sizes.gateways)),
+        false => Cutoff::Zone(random.usize(..ZONES.len())),
+    };
+    let mut at_ms = random.u64(200..length.as_millis() as u64 / 2);
+    for _ in 0..random.usize(..=MOST_CUTS) {
+        let how = [Cut::Hang, Cut::Reset, Cut::LiveOn][random.usize(..3)];
+        let lasts_ms = random.u64(CUT_LASTS_MS);
+        let at = Duration::from_millis(at_ms);
+        let lasts = Duration::from_millis(lasts_ms);
+        faults.push(Timed { at, lasts, fault: Fault::CutOff(cutoff, how) });
+        at_ms += lasts_ms + random.u64(CUT_PAUSE_MS);
+    }
+}
+
+/// Adds a loss of what the store acknowledged, one after the other.
+fn draw_restores(random: &mut fastrand::Rng, length: Duration, faults: &mut Vec<Timed>) {
+    let mut at_ms = random.u64(200..length.as_millis() as u64 / 2);
+    for _ in 0..random.usize(..=MOST_RESTORES) {
+        let lasts_ms = random.u64(RESTORE_LASTS_MS);
+        let at = Duration::from_millis(at_ms);
+        let lasts = Duration::from_millis(lasts_ms);
+        faults.push(Timed { at, lasts, fault: Fault::Restore });
+        at_ms += lasts_ms + random.u64(RESTORE_LASTS_MS);
+    }
+}
+
 fn draw_one(random: &mut fastrand::Rng, sizes: Sizes) -> Fault {
     let gateway = random.usize(..sizes.gateways);
     let engine = random.usize(..sizes.engines);
--- a/tests/soak/src/world.rs
+++ b/tests/soak/src/world.rs
@@ -1,12 +1,14 @@
 //! One seed: a site behind proxies, gateways as processes, callers, and faults.
 
-use std::net::SocketAddr;
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use siskinrock_fakes::links::Cut;
 use siskinrock_fakes::process::{GRACE, Process, wait_for};
 use siskinrock_fakes::proxy::{Harm, Proxy};
 use siskinrock_fakes::signals::Signals;
@@ -35,6 +37,10 @@
 const WORK_MS: std::ops::Range<u64> = 5..40;
 /// Connections to a service for each gateway, enough for the calls that meet by chance.
 const CONNECTIONS_A_GATEWAY: usize = 8;
+/// How long the store is away before it comes back from a copy.
+const STORE_AWAY: Duration = Duration::from_millis(400);
+/// How long after its return what it lost is written again.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(600);
 /// How often the memory in use is looked at.
 const MEMORY_LOOK: Duration = Duration::from_millis(500);
 
@@ -57,6 +63,11 @@
     gateways: Mutex<Vec<Process>>,
     /// Where callers reach each gateway.
     pub fronts: Vec<SocketAddr>,
+    place: Place,
+    /// Gateways that reach no upstream.
+    cut: Mutex<BTreeSet<usize>>,
+    /// Copies from which the store is to come back.
+    copies: Mutex<Vec<store::Copy>>,
     /// Gateways that were told to stop and have not been started again, once for each order.
     stopping: Mutex<Vec<usize>>,
     history: Mutex<History>,
@@ -80,7 +91,8 @@
         engines: world.site.engines.len(),
         services: world.site.services.len(),
     };
-    let faults = faults::draw(&mut random, sizes, setup.length);
+    let mut faults = faults::draw(&mut random, sizes, setup.length);
+    faults.extend(faults::draw_cuts_and_restores(seed, sizes, setup.length));
     let listed: String = faults.iter().map(|timed| format!("{timed:?}\n")).collect();
     std::fs::write(folder.join("faults.txt"), listed).expect("the folder can be written");
     for service in &world.site.services {
@@ -144,6 +156,9 @@
         engine_links,
         store_link,
         fronts,
+        place,
+        cut: Mutex::default(),
+        copies: Mutex::default(),
         gateways: Mutex::new(gateways),
         stopping: Mutex::default(),
         history: Mutex::default(),
@@ -226,6 +241,15 @@
             Fault::Forget => self.site.store.forget_history(),
             Fault::Configure => self.configure(),
             Fault::Leave(index) => self.list(index, "draining"),
+            Fault::Restore => {
+                let copy = self.site.store.copy();
+                self.copies.lock().expect("no holder panics").push(copy);
+            }
+            Fault::CutOff(cutoff, how) => {
+                let all = gateways.len();
+                drop(gateways);
+                self.cut_off(|cut| cut.extend(cutoff.gateways(all)), how);
+            }
         }
         None
     }
@@ -253,10 +277,40 @@
             Fault::Service(index, _) => self.site.services[index].fail(service::Fault::None),
             Fault::Store(_) => self.site.store.fail(store::Fault::None),
             Fault::Leave(index) => self.list(index, "ready"),
+            Fault::Restore => self.restore_store().await,
+            Fault::CutOff(cutoff, how) => {
+                let joined = cutoff.gateways(self.fronts.len());
+                self.cut_off(|cut| joined.iter().for_each(|index| drop(cut.remove(index))), how);
+            }
             Fault::Reload(_) | Fault::Forget | Fault::Configure => {}
         }
     }
 
+    /// Changes which gateways are cut off from all upstreams.
+    fn cut_off(&self, change: impl FnOnce(&mut BTreeSet<usize>), how: Cut) {
+        let mut cut = self.cut.lock().expect("no holder panics");
+        change(&mut cut);
+        let sources: Vec<Ipv4Addr> =
+            cut.iter().map(|index| self.place.ip(*index as u8)).collect();
+        self.engine_links.iter().for_each(|link| link.links.cut(&sources, how));
+        self.site.services.iter().for_each(|service| service.process.cut_from(&sources, how));
+    }
+
+    /// Has the store come back from the oldest copy, after a moment in which it is away. What the operator
+    /// and the upstreams wrote is written again.
+    async fn restore_store(&self) {
+        self.site.store.fail(store::Fault::Reset);
+        tokio::time::sleep(STORE_AWAY).await;
+        let mut copies = self.copies.lock().expect("no holder panics");
+        let lost = (!copies.is_empty()).then(|| self.site.store.restore(&copies.remove(0)));
+        // Later copies are of what is lost now.
+        copies.clear();
+        drop(copies);
+        self.site.store.fail(store::Fault::None);
+        tokio::time::sleep(WRITTEN_AGAIN).await;
+        self.site.store.write_again(lost.unwrap_or_default());
+    }
+
     /// Keeps what the checks need to know of a fault that has ended.
     fn remember(&self, fault: Fault, span: Span) {
         let mut history = self.history.lock().expect("no holder panics");
@@ -264,6 +318,10 @@
             Fault::Stop(index) => return history.stop(index, span.from),
             Fault::Kill(index) | Fault::Pause(index) => vec![Target::Gateway(index)],
             Fault::KillAll => (0..self.fronts.len()).map(Target::Gateway).collect(),
+            Fault::CutOff(cutoff, _) => {
+                let cut = cutoff.gateways(self.fronts.len());
+                cut.into_iter().map(Target::Gateway).collect()
+            }
             // Who refuses or answers with an error breaks nothing off.
             Fault::Engine(_, engine::Fault::Full) | Fault::Zone(_, engine::Fault::Full) => return,
             Fault::Service(_, service::Fault::Full | service::Fault::Error) => return,
@@ -274,7 +332,7 @@
             Fault::Service(index, _) => vec![Target::Service(index)],
             // These disturb neither a gateway nor an upstream, so they excuse nothing.
             Fault::Reload(_) | Fault::Configure | Fault::Leave(_) => return,
-            Fault::StoreLink(_) | Fault::Store(_) | Fault::Forget => return,
+            Fault::StoreLink(_) | Fault::Store(_) | Fault::Forget | Fault::Restore => return,
         };
         for target in targets {
             history.harm(target, span);
