Eras: a leaving that is read again within an era keeps no older position

Only the directory's entries, which have no position yet, and those of older eras get the known one.

--- a/src/gateway/policy/eras.rs
+++ b/src/gateway/policy/eras.rs
@@ -60,14 +60,16 @@
 
 /// What to make of an entry in a list that was read at a position.
 pub fn reconcile(known: Option<Known<'_>>, mut listed: Upstream, position: u64) -> Reconciled {
-    if listed.is_leaving && listed.left_at == 0 {
+    // Entries of the directory have no position of their leaving yet; those of other instances do.
+    let is_from_directory = listed.left_at == 0;
+    if listed.is_leaving && is_from_directory {
         listed.left_at = position;
     }
     match known {
         Some(Known::Listed(before)) if before.is_same_life(&listed) => {
             // An upstream doesn't take its leaving back. The list only may not know it any more.
-            if before.is_leaving && (listed.is_leaving || era_of(before.left_at) < era_of(position))
-            {
+            let is_older = era_of(before.left_at) < era_of(position);
+            if before.is_leaving && (is_older || (listed.is_leaving && is_from_directory)) {
                 listed.is_leaving = true;
                 listed.left_at = before.left_at;
             }
--- a/tests/gateway/store_era.rs
+++ b/tests/gateway/store_era.rs
@@ -154,11 +154,11 @@
     wait_for("instances are registered", async || registered(&running) >= 2).await;
     tokio::time::sleep(Duration::from_secs(1)).await;
     restore(&running, &before).await;
-    // One that has just started may have read the older one, until its peers tell it of theirs.
-    tokio::time::sleep(CONTACT).await;
     let revoked = || Call { key: Some(SECOND_KEY.to_owned()), ..call("GET", "/look/seat") };
     running.add(2);
     wait_for("the third is ready", async || running.gateways[2].is_ready().await).await;
+    // One that has just started may have read the older one, until its peers tell it of theirs.
+    tokio::time::sleep(CONTACT).await;
     for front in (0..3).map(|index| running.front(index)) {
         assert_eq!(send(front, revoked()).await.status, 401, "the key stays revoked");
     }
