A sound upstream that was silent for a second is used again soon

What callers saw: nothing was reported.

Cause: an upstream that was found silent is kept out for five seconds, and four seconds at those that were told, unless a request happens to be answered.

Change: whoever finds one silent queries its state every 0.4 s, for four seconds at most, and tells all others as soon as it answers; losses that are no longer reported end there. One that refuses connections is not checked.

Measured: short_silence:: 2 of 2.

--- a/src/gateway/control/signals.rs
+++ b/src/gateway/control/signals.rs
@@ -24,6 +24,10 @@
                         departures: vec![departure],
                         ..SignalUpdate::default()
                     }),
+                    Signal::Recovered(id) => self.record_and_send(SignalUpdate {
+                        recovered: vec![id],
+                        ..SignalUpdate::default()
+                    }),
                     Signal::Rejection(rejection) => self.record_and_send(SignalUpdate {
                         rejections: vec![rejection],
                         ..SignalUpdate::default()
@@ -72,6 +76,7 @@
         let now_ms = self.clock.now_ms();
         update.rates.retain(|rate| state.advertised_rates.note(rate, now_ms));
         update.departures.retain(|departure| state.departures.note(departure, now_ms));
+        update.recovered.retain(|id| state.lost.remove(id).is_some());
         for rejection in &update.rejections {
             if let Some(until_ms) = state.rejections.note(rejection, now_ms) {
                 slog::info!(self.log, "brittle upstream paused"; "upstream" => &*rejection.upstream,
@@ -92,6 +97,7 @@
         let update = SignalUpdate {
             rates: state.advertised_rates.all(self.clock.now_ms()),
             departures: state.departures.to_vec(),
+            recovered: Vec::new(),
             rejections: Vec::new(),
             must_forward: false,
         };
--- a/src/gateway/membership/message.rs
+++ b/src/gateway/membership/message.rs
@@ -65,6 +65,8 @@
     pub rates: Vec<AdvertisedRate>,
     /// Upstreams that advertised that they are leaving.
     pub departures: Vec<Departure>,
+    /// Upstreams that were lost and answer again.
+    pub recovered: Vec<Arc<str>>,
     /// Requests that brittle upstreams turned away just now.
     pub rejections: Vec<Rejection>,
     /// Whether the receiver forwards the entries that are new to it within its failure domain.
@@ -74,7 +76,10 @@
 impl SignalUpdate {
     /// Whether there is nothing in it.
     pub fn is_empty(&self) -> bool {
-        self.rates.is_empty() && self.departures.is_empty() && self.rejections.is_empty()
+        self.rates.is_empty()
+            && self.departures.is_empty()
+            && self.recovered.is_empty()
+            && self.rejections.is_empty()
     }
 }
 
--- a/src/gateway/policy/losses.rs
+++ b/src/gateway/policy/losses.rs
@@ -57,6 +57,16 @@
         self.known.entry(Arc::clone(id)).or_insert(loss);
     }
 
+    /// Drops the loss of an upstream that answers again.
+    pub fn forget(&mut self, id: &str) {
+        self.known.remove(id);
+    }
+
+    /// Drops the losses that peers reported and no longer report.
+    pub fn forget_reported_except(&mut self, reported: &[Arc<str>]) {
+        self.known.retain(|id, loss| loss.is_own || reported.contains(id));
+    }
+
     /// Drops the losses that this instance detected since a time, when it could reach no upstream.
     pub fn forget_own_since(&mut self, since_ms: u64) {
         self.known.retain(|_, loss| !loss.is_own || loss.at_ms < since_ms);
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -15,7 +15,7 @@
 use super::super::fleet::Upstream;
 use super::super::policy::losses::{Loss, QueriedUpstream};
 use super::super::policy::silence::RunStatus;
-use super::super::view::View;
+use super::super::view::{Signal, View};
 use super::super::worker::Worker;
 use super::Traffic;
 
@@ -29,6 +29,11 @@
 /// Timeout of the second probe, for runs without a copy: three times the first. Waiting costs them
 /// no more than that, while processing their prompts again takes a second.
 const SECOND_PROBE_TIMEOUT_MS: u64 = 3 * STATE_QUERY_TIMEOUT_MS;
+/// How long a silent upstream is checked, how often, and how long it may take to answer. A sound one
+/// that was silent for a second gets its share of the work again soon after.
+const SILENCE_CHECKS_MS: u64 = 4_000;
+const SILENCE_CHECK_INTERVAL_MS: u64 = 400;
+const SILENCE_CHECK_TIMEOUT_MS: u64 = 250;
 /// Maximum number of state queries per probe. The second is sent only if this process was stalled
 /// or the connection was reset.
 const MAX_STATE_QUERIES: u32 = 2;
@@ -135,7 +140,7 @@
                 Liveness::Alive(state) => traffic.note_alive_state(&worker, state),
                 Liveness::Lost => {
                     traffic.note_unreached(&worker, began_ms);
-                    traffic.mark_lost(&worker, "its liveness probe failed");
+                    traffic.mark_silent(&worker, "its liveness probe failed");
                 }
                 Liveness::Inconclusive => {}
             }
@@ -195,6 +200,42 @@
         Ok(self.dialect.engine_state(&body).unwrap_or_default())
     }
 
+    /// Marks an upstream as silent, and checks it again and again for a while: it may go on.
+    pub fn mark_silent(self: &Rc<Traffic>, worker: &Rc<Worker>, why: &str) {
+        self.mark_lost(worker, why);
+        if worker.begin_checks() {
+            let traffic = Rc::clone(self);
+            let worker = Rc::clone(worker);
+            tokio::task::spawn_local(async move {
+                traffic.check_silent(&worker).await;
+                worker.end_checks();
+            });
+        }
+    }
+
+    /// Queries the state of a silent upstream until it answers, and then tells peers that it is well.
+    async fn check_silent(self: &Rc<Traffic>, worker: &Rc<Worker>) {
+        let until_ms = self.now_ms() + SILENCE_CHECKS_MS;
+        let limit = Duration::from_millis(SILENCE_CHECK_TIMEOUT_MS);
+        while self.now_ms() < until_ms && worker.is_lost(self.now_ms()) && worker.takes_work() {
+            tokio::time::sleep(Duration::from_millis(SILENCE_CHECK_INTERVAL_MS)).await;
+            if self.is_cut_off() {
+                continue;
+            }
+            let queried = tokio::time::timeout(limit, self.query_state(worker)).await;
+            let Ok(Ok(state)) = queried else { continue };
+            self.note_alive_state(worker, &state);
+            if !worker.is_replaced() {
+                slog::info!(self.log, "silent upstream answers again";
+                    "upstream" => &*worker.upstream.id);
+                self.metrics.count("upstreams_answering_again");
+                self.losses.borrow_mut().forget(&worker.upstream.id);
+                self.shared.signal(Signal::Recovered(Arc::clone(&worker.upstream.id)));
+                self.notify_peers();
+            }
+        }
+    }
+
     /// Marks an upstream as gone or not responding, and notifies peers at once.
     pub fn mark_lost(&self, worker: &Worker, why: &str) {
         let now_ms = self.now_ms();
@@ -219,10 +260,10 @@
     }
 
     /// Records that no connection to an upstream could be opened.
-    pub fn note_connect_failure(&self, worker: &Worker, fault: &channel::Fault) {
+    pub fn note_connect_failure(self: &Rc<Traffic>, worker: &Rc<Worker>, fault: &channel::Fault) {
         match fault {
             channel::Fault::Refused => self.mark_lost(worker, "connection refused"),
-            channel::Fault::Unreachable { .. } => self.mark_lost(worker, "connection timed out"),
+            channel::Fault::Unreachable { .. } => self.mark_silent(worker, "connection timed out"),
             _ => worker.broke(self.now_ms()),
         }
     }
@@ -237,6 +278,7 @@
         let mut losses = self.losses.borrow_mut();
         let is_final = |id: &str| workers.get(id).is_some_and(|worker| worker.is_replaced());
         losses.expire(now_ms, is_final);
+        losses.forget_reported_except(&view.lost);
         for id in view.lost.iter() {
             let Some(worker) = workers.get(id) else { continue };
             losses.note_reported(id, new_loss(worker, now_ms, false));
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -143,6 +143,8 @@
     Departure(Departure),
     /// A request is to be sent to such an upstream.
     PermitWanted(PermitRequest),
+    /// An upstream that this instance had lost answers again.
+    Recovered(Arc<str>),
     /// A brittle upstream turned a request of this instance away.
     Rejection(Rejection),
     /// This instance is cut off from all upstreams, or no longer.
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -71,6 +71,8 @@
     told: Cell<Option<Told>>,
     /// Whether an answer of it said that it is leaving.
     said_leaving: Cell<bool>,
+    /// Whether it is checked again and again since it fell silent.
+    is_checked: Cell<bool>,
     /// Until when it asked this instance to back off.
     backoff_until_ms: Cell<u64>,
     rate_limit: Cell<Option<Rate>>,
@@ -186,6 +188,7 @@
             failing_ms: Cell::new(0),
             told: Cell::new(None),
             said_leaving: Cell::new(false),
+            is_checked: Cell::new(false),
             backoff_until_ms: Cell::new(0),
             rate_limit: Cell::new(None),
             rate_known_ms: Cell::new(0),
@@ -351,6 +354,16 @@
         self.lost_until_ms.set(0);
     }
 
+    /// Begins repeated checks. Returns whether there were none.
+    pub fn begin_checks(&self) -> bool {
+        !self.is_checked.replace(true)
+    }
+
+    /// Ends repeated checks.
+    pub fn end_checks(&self) {
+        self.is_checked.set(false);
+    }
+
     /// Takes back all failures, which this instance's own links caused.
     pub fn absolve(&self) {
         self.suspect_until_ms.set(0);
--- a/tests/gateway/short_silence.rs
+++ b/tests/gateway/short_silence.rs
@@ -13,6 +13,8 @@
 const SILENCE: Duration = Duration::from_millis(1_100);
 /// How long after that it has its share of the requests again.
 const RETURN: Duration = Duration::from_secs(2);
+/// How long a call takes: five run at once.
+const WORK_MS: u64 = 60;
 /// How long its share is measured.
 const MEASURED: Duration = Duration::from_secs(2);
 
@@ -21,6 +23,8 @@
 #[test_macro(tokio::test)]
 async fn an_upstream_that_was_silent_for_a_second_is_used_again(instances: u8) {
     let running = support::start(instances).await;
+    // The others alone are busy, so that a small preference for them doesn't decide.
+    running.site.services.iter().for_each(|service| service.work_for(WORK_MS));
     let silent = &running.site.services[0];
     let all: Vec<Ipv4Addr> = (0..instances).map(|number| running.place.ip(number)).collect();
     let begins = Instant::now() + Duration::from_secs(1);
