--- a/tests/fakes/src/store.rs
+++ b/tests/fakes/src/store.rs
@@ -159,7 +159,9 @@
             let now = items.items.get(&key).map(|item| item.revision);
             match value {
                 _ if now != before => {}
-                Some(value) => drop(items.put(&key, value, 0)),
+                Some(value) => {
+                    items.put(&key, value, 0);
+                }
                 None => items.remove(&key),
             }
         }
--- a/tests/soak/src/world.rs
+++ b/tests/soak/src/world.rs
@@ -280,7 +280,7 @@
             Fault::Restore => self.restore_store().await,
             Fault::CutOff(cutoff, how) => {
                 let joined = cutoff.gateways(self.fronts.len());
-                self.cut_off(|cut| joined.iter().for_each(|index| drop(cut.remove(index))), how);
+                self.cut_off(|cut| cut.retain(|index| !joined.contains(index)), how);
             }
             Fault::Reload(_) | Fault::Forget | Fault::Configure => {}
         }
@@ -300,14 +300,16 @@
     async fn restore_store(&self) {
         self.site.store.fail(store::Fault::Reset);
         tokio::time::sleep(STORE_AWAY).await;
-        let mut copies = self.copies.lock().expect("no holder panics");
-        let lost = (!copies.is_empty()).then(|| self.site.store.restore(&copies.remove(0)));
-        // Later copies are of what is lost now.
-        copies.clear();
-        drop(copies);
+        let lost = self.restore_from_oldest_copy();
         self.site.store.fail(store::Fault::None);
         tokio::time::sleep(WRITTEN_AGAIN).await;
-        self.site.store.write_again(lost.unwrap_or_default());
+        self.site.store.write_again(lost);
+    }
+
+    fn restore_from_oldest_copy(&self) -> store::Lost {
+        // Later copies are of what is lost now.
+        let copies = std::mem::take(&mut *self.copies.lock().expect("no holder panics"));
+        copies.first().map(|copy| self.site.store.restore(copy)).unwrap_or_default()
     }
 
     /// Keeps what the checks need to know of a fault that has ended.
