Relaying: only relayed requests get the mark, and checks pause between rounds

From reading the diff: refusals before a route was found carried the mark between instances to callers as well, and checks of links that fail at once for want of a socket would have followed each other without a pause for seconds.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -40,6 +40,7 @@
 /// Reads a request, and refuses it or passes it to its service.
 async fn dispatch(traffic: &Rc<Traffic>, demand: Demand, request: Request<Incoming>) -> Answer {
     let id = demand.id.clone();
+    let is_relayed = headers::is_relayed(request.headers());
     let (host, path) =
         (host(request.headers(), request.uri()).to_owned(), request.uri().path().to_owned());
     let read = tokio::select! {
@@ -70,7 +71,7 @@
             traffic.metrics.count("rejected");
             rejected.log(traffic);
             let mut answer = answer::failed(&rejected.failure, rejected.retry_after_ms);
-            if rejected.failure.is_of_instance() {
+            if is_relayed && rejected.failure.is_of_instance() {
                 headers::mark_not_taken(answer.headers_mut());
             }
             answer
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -13,6 +13,11 @@
     headers.insert(RELAYED, HeaderValue::from_static("1"));
 }
 
+/// Whether a request has that mark.
+pub fn is_relayed(headers: &HeaderMap) -> bool {
+    headers.contains_key(RELAYED)
+}
+
 /// Removes that mark. Returns whether it was there.
 pub fn take_relayed(headers: &mut HeaderMap) -> bool {
     headers.remove(RELAYED).is_some()
--- a/src/gateway/traffic/isolation.rs
+++ b/src/gateway/traffic/isolation.rs
@@ -17,6 +17,8 @@
 
 /// How long a connection may take that only checks whether an upstream can be reached.
 const CHECK_TIMEOUT_MS: u64 = 250;
+/// Pause between two rounds of checks, since a check may fail at once for want of a socket.
+const CHECK_PAUSE_MS: u64 = 10;
 /// Interval between checks for the end of a cut.
 const RECOVERY_CHECK_INTERVAL_MS: u64 = 200;
 
@@ -145,9 +147,9 @@
                 return;
             }
             future::join_all(checks.iter().map(|worker| self.check_link(worker))).await;
-            if self.is_cut_off() {
-                tokio::time::sleep(Duration::from_millis(RECOVERY_CHECK_INTERVAL_MS)).await;
-            }
+            let pause_ms =
+                if self.is_cut_off() { RECOVERY_CHECK_INTERVAL_MS } else { CHECK_PAUSE_MS };
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
     }
 
