DRAIN: an era that no position can hold is not taken for a new one

Cause: the header Store-Era was read as a floating point number and the highest value was kept. A value that no position can hold (8192 or more, 1e300, NaN) would have been the highest for ever: every watch would have ended with its history gone, every list would have been followed by another one, and the duties would have been fenced off until a restart.

Change: the era is parsed strictly, in digits and up to what positions hold; another value counts like an answer that names none.

--- a/src/gateway/policy/eras.rs
+++ b/src/gateway/policy/eras.rs
@@ -20,6 +20,11 @@
 /// removed it does so again within some seconds; an upstream that had only lapsed does not.
 pub const DOUBT_MS: u64 = 5_000;
 
+/// The era that a directory names, if it can be one: a number in digits that positions can hold.
+pub fn named(text: &str) -> Option<u64> {
+    text.trim().parse().ok().filter(|era| *era <= MAX_ERA)
+}
+
 /// The position of a revision in an era.
 pub fn position(era: u64, revision: u64) -> u64 {
     (era.min(MAX_ERA) << REVISION_BITS) | revision.min(MAX_REVISION)
--- a/tests/gateway/eras.rs
+++ b/tests/gateway/eras.rs
@@ -41,6 +41,21 @@
     assert!(position(u64::MAX, u64::MAX) < 1 << 53, "garbage stays a number");
 }
 
+#[parameterized(
+    first = { "0", Some(0) },
+    with_spaces = { " 12 ", Some(12) },
+    largest = { "8191", Some(8_191) },
+    too_large = { "8192", None },
+    huge = { "1e300", None },
+    not_a_number = { "NaN", None },
+    fraction = { "1.5", None },
+    negative = { "-1", None },
+    nothing = { "", None },
+)]
+fn an_era_that_no_position_can_hold_is_not_taken_for_a_new_one(text: &str, era: Option<u64>) {
+    assert_eq!(eras::named(text), era);
+}
+
 #[test]
 fn a_list_of_a_new_era_is_taken_in_although_its_revision_is_lower() {
     let mut fleet = fleet(false);
