DRAIN: a newer word of the directory isn't held for an older one

Cause: after the store had come back from a copy, an instance kept a leaving of the era before against everything but a change that it read itself. A peer that had read in the new era that the upstream is ready again told so without a position, which looked like a list of the copy: the leaving stayed for ever at whoever learned of it from the peer or from its next list. An entry that was created again in the new era with a revision that had been given out before was doubted for five seconds if a peer told of it.

Change: an upstream carries the position at which its state was seen to change, whether that is a leaving or not, and instances pass it on; the newer position holds. An entry without one is as new as its list. An entry that was created after the leaving ends it, too.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -39,9 +39,10 @@
     /// stands for.
     #[serde(default)]
     pub listed_at: u64,
-    /// The position at which its leaving was first read; 0 if it isn't leaving.
+    /// The position at which the directory was seen to state that it is leaving, or isn't; 0 if only
+    /// a list named it as ready.
     #[serde(default)]
-    pub left_at: u64,
+    pub stated_at: u64,
     /// Whether it may be reclaimed at any time by whoever runs it.
     #[serde(default)]
     pub is_spot: bool,
@@ -345,7 +346,7 @@
                 .collect();
             let put = put.into_iter().map(Change::Put);
             let gone = delta.gone.into_iter().map(Change::Gone);
-            self.apply(delta.revision, put.chain(gone).collect(), now_ms);
+            self.change(delta.revision, put.chain(gone).collect(), now_ms);
         }
         for id in delta.lapsed {
             if self.upstreams.contains_key(&id) {
@@ -355,12 +356,8 @@
         true
     }
 
-    fn put(&mut self, mut upstream: Upstream, revision: u64) {
+    fn put(&mut self, upstream: Upstream, revision: u64) {
         let id = Arc::clone(&upstream.id);
-        if upstream.is_leaving && upstream.left_at == 0 {
-            let known = self.upstreams.get(&id).filter(|known| known.is_leaving);
-            upstream.left_at = known.map_or(revision, |known| known.left_at);
-        }
         let changed = Changed::of(&upstream, revision);
         self.lapsed.remove(&id);
         self.doubted.remove(&id);
@@ -455,8 +452,17 @@
         true
     }
 
-    /// Takes in the changes up to `revision`.
-    pub fn apply(&mut self, revision: u64, changes: Vec<Change>, now_ms: u64) {
+    /// Takes in what the directory told of changes up to `revision`.
+    pub fn apply(&mut self, revision: u64, mut changes: Vec<Change>, now_ms: u64) {
+        for change in &mut changes {
+            if let Change::Put(upstream) = change {
+                upstream.stated_at = revision;
+            }
+        }
+        self.change(revision, changes, now_ms);
+    }
+
+    fn change(&mut self, revision: u64, changes: Vec<Change>, now_ms: u64) {
         if revision < self.revision {
             return;
         }
--- a/src/gateway/native/document.rs
+++ b/src/gateway/native/document.rs
@@ -266,7 +266,7 @@
         is_leaving: entry.leaving,
         born_ms: None,
         listed_at: 0,
-        left_at: 0,
+        stated_at: 0,
         is_spot: false,
     });
     Document { config: Arc::new(config), upstreams: upstreams.collect() }
--- a/src/gateway/policy/eras.rs
+++ b/src/gateway/policy/eras.rs
@@ -63,33 +63,51 @@
     Doubted(Upstream),
 }
 
-/// What to make of an entry in a list that was read at a position.
+/// What to make of an entry that a list names, which was read at a position. An entry with a
+/// position of its own ([`Upstream::stated_at`]) was seen to change there; one without is only as
+/// new as the list, which knows all changes of its era and may lack the latest ones of an earlier
+/// era.
 pub fn reconcile(known: Option<Known<'_>>, mut listed: Upstream, position: u64) -> Reconciled {
-    // Entries of the directory have no position of their leaving yet; those of other instances do.
-    let is_from_directory = listed.left_at == 0;
-    if listed.is_leaving && is_from_directory {
-        listed.left_at = position;
-    }
     match known {
         Some(Known::Listed(before)) if before.is_same_life(&listed) => {
-            // An upstream doesn't take its leaving back. The list only may not know it any more.
-            let is_older = era_of(before.left_at) < era_of(position);
-            if before.is_leaving && (is_older || (listed.is_leaving && is_from_directory)) {
-                listed.is_leaving = true;
-                listed.left_at = before.left_at;
+            if !is_newer_word(before, &listed, position) {
+                listed.is_leaving = before.is_leaving;
+                listed.stated_at = before.stated_at;
+            } else if listed.stated_at == 0 {
+                listed.stated_at = position;
             }
             if is_same_entry(before.listed_at, listed.listed_at) {
                 listed.listed_at = before.listed_at;
             }
-            Reconciled::Believed(listed)
+            return Reconciled::Believed(listed);
         }
         Some(Known::Gone { at, created })
-            if era_of(at) < era_of(position) && is_same_entry(created, listed.listed_at) =>
+            if listed.stated_at <= at
+                && era_of(at) < era_of(position)
+                && is_same_entry(created, listed.listed_at) =>
         {
-            Reconciled::Doubted(listed)
+            return Reconciled::Doubted(listed);
         }
-        _ => Reconciled::Believed(listed),
+        _ => {}
+    }
+    if listed.is_leaving && listed.stated_at == 0 {
+        listed.stated_at = position;
+    }
+    Reconciled::Believed(listed)
+}
+
+/// Whether the state in a list is newer than what is known of the same upstream.
+fn is_newer_word(before: &Upstream, listed: &Upstream, position: u64) -> bool {
+    if listed.stated_at != 0 {
+        return listed.stated_at > before.stated_at;
     }
+    // An upstream doesn't take its leaving back: a list of a later era only may not know it any more,
+    // unless the entry was created after it.
+    let knows_leaving = || {
+        era_of(before.stated_at) == era_of(position)
+            || revision_of(listed.listed_at) > revision_of(before.stated_at)
+    };
+    listed.is_leaving != before.is_leaving && (listed.is_leaving || knows_leaving())
 }
 
 /// Whether two positions are of the same creation: an entry that outlasts an era is listed in the next
--- a/src/gateway/traffic/peers.rs
+++ b/src/gateway/traffic/peers.rs
@@ -51,7 +51,7 @@
         is_leaving: false,
         born_ms: None,
         listed_at: 0,
-        left_at: 0,
+        stated_at: 0,
         is_spot: false,
     };
     Worker::new(upstream, now_ms)
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -25,7 +25,7 @@
         is_leaving,
         born_ms: None,
         listed_at: 0,
-        left_at: 0,
+        stated_at: 0,
         is_spot: false,
     }
 }
--- a/tests/gateway/departures.rs
+++ b/tests/gateway/departures.rs
@@ -14,7 +14,7 @@
         is_leaving: false,
         born_ms,
         listed_at: 7,
-        left_at: 0,
+        stated_at: 0,
         is_spot: false,
     }
 }
--- a/tests/gateway/eras.rs
+++ b/tests/gateway/eras.rs
@@ -16,7 +16,7 @@
         is_leaving,
         born_ms: None,
         listed_at: position(era, created),
-        left_at: 0,
+        stated_at: 0,
         is_spot: false,
     }
 }
@@ -137,6 +137,51 @@
     assert!(knowing.upstreams["i-1"].is_leaving);
 }
 
+/// An instance that watched the directory in the new era, and read there that the upstream is ready.
+fn watching(created: u64) -> Fleet {
+    let mut watching = Fleet::default();
+    watching.replace(position(2, 61), vec![], &[], 0);
+    let written = Change::Put(upstream("i-1", 2, created, false));
+    watching.apply(position(2, 62), vec![written], 0);
+    watching
+}
+
+#[test]
+fn a_newer_word_that_a_peer_read_ends_a_leaving() {
+    let mut fleet = fleet(true);
+    fleet.take(watching(50).since(position(2, 61)), 0);
+    assert!(!fleet.upstreams["i-1"].is_leaving);
+    fleet.replace(position(2, 63), vec![upstream("i-1", 2, 50, false)], &[], 0);
+    assert!(!fleet.upstreams["i-1"].is_leaving);
+}
+
+#[test]
+fn a_peer_that_missed_a_newer_word_does_not_undo_it() {
+    let mut behind = fleet(true);
+    behind.replace(position(2, 63), vec![upstream("i-1", 2, 50, false)], &[], 0);
+    let mut watching = watching(50);
+    watching.take(behind.since(0), 0);
+    assert!(!watching.upstreams["i-1"].is_leaving);
+}
+
+#[test]
+fn an_entry_that_a_peer_saw_created_is_believed_at_once_though_its_revision_was_there_before() {
+    let mut fleet = fleet(false);
+    fleet.apply(position(1, 65), vec![Change::Gone(Arc::from("i-1"))], 0);
+    fleet.take(watching(50).since(position(2, 61)), 1_000);
+    assert!(fleet.upstreams.contains_key("i-1"));
+}
+
+#[parameterized(before_it = { 60, true }, after_it = { 70, false })]
+fn a_list_of_a_new_era_ends_a_leaving_only_if_the_entry_was_created(
+    created: u64,
+    is_leaving: bool,
+) {
+    let mut fleet = fleet(true);
+    fleet.replace(position(2, 75), vec![upstream("i-1", 2, created, false)], &[], 0);
+    assert_eq!(fleet.upstreams["i-1"].is_leaving, is_leaving);
+}
+
 const TTL_MS: u64 = 3_000;
 
 fn held() -> DutyLease {
--- a/tests/gateway/outliers.rs
+++ b/tests/gateway/outliers.rs
@@ -121,7 +121,7 @@
         is_leaving: false,
         born_ms: None,
         listed_at: 0,
-        left_at: 0,
+        stated_at: 0,
         is_spot: false,
     };
     Worker::new(upstream, 0)
--- a/tests/gateway/patience.rs
+++ b/tests/gateway/patience.rs
@@ -27,7 +27,7 @@
         is_leaving: false,
         born_ms: None,
         listed_at,
-        left_at: 0,
+        stated_at: 0,
         is_spot: false,
     }
 }
--- a/tests/gateway/subset.rs
+++ b/tests/gateway/subset.rs
@@ -16,7 +16,7 @@
         is_leaving: false,
         born_ms: None,
         listed_at: number as u64,
-        left_at: 0,
+        stated_at: 0,
         is_spot: false,
     }
 }
--- a/tests/gateway/suspicion.rs
+++ b/tests/gateway/suspicion.rs
@@ -29,7 +29,7 @@
         is_leaving: false,
         born_ms: None,
         listed_at: 0,
-        left_at: 0,
+        stated_at: 0,
         is_spot: false,
     }
 }
