RECOVER: an upstream's answer can't pass for an instance's refusal

Cause: an instance that is cut off sends a request to a third instance if the answer of the second has the header by which an instance says that the request has not run there. The second passed an upstream's headers on, so an upstream that sends a header of that name, or passes one on, had a booking run at each instance that was tried.

Change: the mark is removed wherever headers of others are passed on, so only an instance's own refusal has it.

The other new test, that no instance ejects an upstream on the word of six of nine that are cut off, passed before any change: nothing to mend there.

--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -33,8 +33,9 @@
     headers.contains_key(NOT_TAKEN)
 }
 
-/// Removes the hop-by-hop headers, which apply to a single connection, including those that the
-/// `Connection` header names.
+/// Removes what applies to a single connection: the hop-by-hop headers, including those that the
+/// `Connection` header names, and the mark of requests that were not taken, which is an instance's
+/// own word.
 pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
     let mut named: Vec<HeaderName> = Vec::new();
     for value in headers.get_all(CONNECTION) {
@@ -43,8 +44,9 @@
     }
     let keep_alive = HeaderName::from_static("keep-alive");
     let proxy_connection = HeaderName::from_static("proxy-connection");
-    for name in [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE, keep_alive, proxy_connection]
-    {
+    let hop_by_hop =
+        [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE, keep_alive, proxy_connection];
+    for name in hop_by_hop.into_iter().chain([NOT_TAKEN]) {
         headers.remove(name);
     }
     for name in named {
--- a/tests/fakes/src/signals.rs
+++ b/tests/fakes/src/signals.rs
@@ -13,6 +13,9 @@
     pub slowness_percent: Option<u32>,
     /// How many requests it may turn away in a second before it falls over, if it says so.
     pub brittle: Option<u32>,
+    /// Whether its answers have the mark by which an instance tells another that a request has not
+    /// run there.
+    pub has_instances_mark: bool,
 }
 
 impl Signals {
@@ -21,7 +24,8 @@
         let limit = self.limit_per_s.map(|per_s| ("Server-Limit", per_s.to_string()));
         let leaving = self.is_leaving.then(|| ("Server-Leaving", "1".to_owned()));
         let brittle = self.brittle.map(|bound| ("Server-Brittle", bound.to_string()));
-        limit.into_iter().chain(leaving).chain(brittle).collect()
+        let mark = self.has_instances_mark.then(|| ("siskinrock-not-taken", "1".to_owned()));
+        limit.into_iter().chain(leaving).chain(brittle).chain(mark).collect()
     }
 
     /// Its load: requests that run, wait and can run at once, and its slowness.
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -6,6 +6,7 @@
 
 use siskinrock_fakes::caller::Call;
 use siskinrock_fakes::links::Cut;
+use siskinrock_fakes::signals::Signals;
 use siskinrock_fakes::site::{Site, ZONES};
 use yare::parameterized;
 
@@ -160,6 +161,35 @@
     }
 }
 
+#[tokio::test]
+async fn a_booking_runs_once_although_an_upstream_answers_with_the_mark_of_instances() {
+    let running = support::start(3).await;
+    let signals = Signals { has_instances_mark: true, ..Signals::default() };
+    running.site.services.iter().for_each(|service| service.signal(signals));
+    running.site.cut_from(&sources(&running, &[0]), Cut::Reset);
+    let before = load_all(&running, CONTACT).await;
+    let during = load_all(&running, Duration::from_secs(1)).await;
+    assert_ran_once(&running, &before);
+    assert_ran_once(&running, &during);
+    assert!(during.values().flatten().all(|received| received.status == 200));
+}
+
+#[parameterized(hang = { Cut::Hang }, reset = { Cut::Reset })]
+#[test_macro(tokio::test)]
+async fn the_other_instances_eject_no_upstream_on_the_word_of_those_that_are_cut_off(how: Cut) {
+    let running = support::start_site(Site::start(4, 15).await, 9).await;
+    running.site.services.iter().for_each(|service| service.report_slowness(100));
+    let cut: Vec<usize> = (0..6).collect();
+    load_all(&running, Duration::from_secs(2)).await;
+    running.site.cut_from(&sources(&running, &cut), how);
+    load_all(&running, Duration::from_secs(2)).await;
+    running.site.cut_from(&[], how);
+    load_all(&running, RECOVERY).await;
+    for gateway in &running.gateways[6..] {
+        assert!(!gateway.logged().contains("upstream ejected"));
+    }
+}
+
 /// Streams that a cut interrupts go on at other instances, each event exactly once.
 #[parameterized(hang = { Cut::Hang }, reset = { Cut::Reset }, live_on = { Cut::LiveOn })]
 #[test_macro(tokio::test)]
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -23,6 +23,7 @@
     backoff_s: None,
     slowness_percent: None,
     brittle: None,
+    has_instances_mark: false,
 };
 
 fn count_after_bound(seen: &[Seen], announced_at: Instant) -> usize {
