Cut-off test: calls are under way when the cut begins

The check that other instances eject no upstream on the word of those that are cut off had calls of 5 ms, so hardly any failed by the cut. They take 60 ms now.

--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -21,6 +21,8 @@
 const RECOVERY: Duration = Duration::from_secs(3);
 /// Interval between calls to one instance.
 const CALL_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a call takes where many are to be under way when a cut begins.
+const WORK_MS: u64 = 60;
 /// Interval between streams to one instance.
 const STREAM_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -178,7 +180,10 @@
 #[test_macro(tokio::test)]
 async fn the_other_instances_eject_no_upstream_on_the_word_of_those_that_are_cut_off(how: Cut) {
     let running = support::start_site(Site::start(4, 15).await, 9).await;
-    running.site.services.iter().for_each(|service| service.report_slowness(100));
+    for service in &running.site.services {
+        service.report_slowness(100);
+        service.work_for(WORK_MS);
+    }
     let cut: Vec<usize> = (0..6).collect();
     load_all(&running, Duration::from_secs(2)).await;
     running.site.cut_from(&sources(&running, &cut), how);
