RECOVER: failures of a silence don't count on once it is over

Cause: an instance that sent all of its requests to an upstream while it was silent for a second had counted a failure for each, which halve in two seconds, and went on avoiding it after it had answered again: 20 of 149 calls where a sixth is asked for.

Change: when a silent upstream answers its checks again, its failures are taken back, as they are after a cut.

--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -226,6 +226,7 @@
             let Ok(Ok(state)) = queried else { continue };
             self.note_alive_state(worker, &state);
             if !worker.is_replaced() {
+                worker.absolve();
                 slog::info!(self.log, "silent upstream answers again";
                     "upstream" => &*worker.upstream.id);
                 self.metrics.count("upstreams_answering_again");
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -364,7 +364,7 @@
         self.is_checked.set(false);
     }
 
-    /// Takes back all failures, which this instance's own links caused.
+    /// Takes back all failures: this instance's own links caused them, or a silence that is over.
     pub fn absolve(&self) {
         self.suspect_until_ms.set(0);
         self.lost_until_ms.set(0);
