Quarantine: a crash counts whichever request's connection shows it first

Cause: when an engine's process exits, the first request whose connection breaks has the engine marked as lost, and all other runs there leave it at once as silent. A run that left before its own connection broke reported no crash. If it was the one that crashes engines, that crash didn't count, and one more engine was needed before it was stopped: four where three are allowed.

Change: a run that leaves a lost engine whose process has exited reports a crash under itself.

--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -181,7 +181,7 @@
                         continue;
                     }
                     self.count_attempt();
-                    return Err(lost_run("silent before its response head", LossCause::Silent));
+                    return Err(self.leave_lost(worker, "silent before its response head"));
                 }
                 () = sleep_until(&traffic, wake_ms) => {}
             }
--- a/src/gateway/stream/crashes.rs
+++ b/src/gateway/stream/crashes.rs
@@ -30,6 +30,15 @@
         lost_run(detail, LossCause::ConnectionClosed)
     }
 
+    /// Handles that a run leaves an engine that is lost. If its process has exited, that is a crash
+    /// under this run, too: another request's connection only told so earlier.
+    pub(super) fn leave_lost(&mut self, worker: &Rc<Worker>, detail: &str) -> Outcome {
+        if worker.has_exited() {
+            return self.note_connection_closed(worker, detail.to_owned());
+        }
+        lost_run(detail, LossCause::Silent)
+    }
+
     /// Waits for the judgement of crashes during the run if it may quarantine the request, since
     /// another attempt before that could crash one more engine. Returns false if the deadline has
     /// passed or the caller has disconnected.
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -80,7 +80,7 @@
                     if self.copy.is_none() && !traffic.is_confirmed_lost(worker).await {
                         continue;
                     }
-                    return lost_run("silent", LossCause::Silent);
+                    return self.leave_lost(worker, "silent");
                 }
                 () = sleep_until(&traffic, wake_ms.min(self.job.until_ms)) => {
                     let now_ms = traffic.now_ms();
--- a/src/gateway/traffic/endings.rs
+++ b/src/gateway/traffic/endings.rs
@@ -38,6 +38,7 @@
                 "upstream" => &*worker.upstream.id, "service" => &*worker.upstream.service,
                 "domain" => &*worker.upstream.domain, "has_ended" => has_exited);
             if has_exited {
+                worker.exited();
                 traffic.mark_lost(&worker, "its process has exited");
             }
             result.send_replace(Some(has_exited));
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -64,6 +64,7 @@
     replaced: Cell<bool>,
     suspect_until_ms: Cell<u64>,
     lost_until_ms: Cell<u64>,
+    has_exited: Cell<bool>,
     answered_ms: Cell<u64>,
     heard_ms: Cell<Option<u64>>,
     failing: Cell<f64>,
@@ -182,6 +183,7 @@
             replaced: Cell::new(false),
             suspect_until_ms: Cell::new(0),
             lost_until_ms: Cell::new(0),
+            has_exited: Cell::new(false),
             answered_ms: Cell::new(0),
             heard_ms: Cell::new(None),
             failing: Cell::new(0.0),
@@ -339,6 +341,16 @@
         self.idle.borrow_mut().clear();
     }
 
+    /// Notes that its process has exited.
+    pub fn exited(&self) {
+        self.has_exited.set(true);
+    }
+
+    /// Whether its process was seen to have exited, and it has not answered since.
+    pub fn has_exited(&self) -> bool {
+        self.has_exited.get()
+    }
+
     /// Notes that it is gone or silent; all who wait for it leave.
     pub fn lost(&self, now_ms: u64) {
         self.suspect_until_ms.set(now_ms + LOST_MS);
@@ -350,6 +362,7 @@
     /// Notes that it answered.
     pub fn answered(&self, now_ms: u64) {
         self.answered_ms.set(now_ms);
+        self.has_exited.set(false);
         self.suspect_until_ms.set(0);
         self.lost_until_ms.set(0);
     }
