--- a/tests/gateway/store_era.rs
+++ b/tests/gateway/store_era.rs
@@ -47,11 +47,10 @@
     assert!(results.iter().all(|result| result.status == 200), "others serve them");
 }
 
-/// Guards against DRAIN: a leaving that was written at a revision that had been given out before the store came
-/// back from a copy was not seen.
+/// Guards against DRAIN: a leaving went unseen because its revision had been given out before.
 #[parameterized(one_instance = { 1 }, nine_instances = { 9 }, many_instances = { 73 })]
 #[test_macro(tokio::test)]
-async fn a_leaving_after_the_loss_is_heeded(instances: u8) {
+async fn a_leaving_is_seen_although_its_revision_was_given_out_before(instances: u8) {
     let running = support::start(instances).await;
     let copy = running.site.store.copy();
     (3..9).for_each(|version| write_config(&running, version));
