--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -126,8 +126,7 @@
     }
 }
 
-/// Guards against RECOVER: callers of instances that were cut off from all upstreams were refused, while the
-/// other instances served theirs.
+/// Guards against RECOVER: instances that were cut off refused what the others could have served.
 #[parameterized(
     two_hang = { 9, Which::Two, Cut::Hang },
     two_reset = { 9, Which::Two, Cut::Reset },
