--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -298,7 +298,9 @@
         let mut state = self.state.borrow_mut();
         let (era, revision) = (eras::era_of(listing.revision), eras::revision_of(listing.revision));
         slog::info!(self.log, "directory listed"; "era" => era, "revision" => revision,
-            "upstreams" => upstreams.len());
+            "upstreams" => upstreams.len(), "before" => eras::revision_of(state.fleet.revision),
+            "halvings" => state.held_part.share.halvings(),
+            "members" => state.membership.alive().count() + 1, "since_start_ms" => now_ms);
         if state.has_fleet && era > eras::era_of(state.fleet.revision) {
             // What was registered since the copy is written again.
             state.fleet.regained(now_ms);
--- a/src/gateway/control/fetch.rs
+++ b/src/gateway/control/fetch.rs
@@ -224,9 +224,12 @@
             let request = self.list_request(&pages);
             let Some(response) = send_request::<_, ListResponse>(addr, LIST_PATH, &request).await
             else {
+            let since_ms = self.clock.now_ms();
                 self.metrics.count("peer_fetches_failed");
                 failed += 1;
                 tokio::time::sleep(Duration::from_millis(FETCH_FAILURE_PAUSE_MS)).await;
+                slog::info!(self.log, "upstreams not fetched from a peer"; "peer" => %addr,
+                    "ms" => self.clock.now_ms() - since_ms, "pages" => pages.pages.len());
                 addr = self.alternative_source(addr);
                 continue;
             };
@@ -346,8 +349,11 @@
         let mut state = self.state.borrow_mut();
         slog::info!(self.log, "upstreams fetched from peers"; "peer" => %from,
             "revision" => eras::revision_of(revision),
+        let upstreams: usize = pages.iter().map(|page| page.upstreams.len()).sum();
             "before" => eras::revision_of(state.fleet.revision), "pages" => pages.len(),
-            "halvings" => part.share.halvings());
+            "halvings" => part.share.halvings(), "upstreams" => upstreams,
+            "members" => state.membership.alive().count() + 1,
+            "since_start_ms" => now_ms);
         state.has_fleet = true;
         state.is_outage_local = state.is_directory_lost;
         state.fleet.adopt(revision, pages, now_ms);
--- a/src/gateway/control/publication.rs
+++ b/src/gateway/control/publication.rs
@@ -31,7 +31,8 @@
         let is_complete = state.config.is_some() && state.has_fleet;
         if state.phase == Phase::Starting && is_complete {
             state.phase = Phase::Ready;
-            slog::info!(self.log, "ready"; "since_start_ms" => now_ms);
+            slog::info!(self.log, "ready"; "since_start_ms" => now_ms,
+                "members" => state.membership.alive().count() + 1);
         }
         let phase = state.phase;
         let versions = Control::versions(&state);
--- a/src/gateway/control/shares.rs
+++ b/src/gateway/control/shares.rs
@@ -77,12 +77,12 @@
         if watchers::holds_all(before_me) {
             state.can_narrow_since_ms = None;
             if !share.is_all() && now_ms >= MEMBERSHIP_KNOWN_MS {
-                state.wanted_share = Some(Share::ALL);
+                self.want_share(&mut state, Share::ALL, instances);
             }
             return;
         }
         if now_ms >= MEMBERSHIP_KNOWN_MS && subset::is_too_narrow(share, instances) {
-            state.wanted_share = Some(share.wider());
+            self.want_share(&mut state, share.wider(), instances);
             return;
         }
         let since_ms = *state.can_narrow_since_ms.get_or_insert(now_ms);
@@ -97,6 +97,14 @@
         }
     }
 
+    /// Has a wider share fetched, given the number of instances that this one knows.
+    fn want_share(&self, state: &mut ControlState, share: Share, instances: usize) {
+        slog::info!(self.log, "share too narrow; fetching a wider one"; "instances" => instances,
+            "halvings" => share.halvings(), "before" => state.held_part.share.halvings(),
+            "ahead" => state.membership.ranked_before_self());
+        state.wanted_share = Some(share);
+    }
+
     /// Drops the upstreams of large services that are outside a share.
     fn narrow(&self, state: &mut ControlState, share: Share) {
         let ControlState { fleet, held_part, .. } = state;
--- a/src/gateway/traffic/budgets.rs
+++ b/src/gateway/traffic/budgets.rs
@@ -22,7 +22,14 @@
         let bound = self.retry_bound(service);
         let now_ms = self.now_ms();
         let mut budgets = self.retry_budgets.borrow_mut();
-        budgets.entry(Arc::clone(service)).or_default().try_repeat(bound, now_ms)
+        let budget = budgets.entry(Arc::clone(service)).or_default();
+        let is_allowed = budget.try_repeat(bound, now_ms);
+        let (requests, repeats) = budget.counts();
+        slog::info!(self.log, "repeat"; "service" => &**service, "allowed" => is_allowed,
+            "requests" => requests, "repeats" => repeats,
+            "others_requests" => bound.others_requests, "others_repeats" => bound.others_repeats,
+            "instances" => bound.instances, "since_start_ms" => now_ms);
+        is_allowed
     }
 
     /// Whether a service's budget allows a retry now.
--- a/src/gateway/traffic/choice.rs
+++ b/src/gateway/traffic/choice.rs
@@ -48,6 +48,11 @@
         let index =
             placement::choose(&candidates, constraints, unseen_requests, &mut fastrand::Rng::new());
         if index.is_none_or(|index| candidates[index].is_suspect) && view.large.contains(service) {
+            let held = workers.values().filter(|worker| *worker.upstream.service == *service);
+            slog::info!(self.log, "no usable upstream of a large service is held";
+                "service" => service, "halvings" => view.share.halvings(),
+                "held" => held.count(), "take_work" => eligible.len(),
+                "excluded" => constraints.excluded.len(), "instances" => view.instances);
             self.shared.signal(Signal::NoUpstreamLeft);
         }
         let index = index?;
