An instance that holds a part of the list takes an older whole list in

What callers saw: a stream refused with "no upstream takes work" by an instance that said it held all upstreams, for as long as it ran.

Cause: an instance that holds a part and is to watch the directory reads the whole list there. If a peer told it meanwhile of a change (or only of a revision) newer than that list, Fleet::replace dropped the list as old, and the instance went on as one that holds all: its share said so, it widened nothing, and it answered its peers with its part as the whole.

Change: Fleet::complete keeps what is newer in the part, adds the rest, and names the older revision, so that the changes since then come. Where a part is widened, also from peers, earlier changes count as unknown: of the upstreams that were not held, their removals were missing.

--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -305,8 +305,11 @@
             // What was registered since the copy is written again.
             state.fleet.regained(now_ms);
         }
-        if state.fleet.replace(listing.revision, upstreams, &unusable, now_ms) {
-            state.has_fleet = true;
+        let ControlState { fleet, held_part, .. } = &mut *state;
+        if held_part.share.is_all() {
+            fleet.replace(listing.revision, upstreams, &unusable, now_ms);
+        } else {
+            fleet.complete(listing.revision, upstreams, &unusable, now_ms);
         }
         state.held_part.share = Share::ALL;
         state.wanted_share = None;
--- a/src/gateway/control/fetch.rs
+++ b/src/gateway/control/fetch.rs
@@ -359,6 +359,9 @@
         state.fleet.adopt(revision, pages, now_ms);
         state.has_missed_changes = false;
         state.wanted_share = None;
+        if part.share < state.held_part.share {
+            state.fleet.forget_changes_before(revision);
+        }
         state.held_part = part;
         drop(state);
         self.publish();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -322,6 +322,30 @@
         self.changes += 1;
     }
 
+    /// Takes in a whole list where only a part was held. Changes of that part which are newer than the
+    /// list stay.
+    pub fn complete(
+        &mut self,
+        revision: u64,
+        listed: Vec<Upstream>,
+        foreign: &[Arc<str>],
+        now_ms: u64,
+    ) {
+        if revision >= self.revision {
+            self.replace(revision, listed, foreign, now_ms);
+        } else {
+            let page = Page { revision, upstreams: listed, ..Page::default() };
+            self.adopt(revision, vec![page], now_ms);
+        }
+        self.forget_changes_before(revision);
+    }
+
+    /// Forgets the changes before a revision, at which upstreams were added that were not held before: of
+    /// those, earlier changes are not known here.
+    pub fn forget_changes_before(&mut self, revision: u64) {
+        self.changed_from = self.changed_from.max(revision);
+    }
+
     /// The service of an upstream, also of one that went lately.
     pub fn service_of(&self, id: &str) -> Option<Arc<str>> {
         self.changed.get(id).map(|known| Arc::clone(&known.service))
--- a/tests/gateway/subset.rs
+++ b/tests/gateway/subset.rs
@@ -168,6 +168,29 @@
     }
 }
 
+/// Guards against an instance that says it holds all upstreams and holds a part: it knew a change of its
+/// part that was newer than the directory's whole list, which it dropped as old.
+#[test]
+fn a_whole_list_that_is_older_than_a_change_of_the_part_completes_the_part() {
+    let share = Share::from_halvings(3);
+    let holder = InstanceSubset::new("edge-3");
+    let holds = |id: &str, _: &str| holder.holds(id, share);
+    let mut whole = Fleet::default();
+    whole.replace(5, upstreams(400), &[], 0);
+    let mut partial = Fleet::default();
+    partial.adopt(5, pages(&whole, &holds), 0);
+    let held = partial.upstreams.values().next().cloned().expect("a part has some");
+    let leaving = Upstream { is_leaving: true, stated_at: 7, ..held };
+    let id = Arc::clone(&leaving.id);
+    let delta = Delta { revision: 7, upstreams: vec![leaving.clone()], ..Delta::default() };
+    partial.patch(delta, 5, 0);
+    partial.complete(6, upstreams(400), &[], 0);
+    assert_eq!(partial.upstreams.len(), 400);
+    assert_eq!(partial.upstreams[&id], leaving, "the newer change stays");
+    assert_eq!(partial.revision, 6, "the changes of the others since then are still to come");
+    assert!(partial.since(5).is_whole, "changes before it are known of a part only");
+}
+
 fn pages(
     fleet: &Fleet,
     holds: &dyn Fn(&str, &str) -> bool,
