A request that finds no upstream in the share waits for a wider one

What callers saw: the first stream at an instance that holds a share of a large service, none of it taking work, was refused at once. The refusal itself asked for a wider share, which came some 50 ms later.

Cause: the choice reported that nothing usable is left, and did not wait for what it had asked for. An instance that holds all upstreams for the others uses only a share of them itself, and asked nobody at all.

Change: before it refuses, a stream or a call waits until the share is wider, at most 2.5 s and within its own time, and chooses again, up to the whole. An instance that holds all uses all of it from then on, for half a minute. Where the share is the whole, it refuses at once as before.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -111,6 +111,9 @@
                 if is_unsent && traffic.is_cut_off_for_certain().await {
                     return via_peer::serve(traffic, job).await;
                 }
+                if traffic.wait_for_more_upstreams(job).await {
+                    continue;
+                }
                 return finish(job, traffic, last_failure, may_have_run);
             }
             Placed::Refused { retry_after_ms } => {
--- a/src/gateway/control/publication.rs
+++ b/src/gateway/control/publication.rs
@@ -44,7 +44,7 @@
         self.apply_member_changes(&mut state);
         state.lost.retain(|_, until_ms| *until_ms > now_ms);
         let before = self.shared.view.load();
-        let share = Control::published_share(&mut state);
+        let share = Control::published_share(&mut state, now_ms);
         let fleet = self.published_list(&mut state, share, &before.fleet);
         let version = state.quarantine.version();
         let is_quarantine_new = version != state.published_quarantine_version;
@@ -80,6 +80,7 @@
         let has_newer = versions != state.announced_versions;
         drop(state);
         self.shared.view.store(Arc::new(view));
+        self.shared.share.send_if_modified(|before| std::mem::replace(before, share) != share);
         if is_quarantine_new {
             self.shared.quarantined.send_replace(version);
         }
@@ -95,11 +96,12 @@
     }
 
     /// The share of the large services that request handling uses, also on an instance that holds all
-    /// upstreams on behalf of others. It is computed from all upstreams, so it is cached until they or the
-    /// members change.
-    pub(super) fn published_share(state: &mut ControlState) -> Share {
-        if !state.held_part.share.is_all() || state.held_part.large.is_empty() {
-            return state.held_part.share;
+    /// upstreams on behalf of others, unless it ran out of upstreams. It is computed from all upstreams, so it
+    /// is cached until they or the members change.
+    pub(super) fn published_share(state: &mut ControlState, now_ms: u64) -> Share {
+        let UpstreamSubset { share, large } = &state.held_part;
+        if !share.is_all() || large.is_empty() || now_ms < state.widened_until_ms {
+            return *share;
         }
         let inputs = (state.fleet.changes(), state.membership.alive().count());
         match state.cached_suitable_share {
--- a/src/gateway/control/shares.rs
+++ b/src/gateway/control/shares.rs
@@ -148,7 +148,13 @@
         let now_ms = self.clock.now_ms();
         let mut state = self.state.borrow_mut();
         state.widened_until_ms = now_ms + MIN_WIDENED_MS;
-        if state.held_part.share.is_all() || state.wanted_share.is_some() {
+        if state.held_part.share.is_all() {
+            // Request handling uses only a share of what is held.
+            drop(state);
+            self.dirty.notify_one();
+            return;
+        }
+        if state.wanted_share.is_some() {
             return;
         }
         let wider = state.held_part.share.wider();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -201,6 +201,9 @@
                 if !self.job.is_relayed && self.traffic.is_cut_off_for_certain().await {
                     continue;
                 }
+                if self.wait_for_more_upstreams().await {
+                    continue;
+                }
                 if self.delivered == 0 {
                     return self.give_up(Failure::NoUpstream);
                 }
@@ -385,6 +388,14 @@
         None
     }
 
+    /// Waits for engines outside this instance's share of the service; returns whether there are more now.
+    async fn wait_for_more_upstreams(&mut self) -> bool {
+        tokio::select! {
+            () = caller_disconnected(&mut self.response_tx, &self.body_tx) => false,
+            has_more = self.traffic.wait_for_more_upstreams(&self.job) => has_more,
+        }
+    }
+
     /// Chooses the engine with the lowest cost.
     fn best_engine(&self) -> Option<Rc<Worker>> {
         let constraints = Constraints {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -16,6 +16,7 @@
 mod signals;
 mod speed;
 mod upstreams;
+mod widening;
 
 pub(super) use self::admission::{Reservation, ServedGuard, Verdict};
 pub(super) use self::concurrency::Placed;
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -107,6 +107,8 @@
     reports: Mutex<Vec<Report>>,
     /// Grows when requests are quarantined, after the picture says so.
     pub quarantined: watch::Sender<u64>,
+    /// The share of the large services in the picture, after the picture says so.
+    pub share: watch::Sender<Share>,
     /// Wakes the controller of what upstreams ask for.
     pub signalled: Notify,
     /// What traffic has for it.
@@ -221,6 +223,7 @@
             reported: Notify::new(),
             reports: Mutex::default(),
             quarantined: watch::Sender::new(0),
+            share: watch::Sender::new(Share::ALL),
             signalled: Notify::new(),
             signals: Mutex::default(),
             begun: Mutex::default(),
--- a/tests/gateway/large_services.rs
+++ b/tests/gateway/large_services.rs
@@ -121,3 +121,31 @@
         .await;
     }
 }
+
+/// Guards against the refusal of a stream by an instance whose share has no engine that takes work, while
+/// others hold one.
+#[tokio::test]
+async fn an_instance_that_holds_no_usable_engine_fetches_more_before_it_refuses() {
+    let running = support::start_site(site().await, INSTANCES).await;
+    wait_for("each instance holds its share", async || {
+        held_upstreams(&running).await.0 >= MIN_FULL_HOLDERS
+    })
+    .await;
+    for index in 1..running.site.engines.len() {
+        running.site.list_engine(index, "draining");
+    }
+    let newest = running.site.store.put(
+        "servers/x-00001",
+        &server_entry("plan-llm", "krabi-hall", "draining", ([127, 99, 0, 1], 1).into()),
+    );
+    for index in 0..usize::from(INSTANCES) {
+        wait_for("the instance knows the newest list", async || {
+            gauge(&running, index, "list_revision").await >= newest
+        })
+        .await;
+    }
+    for index in 0..usize::from(INSTANCES) {
+        let stream = caller::stream(running.front(index), &plan()).await.unwrap();
+        assert!(stream.is_complete, "the engine that is left serves all instances");
+    }
+}
