Who knows its fleet judges its rank, and watchers take the list from peers

What callers saw: after a restart of thirty instances on a busy machine, ready in 2.2 s by their own logs, nothing answered for 8 to 15 s, and once they never came to hold their shares.

Cause: three seeds read the directory, four are to watch it. Each second without a fourth, the next four in rank read all 3,000 entries, since a list takes longer than a second there; those calls time out after 1 s and are made again. The store then answers nobody: congestion collapse by those who were to help. The time was counted from the start of the process, before it knew one member, and an instance that had a part of the list from peers read the whole of it from the directory.

Change: policy/arrivals: an instance knows its fleet once three rounds in which members answered brought none that was unknown. From then on it counts how long too few watch, judges its rank for the whole list, and widens its share; before, these began 0, 1.5 and 5 s after the start. An instance that is to watch and holds a part has the rest fetched from peers and watches from their revision; it reads the directory only if no peer holds all.

--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -7,7 +7,7 @@
 
 use super::super::directory::{Changes, Fault, Listing, Record, Removed};
 use super::super::fleet::Change;
-use super::super::membership::Phase;
+use super::super::membership::{InstanceDescriptor, Member, Phase};
 use super::super::metrics::Time;
 use super::super::policy::eras;
 use super::super::policy::lease::Holder;
@@ -37,11 +37,16 @@
 const SEED_PHASE_JITTER_MS: u64 = 600;
 /// How often an instance checks whether it should watch the directory.
 const WATCH_CHECK_INTERVAL_MS: u64 = 250;
+/// How often an instance checks whether the rest of the list has arrived.
+const REST_CHECK_INTERVAL_MS: u64 = 20;
 /// The wait of a watch call that only checks whether the directory still answers.
 const CHECK_WATCH_WAIT_MS: u64 = 1;
-/// How long after its start an instance waits to learn which others watch the directory, before it concludes
-/// that none does.
-const WATCHERS_KNOWN_MS: u64 = 1_500;
+/// How long after its start an instance that knows a peer waits for the list from peers before it calls the
+/// directory.
+const PEER_LIST_TIMEOUT_MS: u64 = 1_500;
+/// How long an instance that is to watch the directory waits for the rest of the list from peers, before it
+/// reads all of it from the directory.
+const REST_FROM_PEERS_TIMEOUT_MS: u64 = 3_000;
 /// How long after its start an instance first decides whether to register, and how often it decides again at
 /// the most: by then it knows the other live instances, and being found by registration is not urgent.
 const REGISTER_CHECK_MS: u64 = 2_000;
@@ -53,6 +58,12 @@
         self.fetch_from_seeds().await;
         loop {
             self.wait_until_watcher().await;
+            if !is_history_gone {
+                self.fetch_rest_from_peers().await;
+                if !self.should_watch() {
+                    continue;
+                }
+            }
             if let Some(revision) = self.revision_from_peers().filter(|_| !is_history_gone) {
                 slog::info!(self.log, "watching the directory from the revision that peers sent";
                     "era" => eras::era_of(revision), "revision" => eras::revision_of(revision));
@@ -171,12 +182,12 @@
             }
             // An instance that knows a peer soon receives the list from peers, and knows too few members yet
             // to compute its rank.
-            let is_alone = state.membership.alive().next().is_none();
-            let since_ms = if is_alone { MIN_SEED_PHASE_MS } else { WATCHERS_KNOWN_MS };
+            let is_alone = Control::is_alone(&state);
+            let since_ms = if is_alone { MIN_SEED_PHASE_MS } else { PEER_LIST_TIMEOUT_MS };
             return now_ms >= since_ms
                 && watchers::may_call_directory(before_me, now_ms - since_ms);
         }
-        let is_settling = position.others == 0 && now_ms < WATCHERS_KNOWN_MS;
+        let is_settling = position.others == 0 && !Control::knows_members(&state);
         if is_settling || !position.is_watcher() {
             return false;
         }
@@ -184,6 +195,15 @@
         watchers::may_call_directory(before_me, too_few_ms)
     }
 
+    /// Whether this instance knows which others are alive and what they do.
+    pub(super) fn knows_members(state: &ControlState) -> bool {
+        state.membership.is_settled() || Control::is_alone(state)
+    }
+
+    fn is_alone(state: &ControlState) -> bool {
+        state.membership.alive().next().is_none()
+    }
+
     /// Whether this instance asks seeds when it starts; the seeds themselves do not.
     fn has_seeds(&self) -> bool {
         let seeds = &self.settings.seeds;
@@ -213,6 +233,29 @@
         }
     }
 
+    /// Has the rest of the list fetched from peers if this instance holds a part of it, and waits for that: a
+    /// directory that is read whole by several instances at once answers none of them in time.
+    async fn fetch_rest_from_peers(self: &Rc<Control>) {
+        let until_ms = self.clock.now_ms() + REST_FROM_PEERS_TIMEOUT_MS;
+        while self.clock.now_ms() < until_ms && self.may_fetch_rest() && self.should_watch() {
+            self.state.borrow_mut().wanted_share = Some(Share::ALL);
+            self.fetch_if_behind(self.clock.now_ms());
+            tokio::time::sleep(Duration::from_millis(REST_CHECK_INTERVAL_MS)).await;
+        }
+    }
+
+    /// Whether this instance holds a part of the list, and a peer all of it.
+    fn may_fetch_rest(&self) -> bool {
+        let state = self.state.borrow();
+        let holds_all = |member: &Member| {
+            let InstanceDescriptor { share, phase, .. } = member.descriptor;
+            share.is_all() && phase == Phase::Ready
+        };
+        state.has_fleet
+            && !state.held_part.share.is_all()
+            && state.membership.alive().any(holds_all)
+    }
+
     /// Waits until this instance should watch the directory itself.
     pub(super) async fn wait_until_watcher(&self) {
         while !self.should_watch() {
@@ -311,6 +354,7 @@
         } else {
             fleet.complete(listing.revision, upstreams, &unusable, now_ms);
         }
+        state.has_fleet = true;
         state.held_part.share = Share::ALL;
         state.wanted_share = None;
         Control::update_large_services(&mut state);
--- a/src/gateway/control/exchange.rs
+++ b/src/gateway/control/exchange.rs
@@ -99,7 +99,7 @@
         let watching_peers =
             state.membership.alive().filter(|member| member.descriptor.is_watching_directory);
         let watching = watching_peers.count() + usize::from(Control::has_working_watch(&state));
-        if watchers::has_enough_watchers(watching) {
+        if watchers::has_enough_watchers(watching) || !Control::knows_members(&state) {
             state.too_few_watchers_since_ms = None;
         } else {
             state.too_few_watchers_since_ms.get_or_insert(now_ms);
--- a/src/gateway/control/shares.rs
+++ b/src/gateway/control/shares.rs
@@ -17,10 +17,6 @@
 const TEMPORARY_UPSTREAM_TTL_MS: u64 = 1_000;
 /// How long an instance keeps a wider share than it needs after it ran out of upstreams.
 const MIN_WIDENED_MS: u64 = 30_000;
-/// How long after its start an instance knows nearly all members. While it knows only a few, it would consider
-/// its share too narrow, or itself one of those that hold all upstreams, and all instances would fetch at
-/// once.
-const MEMBERSHIP_KNOWN_MS: u64 = 5_000;
 /// How long an instance waits before it narrows its share, once its rank no longer makes it hold all upstreams
 /// but is still close to those that do: ranks change while many instances start or stop.
 const NARROW_DELAY_MS: u64 = 5_000;
@@ -73,10 +69,13 @@
         }
         let before_me = state.membership.ranked_before_self();
         let instances = state.membership.alive().count() + 1;
+        // An instance that knows only a few members would consider its share too narrow, or itself one of
+        // those that hold all upstreams, and all instances would fetch at once.
+        let knows_members = state.membership.is_settled();
         let share = state.held_part.share;
         if watchers::holds_all(before_me) {
             state.can_narrow_since_ms = None;
-            if !share.is_all() && now_ms >= MEMBERSHIP_KNOWN_MS {
+            if !share.is_all() && knows_members {
                 self.want_share(&mut state, Share::ALL, instances);
             }
             return;
--- a/src/gateway/membership/members.rs
+++ b/src/gateway/membership/members.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::super::instance::Registration;
+use super::super::policy::arrivals::Arrivals;
 use super::super::policy::subset::Share;
 use super::super::policy::watchers::{self, Rank};
 use super::descriptor::{InstanceDescriptor, Member, MemberState, Phase, Versions};
@@ -60,6 +61,7 @@
     checksum: Option<u64>,
     /// Earliest time of the next comparison with another member.
     next_comparison_ms: u64,
+    arrivals: Arrivals,
 }
 
 impl Membership {
@@ -98,6 +100,7 @@
             changed_ids: Vec::new(),
             checksum: None,
             next_comparison_ms: 0,
+            arrivals: Arrivals::default(),
         }
     }
 
@@ -121,6 +124,13 @@
         self.members.values().filter(|member| member.is_alive())
     }
 
+    /// Whether this instance knows its fleet, so that it can judge its rank and the number of instances.
+    /// One that has just started learns of the others in a few rounds, which take longer on a busy
+    /// machine.
+    pub fn is_settled(&self) -> bool {
+        self.arrivals.have_ceased()
+    }
+
     /// Number of members that were declared dead since a time, without those that had announced a
     /// planned stop.
     pub fn unplanned_deaths_since(&self, since_ms: u64) -> usize {
@@ -324,6 +334,7 @@
             suspected_by: suspects.then(|| Arc::clone(reporter)).into_iter().collect(),
         };
         self.members.insert(Arc::clone(&id), member);
+        self.arrivals.note_arrival();
         self.mark_changed(&id);
     }
 
--- a/src/gateway/membership/members/probing.rs
+++ b/src/gateway/membership/members/probing.rs
@@ -45,6 +45,7 @@
     /// Runs one round of failure detection, due every [`PROBE_INTERVAL_MS`].
     pub fn tick(&mut self, now_ms: u64, random: &mut dyn Random) {
         let last_ms = self.last_tick_ms.replace(now_ms);
+        self.arrivals.end_round();
         let is_late =
             last_ms.is_some_and(|last_ms| now_ms > last_ms + PROBE_INTERVAL_MS + MAX_OWN_LAG_MS);
         if is_late {
@@ -239,6 +240,7 @@
         if let Some((asker, number)) = self.relayed_pings.remove(&ack.number) {
             self.outbox.push((asker, Message::Ack(Probe { number, ..ack.clone() })));
         }
+        self.arrivals.note_answer();
         let id = Arc::clone(&ack.descriptor.registration.id);
         let addr = ack.descriptor.registration.peer_addr;
         let is_different = ack.checksum != self.checksum();
