The share of an instance that starts follows the number that its sender knows

What it cost: after a restart of thirty instances each fetched an eighth of the list, then a quarter, then a half: 22 fetches twice, when it was 5 s old. On a busy machine they fell into the time in which the test counts them (49 to 55 of 46 allowed).

Cause: the sender of a first list assumed many instances whatever it knew; logs show that it knew all thirty when it answered (0.9 s after the start, on a busy machine).

Change: the first share is the narrowest that would not be widened at once for the instances that the sender knows; one that knows fewer than sixteen has just started itself, and many are assumed as before. What must be widened goes to the width that it needs in one fetch.

--- a/src/gateway/control/fetch.rs
+++ b/src/gateway/control/fetch.rs
@@ -125,7 +125,9 @@
             let services = state.fleet.upstreams.values().map(|upstream| &upstream.service);
             services.filter(|service| state.held_part.large.contains(*service))
         };
-        let share = request.share.unwrap_or_else(|| subset::initial_share(large()));
+        let share = request.share.unwrap_or_else(|| {
+            subset::initial_share(large(), state.membership.alive().count() + 1)
+        });
         let part = UpstreamSubset { share, large: state.held_part.large.clone() };
         let holds = shares::holds(&request.id, &part);
         if request.since > 0 && request.after.is_empty() {
@@ -222,14 +224,14 @@
         let mut failed = 0;
         while failed < MAX_FETCH_FAILURES {
             let request = self.list_request(&pages);
+            let since_ms = self.clock.now_ms();
             let Some(response) = send_request::<_, ListResponse>(addr, LIST_PATH, &request).await
             else {
-            let since_ms = self.clock.now_ms();
                 self.metrics.count("peer_fetches_failed");
-                failed += 1;
-                tokio::time::sleep(Duration::from_millis(FETCH_FAILURE_PAUSE_MS)).await;
                 slog::info!(self.log, "upstreams not fetched from a peer"; "peer" => %addr,
                     "ms" => self.clock.now_ms() - since_ms, "pages" => pages.pages.len());
+                failed += 1;
+                tokio::time::sleep(Duration::from_millis(FETCH_FAILURE_PAUSE_MS)).await;
                 addr = self.alternative_source(addr);
                 continue;
             };
@@ -347,9 +349,9 @@
         let now_ms = self.clock.now_ms();
         let Pages { part: Some(part), revision, pages } = pages else { return };
         let mut state = self.state.borrow_mut();
+        let upstreams: usize = pages.iter().map(|page| page.upstreams.len()).sum();
         slog::info!(self.log, "upstreams fetched from peers"; "peer" => %from,
             "revision" => eras::revision_of(revision),
-        let upstreams: usize = pages.iter().map(|page| page.upstreams.len()).sum();
             "before" => eras::revision_of(state.fleet.revision), "pages" => pages.len(),
             "halvings" => part.share.halvings(), "upstreams" => upstreams,
             "members" => state.membership.alive().count() + 1,
@@ -357,11 +359,11 @@
         state.has_fleet = true;
         state.is_outage_local = state.is_directory_lost;
         state.fleet.adopt(revision, pages, now_ms);
-        state.has_missed_changes = false;
-        state.wanted_share = None;
         if part.share < state.held_part.share {
             state.fleet.forget_changes_before(revision);
         }
+        state.has_missed_changes = false;
+        state.wanted_share = None;
         state.held_part = part;
         drop(state);
         self.publish();
--- a/src/gateway/control/shares.rs
+++ b/src/gateway/control/shares.rs
@@ -80,8 +80,8 @@
             }
             return;
         }
-        if now_ms >= MEMBERSHIP_KNOWN_MS && subset::is_too_narrow(share, instances) {
-            self.want_share(&mut state, share.wider(), instances);
+        if knows_members && subset::is_too_narrow(share, instances) {
+            self.want_share(&mut state, subset::widened(share, instances), instances);
             return;
         }
         let since_ms = *state.can_narrow_since_ms.get_or_insert(now_ms);
--- a/src/gateway/policy/subset.rs
+++ b/src/gateway/policy/subset.rs
@@ -17,6 +17,9 @@
 /// Minimum number of instances that hold an upstream, on average: with fewer, all of them might be
 /// lost, or leave it idle.
 const MIN_HOLDERS: usize = 16;
+/// Number of such instances below which they hold more, so that a few that come and go change
+/// nothing.
+const MIN_STILL_HOLDERS: usize = MIN_HOLDERS / 2;
 /// Minimum number of upstreams of a large service that an instance holds. With so many, load
 /// balancing is as good as over all upstreams: they are hundreds of times as many as the requests
 /// that one instance has at once, and are in all failure domains.
@@ -124,16 +127,27 @@
     all.map(|count| Share::of(count, instances)).min().unwrap_or(Share::ALL)
 }
 
-/// Returns the share for an instance that starts. `all` yields the service of each upstream of the
-/// large services. Assumes many instances: in a fleet that starts together, nobody knows yet how
-/// many there are.
-pub fn initial_share<'a>(all: impl Iterator<Item = &'a Arc<str>>) -> Share {
-    suitable_share(all, Share::ALL, usize::MAX)
+/// Returns the share for an instance that starts, given the number of instances that the sender of
+/// the list knows. `all` yields the service of each upstream of the large services. The share is the
+/// narrowest that needn't be widened at once. A sender that knows few instances has just started
+/// itself, as in a fleet that starts together, and many are assumed.
+pub fn initial_share<'a>(all: impl Iterator<Item = &'a Arc<str>>, instances: usize) -> Share {
+    let narrowest = suitable_share(all, Share::ALL, usize::MAX);
+    if instances < MIN_HOLDERS { narrowest } else { widened(narrowest, instances) }
 }
 
 /// Returns whether so few instances are left that this share leaves upstreams without any instance.
 pub fn is_too_narrow(share: Share, instances: usize) -> bool {
-    share.0 > 0 && instances >> share.0 < MIN_HOLDERS / 2
+    share.0 > 0 && instances >> share.0 < MIN_STILL_HOLDERS
+}
+
+/// Returns the narrowest share, at least as wide as this one, that is not too narrow.
+pub fn widened(share: Share, instances: usize) -> Share {
+    let mut share = share;
+    while is_too_narrow(share, instances) {
+        share = share.wider();
+    }
+    share
 }
 
 fn count_by_service<'a>(
