An overdue run leaves its living engine only for one that has room

What callers saw: a request waits 9 s at an engine, is then sent to three to six full ones, each of which answers 503, and its caller gets a 502.

Cause: the first event of a run was overdue (later than twice what nearly all took), so that the run left an engine at which it still waited for its turn, without a look at whether another had room.

Change: policy/silence says that leaving for this reason requires room elsewhere; the run stays unless the engine that it would go to has memory for it, as far as known, and has not just refused others.

--- a/src/gateway/policy/silence.rs
+++ b/src/gateway/policy/silence.rs
@@ -147,6 +147,14 @@
     Standing,
 }
 
+impl LeaveReason {
+    /// Whether leaving gains something only if another engine has room: the run still waits for its turn
+    /// at this one, and would lose it for a refusal.
+    pub fn requires_room_elsewhere(self) -> bool {
+        self == LeaveReason::Overdue
+    }
+}
+
 /// What was observed of a run since it last sent something.
 #[derive(Debug, Clone, Copy)]
 pub struct Silence {
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -18,6 +18,7 @@
 use super::super::metrics::Time;
 use super::super::policy::eras;
 use super::super::policy::outcomes;
+use super::super::policy::placement::Constraints;
 use super::super::policy::silence::{Silence, Verdict};
 use super::super::route::{Repeat, Route};
 use super::super::traffic::Liveness;
@@ -267,6 +268,12 @@
             "after" => self.last_event, "quiet_ms" => probed_ms - self.last_event_ms);
         match verdict {
             Verdict::Wait => None,
+            Verdict::Leave(why)
+                if why.requires_room_elsewhere() && !self.has_room_elsewhere(worker) =>
+            {
+                self.traffic.metrics.count("overdue_runs_kept");
+                None
+            }
             Verdict::Leave(why)
                 if Mechanism::Silence.is_on() && self.take_retry_elsewhere(attempts) =>
             {
@@ -276,6 +283,22 @@
         }
     }
 
+    /// Whether the engine that would get the run next has room for it, as far as known.
+    fn has_room_elsewhere(&self, worker: &Worker) -> bool {
+        let mut excluded = self.excluded.clone();
+        excluded.push(Arc::clone(&worker.upstream.id));
+        let need = self.need();
+        let constraints = Constraints {
+            need,
+            excluded,
+            avoided_domains: self.avoided_domains(),
+            ..Constraints::default()
+        };
+        let Some(next) = self.traffic.choose(&self.job.service, &constraints) else { return false };
+        let known = self.traffic.placement_state(&next);
+        self.is_eligible(&next) && !known.status.is_full && known.load.has_room(need)
+    }
+
     /// Whether an engine has the prompt of a reconnecting caller cached. If the prompt is processed
     /// again, the allowed gap is exceeded anyway, and new requests that can still be on time don't
     /// wait for it.
