Peers that are still starting are not asked for the list

Cause: an instance without a list asks, after 3 s, those that should hold it by their rank, whether or not they have it.

Change: a member that says it is starting is not asked.

--- a/src/gateway/control/fetch.rs
+++ b/src/gateway/control/fetch.rs
@@ -21,7 +21,7 @@
 use super::super::fleet::{Delta, Page};
 use super::super::instance::Registration;
 use super::super::loads::UpstreamSubset;
-use super::super::membership::Member;
+use super::super::membership::{Member, Phase};
 use super::super::policy::eras;
 use super::super::policy::subset::{self, Share};
 use super::super::route::Config;
@@ -336,12 +336,12 @@
         fastrand::choice(&state.reported_list_holders).copied()
     }
 
-    /// The addresses of the live peers that should hold the full list by their rank.
+    /// The addresses of the live peers that should hold the full list by their rank. Those that are still
+    /// starting lack it, and would only be kept from receiving it.
     pub(super) fn list_holders(state: &ControlState) -> impl Iterator<Item = SocketAddr> {
-        state
-            .membership
-            .full_list_holders()
-            .into_iter()
+        let holders = state.membership.full_list_holders().into_iter();
+        holders
+            .filter(|member| member.descriptor.phase != Phase::Starting)
             .map(|member| member.descriptor.registration.peer_addr)
     }
 
