call and via_peer no longer import each other

Cause: via_peer took the exchange of a whole answer, its delivery and the last refusal from call, which sends its requests through via_peer.

Change: these stand in whole_answer, which both import. No logic changed.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -5,15 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{HeaderMap, Request};
-
 use super::ablation::Mechanism;
-use super::answer::{self, Answer};
+use super::answer::Answer;
 use super::channel::Fault;
 use super::crash::Stage;
-use super::dialect::{Dispatch, Marks};
+use super::dialect::Dispatch;
 use super::failure::Failure;
 use super::job::Job;
 use super::metrics::Time;
@@ -22,10 +18,9 @@
 use super::route::Repeat;
 use super::traffic::{Placed, Traffic};
 use super::via_peer;
+use super::whole_answer;
 use super::worker::{Lease, What, Worker};
 
-/// The maximum size of an answer, which is held in memory until it is whole.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// How many attempts may fail before a byte was sent: all upstreams of a service in one failure
 /// domain may refuse connections.
 const MAX_UNSENT_ATTEMPTS: u32 = 6;
@@ -34,9 +29,9 @@
 #[derive(Debug)]
 enum Outcome {
     /// The upstream's whole answer.
-    Answered(WholeAnswer),
+    Answered(whole_answer::WholeAnswer),
     /// The request has not run. `refusal` is why, if the upstream refused it.
-    NotRun { answered: Option<WholeAnswer>, refusal: Option<Failure> },
+    NotRun { answered: Option<whole_answer::WholeAnswer>, refusal: Option<Failure> },
     /// The request was not sent, because the upstream is throttled.
     Throttled,
     /// Another upstream answered at the address, so the request has not run. Unlike `NotRun`, this
@@ -72,14 +67,6 @@
     }
 }
 
-/// A whole answer of an upstream.
-#[derive(Debug)]
-pub struct WholeAnswer {
-    pub status: u16,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
 /// Serves a request whose answer isn't a stream.
 pub async fn serve(traffic: &Rc<Traffic>, job: &Job) -> Answer {
     let mut constraints = Constraints {
@@ -101,7 +88,7 @@
         if traffic.now_ms() >= job.until_ms {
             let failure =
                 if reached_upstream == 0 { Failure::TimeOverUnsent } else { last_failure };
-            return finish(job, traffic, failure, may_have_run);
+            return whole_answer::finish(job, traffic, failure, may_have_run);
         }
         constraints.can_repeat = job.route.repeat.is_safe() && sent + 1 < job.route.max_attempts;
         let worker = match traffic.place_call(job, &constraints).await {
@@ -114,7 +101,7 @@
                 if traffic.wait_for_more_upstreams(job).await {
                     continue;
                 }
-                return finish(job, traffic, last_failure, may_have_run);
+                return whole_answer::finish(job, traffic, last_failure, may_have_run);
             }
             Placed::Refused { retry_after_ms } => {
                 return traffic.refuse(job, &Failure::Full, Some(retry_after_ms));
@@ -136,7 +123,7 @@
         match outcome {
             Outcome::OverBudget => {
                 traffic.metrics.count("repeats_over_budget");
-                return finish(job, traffic, last_failure, may_have_run);
+                return whole_answer::finish(job, traffic, last_failure, may_have_run);
             }
             Outcome::Answered(whole) => {
                 sent += 1;
@@ -154,10 +141,10 @@
                     if let Some((better_answer, answered_by)) =
                         second_opinion(traffic, job, &mut constraints).await
                     {
-                        return deliver(traffic, job, &answered_by, better_answer);
+                        return whole_answer::deliver(traffic, job, &answered_by, better_answer);
                     }
                 }
-                return deliver(traffic, job, &worker, whole);
+                return whole_answer::deliver(traffic, job, &worker, whole);
             }
             Outcome::NotRun { answered, refusal } => {
                 if let Some(refusal) = refusal {
@@ -170,10 +157,10 @@
                 log_failed_attempt(traffic, job, &worker, "did not run");
                 // With status 400 every other upstream would refuse it too.
                 if let Some(whole) = answered.filter(|whole| whole.status == 400) {
-                    return deliver(traffic, job, &worker, whole);
+                    return whole_answer::deliver(traffic, job, &worker, whole);
                 }
                 if sent >= job.route.max_attempts || unsent_attempts >= MAX_UNSENT_ATTEMPTS {
-                    return finish(job, traffic, last_failure, may_have_run);
+                    return whole_answer::finish(job, traffic, last_failure, may_have_run);
                 }
             }
             Outcome::Throttled => log_failed_attempt(traffic, job, &worker, "throttled"),
@@ -195,10 +182,12 @@
                 may_have_run = true;
                 let may_repeat = job.route.repeat == Repeat::Idempotent;
                 if !may_repeat || sent >= job.route.max_attempts {
-                    return finish(job, traffic, last_failure, may_have_run);
+                    return whole_answer::finish(job, traffic, last_failure, may_have_run);
                 }
             }
-            Outcome::TimeOver => return finish(job, traffic, Failure::TimeOver, false),
+            Outcome::TimeOver => {
+                return whole_answer::finish(job, traffic, Failure::TimeOver, false);
+            }
         }
     }
 }
@@ -288,7 +277,7 @@
     traffic: &Rc<Traffic>,
     job: &Job,
     constraints: &mut Constraints,
-) -> Option<(WholeAnswer, Rc<Worker>)> {
+) -> Option<(whole_answer::WholeAnswer, Rc<Worker>)> {
     constraints.can_repeat = false;
     loop {
         let worker = traffic.choose_again(job, constraints)?;
@@ -342,7 +331,7 @@
     let latency_recorder = LatencyRecorder { traffic, job, since_ms: now_ms };
     let mut pending = PendingAttempt { traffic, job, worker, since_ms: now_ms, is_over: false };
     let result = tokio::select! {
-        result = exchange(traffic, &mut lease, request) => Some(result),
+        result = whole_answer::exchange(traffic, &mut lease, request) => Some(result),
         () = traffic.clock.sleep_until(job.until_ms) => None,
     };
     let Some(result) = result else {
@@ -412,22 +401,6 @@
     Outcome::NotRun { answered: None, refusal: None }
 }
 
-type ExchangeResult = Result<(WholeAnswer, Marks), Fault>;
-
-/// Sends a request and receives the whole answer.
-pub async fn exchange(
-    traffic: &Traffic,
-    lease: &mut Lease,
-    request: Request<Full<Bytes>>,
-) -> ExchangeResult {
-    let response = lease.channel.send(request).await?;
-    let (head, body) = response.into_parts();
-    let marks = traffic.dialect.marks(&head.headers);
-    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|error| Fault::Broken { detail: error.to_string() })?.to_bytes();
-    Ok((WholeAnswer { status: head.status.as_u16(), headers: head.headers, body }, marks))
-}
-
 /// Derives the outcome of an attempt, and gives its channel back if the channel can be reused.
 fn classify(
     traffic: &Rc<Traffic>,
@@ -435,7 +408,7 @@
     worker: &Rc<Worker>,
     lease: Lease,
     sent_ms: u64,
-    result: ExchangeResult,
+    result: whole_answer::ExchangeResult,
 ) -> Outcome {
     let now_ms = traffic.now_ms();
     let (whole, marks) = match result {
@@ -499,34 +472,6 @@
     Outcome::Answered(whole)
 }
 
-/// Answers a request with an upstream's answer.
-pub fn deliver(traffic: &Traffic, job: &Job, worker: &Worker, whole: WholeAnswer) -> Answer {
-    let now_ms = traffic.now_ms();
-    job.record(&traffic.metrics, now_ms - job.since_ms, None);
-    if whole.status < 500 {
-        traffic.note_served(job, None);
-    }
-    slog::info!(traffic.log, "answered"; "request" => job.id(), "route" => &*job.route.name,
-        "upstream" => &*worker.upstream.id, "status" => whole.status,
-        "ms" => now_ms - job.since_ms);
-    let headers = super::headers::end_to_end(whole.headers);
-    answer::whole(whole.status, headers, whole.body)
-}
-
-/// Refuses a request for the last failure, or with `Failure::Unknown` if an earlier attempt may have
-/// run, since most failures promise that it has not.
-pub fn finish(job: &Job, traffic: &Traffic, failure: Failure, may_have_run: bool) -> Answer {
-    let failure = match failure {
-        _ if may_have_run => Failure::Unknown,
-        Failure::NoUpstream if traffic.throttled_for_ms(&job.service).is_some() => {
-            Failure::Throttled
-        }
-        failure => failure,
-    };
-    let retry_after_ms = traffic.retry_after_ms(job, &failure);
-    traffic.refuse(job, &failure, retry_after_ms)
-}
-
 fn log_failed_attempt(traffic: &Traffic, job: &Job, worker: &Worker, what: &'static str) {
     slog::info!(traffic.log, "attempt failed"; "request" => job.id(),
         "upstream" => &*worker.upstream.id, "what" => what);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,4 +45,5 @@
 pub mod traffic;
 pub mod via_peer;
 pub mod view;
+mod whole_answer;
 pub mod worker;
--- a/src/gateway/via_peer.rs
+++ b/src/gateway/via_peer.rs
@@ -8,13 +8,13 @@
 use std::rc::Rc;
 
 use super::answer::Answer;
-use super::call::{self, WholeAnswer};
 use super::channel::Fault;
 use super::failure::Failure;
 use super::headers;
 use super::job::Job;
 use super::route::Repeat;
 use super::traffic::Traffic;
+use super::whole_answer::{self, WholeAnswer};
 use super::worker::Worker;
 
 /// How a call at another instance ended.
@@ -41,7 +41,7 @@
         match relay(traffic, job, &peer).await {
             Outcome::Answered(whole) => {
                 traffic.metrics.count("requests_relayed");
-                return call::deliver(traffic, job, &peer, whole);
+                return whole_answer::deliver(traffic, job, &peer, whole);
             }
             Outcome::NotTaken => {}
             Outcome::Unknown => {
@@ -53,11 +53,11 @@
             }
             Outcome::TimeOver { is_sent } => {
                 let failure = if is_sent { Failure::TimeOver } else { Failure::TimeOverUnsent };
-                return call::finish(job, traffic, failure, may_have_run);
+                return whole_answer::finish(job, traffic, failure, may_have_run);
             }
         }
     }
-    call::finish(job, traffic, Failure::CutOff, may_have_run)
+    whole_answer::finish(job, traffic, Failure::CutOff, may_have_run)
 }
 
 /// The instance to try next. A relayed call stays here: the instance that sent it tries others.
@@ -82,7 +82,7 @@
     }
     let request = job.relayed_request(&*traffic.dialect, job.demand.last_event, now_ms);
     let result = tokio::select! {
-        result = call::exchange(traffic, &mut lease, request) => result,
+        result = whole_answer::exchange(traffic, &mut lease, request) => result,
         () = traffic.clock.sleep_until(job.until_ms) => return Outcome::TimeOver { is_sent: true },
     };
     let (whole, marks) = match result {
