policy/concurrency is divided: estimate, arrivals, decision

Cause: one file of 726 lines held the estimate of the load, the rate of arrivals and the decision on a call.

Change: three files, nothing else; constants stand where they are used.

--- a/src/gateway/policy/concurrency.rs
+++ b/src/gateway/policy/concurrency/estimate.rs
@@ -1,21 +1,14 @@
-//! Admission of quick calls to a service whose workers report their load.
-//!
-//! A worker runs a call in each slot and queues the others, so a call that is sent to a full worker
-//! is answered late, and one that meets a full queue is rejected. Instances therefore keep the
-//! queues as short as the objective of the calls requires, and refuse what exceeds the capacity
-//! when it arrives. Each instance decides alone, on a [`LoadEstimate`] that is as old as the reports.
-//! See
-//! [docs/design/quick-services.md](../../../docs/design/quick-services.md).
-
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::Arc;
-
-use super::latency::Latencies;
+//! Estimate of the present load of a service's workers from reports of the past, and the choice of a
+//! worker by it.
+
 use crate::decide::Random;
 
 /// Upper bound on the calls that a report is believed to show, in multiples of the slots. With more
 /// no call there would be answered in time anyway.
-const MAX_CREDIBLE_CALLS_PER_SLOT: f64 = 64.0;
+pub(super) const MAX_CREDIBLE_CALLS_PER_SLOT: f64 = 64.0;
+/// Fraction of its limit at which a worker's load is held under overload. The rest is for what the
+/// instances admit while none sees the others' calls.
+pub(super) const TARGET_FRACTION: f64 = 0.6;
 /// Upper bound on the limit of a worker, in multiples of the slots: below the calls that a report is
 /// believed to show, or no worker would ever count as full.
 const MAX_LIMIT_CALLS_PER_SLOT: f64 = MAX_CREDIBLE_CALLS_PER_SLOT / 2.0;
@@ -24,41 +17,6 @@
 /// Time in which half of a reported slowness is forgotten, in milliseconds: slowdowns end without
 /// notice.
 const SLOWNESS_HALF_LIFE_MS: f64 = 1_000.0;
-/// Fraction of its limit at which a worker's load is held under overload. The rest is for what the
-/// instances admit while none sees the others' calls.
-const TARGET_FRACTION: f64 = 0.6;
-
-/// Width of the steps in which arrivals are counted, in milliseconds.
-const ARRIVAL_STEP_MS: u64 = 100;
-/// Number of the newest steps that show the present rate of arrivals.
-const RECENT_STEPS: u64 = 10;
-/// Number of arrivals that are added to both rates when they are compared: small counts vary by chance, and must not pass for a trend.
-const RATE_PRIOR: f64 = 1.0;
-/// Fraction of the objective that calls may take at a worker at first, and the most that it grows to.
-const MAX_LIMIT_FRACTION: f64 = 0.8;
-/// The least that this fraction shrinks to, so that answers keep coming from which it can grow
-/// again.
-const MIN_LIMIT_FRACTION: f64 = 0.2;
-/// Factor by which it shrinks with a late answer or a rejection.
-const LIMIT_DECREASE: f64 = 0.9;
-/// How much it grows with each answer in time: much less than it shrinks (additive increase,
-/// multiplicative decrease).
-const LIMIT_INCREASE: f64 = 0.003;
-/// Quantile of the observed times that counts as the time of the work itself.
-const WORK_QUANTILE: f64 = 0.5;
-/// Upper bound on the calls that wait in an instance; more would wait longer than an objective allows.
-const MAX_WAITING: usize = 64;
-/// Upper bound on the refused callers that are remembered.
-const MAX_RETURNS: usize = 1_024;
-/// How long a refused caller is remembered after the time at which it was told to return.
-const RETURN_TTL_MS: u64 = 500;
-/// Callers accept a retry time of up to the time that they have left, divided by this.
-const MAX_RETRY_DIVISOR: u64 = 3;
-/// The shortest time for which a call waits before it looks again, in milliseconds.
-const MIN_WAIT_MS: u64 = 5;
-/// The longest time for which a call waits before it looks again, in milliseconds: places may become
-/// free earlier than expected, and calls behind it are refused until it takes one.
-const MAX_WAIT_MS: u64 = 20;
 
 /// What a worker reported of its load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -164,11 +122,11 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct LoadEstimate {
     workers: Vec<WorkerEstimate>,
-    conditions: Conditions,
+    pub(super) conditions: Conditions,
     /// Calls that all available workers finish while all slots are in use, per millisecond.
     capacity_per_ms: f64,
     /// How long it takes until a call that was sent shows in the reports, in milliseconds.
-    lag_ms: f64,
+    pub(super) lag_ms: f64,
 }
 
 impl LoadEstimate {
@@ -239,7 +197,7 @@
         self.workers.iter().filter(|worker| worker.is_available)
     }
 
-    fn has_free_slot(&self) -> bool {
+    pub(super) fn has_free_slot(&self) -> bool {
         self.workers.iter().any(WorkerEstimate::has_free_slot)
     }
 
@@ -274,13 +232,13 @@
 
     /// Time until the calls at the workers are back at what is aimed at, in milliseconds, if no more
     /// are sent.
-    fn relief_in_ms(&self) -> f64 {
+    pub(super) fn relief_in_ms(&self) -> f64 {
         self.excess().max(0.0) / self.capacity_per_ms
     }
 
     /// Time between two returns of refused callers that this instance may promise, in milliseconds,
     /// if the capacity is shared out by the calls that arrive.
-    fn return_spacing_ms(&self) -> f64 {
+    pub(super) fn return_spacing_ms(&self) -> f64 {
         let own_per_ms = self.capacity_per_ms * (1.0 - self.conditions.others_fraction);
         if own_per_ms > 0.0 { 1.0 / own_per_ms } else { f64::INFINITY }
     }
@@ -358,7 +316,7 @@
 }
 
 /// A random number from 0 to 1.
-fn unit(random: &mut dyn Random) -> f64 {
+pub(super) fn unit(random: &mut dyn Random) -> f64 {
     const STEPS: u64 = 1 << 32;
     random.below(STEPS) as f64 / STEPS as f64
 }
@@ -437,290 +395,3 @@
     let remaining = (-left_ms / worker.work_ms).exp();
     worker.calls = steady_calls + (worker.calls - steady_calls) * remaining;
 }
-
-/// Calls that arrived at this instance.
-#[derive(Debug, Default)]
-struct Arrivals {
-    steps: VecDeque<(u64, u32)>,
-    since_ms: Option<u64>,
-}
-
-impl Arrivals {
-    fn count(&mut self, now_ms: u64, window_ms: u64) {
-        let index = now_ms / ARRIVAL_STEP_MS;
-        self.since_ms.get_or_insert(now_ms);
-        let first = index.saturating_sub(window_ms / ARRIVAL_STEP_MS);
-        while self.steps.front().is_some_and(|(known, _)| *known < first) {
-            self.steps.pop_front();
-        }
-        match self.steps.back_mut() {
-            Some((known, count)) if *known == index => *count += 1,
-            _ => self.steps.push_back((index, 1)),
-        }
-    }
-
-    /// Calls in the newest steps.
-    fn recent(&self, now_ms: u64) -> f64 {
-        self.since((now_ms / ARRIVAL_STEP_MS + 1).saturating_sub(RECENT_STEPS))
-    }
-
-    fn since(&self, first_index: u64) -> f64 {
-        let counted = self.steps.iter().filter(|(index, _)| *index >= first_index);
-        counted.map(|(_, count)| f64::from(*count)).sum()
-    }
-
-    /// Calls that arrive at all instances, per millisecond, and the fraction of them that arrives at others. Others report only how many calls they
-    /// got in the whole window, so a recent change is taken from the calls here.
-    fn demand_per_ms(&self, others_requests: u64, window_ms: u64, now_ms: u64) -> (f64, f64) {
-        let index = now_ms / ARRIVAL_STEP_MS;
-        let own = self.since(index.saturating_sub(window_ms / ARRIVAL_STEP_MS));
-        let recent = self.recent(now_ms);
-        let known_ms = self.since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
-        let recent_ms = (RECENT_STEPS * ARRIVAL_STEP_MS) as f64;
-        let usual = own * recent_ms / (known_ms.min(window_ms) as f64).max(recent_ms);
-        let all = own + others_requests as f64;
-        let trend = (recent + RATE_PRIOR) / (usual + RATE_PRIOR);
-        (all / window_ms.max(1) as f64 * trend, others_requests as f64 / all.max(1.0))
-    }
-}
-
-/// A call for which a worker is chosen.
-#[derive(Debug, Clone)]
-pub struct Call {
-    /// The caller's id of the request, by which it is recognised when it returns.
-    pub id: Option<Arc<str>>,
-    /// Its place among the waiting calls.
-    pub ticket: Ticket,
-    /// Whether it already waits here.
-    pub is_waiting: bool,
-    /// Time left until the objective, in milliseconds.
-    pub objective_left_ms: u64,
-    /// Time within which it may return if it is refused, in milliseconds: what is left until its
-    /// deadline, at most the shortest time limit of its service.
-    pub left_ms: u64,
-}
-
-/// Place of a call among those that wait: by priority, then by deadline, then by arrival.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Ticket {
-    /// The priority; the lowest number goes first.
-    pub priority: u8,
-    /// The deadline.
-    pub until_ms: u64,
-    /// Tells apart calls that are equal otherwise.
-    pub number: u64,
-}
-
-/// What to do with a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Decision {
-    /// Send it to the worker with this index.
-    Send(usize),
-    /// Keep it and decide again after this time.
-    Wait {
-        /// The time, in milliseconds.
-        for_ms: u64,
-    },
-    /// Refuse it.
-    Refuse {
-        /// When the caller should return, in milliseconds.
-        retry_after_ms: u64,
-    },
-}
-
-/// What an instance learned of the calls to one service, and the calls that wait here.
-#[derive(Debug)]
-pub struct Concurrency {
-    work: Latencies,
-    arrivals: Arrivals,
-    /// Refused callers that returned when they were told to.
-    returned: Arrivals,
-    limit_fraction: f64,
-    decreased_ms: Option<u64>,
-    waiting: BTreeSet<Ticket>,
-    /// When refused callers were told to return, by request id.
-    returns: BTreeMap<Arc<str>, u64>,
-    last_return_ms: u64,
-}
-
-impl Default for Concurrency {
-    fn default() -> Concurrency {
-        Concurrency {
-            work: Latencies::default(),
-            arrivals: Arrivals::default(),
-            returned: Arrivals::default(),
-            limit_fraction: MAX_LIMIT_FRACTION,
-            decreased_ms: None,
-            waiting: BTreeSet::new(),
-            returns: BTreeMap::new(),
-            last_return_ms: 0,
-        }
-    }
-}
-
-impl Concurrency {
-    /// Records that a call arrived here.
-    pub fn note_arrival(&mut self, window_ms: u64, now_ms: u64) {
-        self.arrivals.count(now_ms, window_ms);
-    }
-
-    /// Records an answer with the worker's report in it, and how long it took from sending.
-    pub fn note_answer(&mut self, report: &Report, took_ms: u64, objective_ms: u64, now_ms: u64) {
-        if report.slots > 0 && f64::from(report.waiting) <= MAX_CREDIBLE_CALLS_PER_SLOT {
-            // About as many calls waited before this one as wait now; without these and the
-            // slowness, what is left is the work itself.
-            let queue = 1.0 + f64::from(report.waiting) / f64::from(report.slots);
-            let slowness = f64::from(report.slowness_percent.unwrap_or(100)).max(1.0) / 100.0;
-            self.work.record((took_ms as f64 / queue / slowness) as u64);
-        }
-        if objective_ms > 0 && took_ms > objective_ms {
-            self.decrease_limit(objective_ms, now_ms);
-        } else {
-            self.limit_fraction = (self.limit_fraction + LIMIT_INCREASE).min(MAX_LIMIT_FRACTION);
-        }
-    }
-
-    /// Records that a worker rejected a call.
-    pub fn note_rejection(&mut self, objective_ms: u64, now_ms: u64) {
-        self.decrease_limit(objective_ms, now_ms);
-    }
-
-    /// Lowers the limit, at most once for the calls that were sent under the same limit.
-    fn decrease_limit(&mut self, objective_ms: u64, now_ms: u64) {
-        if self.decreased_ms.is_some_and(|at_ms| now_ms < at_ms + objective_ms) {
-            return;
-        }
-        self.decreased_ms = Some(now_ms);
-        self.limit_fraction = (self.limit_fraction * LIMIT_DECREASE).max(MIN_LIMIT_FRACTION);
-    }
-
-    /// Conditions for calls with an objective; `None` while too few answers were seen.
-    pub fn conditions(
-        &self,
-        objective_ms: u64,
-        others_requests: u64,
-        window_ms: u64,
-        now_ms: u64,
-    ) -> Option<Conditions> {
-        let work_ms = self.work.quantile(WORK_QUANTILE)? as f64;
-        let (demand_per_ms, others_fraction) =
-            self.arrivals.demand_per_ms(others_requests, window_ms, now_ms);
-        let limit_ms = self.limit_fraction * objective_ms as f64;
-        Some(Conditions { work_ms, demand_per_ms, others_fraction, limit_ms })
-    }
-
-    /// Decides on a call that has not been sent yet.
-    pub fn decide(
-        &mut self,
-        call: &Call,
-        estimate: &LoadEstimate,
-        now_ms: u64,
-        random: &mut dyn Random,
-    ) -> Decision {
-        let is_admitted = call.is_waiting
-            || estimate.has_free_slot()
-            || self.admits(call, estimate, now_ms, random);
-        let rank = self.waiting.range(..call.ticket).count();
-        if is_admitted
-            && estimate.places() > rank
-            && let Some(index) = estimate.choose(&[], Needed::Place, random)
-        {
-            return Decision::Send(index);
-        }
-        let can_wait = call.is_waiting || self.waiting.len() < MAX_WAITING;
-        // The first place to become free is the last one within a worker's limit.
-        let (wait_ms, limit_fraction) = if is_admitted {
-            (estimate.place_in_ms(), 1.0)
-        } else {
-            (estimate.relief_in_ms(), TARGET_FRACTION)
-        };
-        let Conditions { work_ms, limit_ms, .. } = estimate.conditions;
-        let answered_in_ms = wait_ms + (limit_fraction * limit_ms).max(work_ms);
-        // Where too many calls arrive, a call that waits only displaces a later one.
-        let is_passing = is_admitted || !estimate.is_overloaded();
-        if can_wait && is_passing && answered_in_ms <= call.objective_left_ms as f64 {
-            return Decision::Wait { for_ms: (wait_ms as u64).clamp(MIN_WAIT_MS, MAX_WAIT_MS) };
-        }
-        self.refuse(call, estimate, now_ms, random)
-    }
-
-    /// Whether a call is admitted although all slots are in use. A caller that returns when it was
-    /// told is; one that returns earlier is not.
-    fn admits(
-        &mut self,
-        call: &Call,
-        estimate: &LoadEstimate,
-        now_ms: u64,
-        random: &mut dyn Random,
-    ) -> bool {
-        let due_ms = call.id.as_ref().and_then(|id| self.returns.get(id)).copied();
-        if let Some(due_ms) = due_ms.filter(|due_ms| now_ms < due_ms + RETURN_TTL_MS) {
-            let has_waited = now_ms >= due_ms;
-            if has_waited {
-                self.returned.count(now_ms, RECENT_STEPS * ARRIVAL_STEP_MS);
-                call.id.as_ref().and_then(|id| self.returns.remove(id));
-            }
-            return has_waited;
-        }
-        // Those who were told to return are among the calls to be admitted.
-        let arrivals = self.arrivals.recent(now_ms).max(1.0);
-        let returned = (self.returned.recent(now_ms) / arrivals).min(1.0);
-        let admitted = estimate.admitted_fraction();
-        unit(random) * (1.0 - returned) < admitted - returned
-    }
-
-    fn refuse(
-        &mut self,
-        call: &Call,
-        estimate: &LoadEstimate,
-        now_ms: u64,
-        random: &mut dyn Random,
-    ) -> Decision {
-        let (id, left_ms) = (call.id.as_ref(), call.left_ms);
-        let retry_after_ms = self.retry_after_ms(id, left_ms, estimate, now_ms, random);
-        Decision::Refuse { retry_after_ms }
-    }
-
-    /// When the caller of a refused call should return. Callers are told to return one after
-    /// another, each when this instance's share of the capacity allows one more call.
-    pub fn retry_after_ms(
-        &mut self,
-        id: Option<&Arc<str>>,
-        left_ms: u64,
-        estimate: &LoadEstimate,
-        now_ms: u64,
-        random: &mut dyn Random,
-    ) -> u64 {
-        self.returns.retain(|_, due_ms| now_ms < *due_ms + RETURN_TTL_MS);
-        let max_ms = (left_ms / MAX_RETRY_DIVISOR).max(1);
-        let known_ms = id.and_then(|id| self.returns.get(id)).copied();
-        if let Some(due_ms) = known_ms.filter(|due_ms| now_ms < *due_ms) {
-            return (due_ms - now_ms).min(max_ms);
-        }
-        let spacing_ms = estimate.return_spacing_ms().min(max_ms as f64) as u64;
-        let relief_ms = (estimate.lag_ms + estimate.relief_in_ms()).min(max_ms as f64) as u64;
-        let earliest_ms = now_ms + (relief_ms + random.below(spacing_ms + 1)).min(max_ms);
-        let due_ms = earliest_ms.max(self.last_return_ms + spacing_ms);
-        // A caller may come one return too early, since few returns fit into the time.
-        if due_ms > now_ms + max_ms + spacing_ms {
-            // The capacity until then is promised already; there may be more than expected.
-            return max_ms - random.below(max_ms / 2 + 1);
-        }
-        self.last_return_ms = due_ms;
-        let due_ms = due_ms.min(now_ms + max_ms);
-        if let Some(id) = id.filter(|_| self.returns.len() < MAX_RETURNS) {
-            self.returns.insert(Arc::clone(id), due_ms);
-        }
-        (due_ms - now_ms).max(1)
-    }
-
-    /// Adds a call to those that wait.
-    pub fn enqueue(&mut self, ticket: Ticket) {
-        self.waiting.insert(ticket);
-    }
-
-    /// Removes a call that no longer waits.
-    pub fn dequeue(&mut self, ticket: Ticket) {
-        self.waiting.remove(&ticket);
-    }
-}
