The count of an instance that runs is not aged

Cause: with entries in place of sums the requests of all others left the window evenly between two reports, also of instances that go on to receive requests. The demand on quick services and the retry budget were up to 3.5 in 100 too low.

--- a/src/gateway/loads/peer_loads.rs
+++ b/src/gateway/loads/peer_loads.rs
@@ -410,21 +410,28 @@
     /// The requests that the other instances sent to each service within the window. Instances that
     /// have ended since are included, because the upstreams received their requests.
     pub fn sent(&self, now_ms: u64) -> BTreeMap<Arc<str>, SentRequests> {
-        let mut totals = self.sent.totals(now_ms);
-        for remote in self.remote_domains.values() {
-            let left = remote.sent.aged(now_ms, self.window_ms);
-            left.values().for_each(|sent| add_sent(&mut totals, sent));
-        }
+        let mut totals = self.sent_by_peers(now_ms);
+        let is_recent = |sent: &&RemoteSent| sent.received_ms + self.window_ms > now_ms;
+        let remote = self.remote_domains.values().map(|remote| &remote.sent).filter(is_recent);
+        let remote = remote.flat_map(|sent| sent.by_service.values());
+        remote.for_each(|sent| add_sent(&mut totals, sent));
         totals
     }
 
+    /// The requests that the other instances of this failure domain sent within the window.
+    fn sent_by_peers(&self, now_ms: u64) -> BTreeMap<Arc<str>, SentRequests> {
+        self.sent.totals(now_ms, |id, incarnation| {
+            self.peers.get(id).is_some_and(|peer| peer.incarnation == incarnation)
+        })
+    }
+
     /// What the other instances of this failure domain sent, for another instance.
     pub fn sent_by_others(&self, now_ms: u64) -> LedgerReport {
         self.sent.report(now_ms)
     }
 
     fn sent_in_domain(&self, own: &LocalTraffic, now_ms: u64) -> Vec<SentRequests> {
-        let mut totals = self.sent.totals(now_ms);
+        let mut totals = self.sent_by_peers(now_ms);
         own.sent.iter().for_each(|sent| add_sent(&mut totals, sent));
         totals.into_values().collect()
     }
--- a/src/gateway/loads/sent_ledger.rs
+++ b/src/gateway/loads/sent_ledger.rs
@@ -102,11 +102,16 @@
         LedgerReport { entries: entries.collect(), is_complete: self.is_complete(now_ms) }
     }
 
-    /// The sums over all entries, by service.
-    pub fn totals(&self, now_ms: u64) -> BTreeMap<Arc<str>, SentRequests> {
+    /// The sums over all entries, by service. An instance that runs goes on to receive requests, so that
+    /// its last count holds; that of one that has ended leaves the window.
+    pub fn totals(
+        &self,
+        now_ms: u64,
+        is_running: impl Fn(&str, u64) -> bool,
+    ) -> BTreeMap<Arc<str>, SentRequests> {
         let mut totals = BTreeMap::new();
-        for (_, reported) in self.recent(now_ms) {
-            let age_ms = now_ms - reported.at_ms;
+        for ((id, incarnation), reported) in self.recent(now_ms) {
+            let age_ms = if is_running(id, *incarnation) { 0 } else { now_ms - reported.at_ms };
             for sent in &reported.sent {
                 add_sent(&mut totals, &aged(sent, age_ms, self.window_ms));
             }
