--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -180,9 +180,12 @@
             if !self.has_seeds() {
                 return true;
             }
-            // An instance that knows a peer soon receives the list from peers, and knows too few members yet
-            // to compute its rank.
+            // An instance that knows a peer soon receives the list from peers, and can't judge its rank before
+            // it knows the others.
             let is_alone = Control::is_alone(&state);
+            if !Control::knows_members(&state) {
+                return false;
+            }
             let since_ms = if is_alone { MIN_SEED_PHASE_MS } else { PEER_LIST_TIMEOUT_MS };
             return now_ms >= since_ms
                 && watchers::may_call_directory(before_me, now_ms - since_ms);
