An instance without requests reports none

Cause: the window of a service was moved on only by a request or a repeat of that service. An instance that is stopping receives none, and reported the requests of its last busy window, as new, until its end.

Change: reports count up to the present.

--- a/src/gateway/policy/budget.rs
+++ b/src/gateway/policy/budget.rs
@@ -90,8 +90,16 @@
         (requests, repeats)
     }
 
+    /// Returns the same at a time, also if nothing was counted since the window before it.
+    pub fn counts_at(&self, window_ms: u64, now_ms: u64) -> (u64, u64) {
+        let now = step_index(window_ms, now_ms);
+        let requests = self.steps.iter().filter(|step| step.index + STEPS_PER_WINDOW > now);
+        let repeats = self.steps.iter().filter(|step| step.index + STEPS_PER_WINDOW >= now);
+        (requests.map(|step| step.requests).sum(), repeats.map(|step| step.repeats).sum())
+    }
+
     fn current_step(&mut self, bound: Bound, now_ms: u64) -> &mut Step {
-        let index = now_ms / (bound.window_ms / STEPS_PER_WINDOW).max(1);
+        let index = step_index(bound.window_ms, now_ms);
         while self.steps.front().is_some_and(|step| step.index + STEPS_PER_WINDOW < index) {
             self.steps.pop_front();
         }
@@ -101,3 +109,7 @@
         self.steps.back_mut().expect("a step was just pushed")
     }
 }
+
+fn step_index(window_ms: u64, now_ms: u64) -> u64 {
+    now_ms / (window_ms / STEPS_PER_WINDOW).max(1)
+}
--- a/src/gateway/traffic/peer_updates.rs
+++ b/src/gateway/traffic/peer_updates.rs
@@ -29,6 +29,7 @@
     /// Refreshes what the next update to peers contains: load, lost upstreams, cache locations and
     /// retry counts.
     pub(super) fn refresh_peer_update(&self) {
+        let now_ms = self.now_ms();
         let mut own = LocalTraffic::default();
         let locations = self.cache_locations.borrow();
         let entries = locations
@@ -37,7 +38,7 @@
         own.cache_locations =
             entries.map(|(prefix, engine)| (prefix, Arc::clone(&engine.upstream))).collect();
         for (service, budget) in self.retry_budgets.borrow().iter() {
-            let (requests, repeats) = budget.counts();
+            let (requests, repeats) = budget.counts_at(self.settings.repeat_window_ms, now_ms);
             own.sent.push(SentRequests { service: Arc::clone(service), requests, repeats });
         }
         // What this instance lost says nothing about an upstream while its own links are in doubt.
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -195,6 +195,26 @@
     assert_eq!(budget.counts(), (1, 0), "repeats outside the window don't count");
 }
 
+/// Guards against an instance that receives no more requests and reports those of its last busy window for
+/// ever, by which the others allow too many repeats.
+#[test]
+fn what_an_idle_instance_counted_leaves_the_window() {
+    let bound = Bound {
+        ratio: 0.8,
+        slack: 150.0,
+        window_ms: 10_000,
+        instances: 1,
+        others_requests: 0,
+        others_repeats: 0,
+    };
+    let mut budget = Budget::default();
+    (0..5).for_each(|second| budget.count_request(bound, second * 1_000));
+    assert!(budget.try_repeat(bound, 4_000));
+    let counts =
+        [4_500, 10_500, 12_500, 14_900, 16_000].map(|now_ms| budget.counts_at(10_000, now_ms));
+    assert_eq!(counts, [(5, 1), (4, 1), (2, 1), (0, 1), (0, 0)]);
+}
+
 #[test]
 fn repeats_stay_within_the_budget_of_all_instances() {
     let mut bound = Bound {
