The software version of an upstream is read and logged

Cause: nothing read the version of an entry, so no log could tell whether a stream went on at another version because its next engine was chosen without regard to it, because a caller took it up at an instance that knew nothing of it, or because an entry was attributed wrongly.

Change: Upstream carries the version (none, named, unknown if it can't be read); two named versions under one id are two processes. It stands on the lines 'sent', 'engine lost', 'complete' and 'upstream listed'. The fakes list engines with a version and send Resumes. No decision uses it yet.

--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -405,7 +405,8 @@
         match change {
             Change::Put(upstream) => slog::debug!(self.log, "upstream listed";
                 "upstream" => &*upstream.id, "service" => &*upstream.service,
-                "address" => %upstream.addr, "leaving" => upstream.is_leaving),
+                "address" => %upstream.addr, "version" => %upstream.version,
+                "leaving" => upstream.is_leaving),
             Change::Gone(id) | Change::Foreign(id) => {
                 slog::debug!(self.log, "upstream gone"; "upstream" => &**id);
             }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::policy::eras::{self, Known, Reconciled};
+use super::software_version::SoftwareVersion;
 
 /// How long an entry that lapsed in an outage of the directory may take to come back: upstreams
 /// register again within two seconds, and the bound for work at a leaving upstream is as long, so
@@ -46,13 +47,21 @@
     /// Whether it may be reclaimed at any time by whoever runs it.
     #[serde(default)]
     pub is_spot: bool,
+    /// The version of its software.
+    #[serde(default)]
+    pub version: SoftwareVersion,
 }
 
 impl Upstream {
     /// Whether both name the same incarnation at the same place.
     pub fn is_same_life(&self, other: &Upstream) -> bool {
         let is_reborn = matches!((self.born_ms, other.born_ms), (Some(a), Some(b)) if a != b);
-        self.id == other.id && self.addr == other.addr && !is_reborn
+        // A process runs one version, which may be learnt later than its entry.
+        let is_changed = matches!(
+            (&self.version, &other.version),
+            (SoftwareVersion::Named(a), SoftwareVersion::Named(b)) if a != b
+        );
+        self.id == other.id && self.addr == other.addr && !is_reborn && !is_changed
     }
 }
 
--- a/src/gateway/native/document.rs
+++ b/src/gateway/native/document.rs
@@ -10,6 +10,7 @@
 use crate::error::{Kind, Result};
 use crate::gateway::fleet::Upstream;
 use crate::gateway::route::{Config, Engine, Limits, Organisation, Repeat, Route, Service, Target};
+use crate::gateway::software_version::SoftwareVersion;
 
 /// The path that tells whether an upstream is well, where the file names none: the usual one.
 const HEALTH_PATH: &str = "/healthz";
@@ -129,6 +130,8 @@
     domain: Arc<str>,
     #[serde(default)]
     leaving: bool,
+    /// The version of its software, if the operator tells versions apart.
+    version: Option<Arc<str>>,
 }
 
 #[derive(Deserialize)]
@@ -268,6 +271,7 @@
         listed_at: 0,
         stated_at: 0,
         is_spot: false,
+        version: entry.version.map_or(SoftwareVersion::Unversioned, SoftwareVersion::Named),
     });
     Document { config: Arc::new(config), upstreams: upstreams.collect() }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -313,7 +313,8 @@
             }
             Outcome::Lost { why, cause } => {
                 slog::warn!(self.traffic.log, "engine lost"; "request" => self.job.id(),
-                    "upstream" => &**id, "domain" => &*worker.upstream.domain, "why" => why,
+                    "upstream" => &**id, "domain" => &*worker.upstream.domain,
+                    "version" => %worker.version(), "why" => why,
                     "last_event" => self.last_event, "quiet_ms" => now_ms - self.last_event_ms,
                     "answering_ms" =>
                         self.progress.response_started_ms.map(|since_ms| now_ms - since_ms),
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -112,6 +112,7 @@
         let placement = traffic.placement_state(worker);
         slog::info!(traffic.log, "sent"; "request" => self.job.id(),
             "upstream" => &*worker.upstream.id, "domain" => &*worker.upstream.domain,
+            "version" => %worker.version(),
             "copy" => copy.as_ref().map(|copy| copy.upstream.id.to_string()),
             "from_copy" => from.is_some(), "after" => self.last_event,
             "runs" => placement.load.runs, "copies" => placement.load.copies,
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -295,6 +295,7 @@
         self.job.record_time(&self.traffic.metrics, Time::Gap, self.longest_gap_ms);
         slog::info!(self.traffic.log, "complete"; "request" => self.job.id(),
             "route" => &*self.job.route.name, "upstream" => &*worker.upstream.id,
+            "version" => %worker.version(),
             "first_ms" => self.first_event_ms, "gap_ms" => self.longest_gap_ms, "ms" => whole_ms,
             "sent" => self.attempts);
         self.body_tx = None;
--- a/src/gateway/traffic/peers.rs
+++ b/src/gateway/traffic/peers.rs
@@ -10,6 +10,7 @@
 use super::super::channel::Fault;
 use super::super::fleet::Upstream;
 use super::super::policy::relay::{self, Candidate};
+use super::super::software_version::SoftwareVersion;
 use super::super::view::{Front, View};
 use super::super::worker::{Lease, Worker};
 use super::Traffic;
@@ -53,6 +54,7 @@
         listed_at: 0,
         stated_at: 0,
         is_spot: false,
+        version: SoftwareVersion::Unversioned,
     };
     Worker::new(upstream, now_ms)
 }
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -13,6 +13,7 @@
 use super::loads::Aged;
 use super::policy::speed::SpeedHistory;
 use super::rate::Rate;
+use super::software_version::SoftwareVersion;
 use crate::clock::Clock;
 
 /// How long an upstream that broke off is kept out of placement, unless it answers: a check takes
@@ -41,6 +42,8 @@
 pub struct Worker {
     /// What the list says of it.
     pub upstream: Upstream,
+    /// The version of its software, which may be learnt later than its entry.
+    version: RefCell<SoftwareVersion>,
     /// Requests of ours that run or wait there.
     pub runs: Cell<u32>,
     /// Copies of our runs that lie there.
@@ -179,6 +182,7 @@
             open: Cell::new(0),
             idle: RefCell::default(),
             listed_ms: now_ms,
+            version: RefCell::new(upstream.version.clone()),
             leaving: Cell::new(upstream.is_leaving),
             replaced: Cell::new(false),
             suspect_until_ms: Cell::new(0),
@@ -333,6 +337,14 @@
     /// Takes in what the list says now of the same life.
     pub fn relist(&self, upstream: &Upstream) {
         self.leaving.set(upstream.is_leaving);
+        if let SoftwareVersion::Named(_) = upstream.version {
+            self.version.replace(upstream.version.clone());
+        }
+    }
+
+    /// The version of its software, as far as it is known by now.
+    pub fn version(&self) -> SoftwareVersion {
+        self.version.borrow().clone()
     }
 
     /// Notes that it broke off a connection.
--- a/tests/fakes/src/caller.rs
+++ b/tests/fakes/src/caller.rs
@@ -26,6 +26,8 @@
     pub deadline_ms: u64,
     /// The last event that the caller has.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event of the stream that it takes up.
+    pub resumes: Option<String>,
     /// The request's own part of its prompt, where it is a stream.
     pub part: Option<String>,
     /// Its body.
@@ -45,6 +47,9 @@
         if let Some(last) = self.last_event {
             head += &format!("Last-Event-Id: {last}\r\n");
         }
+        if let Some(first) = &self.resumes {
+            head += &format!("Resumes: {first}\r\n");
+        }
         if let Some(part) = &self.part {
             head += &format!("X-Token-Usage: 100,40\r\nX-Prompt-Prefix: aa:20,{part}:80\r\n");
         }
--- a/tests/fakes/src/process.rs
+++ b/tests/fakes/src/process.rs
@@ -158,6 +158,7 @@
         key: None,
         deadline_ms: 1_000,
         last_event: None,
+        resumes: None,
         part: None,
         body: Vec::new(),
     }
--- a/tests/fakes/src/site.rs
+++ b/tests/fakes/src/site.rs
@@ -73,6 +73,14 @@
         self.store.put(&format!("servers/{}", engine.id), &entry);
     }
 
+    /// Writes an engine's entry with a version of its software.
+    pub fn list_engine_at(&self, index: usize, state: &str, version: &str) {
+        let engine = &self.engines[index];
+        let mut entry = server_entry("plan-llm", self.engine_zone(index), state, engine.addr);
+        entry["version"] = json!(version);
+        self.store.put(&format!("servers/{}", engine.current_id()), &entry);
+    }
+
     /// Writes a service's entry.
     pub fn list_service(&self, index: usize, state: &str) {
         let service = &self.services[index];
--- a/tests/fakes/tests/engine.rs
+++ b/tests/fakes/tests/engine.rs
@@ -19,6 +19,7 @@
         key: None,
         deadline_ms: 5_000,
         last_event: None,
+        resumes: None,
         part: Some("bb".to_owned()),
         body: Vec::new(),
     }
--- a/tests/fakes/tests/service.rs
+++ b/tests/fakes/tests/service.rs
@@ -17,6 +17,7 @@
         key: None,
         deadline_ms: 1_000,
         last_event: None,
+        resumes: None,
         part: None,
         body: Vec::new(),
     };
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -13,6 +13,7 @@
 use siskinrock::gateway::policy::placement::{Candidate, Constraints, choose};
 use siskinrock::gateway::policy::rediscovered::Rediscovered;
 use siskinrock::gateway::policy::spread;
+use siskinrock::gateway::software_version::SoftwareVersion;
 use siskinrock::platform::document;
 use yare::parameterized;
 
@@ -27,6 +28,7 @@
         listed_at: 0,
         stated_at: 0,
         is_spot: false,
+        version: SoftwareVersion::Unversioned,
     }
 }
 
--- a/tests/gateway/departures.rs
+++ b/tests/gateway/departures.rs
@@ -4,6 +4,7 @@
 
 use siskinrock::gateway::fleet::{Departure, Upstream};
 use siskinrock::gateway::policy::departures::Departures;
+use siskinrock::gateway::software_version::SoftwareVersion;
 
 fn upstream(born_ms: Option<u64>) -> Upstream {
     Upstream {
@@ -16,6 +17,7 @@
         listed_at: 7,
         stated_at: 0,
         is_spot: false,
+        version: SoftwareVersion::Unversioned,
     }
 }
 
--- a/tests/gateway/eras.rs
+++ b/tests/gateway/eras.rs
@@ -5,6 +5,7 @@
 use siskinrock::gateway::fleet::{Change, Fleet, Upstream};
 use siskinrock::gateway::policy::eras::{self, position};
 use siskinrock::gateway::policy::lease::{AcquireAttempt, Action, DutyLease, Holder};
+use siskinrock::gateway::software_version::SoftwareVersion;
 use yare::parameterized;
 
 fn upstream(id: &str, era: u64, created: u64, is_leaving: bool) -> Upstream {
@@ -18,6 +19,7 @@
         listed_at: position(era, created),
         stated_at: 0,
         is_spot: false,
+        version: SoftwareVersion::Unversioned,
     }
 }
 
--- a/tests/gateway/outliers.rs
+++ b/tests/gateway/outliers.rs
@@ -16,6 +16,7 @@
     Cause, Outliers, Standing, Status, Transition, UpstreamEvidence,
 };
 use siskinrock::gateway::policy::placement::{Candidate, Constraints, choose};
+use siskinrock::gateway::software_version::SoftwareVersion;
 use siskinrock::gateway::worker::Worker;
 use siskinrock_fakes::service::Fault;
 use yare::parameterized;
@@ -123,6 +124,7 @@
         listed_at: 0,
         stated_at: 0,
         is_spot: false,
+        version: SoftwareVersion::Unversioned,
     };
     Worker::new(upstream, 0)
 }
--- a/tests/gateway/patience.rs
+++ b/tests/gateway/patience.rs
@@ -15,6 +15,7 @@
 use siskinrock::gateway::policy::silence::{
     self, LeaveReason, RunStatus, Silence, SilenceTimeouts, Verdict,
 };
+use siskinrock::gateway::software_version::SoftwareVersion;
 use siskinrock::platform::document;
 use yare::parameterized;
 
@@ -29,6 +30,7 @@
         listed_at,
         stated_at: 0,
         is_spot: false,
+        version: SoftwareVersion::Unversioned,
     }
 }
 
--- a/tests/gateway/subset.rs
+++ b/tests/gateway/subset.rs
@@ -5,6 +5,7 @@
 
 use siskinrock::gateway::fleet::{Change, Delta, Fleet, Upstream};
 use siskinrock::gateway::policy::subset::{self, InstanceSubset, Share};
+use siskinrock::gateway::software_version::SoftwareVersion;
 use yare::parameterized;
 
 fn upstream(number: usize) -> Upstream {
@@ -18,6 +19,7 @@
         listed_at: number as u64,
         stated_at: 0,
         is_spot: false,
+        version: SoftwareVersion::Unversioned,
     }
 }
 
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -111,6 +111,7 @@
         key: Some(site::KEY.to_owned()),
         deadline_ms: 5_000,
         last_event: None,
+        resumes: None,
         part: None,
         body: if method == "POST" { b"a body".to_vec() } else { Vec::new() },
     }
--- a/tests/gateway/suspicion.rs
+++ b/tests/gateway/suspicion.rs
@@ -11,6 +11,7 @@
 use siskinrock::gateway::fleet::Upstream;
 use siskinrock::gateway::policy::coincidence::JUDGEMENT_DELAY_MS;
 use siskinrock::gateway::policy::quarantine::{self, Judgement, Quarantine};
+use siskinrock::gateway::software_version::SoftwareVersion;
 use yare::parameterized;
 
 const DOMAINS: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
@@ -31,6 +32,7 @@
         listed_at: 0,
         stated_at: 0,
         is_spot: false,
+        version: SoftwareVersion::Unversioned,
     }
 }
 
--- a/tests/soak/src/callers.rs
+++ b/tests/soak/src/callers.rs
@@ -73,6 +73,7 @@
         key: Some(KEY.to_owned()),
         deadline_ms: deadline.as_millis() as u64,
         last_event: None,
+        resumes: None,
         part: None,
         body: if method == "POST" { b"a body".to_vec() } else { Vec::new() },
     }
