Failing test: a stream holds events of one software version

The test has real gateways before engines of two versions: the engine of a stream fails, then its instance is killed, and the caller takes the stream up at another one with Resumes.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -41,6 +41,7 @@
 mod stops;
 mod store;
 mod store_era;
+mod stream_versions;
 mod streams;
 mod subset;
 mod support;
