A run goes on only at the software version that began it

Cause: every way to another engine (next attempt, copy, engine with the prompt cached, place of the admission queue, hand-over) chose without regard to the version. Evidence: the line 'sent' of the failing test names v1 first and v1.1 after event 1, from a copy.

A run is bound with its first event; the choice, the queue's places, cached prompts and the attempt itself keep to it, and a copy is placed only at the version of the engine that the run is at. Where only other versions take work, the run waits up to 6 s, then ends truly or is refused with 503. An engine that is found while the directory is silent is of its service's version only if that has one. Metrics streams_waited_for_version, streams_ended_for_version.

Why it works: there is no choice left that does not ask the binding, and the attempt refuses what slips through.

Not in this commit: a caller that takes a stream up at another instance, which knows nothing of its version.

--- a/src/gateway/control/rediscovery.rs
+++ b/src/gateway/control/rediscovery.rs
@@ -13,6 +13,7 @@
 use super::super::channel::Channel;
 use super::super::fleet::Upstream;
 use super::super::membership::{Phase, Rumor};
+use super::super::policy::rediscovered;
 use super::super::policy::search::SearchList;
 use super::Control;
 
@@ -84,7 +85,8 @@
         slog::info!(self.log, "engine rediscovered"; "upstream" => &*id, "before" => &*lost.id,
             "address" => %lost.addr, "domain" => &*lost.domain);
         self.metrics.count("engines_found_again");
-        let rediscovered = Upstream { id, ..lost };
+        let version = rediscovered::software_version(&lost, &self.state.borrow().fleet.upstreams);
+        let rediscovered = Upstream { id, version, ..lost };
         self.add_rediscovered(rediscovered);
     }
 
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -12,6 +12,8 @@
 /// When to retry at another address: almost at once. The delay is for a caller that has no other
 /// address yet.
 const RETRY_ELSEWHERE_DELAY_MS: u64 = 20;
+/// When to retry a stream whose version has no upstream: about when one that crashed is back.
+const VERSION_RETRY_DELAY_MS: u64 = 2_000;
 /// When to retry at an instance that has no configuration yet; reading one takes a few calls.
 const STARTING_RETRY_DELAY_MS: u64 = 500;
 
@@ -56,6 +58,13 @@
         "no upstream of the service takes work now; send the request again after Retry-After"
     )]
     NoUpstream,
+    /// No upstream of the software version that began the stream takes work, and what another
+    /// version writes doesn't fit; this request has not run.
+    #[display(
+        "no upstream of the software version that began the stream takes work; the request has not \
+         run, send it again after Retry-After, or begin the stream anew"
+    )]
+    NoUpstreamOfVersion,
     /// This instance reaches no upstream, and no other instance could take the request.
     #[display("this instance reaches no upstream now; send the request to another address")]
     CutOff,
@@ -144,6 +153,7 @@
             Failure::Starting
             | Failure::Stopping
             | Failure::NoUpstream
+            | Failure::NoUpstreamOfVersion
             | Failure::CutOff
             | Failure::Throttled
             | Failure::Full
@@ -165,6 +175,7 @@
     pub fn retry_after_ms(&self) -> Option<u64> {
         match self {
             Failure::Starting => Some(STARTING_RETRY_DELAY_MS),
+            Failure::NoUpstreamOfVersion => Some(VERSION_RETRY_DELAY_MS),
             Failure::Stopping => Some(RETRY_ELSEWHERE_DELAY_MS),
             Failure::NoUpstream
             | Failure::CutOff
--- a/src/gateway/policy/placement.rs
+++ b/src/gateway/policy/placement.rs
@@ -8,6 +8,7 @@
 use super::engine::{Load, Need};
 use super::outliers::{Standing, Status};
 use super::spread;
+use super::stream_versions::Binding;
 use crate::decide::Random;
 
 /// Cost of an upstream outside the preferred failure domain, in units of one request's load:
@@ -62,6 +63,8 @@
     /// Whether the request can be sent to another upstream if it fails, so that it may probe an
     /// ejected one.
     pub can_repeat: bool,
+    /// The software version that a run may go on at.
+    pub binding: Binding,
 }
 
 /// Returns the upstreams at whose address another one was listed later, so that they no longer
--- a/src/gateway/policy/rediscovered.rs
+++ b/src/gateway/policy/rediscovered.rs
@@ -9,12 +9,24 @@
 use std::sync::Arc;
 
 use super::super::fleet::Upstream;
+use super::super::software_version::SoftwareVersion;
 
 /// How long rediscovered engines are kept after the directory answers again. Upstreams whose
 /// entries lapsed during the outage are listed again within two seconds; any that is still missing
 /// then counts as gone.
 const RETENTION_MS: u64 = 1_900;
 
+/// The software version of an engine that was found at the address of a lost one: that of its
+/// service, if all listed upstreams of it run one. The engine itself doesn't state it.
+pub fn software_version(lost: &Upstream, listed: &BTreeMap<Arc<str>, Upstream>) -> SoftwareVersion {
+    let mut of_service = listed.values().filter(|known| known.service == lost.service);
+    if of_service.all(|known| known.version == lost.version) {
+        lost.version.clone()
+    } else {
+        SoftwareVersion::Unknown
+    }
+}
+
 /// Rediscovered upstreams that the directory does not list yet.
 #[derive(Debug, Default)]
 pub struct Rediscovered {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,6 +10,7 @@
 mod outcome;
 mod queueing;
 mod relay;
+mod version;
 mod via_peer;
 
 use std::net::SocketAddr;
@@ -30,6 +31,7 @@
 use super::policy::engine::Need;
 use super::policy::placement::Constraints;
 use super::policy::silence::SilenceTimeouts;
+use super::policy::stream_versions::Binding;
 use super::route::Repeat;
 use super::traffic::{Reservation, ServedGuard, Traffic};
 use super::worker::Worker;
@@ -92,6 +94,12 @@
     body_tx: Option<mpsc::Sender<BodyChunk>>,
     /// The id of the last event that the caller has.
     last_event: Option<u64>,
+    /// The software version that the run may go on at.
+    binding: Binding,
+    /// The engine that made the first event, if it was made here.
+    bound_at: Option<Rc<Worker>>,
+    /// Since when the run waits for an engine of its version.
+    version_awaited_ms: Option<u64>,
     /// When the latest event arrived; before the first one, when this run was created.
     last_event_ms: u64,
     /// How long after the request the first event arrived.
@@ -146,6 +154,9 @@
             last_event_ms: traffic.now_ms(),
             traffic: Rc::clone(traffic),
             job,
+            binding: Binding::Unbound,
+            bound_at: None,
+            version_awaited_ms: None,
             response_tx: Some(response_tx),
             body_tx: None,
             first_event_ms: None,
@@ -188,6 +199,7 @@
                 }
                 continue;
             }
+            self.refresh_binding();
             let chosen = match self.engine_with_memory() {
                 Some(chosen) => Some(chosen),
                 None if self.must_queue() => match self.wait_for_place().await {
@@ -204,6 +216,13 @@
                 if self.wait_for_more_upstreams().await {
                     continue;
                 }
+                if self.lacks_its_version() {
+                    if !self.wait_for_version().await {
+                        return;
+                    }
+                    self.excluded.clear();
+                    continue;
+                }
                 if self.delivered == 0 {
                     return self.give_up(Failure::NoUpstream);
                 }
@@ -373,6 +392,7 @@
         self.poll_pending_copy(self.traffic.now_ms());
         if let Some(copy) = self.copy.take()
             && self.is_copy_usable(&copy.worker)
+            && self.allows(&copy.worker)
         {
             if let Some(release) = copy.release {
                 release.cancel();
@@ -383,6 +403,7 @@
             self.own_prefix().and_then(|prefix| self.traffic.cache_location(prefix))
             && !self.excluded.contains(&worker.upstream.id)
             && self.is_eligible(&worker)
+            && self.allows(&worker)
         {
             return Some((worker, None));
         }
@@ -406,6 +427,7 @@
             apart_from: None,
             preferred_domain: Some(Arc::clone(&self.traffic.settings.domain)),
             can_repeat: self.can_retry_elsewhere(self.attempts + 1),
+            binding: self.binding.clone(),
         };
         let prompt = &self.job.demand.prompt_parts;
         self.traffic.choose_for_prompt(&self.job.service, &constraints, prompt)
@@ -443,6 +465,7 @@
             Failure::Full
             | Failure::Overloaded { .. }
             | Failure::NoUpstream
+            | Failure::NoUpstreamOfVersion
             | Failure::CutOff
             | Failure::TooManyRepeats
                 if self.may_have_run =>
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -92,6 +92,12 @@
                 why: NotRunReason::NotSent("the upstream is leaving".to_owned()),
             });
         }
+        if !self.allows(worker) {
+            worker.give_back(lease, None, traffic.now_ms());
+            return Err(Outcome::NotRun {
+                why: NotRunReason::NotSent("the upstream runs another version".to_owned()),
+            });
+        }
         let copy = self.choose_copy_engine(worker);
         let is_new_prompt = from.is_none() && self.last_event.is_none();
         let need = self.need();
@@ -293,6 +299,7 @@
             need,
             excluded,
             avoided_domains: self.avoided_domains(),
+            binding: self.binding.clone(),
             ..Constraints::default()
         };
         let Some(next) = self.traffic.choose(&self.job.service, &constraints) else { return false };
--- a/src/gateway/stream/copy.rs
+++ b/src/gateway/stream/copy.rs
@@ -11,6 +11,7 @@
 use super::super::ablation::Mechanism;
 use super::super::dialect::Copy;
 use super::super::policy::placement::Constraints;
+use super::super::policy::stream_versions::Binding;
 use super::super::route::{Engine, Repeat};
 use super::super::traffic::Traffic;
 use super::super::worker::{Count, What, Worker};
@@ -144,8 +145,10 @@
         excluded.push(Arc::clone(&worker.upstream.id));
         let need = self.need();
         let domain = &worker.upstream.domain;
+        // What the engine has in memory is of use to its own version alone.
+        let binding = Binding::Bound(worker.version());
         if self.traffic.has_admission_queue(&self.job.service) {
-            return self.traffic.choose_copy_place(&self.job, domain, &excluded);
+            return self.traffic.choose_copy_place(&self.job, domain, &excluded, &binding);
         }
         let constraints = Constraints {
             need,
@@ -154,6 +157,7 @@
             apart_from: Some(Arc::clone(&worker.upstream.domain)),
             preferred_domain: None,
             can_repeat: false,
+            binding,
         };
         let chosen = self.traffic.choose(&self.job.service, &constraints)?;
         let has_room = || self.traffic.placement_state(&chosen).load.has_room(need);
--- a/src/gateway/stream/queueing.rs
+++ b/src/gateway/stream/queueing.rs
@@ -21,7 +21,7 @@
         let service = &self.job.service;
         self.job.demand.prompt_tokens > 0
             && self.traffic.has_admission_queue(service)
-            && self.traffic.has_usable_engine(service, &self.excluded)
+            && self.traffic.has_usable_engine(service, &self.excluded, &self.binding)
     }
 
     /// Waits until an engine has room for the run, and reserves it. Returns none if the run has
@@ -30,7 +30,8 @@
         self.served = None;
         self.reservation = None;
         let is_resumed = self.body_tx.is_some() || self.last_event.is_some() || self.may_have_run;
-        let queued = self.traffic.queue_request(&self.job, &self.excluded, is_resumed);
+        let queued =
+            self.traffic.queue_request(&self.job, &self.excluded, &self.binding, is_resumed);
         let mut queued = match queued {
             Ok(queued) => queued,
             Err(_) if is_resumed => return Some(QueueEnd::Bypassed),
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -141,6 +141,10 @@
             }
             traffic.note_events(worker, &mut pace, events.len());
             self.maintain_copy(worker);
+            if !events.is_empty() {
+                self.bind_to(worker);
+                self.version_awaited_ms = None;
+            }
             for event in events.drain(..) {
                 if self.is_caller_behind() {
                     pace.disturb();
--- /dev/null
+++ b/src/gateway/stream/version.rs
@@ -0,0 +1,55 @@
+//! Keeps a run at the software version that began it.
+
+use std::rc::Rc;
+
+use super::super::failure::Failure;
+use super::super::worker::Worker;
+use super::Run;
+
+/// How long a run waits for an engine of its version while only others take work: an engine that
+/// crashed is back after some seconds.
+const MAX_VERSION_WAIT_MS: u64 = 6_000;
+
+impl Run {
+    /// Binds the run to an engine's version, since an event of the engine goes to the caller.
+    pub(super) fn bind_to(&mut self, worker: &Rc<Worker>) {
+        if self.binding.bind(&worker.version()) {
+            self.bound_at = Some(Rc::clone(worker));
+        }
+    }
+
+    /// Whether the run may go on at an engine.
+    pub(super) fn allows(&self, worker: &Worker) -> bool {
+        self.binding.allows(&worker.version())
+    }
+
+    /// Takes in what has become known of the version of the engine that the run began at.
+    pub(super) fn refresh_binding(&mut self) {
+        if let Some(worker) = self.bound_at.clone() {
+            self.bind_to(&worker);
+        }
+    }
+
+    /// Whether an engine takes work, but only of another version than the run's.
+    pub(super) fn lacks_its_version(&self) -> bool {
+        self.traffic.excludes_engines(&self.job.service, &self.binding)
+    }
+
+    /// Waits for an engine of the run's version. Returns false if the run has ended.
+    pub(super) async fn wait_for_version(&mut self) -> bool {
+        let now_ms = self.traffic.now_ms();
+        if self.version_awaited_ms.is_none() {
+            slog::info!(self.traffic.log, "no engine of the stream's version";
+                "request" => self.job.id(), "version" => ?self.binding.version(),
+                "after" => self.last_event);
+            self.traffic.metrics.count("streams_waited_for_version");
+        }
+        let since_ms = *self.version_awaited_ms.get_or_insert(now_ms);
+        if now_ms >= since_ms + MAX_VERSION_WAIT_MS {
+            self.traffic.metrics.count("streams_ended_for_version");
+            self.give_up(Failure::NoUpstreamOfVersion);
+            return false;
+        }
+        self.wait_to_retry().await
+    }
+}
--- a/src/gateway/traffic/admission.rs
+++ b/src/gateway/traffic/admission.rs
@@ -22,6 +22,7 @@
 use super::super::policy::admission::refusal::{self, Capacity, Decision, Due, RunDuration};
 use super::super::policy::engine::Need;
 use super::super::policy::room::{self, EngineRoom, PlaceSize};
+use super::super::policy::stream_versions::Binding;
 use super::super::view::View;
 use super::super::worker::{Count, What, Worker};
 use super::Traffic;
@@ -74,6 +75,8 @@
     until_ms: u64,
     /// Engines that must not run it.
     pub(super) excluded: Vec<Arc<str>>,
+    /// The software version that it may go on at.
+    pub(super) binding: Binding,
 }
 
 /// What became of a waiting request.
@@ -163,6 +166,7 @@
         self: &Rc<Traffic>,
         job: &Job,
         excluded: &[Arc<str>],
+        binding: &Binding,
         is_resumed: bool,
     ) -> Result<QueuedRequest, u64> {
         self.check_open(job, excluded, is_resumed)?;
@@ -181,7 +185,13 @@
         };
         let (verdict_tx, verdict) = oneshot::channel();
         let excluded = excluded.to_vec();
-        let waiter = Waiter { verdict: verdict_tx, need, until_ms: job.until_ms, excluded };
+        let waiter = Waiter {
+            verdict: verdict_tx,
+            need,
+            until_ms: job.until_ms,
+            excluded,
+            binding: binding.clone(),
+        };
         let service = Arc::clone(&job.service);
         let view = self.view();
         let in_service = self.in_service(&view, &service);
@@ -316,10 +326,13 @@
         }
         for admitted in admitted {
             let Entry { request, item, .. } = admitted.entry;
-            let is_usable = |id: &&Arc<str>| !item.excluded.contains(*id);
-            let usable = std::iter::once(&admitted.place).chain(&spare).find(is_usable).cloned();
-            let named = |id: Arc<str>| workers.iter().find(|worker| worker.upstream.id == id);
-            let Some(worker) = usable.and_then(named) else {
+            let named = |id: &Arc<str>| workers.iter().find(|worker| worker.upstream.id == *id);
+            let is_usable = |worker: &&Rc<Worker>| {
+                !item.excluded.contains(&worker.upstream.id)
+                    && item.binding.allows(&worker.version())
+            };
+            let mut offered = std::iter::once(&admitted.place).chain(&spare).filter_map(named);
+            let Some(worker) = offered.find(is_usable) else {
                 // Its owner may have left.
                 let _ = item.verdict.send(Verdict::Bypassed);
                 continue;
@@ -378,6 +391,7 @@
         job: &Job,
         apart_from: &str,
         excluded: &[Arc<str>],
+        binding: &Binding,
     ) -> Option<Rc<Worker>> {
         let service = &*job.service;
         let need = self.need(job);
@@ -392,12 +406,15 @@
         // The most urgent runs are few, and get their copies before the others.
         let competing =
             if is_most_urgent { 1 } else { self.missing_copies(service, &view, &engines) };
+        let unfit = workers.iter().filter(|worker| !binding.allows(&worker.version()));
+        let unfit = unfit.map(|worker| Arc::clone(&worker.upstream.id));
+        let excluded: Vec<Arc<str>> = excluded.iter().cloned().chain(unfit).collect();
         let index = room::copy_engine(
             &engines,
             size,
             competing,
             apart_from,
-            excluded,
+            &excluded,
             &mut fastrand::Rng::new(),
         )?;
         Some(Rc::clone(&workers[index]))
@@ -421,10 +438,17 @@
 
     /// Whether a service has an engine that can be used and isn't excluded, so that waiting for room
     /// is of use.
-    pub fn has_usable_engine(&self, service: &str, excluded: &[Arc<str>]) -> bool {
+    pub fn has_usable_engine(
+        &self,
+        service: &str,
+        excluded: &[Arc<str>],
+        binding: &Binding,
+    ) -> bool {
         let view = self.view();
-        let (_, engines) = self.engine_rooms(service, &view, self.now_ms());
-        engines.iter().any(|engine| !excluded.contains(&engine.id))
+        let (workers, _) = self.engine_rooms(service, &view, self.now_ms());
+        workers.iter().any(|worker| {
+            !excluded.contains(&worker.upstream.id) && binding.allows(&worker.version())
+        })
     }
 
     /// The free places for the requests that wait here; none if no request does.
--- a/src/gateway/traffic/choice.rs
+++ b/src/gateway/traffic/choice.rs
@@ -8,6 +8,7 @@
 use super::super::policy::admission::EngineActivity;
 use super::super::policy::engine;
 use super::super::policy::placement::{self, Candidate, Constraints};
+use super::super::policy::stream_versions::Binding;
 use super::super::view::{Signal, View};
 use super::super::worker::Worker;
 use super::Traffic;
@@ -33,6 +34,7 @@
             .values()
             .filter(|worker| *worker.upstream.service == *service && worker.takes_work())
             .filter(|worker| !worker.is_throttled(now_ms))
+            .filter(|worker| constraints.binding.allows(&worker.version()))
             .collect();
         self.merge_peer_losses(&view, &workers, now_ms);
         self.evaluate_outliers(service, &view, now_ms);
@@ -60,6 +62,14 @@
         Some(Rc::clone(eligible[index]))
     }
 
+    /// Whether a service has engines that accept work and that a run may not go on at.
+    pub fn excludes_engines(&self, service: &str, binding: &Binding) -> bool {
+        self.view();
+        let workers = self.workers.borrow();
+        let mut of_service = workers.values().filter(|worker| *worker.upstream.service == *service);
+        of_service.any(|worker| worker.takes_work() && !binding.allows(&worker.version()))
+    }
+
     /// How many engines of a service accept work, and how many of them are processing prompts, as
     /// far as known.
     pub fn service_load(&self, service: &str) -> EngineActivity {
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -7,6 +7,7 @@
 use siskinrock_fakes::engine::{EVENTS, Fault};
 use siskinrock_fakes::process::wait_for;
 use siskinrock_fakes::site::Site;
+use yare::parameterized;
 
 use crate::support::{self, Running, plan, whole_text};
 
@@ -88,3 +89,61 @@
         assert_eq!(running.versions_of(&[sent, again]).len(), 1, "one version made all {EVENTS}");
     }
 }
+
+/// The engine of a run fails while the copy, the cached prompt and the free engines are of another
+/// version as well as of its own.
+#[parameterized(
+    torn = { Fault::Torn },
+    dark = { Fault::Dark },
+    stuck = { Fault::Stuck },
+    cut = { Fault::Cut },
+    put_out = { Fault::PutsOut },
+)]
+#[test_macro(tokio::test)]
+async fn a_run_goes_on_at_the_version_that_began_it(fault: Fault) {
+    let running = start(2, 1).await;
+    let all: Vec<Call> = (0..6).map(|_| plan()).collect();
+    let reading: Vec<_> = all.iter().map(|sent| running.read_stream(sent)).collect();
+    for sent in &all {
+        running.engine_of(sent).await;
+    }
+    running.site.engines[0].fail(fault);
+    running.site.engines[1].fail(fault);
+    for (sent, stream) in all.iter().zip(reading) {
+        let stream = stream.await.unwrap().unwrap();
+        assert!(stream.is_complete);
+        assert_eq!(stream.text, whole_text(sent, 0));
+        assert_eq!(running.versions_of(std::slice::from_ref(sent)).len(), 1);
+    }
+}
+
+/// The last engine of a version is gone: its stream waits for one that comes back, and is not
+/// continued at another version meanwhile.
+#[tokio::test]
+async fn a_stream_waits_for_an_engine_of_its_version() {
+    let site = Site::start(2, 40).await;
+    for engine in &site.engines[1..] {
+        site.store.remove(&format!("servers/{}", engine.id));
+    }
+    let running = support::start_site(site, 1).await;
+    let sent = plan();
+    let reading = running.read_stream(&sent);
+    assert_eq!(running.engine_of(&sent).await, 0);
+    for index in [1, 3, 5] {
+        running.site.list_engine_at(index, "ready", "v1.1");
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    running.site.engines[0].fail(Fault::Torn);
+    wait_for("the stream waits", async || {
+        running.gateways[0].logged().contains("no engine of the stream's version")
+    })
+    .await;
+    running.site.engines[0].come_back("i-back");
+    running.site.list_engine_at(0, "ready", "v1");
+    let stream = reading.await.unwrap().unwrap();
+    assert!(stream.is_complete);
+    assert_eq!(stream.text, whole_text(&sent, 0));
+    assert_eq!(running.versions_of(&[sent]), ["v1"]);
+    let metrics = running.gateways[0].metrics().await;
+    assert!(metrics.contains("siskinrock_streams_waited_for_version 1"), "{metrics}");
+}
