Soak: engines of two versions with even seeds, and no stream of both

Callers name the attempt that brought the first event; the check sums the events that engines made by the stream's own part, over all tries.

--- a/tests/soak/src/callers.rs
+++ b/tests/soak/src/callers.rs
@@ -144,12 +144,14 @@
         tokio::time::sleep(PAUSE).await;
         let part = world.new_id();
         let mut after = 0;
+        let mut first: Option<String> = None;
         for _ in 0..2 {
             let gateway = random.usize(..world.fronts.len());
             let kind = Kind::Plan(part.clone(), after);
             let sent = Call {
                 part: Some(part.clone()),
                 last_event: (after > 0).then_some(after),
+                resumes: first.clone(),
                 ..new_call(&world, &kind)
             };
             let mut outcome = begin(&world, &sent, kind, gateway);
@@ -162,6 +164,9 @@
             outcome.is_complete = stream.is_complete;
             let came = outcome.text.matches("id: ").count() as u64;
             let is_complete = outcome.is_complete;
+            if came > 0 {
+                first.get_or_insert_with(|| sent.id.clone());
+            }
             world.note(outcome);
             after += came;
             if is_complete || came == 0 {
--- a/tests/soak/src/checks.rs
+++ b/tests/soak/src/checks.rs
@@ -52,6 +52,8 @@
     pub path: String,
     /// Who ran it.
     pub upstream: Target,
+    /// The software version that made events of it, if any were made.
+    pub version: Option<String>,
 }
 
 /// What a seed showed.
@@ -83,12 +85,13 @@
 pub fn check(outcomes: &[Outcome], runs: &[Run], history: &History, report: &mut Report) {
     let sent: BTreeSet<&str> = outcomes.iter().map(|outcome| &*outcome.id).collect();
     let mut ran_on: BTreeMap<&str, Vec<Target>> = BTreeMap::new();
-    for Run { id, path, upstream } in runs {
+    for Run { id, path, upstream, .. } in runs {
         ran_on.entry(id).or_default().push(*upstream);
         if !sent.contains(&**id) {
             report.broken.push(format!("{id:?} {path} ran on {upstream:?} and nobody sent it"));
         }
     }
+    check_versions(outcomes, runs, report);
     for outcome in outcomes {
         let ran_on = ran_on.get(&*outcome.id).map_or(&[][..], Vec::as_slice);
         report.sent += 1;
@@ -105,6 +108,26 @@
     }
 }
 
+/// Checks that each stream has events of one software version, over all tries of its caller.
+fn check_versions(outcomes: &[Outcome], runs: &[Run], report: &mut Report) {
+    let parts: BTreeMap<&str, &str> = outcomes
+        .iter()
+        .filter_map(|outcome| match &outcome.kind {
+            Kind::Plan(part, _) => Some((&*outcome.id, &**part)),
+            Kind::Book | Kind::Look => None,
+        })
+        .collect();
+    let mut versions: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for run in runs {
+        if let (Some(part), Some(version)) = (parts.get(&*run.id), &run.version) {
+            versions.entry(part).or_default().insert(version);
+        }
+    }
+    for (part, versions) in versions.iter().filter(|(_, versions)| versions.len() > 1) {
+        report.broken.push(format!("stream {part} has events of the versions {versions:?}"));
+    }
+}
+
 fn is_served(outcome: &Outcome) -> bool {
     outcome.status == 200 && outcome.is_complete
 }
--- a/tests/soak/src/world.rs
+++ b/tests/soak/src/world.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use siskinrock_fakes::http::Message;
 use siskinrock_fakes::links::Cut;
 use siskinrock_fakes::process::{GRACE, Process, wait_for};
 use siskinrock_fakes::proxy::{Harm, Proxy};
@@ -41,6 +42,8 @@
 const STORE_AWAY: Duration = Duration::from_millis(400);
 /// How long after its return what it lost is written again.
 const WRITTEN_AGAIN: Duration = Duration::from_millis(600);
+/// The software versions of engines; with odd seeds, all run the first.
+const VERSIONS: [&str; 2] = ["v1", "v1.1"];
 /// How often the memory in use is looked at.
 const MEMORY_LOOK: Duration = Duration::from_millis(500);
 
@@ -126,14 +129,23 @@
     }
 }
 
+/// The entry of an engine, which is reached through a link.
+fn engine_entry(site: &Site, index: usize, link: &Proxy, state: &str) -> Value {
+    let mut entry = site::server_entry("plan-llm", site.engine_zone(index), state, link.addr);
+    entry["version"] = json!(site.engines[index].version());
+    entry
+}
+
 async fn start(binary: &Path, seed: u64, folder: &Path, count: u8) -> World {
     let site = Site::start(2, 20).await;
     site.store.put("op/config", &config_for(usize::from(count), 3, &[]));
     let mut engine_links = Vec::new();
     for (index, engine) in site.engines.iter().enumerate() {
         let link = Proxy::start(engine.addr).await;
-        let entry = site::server_entry("plan-llm", site.engine_zone(index), "ready", link.addr);
-        site.store.put(&format!("servers/{}", engine.id), &entry);
+        let versions = if seed.is_multiple_of(2) { &VERSIONS[..] } else { &VERSIONS[..1] };
+        engine.set_version(versions[index % versions.len()]);
+        site.store
+            .put(&format!("servers/{}", engine.id), &engine_entry(&site, index, &link, "ready"));
         engine_links.push(link);
     }
     // Copies name the address that is listed, so fakes have to know each other by it.
@@ -363,8 +375,7 @@
 
     fn list(&self, index: usize, state: &str) {
         let engine = &self.site.engines[index];
-        let addr = self.engine_links[index].addr;
-        let entry = site::server_entry("plan-llm", self.site.engine_zone(index), state, addr);
+        let entry = engine_entry(&self.site, index, &self.engine_links[index], state);
         self.site.store.put(&format!("servers/{}", engine.current_id()), &entry);
     }
 
@@ -439,20 +450,26 @@
     /// What all upstreams ran.
     fn runs(&self) -> Vec<Run> {
         let engines = self.site.engines.iter().enumerate();
-        let engines = engines.map(|(index, engine)| (Target::Engine(index), engine.seen()));
-        let services = self.site.services.iter().enumerate();
-        let services = services.map(|(index, service)| (Target::Service(index), service.seen()));
-        let seen = engines.chain(services);
-        seen.flat_map(|(upstream, seen)| {
-            seen.into_iter().filter(|seen| seen.ran).map(move |seen| {
-                let id = seen.request.header("x-request-id").unwrap_or_default().to_owned();
-                Run { id, path: seen.request.path().to_owned(), upstream }
+        let of_engines = engines.flat_map(|(index, engine)| {
+            engine.seen().into_iter().filter(|seen| seen.ran).map(move |seen| {
+                let version = seen.has_events.then_some(seen.version);
+                new_run(&seen.request, Target::Engine(index), version)
             })
-        })
-        .collect()
+        });
+        let services = self.site.services.iter().enumerate();
+        let of_services = services.flat_map(|(index, service)| {
+            let ran = service.seen().into_iter().filter(|seen| seen.ran);
+            ran.map(move |seen| new_run(&seen.request, Target::Service(index), None))
+        });
+        of_engines.chain(of_services).collect()
     }
 }
 
+fn new_run(request: &Message, upstream: Target, version: Option<String>) -> Run {
+    let id = request.header("x-request-id").unwrap_or_default().to_owned();
+    Run { id, path: request.path().to_owned(), upstream, version }
+}
+
 fn judge(world: &World, broken: Vec<String>, folder: PathBuf) -> Report {
     let most_kb = world.most_kb.load(Ordering::SeqCst);
     let mut report = Report { broken, most_kb, folder, ..Report::default() };
