--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -46,4 +46,5 @@
 mod subset;
 mod support;
 mod suspicion;
+mod version_decisions;
 mod watchers;
