--- a/src/gateway/policy/stream_versions/lookup.rs
+++ b/src/gateway/policy/stream_versions/lookup.rs
@@ -12,8 +12,8 @@
 pub const MAX_LOOKUP_MS: u64 = 800;
 /// The interval between two rounds of questions.
 pub const LOOKUP_INTERVAL_MS: u64 = 100;
-/// Number of instances that are asked: the holders, and those that held the record before others came
-/// or went.
+/// Number of instances that are asked: those that hold the record, and as many that would be next; they
+/// held it before others came or went.
 pub const MAX_ASKED: usize = 2 * super::records::REPLICAS;
 
 /// Asks an instance for the version of a stream.
--- a/src/gateway/stream/version.rs
+++ b/src/gateway/stream/version.rs
@@ -52,6 +52,10 @@
             Some(version) => Some(version),
             None => self.traffic.version_of_stream(&self.job).await,
         };
+        slog::info!(self.traffic.log, "stream taken up"; "request" => self.job.id(),
+            "resumes" => self.job.demand.resumes.as_deref(), "after" => self.last_event,
+            "stream" => %self.job.stream_key(),
+            "version" => found.as_ref().map(ToString::to_string));
         let Some(version) = found else {
             self.traffic.metrics.count("streams_of_unknown_version");
             return false;
