Design and failing test: a part of prompts that crashes engines

Timeline and hypotheses, before any logic: requests with the part come from 14 s on, one to four a second, each crashes three workers within 0.1 s of its head, then it is refused. (1) The fingerprint covers the whole request, so each is new. (2) Crashes within 150 ms of each other count as one common cause and are dropped. (3) Each instance sums alone or learns too late.

The fakes: an engine that a part crashes, before the head, after it or inside the first event of an answer without length or chunks, and that comes back after 1.5 s under another id. Nine gateways, 24 engines, requests that are all different.

--- a/tests/fakes/src/caller.rs
+++ b/tests/fakes/src/caller.rs
@@ -28,6 +28,8 @@
     pub last_event: Option<u64>,
     /// The attempt that brought the first event of the stream that it takes up.
     pub resumes: Option<String>,
+    /// Parts of its prompt, behind the first one, that it shares with other requests.
+    pub shared_parts: Vec<String>,
     /// The request's own part of its prompt, where it is a stream.
     pub part: Option<String>,
     /// Its body.
@@ -51,7 +53,10 @@
             head += &format!("Resumes: {first}\r\n");
         }
         if let Some(part) = &self.part {
-            head += &format!("X-Token-Usage: 100,40\r\nX-Prompt-Prefix: aa:20,{part}:80\r\n");
+            let shared: String =
+                self.shared_parts.iter().map(|shared| format!("{shared}:10,")).collect();
+            head += "X-Token-Usage: 100,40\r\n";
+            head += &format!("X-Prompt-Prefix: aa:20,{shared}{part}:80\r\n");
         }
         head += &format!("Content-Length: {}\r\n\r\n", self.body.len());
         let mut bytes = head.into_bytes();
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -78,6 +78,21 @@
     incarnation: u64,
     /// A request with this body ends the process a moment after its run has begun.
     crashes_on: Option<Vec<u8>>,
+    /// Requests with these parts end the process as they begin to be answered.
+    bad_parts: Vec<(String, CrashPoint)>,
+    /// When requests ended the process.
+    crashes: Vec<Instant>,
+}
+
+/// How far an answer has come when a part of its prompt ends the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashPoint {
+    /// Its head was not sent.
+    BeforeHead,
+    /// Its head was sent.
+    AfterHead,
+    /// A piece of its first event was sent, without length or chunks.
+    InFirstEvent,
 }
 
 impl State {
@@ -161,6 +176,35 @@
         self.lock().crashes_on = Some(body.to_vec());
     }
 
+    /// Has requests with a part, other than the last, end its process as they begin to be answered.
+    pub fn crash_on_part(&self, part: &str, point: CrashPoint) {
+        self.lock().bad_parts.push((part.to_owned(), point));
+    }
+
+    /// When requests ended its process.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.lock().crashes.clone()
+    }
+
+    /// Starts again after a crash, at its address.
+    pub async fn restart(&self, id: &str) {
+        self.come_back(id);
+        self.listen(&self.addr.to_string()).await;
+    }
+
+    /// The point at which a request ends the process, if it does.
+    fn crash_point(&self, request: &Message) -> Option<CrashPoint> {
+        let parts = shared_parts_of(request);
+        let state = self.lock();
+        let bad = state.bad_parts.iter().find(|(part, _)| parts.contains(part));
+        bad.map(|(_, point)| *point)
+    }
+
+    fn crash(&self) {
+        self.lock().crashes.push(Instant::now());
+        self.process.crash();
+    }
+
     /// The same engine as it is known by another address.
     pub fn at(&self, addr: SocketAddr) -> EngineFake {
         EngineFake { addr, ..self.clone() }
@@ -201,6 +245,8 @@
             reborn: Some(id.to_owned()),
             incarnation: state.incarnation + 1,
             crashes_on: state.crashes_on.take(),
+            bad_parts: std::mem::take(&mut state.bad_parts),
+            crashes: std::mem::take(&mut state.crashes),
             ..State::default()
         };
         drop(state);
@@ -360,12 +406,21 @@
             Fault::Forgets => return Ok(()),
             _ => {}
         }
+        let crash_point = self.crash_point(request);
+        if crash_point == Some(CrashPoint::BeforeHead) {
+            self.crash();
+            return std::future::pending().await;
+        }
+        let framing = match crash_point {
+            Some(CrashPoint::InFirstEvent) => "Connection: close",
+            _ => "Transfer-Encoding: chunked",
+        };
         let said = self.lock().signals.headers();
         let said: String =
             said.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\n\
-             X-Response-Signature: {}\r\n{said}Transfer-Encoding: chunked\r\n\r\n",
+             X-Response-Signature: {}\r\n{said}{framing}\r\n\r\n",
             self.id
         );
         connection.write(head.as_bytes()).await?;
@@ -374,6 +429,14 @@
             self.process.crash();
             return std::future::pending().await;
         }
+        if crash_point.is_some() {
+            tokio::time::sleep(CRASH_AFTER).await;
+            if crash_point == Some(CrashPoint::InFirstEvent) {
+                connection.write(b"id: 1\ndata: ").await?;
+            }
+            self.crash();
+            return std::future::pending().await;
+        }
         for number in last.unwrap_or(0) + 1..=EVENTS {
             self.pause(self.step_ms, connection).await?;
             let text = event(&part, number);
@@ -432,6 +495,15 @@
     }
 }
 
+/// The parts of a request's prompt but for the last, which is its own.
+pub fn shared_parts_of(request: &Message) -> Vec<String> {
+    let parts = request.header("x-prompt-prefix").unwrap_or_default().split(',');
+    let names = parts.filter_map(|part| part.split(':').next()).map(str::to_owned);
+    let mut names: Vec<String> = names.collect();
+    names.pop();
+    names
+}
+
 /// The request's own part of its prompt.
 pub fn part_of(request: &Message) -> String {
     let parts = request.header("x-prompt-prefix").unwrap_or_default();
--- a/tests/fakes/src/process.rs
+++ b/tests/fakes/src/process.rs
@@ -159,6 +159,7 @@
         deadline_ms: 1_000,
         last_event: None,
         resumes: None,
+        shared_parts: Vec::new(),
         part: None,
         body: Vec::new(),
     }
--- a/tests/fakes/tests/engine.rs
+++ b/tests/fakes/tests/engine.rs
@@ -20,6 +20,7 @@
         deadline_ms: 5_000,
         last_event: None,
         resumes: None,
+        shared_parts: Vec::new(),
         part: Some("bb".to_owned()),
         body: Vec::new(),
     }
--- a/tests/fakes/tests/service.rs
+++ b/tests/fakes/tests/service.rs
@@ -18,6 +18,7 @@
         deadline_ms: 1_000,
         last_event: None,
         resumes: None,
+        shared_parts: Vec::new(),
         part: None,
         body: Vec::new(),
     };
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -31,6 +31,8 @@
 mod outliers;
 mod patience;
 mod permits;
+mod poison_parts;
+
 mod quarantine;
 mod rate_limit;
 mod room;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -112,6 +112,7 @@
         deadline_ms: 5_000,
         last_event: None,
         resumes: None,
+        shared_parts: Vec::new(),
         part: None,
         body: if method == "POST" { b"a body".to_vec() } else { Vec::new() },
     }
--- a/tests/soak/src/callers.rs
+++ b/tests/soak/src/callers.rs
@@ -74,6 +74,7 @@
         deadline_ms: deadline.as_millis() as u64,
         last_event: None,
         resumes: None,
+        shared_parts: Vec::new(),
         part: None,
         body: if method == "POST" { b"a body".to_vec() } else { Vec::new() },
     }
@@ -149,6 +150,7 @@
             let gateway = random.usize(..world.fronts.len());
             let kind = Kind::Plan(part.clone(), after);
             let sent = Call {
+                shared_parts: Vec::new(),
                 part: Some(part.clone()),
                 last_event: (after > 0).then_some(after),
                 resumes: first.clone(),
