The end of a channel is no end of a stream by itself

Cause: a response that ended between events, or before any, was complete; one that ended inside an event was the fault of a live engine, so that a crash there was no evidence against its request.

Change: policy/stream_end judges the end by the framing. Without a length or chunks, an end inside an event or before any is a break like a reset; one between events is a break if the engine's process has exited, for which one connection is opened. The channel isn't given back.

--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -1,7 +1,9 @@
 //! Removal of hop-by-hop headers, and the headers between instances.
 
 use hyper::HeaderMap;
-use hyper::header::{CONNECTION, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
 
 use super::software_version::SoftwareVersion;
 
@@ -62,6 +64,11 @@
     headers.contains_key(NOT_TAKEN)
 }
 
+/// Whether a response has neither a length nor chunks, so that it ends with its channel.
+pub fn ends_with_channel(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Removes what applies to a single connection: the hop-by-hop headers, including those that the
 /// `Connection` header names, and the marks of instances, which are their
 /// own words.
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -38,6 +38,7 @@
 pub mod speed;
 pub mod spread;
 pub mod stop;
+pub mod stream_end;
 pub mod stream_versions;
 pub mod subset;
 pub mod usage;
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -42,6 +42,8 @@
     pub(super) lease: Lease,
     pub(super) body: Incoming,
     pub(super) metadata: Marks,
+    /// Whether it has neither a length nor chunks.
+    pub(super) ends_with_channel: bool,
     pub(super) silences: watch::Receiver<u64>,
     /// Counts the prompt as being processed until the first event.
     pub(super) prefill_count: Option<Count>,
@@ -159,9 +161,19 @@
             // The instance that relays it has to know the version with the head.
             self.bind_to(worker);
         }
+        let ends_with_channel = headers::ends_with_channel(response.headers());
         let body = self.start_body(response);
         let worker = Rc::clone(worker);
-        Ok(OpenResponse { worker, lease, body, metadata, silences, prefill_count, _run: run })
+        Ok(OpenResponse {
+            worker,
+            lease,
+            body,
+            metadata,
+            ends_with_channel,
+            silences,
+            prefill_count,
+            _run: run,
+        })
     }
 
     pub(super) fn count_attempt(&mut self) {
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -14,6 +14,7 @@
 use super::super::policy::outcomes;
 use super::super::policy::pace::PaceMeter;
 use super::super::policy::silence::{self, Silence};
+use super::super::policy::stream_end::{ResponseEnd, Verdict};
 use super::super::traffic::{Liveness, MAX_TIMER_LAG_MS};
 use super::super::worker::Worker;
 use super::attempt::OpenResponse;
@@ -52,6 +53,7 @@
             lease,
             mut body,
             metadata,
+            ends_with_channel,
             mut silences,
             mut prefill_count,
             _run,
@@ -118,19 +120,23 @@
                 Some(Err(error)) => {
                     return self.note_connection_closed(worker, channel::error_with_cause(&error));
                 }
-                None if splitter.is_empty() => {
+                None => {
+                    let end = ResponseEnd {
+                        ends_with_channel,
+                        is_between_events: splitter.is_empty(),
+                        has_events: self.progress.events > 0,
+                    };
+                    if let Some(outcome) = self.judge_end(worker, end).await {
+                        return outcome;
+                    }
                     worker.ended(false, last_data_ms);
-                    worker.give_back(lease, metadata.keep_ms, last_data_ms);
+                    if !ends_with_channel {
+                        worker.give_back(lease, metadata.keep_ms, last_data_ms);
+                    }
                     traffic.note_run_end(worker, pace);
                     self.finish(worker);
                     return Outcome::Done;
                 }
-                None => {
-                    return lost_run(
-                        "the response ended in the middle of an event",
-                        LossCause::EngineAlive,
-                    );
-                }
             };
             if !splitter.push(&data, &mut events) {
                 return lost_run("an event exceeds the maximum length", LossCause::EngineAlive);
@@ -156,6 +162,25 @@
         }
     }
 
+    /// The outcome of a response that has ended before its stream was complete; `None` if it was.
+    async fn judge_end(&mut self, worker: &Rc<Worker>, end: ResponseEnd) -> Option<Outcome> {
+        let is_broken_off = match end.verdict() {
+            Verdict::Complete => false,
+            Verdict::Malformed => {
+                let why = "the response ended in the middle of an event";
+                return Some(lost_run(why, LossCause::EngineAlive));
+            }
+            Verdict::BrokenOff => true,
+            Verdict::BrokenOffIfExited => {
+                let mut check = self.traffic.check_exit(worker);
+                let has_exited = check.wait_for(Option::is_some).await;
+                has_exited.is_ok_and(|has_exited| *has_exited == Some(true))
+            }
+        };
+        let detail = || "the channel ended before the stream was complete".to_owned();
+        is_broken_off.then(|| self.note_connection_closed(worker, detail()))
+    }
+
     /// Decides how to proceed with an engine that has been silent.
     async fn check_silence(
         &mut self,
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -35,6 +35,8 @@
     Full,
     /// It ends streams early without their last chunk.
     Cut,
+    /// Its answers have neither a length nor chunks, and end with their channel.
+    Unframed,
     /// It lives, has lost the run, and leaves the connection open without a word.
     Forgets,
 }
@@ -93,6 +95,8 @@
     AfterHead,
     /// A piece of its first event was sent, without length or chunks.
     InFirstEvent,
+    /// Whole events were sent, without length or chunks.
+    BetweenEvents,
 }
 
 impl State {
@@ -131,6 +135,8 @@
 const VERSION: &str = "v1";
 /// How many events a stream has.
 pub const EVENTS: u64 = 20;
+/// How many events a stream without length or chunks has when its engine crashes between two.
+const UNFRAMED_EVENTS: u64 = 3;
 /// How late a state may be.
 const LATE_STATE: Duration = Duration::from_millis(250);
 /// How long a run that ends its engine's process has been under way by then.
@@ -411,8 +417,10 @@
             self.crash();
             return std::future::pending().await;
         }
+        let fault = self.lock().fault;
         let framing = match crash_point {
-            Some(CrashPoint::InFirstEvent) => "Connection: close",
+            Some(CrashPoint::InFirstEvent | CrashPoint::BetweenEvents) => "Connection: close",
+            _ if fault == Fault::Unframed => "Connection: close",
             _ => "Transfer-Encoding: chunked",
         };
         let said = self.lock().signals.headers();
@@ -434,6 +442,13 @@
             if crash_point == Some(CrashPoint::InFirstEvent) {
                 connection.write(b"id: 1\ndata: ").await?;
             }
+            if crash_point == Some(CrashPoint::BetweenEvents) {
+                for number in 1..=UNFRAMED_EVENTS {
+                    connection.write(event(&part, number).as_bytes()).await?;
+                    self.note_progress(request, id, number);
+                }
+                tokio::time::sleep(CRASH_AFTER).await;
+            }
             self.crash();
             return std::future::pending().await;
         }
@@ -451,9 +466,13 @@
             if fault == Fault::Cut {
                 return Err(std::io::ErrorKind::BrokenPipe.into());
             }
-            connection.write(&chunk(&text)).await?;
+            let framed = if fault == Fault::Unframed { text.into_bytes() } else { chunk(&text) };
+            connection.write(&framed).await?;
             self.note_progress(request, id, number);
         }
+        if self.lock().fault == Fault::Unframed {
+            return Err(std::io::ErrorKind::BrokenPipe.into());
+        }
         connection.write(b"0\r\n\r\n").await
     }
 
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use siskinrock_fakes::caller::{self, Call};
-use siskinrock_fakes::engine::{EVENTS, Fault};
+use siskinrock_fakes::engine::{CrashPoint, EVENTS, Fault};
 use siskinrock_fakes::process::wait_for;
 use siskinrock_fakes::site::{Site, server_entry};
 use yare::parameterized;
@@ -74,6 +74,44 @@
     assert_eq!(running.runs_of(&sent.id), 1);
 }
 
+/// An answer without length or chunks ends with its channel: it is whole if its engine lives.
+#[tokio::test]
+async fn a_stream_without_length_or_chunks_is_forwarded_completely() {
+    let running = support::start(1).await;
+    running.site.engines.iter().for_each(|engine| engine.fail(Fault::Unframed));
+    let sent = plan();
+    let stream = caller::stream(running.front(0), &sent).await.unwrap();
+    assert!(stream.is_complete);
+    assert_eq!(stream.text, whole_text(&sent, 0));
+    assert_eq!(running.runs_of(&sent.id), 1);
+}
+
+/// A crash closes such a channel as an end does: a stream that was cut before, inside or after an
+/// event went to its caller as complete, or was not counted as a crash.
+#[parameterized(
+    inside_the_first_event = { CrashPoint::InFirstEvent },
+    between_events = { CrashPoint::BetweenEvents },
+)]
+#[test_macro(tokio::test)]
+async fn the_end_of_a_crashed_engines_channel_is_no_end_of_its_stream(point: CrashPoint) {
+    let site = Site::start(2, 15).await;
+    for engine in &site.engines[1..] {
+        site.store.remove(&format!("servers/{}", engine.id));
+    }
+    let running = support::start_site(site, 1).await;
+    let engines = &running.site.engines;
+    engines[0].crash_on_part("shared", point);
+    let sent = Call { shared_parts: vec!["shared".to_owned()], ..plan() };
+    let reading = running.read_stream(&sent);
+    wait_for("the engine works on it", async || engines[0].working() > 0).await;
+    (1..engines.len()).for_each(|index| running.site.list_engine(index, "ready"));
+    let stream = reading.await.unwrap().unwrap();
+    assert!(stream.is_complete);
+    assert_eq!(stream.text, whole_text(&sent, 0));
+    assert_eq!(running.runs_of(&sent.id), 2);
+    assert!(running.gateways[0].logged().contains("upstream crashed under a request"));
+}
+
 /// Copies start with the first event; before that, an attempt at the copy would only be refused.
 #[tokio::test]
 async fn a_stream_lost_before_its_first_event_is_not_resumed_from_a_copy() {
