A part of prompts that crashes engines is kept from them

Cause: the quarantine knew a request by its whole content alone; requests that shared the part were never the same twice, and each crashed three engines before it was refused.

A part that a run got past in the last minute is no suspect. Banned with four crashes of runs that had just begun, or five of any, under two requests at least. A banned part explains the crashes that others share with it; parts that were met in the same crashes are refused only together. Decisions: policy/poison_parts. Requests are refused with 503 and the time to the end, those under way end.

Why it works: what the requests have in common is now what is counted, over all instances.

--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -99,8 +99,9 @@
     }
 
     fn log_crash(&self, crash: &Crash, judgement: Judgement) {
-        let Crash { fingerprint, upstream, stage, event, .. } = crash;
+        let Crash { fingerprint, part, request, upstream, stage, event, .. } = crash;
         slog::warn!(self.log, "upstream crashed under a request"; "fingerprint" => %fingerprint,
+            "part" => part.as_deref(), "request_fingerprint" => %request,
             "upstream" => &*upstream.id, "domain" => &*upstream.domain, "stage" => ?stage,
             "event" => event, "judged" => ?judgement);
         if judgement == Judgement::Quarantined {
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -1,4 +1,4 @@
-//! Crashes of upstreams under requests, as reported by request handling to the control thread and
+//! Crashes of upstreams under requests, and of the parts of prompts that requests share, as reported by request handling to the control thread and
 //! between instances.
 
 use std::sync::Arc;
@@ -20,8 +20,12 @@
 /// The end of an upstream's process under a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Crash {
-    /// The request.
+    /// What is suspected: the request, or a part of its prompt.
     pub fingerprint: Fingerprint,
+    /// The name of the part, if that is suspected.
+    pub part: Option<Arc<str>>,
+    /// The request under which it ended.
+    pub request: Fingerprint,
     /// The upstream.
     pub upstream: Upstream,
     /// How far the request had progressed.
@@ -47,6 +51,12 @@
 pub struct CrashRecord {
     /// The request.
     pub fingerprint: Fingerprint,
+    /// The name of the part of prompts that is suspected, if it isn't a request.
+    #[serde(default)]
+    pub part: Option<Arc<str>>,
+    /// The requests under which upstreams ended; some of them if there are many.
+    #[serde(default)]
+    pub requests: Vec<Fingerprint>,
     /// Incremented each time the request is cleared; reports from a lower epoch are obsolete.
     pub epoch: u64,
     /// The upstreams that ended under it, with its stage at each.
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -33,6 +33,8 @@
     pub output_tokens: u64,
     /// The prompt's parts in order. Requests share the first ones; the last is the request's own.
     pub prompt_parts: Vec<PromptPart>,
+    /// The names of its parts but for the last, which may be what crashes upstreams.
+    pub shared_parts: Vec<Arc<str>>,
 }
 
 /// A part of a prompt.
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -1,6 +1,8 @@
 //! The reasons for refusing a request, the answers that callers get for them, and whether the request
 //! may have run.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use serde::Serialize;
 
@@ -129,6 +131,32 @@
         /// The fingerprint of the request.
         fingerprint: Fingerprint,
     },
+    /// Upstreams crashed while they ran requests with a part of its prompt; this one was not sent to
+    /// any.
+    #[display(
+        "a part of the prompt ({part}) is in quarantine: upstreams crashed while they ran requests with it; \
+         this one has not run, leave the part out, or send it again after Retry-After, or have the \
+         operators lift the quarantine of {fingerprint}"
+    )]
+    QuarantinedPart {
+        /// The part's name.
+        part: Arc<str>,
+        /// Its fingerprint.
+        fingerprint: Fingerprint,
+    },
+    /// Upstreams crashed while they ran requests with a part of its prompt, and this one was sent to
+    /// one.
+    #[display(
+        "a part of the prompt ({part}) is in quarantine now: upstreams crashed while they ran requests with \
+         it; this one may have run in part, leave the part out, or send it again after Retry-After, or \
+         have the operators lift the quarantine of {fingerprint}"
+    )]
+    PoisonPart {
+        /// The part's name.
+        part: Arc<str>,
+        /// Its fingerprint.
+        fingerprint: Fingerprint,
+    },
     /// The request was sent and its outcome is unknown.
     #[display("the upstream did not answer after the request was sent; check its effect first")]
     Unknown,
@@ -155,7 +183,10 @@
             Failure::NoRoute => 404,
             Failure::TooSlow { .. } => 408,
             Failure::TooLarge { .. } => 413,
-            Failure::Unknown | Failure::Stopped | Failure::Poison { .. } => 502,
+            Failure::Unknown
+            | Failure::Stopped
+            | Failure::Poison { .. }
+            | Failure::PoisonPart { .. } => 502,
             Failure::Starting
             | Failure::Stopping
             | Failure::NoUpstream
@@ -168,6 +199,7 @@
             | Failure::Rejected
             | Failure::TooManyRepeats
             | Failure::Quarantined { .. }
+            | Failure::QuarantinedPart { .. }
             | Failure::TimeOverUnsent => 503,
             Failure::TimeOver => 504,
         }
@@ -178,6 +210,28 @@
         matches!(self, Failure::Starting | Failure::Stopping | Failure::CutOff)
     }
 
+    /// Whether the request, or a part of its prompt, is in quarantine.
+    pub fn is_quarantine(&self) -> bool {
+        matches!(
+            self,
+            Failure::Quarantined { .. }
+                | Failure::Poison { .. }
+                | Failure::QuarantinedPart { .. }
+                | Failure::PoisonPart { .. }
+        )
+    }
+
+    /// The same failure of a request that was not sent to any upstream.
+    pub fn if_unsent(self) -> Failure {
+        match self {
+            Failure::Poison { fingerprint } => Failure::Quarantined { fingerprint },
+            Failure::PoisonPart { part, fingerprint } => {
+                Failure::QuarantinedPart { part, fingerprint }
+            }
+            failure => failure,
+        }
+    }
+
     /// When the caller should retry, if a retry may help.
     pub fn retry_after_ms(&self) -> Option<u64> {
         match self {
@@ -199,9 +253,11 @@
     /// The body of the answer: the error, and whether the request ran.
     pub fn body(&self) -> Bytes {
         let ran = match self {
-            Failure::Unknown | Failure::Stopped | Failure::Poison { .. } | Failure::TimeOver => {
-                "unknown"
-            }
+            Failure::Unknown
+            | Failure::Stopped
+            | Failure::Poison { .. }
+            | Failure::PoisonPart { .. }
+            | Failure::TimeOver => "unknown",
             _ => "no",
         };
         let body = ErrorBody { error: self.to_string(), ran };
--- a/src/gateway/fingerprint.rs
+++ b/src/gateway/fingerprint.rs
@@ -8,6 +8,9 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+/// Keeps the fingerprints of parts apart from those of requests.
+const PART_TAG: &[u8] = b"prompt part";
+
 /// A hash of what a request asks and of who sends it; a request that is sent again has the same
 /// fingerprint.
 ///
@@ -48,6 +51,15 @@
             organisation.as_bytes(),
             body,
         ];
+        Fingerprint::of_hashed(&parts)
+    }
+
+    /// Returns the fingerprint of a part of prompts, by its name.
+    pub fn of_part(part: &str) -> Fingerprint {
+        Fingerprint::of_hashed(&[PART_TAG, part.as_bytes()])
+    }
+
+    fn of_hashed(parts: &[&[u8]]) -> Fingerprint {
         let mut hash = Sha256::new();
         for part in parts {
             // Without the length, two requests that split the same bytes into parts differently
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -62,7 +62,7 @@
             () = traffic.wait_for_final_responses() => traffic.refuse(&job, &Failure::Stopped, None),
             // An upstream may be running it, and may crash from it.
             () = traffic.wait_until_quarantined(&job) => {
-                let failure = Failure::Poison { fingerprint: job.fingerprint() };
+                let failure = traffic.poison_failure(&job);
                 let retry_after_ms = traffic.retry_after_ms(&job, &failure);
                 traffic.refuse(&job, &failure, retry_after_ms)
             }
--- a/src/gateway/native/quarantine.rs
+++ b/src/gateway/native/quarantine.rs
@@ -10,7 +10,7 @@
 
 /// The help of `siskinrock quarantine`.
 pub const HELP: &str = "\
-siskinrock quarantine: requests that crash the upstreams that run them
+siskinrock quarantine: requests, and parts of prompts, that crash the upstreams that run them
 
 USAGE: siskinrock quarantine [--metrics IP:PORT]                   list them
        siskinrock quarantine lift FINGERPRINT [--metrics IP:PORT]  have one served again
@@ -44,12 +44,15 @@
     if suspects.is_empty() {
         return Ok("no request is known to crash upstreams".to_owned());
     }
-    let lines = suspects.iter().map(|QuarantineEntry { fingerprint, crashes, quarantined_ms }| {
+    let lines = suspects.iter().map(|entry| {
+        let QuarantineEntry { fingerprint, part, crashes, quarantined_ms } = entry;
+        let what =
+            part.as_ref().map(|part| format!("  part {part} of prompts")).unwrap_or_default();
         let standing = match quarantined_ms {
             Some(left_ms) => format!("in quarantine for {} s more", left_ms / 1_000),
             None => "served".to_owned(),
         };
-        format!("{fingerprint}  {crashes} upstreams ended  {standing}")
+        format!("{fingerprint}{what}  {crashes} upstreams ended  {standing}")
     });
     Ok(lines.collect::<Vec<_>>().join("\n"))
 }
--- a/src/gateway/native/wire.rs
+++ b/src/gateway/native/wire.rs
@@ -94,6 +94,7 @@
             prompt_tokens,
             output_tokens: number(headers, &OUTPUT_TOKENS).unwrap_or(0),
             prompt_parts: own.into_iter().collect(),
+            shared_parts: Vec::new(),
         }
     }
 
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -34,6 +34,9 @@
 pub struct QuarantineEntry {
     /// The request.
     pub fingerprint: String,
+    /// The part of prompts that it stands for, if it isn't a request.
+    #[serde(default)]
+    pub part: Option<Arc<str>>,
     /// The upstreams that ended under it.
     pub crashes: usize,
     /// For how long it is still quarantined; nothing while its crashes are too few.
@@ -71,6 +74,7 @@
     let view = shared.view.load();
     let suspects = view.quarantine.iter().map(|(fingerprint, standing)| QuarantineEntry {
         fingerprint: fingerprint.to_string(),
+        part: standing.part.clone(),
         crashes: standing.crashes,
         quarantined_ms: standing.until_ms.map(|until_ms| until_ms.saturating_sub(now_ms)),
     });
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -26,6 +26,7 @@
 pub mod outliers;
 pub mod pace;
 pub mod placement;
+pub mod poison_parts;
 pub mod quarantine;
 pub mod rate_limit;
 pub mod rediscovered;
--- /dev/null
+++ b/src/gateway/policy/poison_parts/served.rs
@@ -0,0 +1,58 @@
+//! The parts that runs of this instance got past lately, which are no suspects.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// How long a part counts as sound after a run got past it.
+const SERVED_TTL_MS: u64 = 60_000;
+/// Maximum number of parts that are remembered; beyond it, the oldest are dropped.
+const MAX_PARTS: usize = 65_536;
+
+/// The parts that runs got past, with the time.
+#[derive(Debug, Default)]
+pub struct ServedParts {
+    served_ms: BTreeMap<Arc<str>, u64>,
+    by_age: BTreeSet<(u64, Arc<str>)>,
+}
+
+impl ServedParts {
+    /// Notes that a run got past a part.
+    pub fn note(&mut self, part: &Arc<str>, now_ms: u64) {
+        if let Some(before_ms) = self.served_ms.insert(Arc::clone(part), now_ms) {
+            self.by_age.remove(&(before_ms, Arc::clone(part)));
+        }
+        self.by_age.insert((now_ms, Arc::clone(part)));
+        if self.served_ms.len() > MAX_PARTS {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((_, part)) = self.by_age.pop_first() {
+            self.served_ms.remove(&part);
+        }
+    }
+
+    /// Whether a run got past a part lately.
+    pub fn contains(&self, part: &str, now_ms: u64) -> bool {
+        self.served_ms.get(part).is_some_and(|served_ms| served_ms + SERVED_TTL_MS > now_ms)
+    }
+
+    /// Drops the parts whose time is over.
+    pub fn expire(&mut self, now_ms: u64) {
+        let is_over = |(served_ms, _): &(u64, Arc<str>)| served_ms + SERVED_TTL_MS <= now_ms;
+        while self.by_age.first().is_some_and(is_over) {
+            self.forget_oldest();
+        }
+    }
+
+    /// Number of parts.
+    pub fn len(&self) -> usize {
+        self.served_ms.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.served_ms.is_empty()
+    }
+}
--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -3,19 +3,21 @@
 //!
 //! When an upstream crashes, each request on it may be the cause or may only have shared the
 //! upstream. A poison request differs in that it crashes the next upstream as well, shortly after
-//! it starts there. Crashes are therefore summed per request fingerprint over all instances. An
-//! early crash, under a run that had just started, counts more, and a crash doesn't count when
+//! it starts there. Crashes are therefore summed per request fingerprint over all instances. A
+//! crash counts also against the parts of its prompt that a request shares with others, under records
+//! of their own. An early crash, under a run that had just started, counts more, and a crash doesn't count when
 //! other upstreams ended at about the same time from a common cause. A request that is served
 //! anywhere is cleared of all its crashes. See [docs/DESIGN.md](../../../docs/DESIGN.md), "Poison
 //! requests".
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::super::crash::{Crash, CrashRecord, EarlyCrash, Stage};
 use super::super::fingerprint::Fingerprint;
 use super::super::fleet::Upstream;
 use super::coincidence::{JUDGEMENT_DELAY_MS, RecentEnds};
+use super::poison_parts::{self, Evidence, Group};
 
 /// Crashes of just-started runs after which a request is quarantined. With two, an innocent request
 /// that lost one upstream to a poison request, and was retried on the same next upstream, would be
@@ -42,6 +44,8 @@
 pub const QUARANTINE_MS: u64 = 10 * 60_000;
 /// Maximum number of crash records; beyond it, the one with the fewest points is evicted.
 const MAX_RECORDS: usize = 512;
+/// Maximum number of requests that are recorded for a part: a few tell that it isn't one of them.
+const MAX_RECORDED_REQUESTS: usize = 8;
 /// Maximum number of crashes waiting to be judged.
 const MAX_PENDING: usize = 1_024;
 /// Maximum number of early crashes queued for peers: when a failure domain loses power, each
@@ -87,6 +91,10 @@
     epoch: u64,
     /// Stage of each crash, by upstream.
     crashes: BTreeMap<Arc<str>, Stage>,
+    /// The part of prompts that is suspected, if it isn't a request.
+    part: Option<Arc<str>>,
+    /// The requests under which upstreams ended, up to a number.
+    requests: BTreeSet<Fingerprint>,
     /// Highest of the last events that were delivered to the caller before each crash.
     event: u64,
     until_ms: Option<u64>,
@@ -98,20 +106,43 @@
         self.crashes.values().map(|stage| points(*stage)).sum()
     }
 
+    /// Notes a request under which an upstream ended.
+    fn note_request(&mut self, request: Fingerprint) {
+        if self.requests.len() < MAX_RECORDED_REQUESTS {
+            self.requests.insert(request);
+        }
+    }
+
+    /// Whether the crashes that `counts` are enough for a quarantine.
+    fn is_due(&self, counts: impl Fn(&str) -> bool) -> bool {
+        let counted = || self.crashes.iter().filter(|(id, _)| counts(id));
+        let points = counted().map(|(_, stage)| points(*stage)).sum();
+        if self.part.is_none() {
+            return points >= QUARANTINE_POINTS;
+        }
+        let evidence =
+            Evidence { points, crashes: counted().count(), requests: self.requests.len() };
+        evidence.is_enough()
+    }
+
     fn is_expired(&self, now_ms: u64) -> bool {
         self.until_ms.unwrap_or(self.changed_ms + QUARANTINE_MS) <= now_ms
     }
 }
 
 /// Crash status of a fingerprint, for request handling and for operators.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Suspect {
+    /// The part of prompts that is suspected, if it isn't a request.
+    pub part: Option<Arc<str>>,
     /// Sum of the points of its crashes.
     pub points: u32,
     /// Number of upstreams that ended under it.
     pub crashes: usize,
     /// End of the quarantine; `None` if the request isn't quarantined.
     pub until_ms: Option<u64>,
+    /// The banned parts that were met in the same crashes, if it is a banned part.
+    pub group: Option<Group>,
 }
 
 /// All fingerprints with at least one crash.
@@ -252,6 +283,8 @@
         *stage = crash.stage.max(*stage);
         record.event = record.event.max(crash.event);
         record.changed_ms = now_ms;
+        record.part.clone_from(&crash.part);
+        record.note_request(crash.request);
         self.note_change(crash.fingerprint);
         if self.quarantine_if_due(crash.fingerprint, now_ms) {
             Judgement::Quarantined
@@ -262,14 +295,26 @@
 
     /// Quarantines a request that has enough points. Returns whether that is new.
     fn quarantine_if_due(&mut self, fingerprint: Fingerprint, now_ms: u64) -> bool {
-        let Some(record) = self.records.get_mut(&fingerprint) else { return false };
-        let is_new = record.until_ms.is_none() && record.points() >= QUARANTINE_POINTS;
-        if is_new {
+        let Some(record) = self.records.get(&fingerprint) else { return false };
+        let explained = self.explained_crashes(record);
+        let is_new = record.until_ms.is_none() && record.is_due(|id| !explained.contains(id));
+        if is_new && let Some(record) = self.records.get_mut(&fingerprint) {
             record.until_ms = Some(now_ms + QUARANTINE_MS);
         }
         is_new
     }
 
+    /// The upstreams whose end a banned part of prompts explains, other than what is recorded.
+    fn explained_crashes(&self, record: &Record) -> BTreeSet<Arc<str>> {
+        let explains = |banned: &&Record| {
+            banned.part.is_some()
+                && banned.until_ms.is_some()
+                && poison_parts::is_explained(record.crashes.len(), banned.crashes.len())
+        };
+        let banned = self.records.values().filter(explains);
+        banned.flat_map(|banned| banned.crashes.keys().cloned()).collect()
+    }
+
     /// Clears a request that was served: completely if `event` is `None`, otherwise if it got far
     /// enough past the last crash.
     pub fn clear_served(&mut self, fingerprint: Fingerprint, event: Option<u64>, now_ms: u64) {
@@ -309,6 +354,8 @@
         let incoming = Record {
             epoch: received.epoch,
             crashes: received.crashes.into_iter().collect(),
+            part: received.part,
+            requests: received.requests.into_iter().take(MAX_RECORDED_REQUESTS).collect(),
             event: received.event,
             until_ms: received.left_ms.map(|left_ms| now_ms + left_ms.min(QUARANTINE_MS)),
             changed_ms,
@@ -399,6 +446,8 @@
         let crashes = record.crashes.iter().map(|(id, stage)| (Arc::clone(id), *stage));
         Some(CrashRecord {
             fingerprint,
+            part: record.part.clone(),
+            requests: record.requests.iter().copied().collect(),
             epoch: record.epoch,
             crashes: crashes.collect(),
             event: record.event,
@@ -410,12 +459,37 @@
     /// Returns the status of all fingerprints with at least one crash.
     pub fn suspects(&self) -> Suspects {
         let known = self.records.iter().filter(|(_, record)| !record.crashes.is_empty());
-        let standing = |record: &Record| Suspect {
+        let mut suspects: Suspects =
+            known.map(|(fingerprint, record)| (*fingerprint, self.suspect(record))).collect();
+        let mut sizes: BTreeMap<u64, usize> = BTreeMap::new();
+        for group in suspects.values().filter_map(|suspect| suspect.group) {
+            *sizes.entry(group.id).or_default() += 1;
+        }
+        for group in suspects.values_mut().filter_map(|suspect| suspect.group.as_mut()) {
+            group.size = sizes[&group.id];
+        }
+        suspects
+    }
+
+    /// The status of one of them, in a group of its own.
+    fn suspect(&self, record: &Record) -> Suspect {
+        let is_part = record.part.is_some();
+        // What has come to light since may explain the crashes of a part that is banned.
+        let is_cause = || {
+            let explained = self.explained_crashes(record);
+            record.is_due(|id| !explained.contains(id))
+        };
+        let until_ms = record.until_ms.filter(|_| !is_part || is_cause());
+        let group = until_ms
+            .filter(|_| is_part)
+            .map(|_| Group { id: poison_parts::crashes_id(record.crashes.keys()), size: 1 });
+        Suspect {
+            part: record.part.clone(),
             points: record.points(),
             crashes: record.crashes.len(),
-            until_ms: record.until_ms,
-        };
-        known.map(|(fingerprint, record)| (*fingerprint, standing(record))).collect()
+            until_ms,
+            group,
+        }
     }
 }
 
@@ -430,6 +504,8 @@
         let known = merged.crashes.entry(id).or_insert(stage);
         *known = stage.max(*known);
     }
+    merged.part = merged.part.or(incoming.part);
+    incoming.requests.into_iter().for_each(|request| merged.note_request(request));
     merged.event = merged.event.max(incoming.event);
     if merged.crashes != known.crashes {
         merged.changed_ms = merged.changed_ms.max(incoming.changed_ms);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -62,7 +62,7 @@
             () = traffic.wait_for_final_responses() => run.give_up(Failure::Stopped),
             // The request may be queued at an engine, which would crash when the run starts.
             () = traffic.wait_until_quarantined(&job) => {
-                run.give_up(Failure::Poison { fingerprint: job.fingerprint() });
+                run.give_up(traffic.poison_failure(&job));
             }
         }
     });
@@ -480,6 +480,7 @@
             }
             Failure::TimeOver if self.delivered == 0 => Failure::TimeOverUnsent,
             Failure::Stopped if !self.was_sent => Failure::Stopping,
+            failure if failure.is_quarantine() && !self.was_sent => failure.if_unsent(),
             Failure::NoUpstream if self.traffic.throttled_for_ms(&self.job.service).is_some() => {
                 Failure::Throttled
             }
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -13,6 +13,7 @@
 use super::super::metrics::Time;
 use super::super::policy::outcomes;
 use super::super::policy::pace::PaceMeter;
+use super::super::policy::quarantine::MIN_CLEARING_EVENTS;
 use super::super::policy::silence::{self, Silence};
 use super::super::policy::stream_end::{ResponseEnd, Verdict};
 use super::super::traffic::{Liveness, MAX_TIMER_LAG_MS};
@@ -287,6 +288,9 @@
             self.last_event = event.id;
         }
         self.progress.events += 1;
+        if self.progress.events == MIN_CLEARING_EVENTS {
+            self.traffic.note_parts_served(&self.job);
+        }
         self.clear_crashes_if_beyond();
         self.note_event_time(now_ms);
         let Some(body_tx) = &self.body_tx else { return Some(Outcome::CallerDisconnected) };
@@ -318,6 +322,7 @@
             self.traffic.note_run_duration(&self.job.service, run_ms);
         }
         self.traffic.note_served(&self.job, None);
+        self.traffic.note_parts_served(&self.job);
         self.traffic.note_outcome(worker, outcomes::Outcome::Answered { is_slow: false });
         self.traffic.note_output_length(&self.job, self.last_event.unwrap_or(0));
         self.job.record(&self.traffic.metrics, whole_ms, self.first_event_ms);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -49,6 +49,7 @@
 use super::policy::latency::Latencies;
 use super::policy::losses::Losses;
 use super::policy::outages::{self, Outages};
+use super::policy::poison_parts::ServedParts;
 use super::policy::silence;
 use super::policy::stop::Stop;
 use super::settings::Settings;
@@ -122,6 +123,8 @@
     first_event_us_per_token: RefCell<BTreeMap<Arc<str>, Latencies>>,
     /// Speeds of upstreams.
     speeds: speed::Speeds,
+    /// Parts of prompts that runs got past lately.
+    served_parts: RefCell<ServedParts>,
 }
 
 impl Traffic {
@@ -171,6 +174,7 @@
             latencies: RefCell::default(),
             first_event_us_per_token: RefCell::default(),
             speeds: speed::Speeds::default(),
+            served_parts: RefCell::default(),
         })
     }
 
@@ -194,7 +198,7 @@
                 self.outage_retry_after_ms(&job.service, left_ms)
             }
             Failure::NoUpstream => self.outage_retry_after_ms(&job.service, left_ms),
-            Failure::Quarantined { .. } | Failure::Poison { .. } => self.quarantine_left_ms(job),
+            failure if failure.is_quarantine() => self.quarantine_left_ms(job),
             Failure::Full | Failure::Rejected | Failure::TooManyRepeats
                 if job.route.repeat.is_stream() =>
             {
@@ -211,7 +215,7 @@
             "status" => failure.status(), "why" => %failure,
             "ms" => self.now_ms() - job.since_ms);
         self.metrics.count("refused");
-        if matches!(failure, Failure::Quarantined { .. } | Failure::Poison { .. }) {
+        if failure.is_quarantine() {
             self.metrics.count("refused_quarantined");
         }
         let mut answer = answer::failed(failure, retry_after_ms);
@@ -301,6 +305,7 @@
         let view = self.view();
         let now_ms = self.now_ms();
         self.forget_cache_locations(|location| location.until_ms <= now_ms);
+        self.served_parts.borrow_mut().expire(now_ms);
         let workers: Vec<Rc<Worker>> = self.workers.borrow().values().map(Rc::clone).collect();
         self.merge_peer_losses(&view, &self.workers.borrow(), now_ms);
         for worker in workers {
--- a/src/gateway/traffic/quarantine.rs
+++ b/src/gateway/traffic/quarantine.rs
@@ -1,12 +1,15 @@
 //! The traffic thread's side of the quarantine: it checks requests against it and reports crashes.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use super::super::answer::Answer;
 use super::super::crash::{Crash, Stage};
 use super::super::failure::Failure;
+use super::super::fingerprint::Fingerprint;
 use super::super::job::Job;
 use super::super::policy::coincidence::JUDGEMENT_DELAY_MS;
+use super::super::policy::poison_parts;
 use super::super::policy::quarantine::{self, Suspect};
 use super::super::view::Report;
 use super::super::worker::Worker;
@@ -25,13 +28,57 @@
         if view.quarantine.is_empty() {
             return None;
         }
-        view.quarantine.get(&job.fingerprint()).copied()
+        view.quarantine.get(&job.fingerprint()).cloned()
     }
 
-    /// How long the request is still quarantined, if it is.
+    /// What the quarantine knows of the parts of a request's prompt. A part that runs got past here
+    /// is none of them: all instances are told so.
+    fn suspected_parts(&self, job: &Job) -> Vec<(Fingerprint, Suspect)> {
+        let view = self.shared.view.load();
+        if view.quarantine.is_empty() {
+            return Vec::new();
+        }
+        let mut suspects = Vec::new();
+        for part in &job.demand.shared_parts {
+            let fingerprint = Fingerprint::of_part(part);
+            let Some(suspect) = view.quarantine.get(&fingerprint) else { continue };
+            if self.served_parts.borrow().contains(part, self.now_ms()) {
+                self.shared.report(Report::Served(fingerprint, None));
+            } else {
+                suspects.push((fingerprint, suspect.clone()));
+            }
+        }
+        suspects
+    }
+
+    /// The banned parts of a request's prompt for which it is refused.
+    fn banned_parts(&self, job: &Job) -> Vec<(Fingerprint, Suspect)> {
+        let mut suspects = self.suspected_parts(job);
+        let groups = suspects.iter().filter_map(|(_, suspect)| suspect.group);
+        let complete = poison_parts::complete_groups(groups);
+        suspects
+            .retain(|(_, suspect)| suspect.group.is_some_and(|group| complete.contains(&group.id)));
+        suspects
+    }
+
+    /// How long the request or a part of its prompt is still quarantined, if it is.
     pub fn quarantine_left_ms(&self, job: &Job) -> Option<u64> {
-        let until_ms = self.quarantine_entry(job)?.until_ms?;
-        until_ms.checked_sub(self.now_ms()).filter(|left_ms| *left_ms > 0)
+        let now_ms = self.now_ms();
+        let left_ms = |suspect: &Suspect| {
+            suspect.until_ms?.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)
+        };
+        let of_request = self.quarantine_entry(job).as_ref().and_then(left_ms);
+        let of_parts = self.banned_parts(job).iter().filter_map(|(_, part)| left_ms(part)).max();
+        of_request.max(of_parts)
+    }
+
+    /// Why a quarantined request that may have been sent to an upstream is not served.
+    pub fn poison_failure(&self, job: &Job) -> Failure {
+        let banned = self.banned_parts(job).into_iter().find_map(|(fingerprint, suspect)| {
+            let part = suspect.until_ms.and(suspect.part)?;
+            Some(Failure::PoisonPart { part, fingerprint })
+        });
+        banned.unwrap_or_else(|| Failure::Poison { fingerprint: job.fingerprint() })
     }
 
     /// Completes when the request is quarantined, which may never happen.
@@ -47,7 +94,7 @@
 
     /// Refuses a quarantined request that was not sent to any upstream.
     pub fn refuse_quarantined(&self, job: &Job) -> Answer {
-        let failure = Failure::Quarantined { fingerprint: job.fingerprint() };
+        let failure = self.poison_failure(job).if_unsent();
         let retry_after_ms = self.retry_after_ms(job, &failure);
         self.refuse(job, &failure, retry_after_ms)
     }
@@ -56,7 +103,11 @@
     /// judged yet.
     pub fn may_be_quarantined(&self, job: &Job, points: u32) -> bool {
         let counted = self.quarantine_entry(job).unwrap_or_default().points;
+        let may_ban = |(_, part): &(Fingerprint, Suspect)| {
+            poison_parts::may_ban(part.points + points, part.crashes)
+        };
         quarantine::may_quarantine(counted + points)
+            || self.suspected_parts(job).iter().any(may_ban)
     }
 
     /// Reports that an upstream closed a connection during a request, if its process turns out to
@@ -71,24 +122,52 @@
         if !self.takes_work(&worker.upstream.id) {
             return;
         }
+        let request = job.fingerprint();
         let crash = Crash {
-            fingerprint: job.fingerprint(),
+            fingerprint: request,
+            part: None,
+            request,
             upstream: worker.upstream.clone(),
             stage,
             event,
             at_ms: self.now_ms(),
         };
         self.last_crash_ms.set(Some(crash.at_ms));
+        let parts = self.unproved_parts(job);
         let mut check = self.check_exit(worker);
         let traffic = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let has_exited = check.wait_for(Option::is_some).await;
             if has_exited.is_ok_and(|has_exited| *has_exited == Some(true)) {
+                for part in parts {
+                    let fingerprint = Fingerprint::of_part(&part);
+                    let crash = Crash { fingerprint, part: Some(part), ..crash.clone() };
+                    traffic.shared.report(Report::Crash(crash));
+                }
                 traffic.shared.report(Report::Crash(crash));
             }
         });
     }
 
+    /// The parts of a request's prompt that no run got past here lately.
+    fn unproved_parts(&self, job: &Job) -> Vec<Arc<str>> {
+        let served = self.served_parts.borrow();
+        let now_ms = self.now_ms();
+        let unproved = job.demand.shared_parts.iter().filter(|part| !served.contains(part, now_ms));
+        unproved.cloned().collect()
+    }
+
+    /// Notes that a run got past the point at which a part of its prompt would have crashed its
+    /// upstream.
+    pub fn note_parts_served(&self, job: &Job) {
+        let now_ms = self.now_ms();
+        let mut served = self.served_parts.borrow_mut();
+        job.demand.shared_parts.iter().for_each(|part| served.note(part, now_ms));
+        drop(served);
+        // Reports the parts that are suspected.
+        self.suspected_parts(job);
+    }
+
     /// Reports that a request was served, completely or up to an event, if crashes count against it
     /// or any crash during a request of this instance may still await judgement.
     pub fn note_served(&self, job: &Job, event: Option<u64>) {
--- a/src/gateway/whole_answer.rs
+++ b/src/gateway/whole_answer.rs
@@ -50,6 +50,7 @@
     job.record(&traffic.metrics, now_ms - job.since_ms, None);
     if whole.status < 500 {
         traffic.note_served(job, None);
+        traffic.note_parts_served(job);
     }
     slog::info!(traffic.log, "answered"; "request" => job.id(), "route" => &*job.route.name,
         "upstream" => &*worker.upstream.id, "status" => whole.status,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod operator_orders;
 mod operator_queue;
 mod outliers;
+mod part_decisions;
 mod patience;
 mod permits;
 mod poison_parts;
--- a/tests/gateway/poison_parts.rs
+++ b/tests/gateway/poison_parts.rs
@@ -7,10 +7,12 @@
 
 use siskinrock_fakes::caller::{self, Call};
 use siskinrock_fakes::engine::{CrashPoint, EngineFake, shared_parts_of};
+use siskinrock_fakes::process::Process;
 use siskinrock_fakes::site::Site;
 use siskinrock_fakes::store::Store;
+use yare::parameterized;
 
-use crate::support::{self, Running, plan};
+use crate::support::{self, Running, plan, siskinrock};
 
 /// The part that crashes engines.
 const BAD: &str = "bad0";
@@ -118,10 +120,14 @@
 
 /// Guards against a part that crashed one engine after the other under requests that were all
 /// different, each of them known by its whole content alone.
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn a_part_that_crashes_engines_is_stopped_for_all_instances() {
-    let at_once = 1;
-    let crashing = start(9, &[BAD], CrashPoint::AfterHead).await;
+#[parameterized(
+    one_instance = { 1, 1 },
+    one_at_a_time = { 9, 1 },
+    eight_at_once = { 9, 8 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 4))]
+async fn a_part_that_crashes_engines_is_stopped_for_all_instances(gateways: u8, at_once: usize) {
+    let crashing = start(gateways, &[BAD], CrashPoint::AfterHead).await;
     let since = Instant::now();
     let mut number = 0;
     while since.elapsed() < Duration::from_secs(7) {
@@ -141,3 +147,126 @@
     assert!(served >= 10, "{served} of 20 sound requests with the same key and parts");
     crashing.assert_stopped(BAD).await;
 }
+
+/// Two bad parts at once, one of them the first part of its requests' own and met rarely; each crash
+/// point. Requests with the parts that were met beside them are served.
+#[parameterized(
+    before_the_head = { CrashPoint::BeforeHead },
+    after_the_head = { CrashPoint::AfterHead },
+    inside_the_first_event_without_length_or_chunks = { CrashPoint::InFirstEvent },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 4))]
+async fn several_parts_are_told_apart_wherever_they_crash_engines(point: CrashPoint) {
+    let crashing = start(9, &[BAD, "bad1"], point).await;
+    let since = Instant::now();
+    let mut number = 0;
+    while since.elapsed() < Duration::from_secs(9) {
+        crashing.send(number, with_parts(&["cc", BAD, "dd"]));
+        if number % 3 == 0 {
+            crashing.send(number + 4, with_parts(&["bad1", "cc"]));
+        }
+        crashing.send(number + 2, with_parts(&["cc", "dd"]));
+        number += 1;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let crashes = crashing.crashes();
+    let last = *crashes.last().unwrap();
+    let late =
+        |part| crashing.sends_after(part, last.max(since + Duration::from_secs(4)) + CONTACT);
+    assert!(late(BAD) + late("bad1") <= MAX_LATE_SENDS, "{} crashes", crashes.len());
+    assert!(crashes.len() < 40, "{} crashes", crashes.len());
+    let mut served = 0;
+    for instance in 0..10 {
+        served += usize::from(crashing.is_served(instance, &["cc", "dd"]).await);
+    }
+    assert!(served >= 5, "{served} of 10 sound requests");
+}
+
+/// Instances that stand still, start later, or all at once learn what is banned, and operators see and
+/// lift it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn all_instances_learn_of_a_banned_part_and_operators_lift_it() {
+    let mut crashing = start(3, &[BAD], CrashPoint::AfterHead).await;
+    crashing.running.gateways[2].signal(libc::SIGSTOP);
+    assert!(crashing.is_served(0, &[]).await && crashing.is_served(1, &[]).await);
+    for number in 0..12 {
+        crashing.send(number % 2, with_parts(&[BAD]));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    crashing.running.gateways[2].signal(libc::SIGCONT);
+    crashing.running.add(3);
+    crashing.running.wait_until_ready().await;
+    tokio::time::sleep(CONTACT).await;
+    crashing.assert_refused_everywhere().await;
+    crashing.running.gateways.iter_mut().for_each(Process::kill);
+    crashing.running.gateways.iter_mut().for_each(Process::restart);
+    crashing.running.wait_until_ready().await;
+    tokio::time::sleep(CONTACT).await;
+    crashing.assert_refused_everywhere().await;
+    let metrics = format!("{}:9464", crashing.running.front(1).ip());
+    let listed = siskinrock(&["quarantine", "--metrics", &metrics]).await;
+    let line = listed.lines().find(|line| line.contains("part bad0 of prompts")).unwrap();
+    assert!(line.contains("in quarantine for"), "{listed}");
+    let fingerprint = line.split(' ').next().unwrap();
+    let lifted = siskinrock(&["quarantine", "lift", fingerprint, "--metrics", &metrics]).await;
+    assert!(lifted.contains("lifted"), "{lifted}");
+    tokio::time::sleep(CONTACT).await;
+    let before = crashing.crashes().len();
+    let _ = caller::stream(crashing.running.front(0), &with_parts(&[BAD])).await;
+    assert!(crashing.crashes().len() > before, "it is served again, and not mended");
+}
+
+/// A part that is met only beside the bad one is refused together with it, is served without it, and
+/// what is left of the ban then is the bad one alone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_part_that_is_met_only_beside_the_bad_one_is_told_from_it() {
+    let crashing = start(3, &[BAD], CrashPoint::AfterHead).await;
+    for number in 0..8 {
+        crashing.send(number, with_parts(&["beside", BAD]));
+        tokio::time::sleep(Duration::from_millis(400)).await;
+    }
+    crashing.assert_refused_everywhere_with(&["beside", BAD]).await;
+    assert!(crashing.is_served(0, &["beside"]).await);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    crashing.assert_refused_everywhere_with(&[BAD]).await;
+    for instance in 0..3 {
+        assert!(crashing.is_served(instance, &["beside"]).await);
+    }
+}
+
+/// One request that crashes engines by its body is stopped as before, and says nothing of its parts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_that_crashes_engines_by_its_body_bans_no_part() {
+    let crashing = start(3, &[], CrashPoint::AfterHead).await;
+    let poison = Call { body: b"poison".to_vec(), ..with_parts(&["rare"]) };
+    crashing.running.site.engines.iter().for_each(|engine| engine.crash_on(b"poison"));
+    for instance in 0..6 {
+        let again = Call { id: support::new_id(), ..poison.clone() };
+        let _ = caller::stream(crashing.running.front(instance % 3), &again).await;
+    }
+    for instance in 0..3 {
+        assert!(crashing.is_served(instance, &["rare"]).await);
+    }
+}
+
+impl Crashing {
+    /// Requests with the part are refused at once by each instance, truly and with the time to the end.
+    async fn assert_refused_everywhere(&self) {
+        self.assert_refused_everywhere_with(&["cc", BAD]).await;
+    }
+
+    async fn assert_refused_everywhere_with(&self, parts: &[&str]) {
+        for gateway in &self.running.gateways {
+            let sent = with_parts(parts);
+            let since = Instant::now();
+            let answer = caller::send(gateway.front, &sent).await.unwrap();
+            assert!(since.elapsed() < Duration::from_millis(100), "{:?}", since.elapsed());
+            assert_eq!(answer.status(), 503, "it has not run");
+            let after: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+            assert!(after > 60.0, "Retry-After lasts until the ban ends: {after}");
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            assert!(body.contains("a part of the prompt ("), "{body}");
+            assert_eq!(self.running.runs_of(&sent.id), 0);
+        }
+    }
+}
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -24,7 +24,7 @@
 use siskinrock_fakes::site::Site;
 use yare::parameterized;
 
-use crate::support::{self, Running, call, plan, whole_text};
+use crate::support::{self, Running, call, plan, siskinrock, whole_text};
 
 /// Request body that crashes each engine that runs it.
 const POISON: &[u8] = b"a body that ends each engine that runs it";
@@ -256,7 +256,8 @@
     let listed = siskinrock(&["quarantine", "--metrics", &metrics]).await;
     assert!(listed.contains("3 upstreams ended  in quarantine for"), "{listed}");
     assert!(running.gateways[0].metrics().await.contains("siskinrock_requests_quarantined 1"));
-    let fingerprint = listed.split(' ').next().unwrap();
+    let line = listed.lines().find(|line| line.contains("in quarantine for")).unwrap();
+    let fingerprint = line.split(' ').next().unwrap();
     running.site.engines.iter().for_each(|engine| engine.crash_on(b"another body"));
     let lifted = siskinrock(&["quarantine", "lift", fingerprint, "--metrics", &metrics]).await;
     assert!(lifted.contains("lifted"), "{lifted}");
@@ -267,11 +268,3 @@
     let listed = siskinrock(&["quarantine", "--metrics", &metrics]).await;
     assert!(listed.contains("no request is known"), "{listed}");
 }
-
-/// Returns what the command line prints, whether it succeeds or fails.
-async fn siskinrock(arguments: &[&str]) -> String {
-    let binary = env!("CARGO_BIN_EXE_siskinrock");
-    let output = tokio::process::Command::new(binary).args(arguments).output().await.unwrap();
-    let text = [output.stdout, output.stderr].concat();
-    String::from_utf8_lossy(&text).into_owned()
-}
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -136,3 +136,11 @@
     wait_for("an engine works", async || engines.iter().any(|engine| engine.working() > 0)).await;
     engines.iter().position(|engine| engine.working() > 0).unwrap()
 }
+
+/// Returns what the command line prints, whether it succeeds or fails.
+pub async fn siskinrock(arguments: &[&str]) -> String {
+    let binary = env!("CARGO_BIN_EXE_siskinrock");
+    let output = tokio::process::Command::new(binary).args(arguments).output().await.unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    String::from_utf8_lossy(&text).into_owned()
+}
--- a/tests/gateway/suspicion.rs
+++ b/tests/gateway/suspicion.rs
@@ -41,7 +41,8 @@
 }
 
 fn crash(fingerprint: Fingerprint, number: usize, stage: Stage, at_ms: u64) -> Crash {
-    Crash { fingerprint, upstream: engine(number), stage, event: 0, at_ms }
+    let request = fingerprint;
+    Crash { fingerprint, part: None, request, upstream: engine(number), stage, event: 0, at_ms }
 }
 
 /// Records one crash and judges it; returns whether the request is quarantined then.
