A stream waits for room at its version while that has engines

Reading the diff: a stream whose version's engines were there and full was ended after 6 s, as one whose version is gone; a new stream would have gone to another version. It now waits within its deadline.

--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -4,11 +4,11 @@
 //! When an upstream crashes, each request on it may be the cause or may only have shared the
 //! upstream. A poison request differs in that it crashes the next upstream as well, shortly after
 //! it starts there. Crashes are therefore summed per request fingerprint over all instances. A
-//! crash counts also against the parts of its prompt that a request shares with others, under records
-//! of their own. An early crash, under a run that had just started, counts more, and a crash doesn't count when
-//! other upstreams ended at about the same time from a common cause. A request that is served
-//! anywhere is cleared of all its crashes. See [docs/DESIGN.md](../../../docs/DESIGN.md), "Poison
-//! requests".
+//! crash counts also against the parts of its prompt that a request shares with others, under
+//! records of their own (see [`super::poison_parts`]). An early crash, under a run that had just
+//! started, counts more, and a crash doesn't count when other upstreams ended at about the same time
+//! from a common cause. A request that is served anywhere is cleared of all its crashes. See
+//! [docs/DESIGN.md](../../../docs/DESIGN.md), "Poison requests".
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -222,7 +222,7 @@
                 if self.wait_for_more_upstreams().await {
                     continue;
                 }
-                if self.lacks_its_version() {
+                if self.is_kept_by_its_version() {
                     if !self.wait_for_version().await {
                         return;
                     }
--- a/src/gateway/stream/version.rs
+++ b/src/gateway/stream/version.rs
@@ -12,7 +12,7 @@
 use super::super::worker::Worker;
 use super::Run;
 
-/// How long a run waits for an engine of its version while only others take work: an engine that
+/// How long a run waits for an engine of its version while only others are there: an engine that
 /// crashed is back after some seconds.
 const MAX_VERSION_WAIT_MS: u64 = 6_000;
 
@@ -77,13 +77,19 @@
         }
     }
 
-    /// Whether an engine takes work, but only of another version than the run's.
-    pub(super) fn lacks_its_version(&self) -> bool {
+    /// Whether engines take work that the run may not use, since they run another version.
+    pub(super) fn is_kept_by_its_version(&self) -> bool {
         self.traffic.excludes_engines(&self.job.service, &self.binding)
     }
 
-    /// Waits for an engine of the run's version. Returns false if the run has ended.
+    /// Waits until an engine of the run's version has room, or is there again. Returns false if the
+    /// run has ended.
     pub(super) async fn wait_for_version(&mut self) -> bool {
+        if self.traffic.has_engine_for(&self.job.service, &self.binding) {
+            // Those that are there are full; a new run would have gone to another version.
+            self.version_awaited_ms = None;
+            return self.wait_to_retry().await;
+        }
         let now_ms = self.traffic.now_ms();
         if self.version_awaited_ms.is_none() {
             slog::info!(self.traffic.log, "no engine of the stream's version";
--- a/src/gateway/traffic/choice.rs
+++ b/src/gateway/traffic/choice.rs
@@ -64,10 +64,19 @@
 
     /// Whether a service has engines that accept work and that a run may not go on at.
     pub fn excludes_engines(&self, service: &str, binding: &Binding) -> bool {
+        self.has_worker(service, |worker| !binding.allows(&worker.version()))
+    }
+
+    /// Whether a service has an engine that accepts work and that a run may go on at.
+    pub fn has_engine_for(&self, service: &str, binding: &Binding) -> bool {
+        self.has_worker(service, |worker| binding.allows(&worker.version()))
+    }
+
+    fn has_worker(&self, service: &str, matches: impl Fn(&Worker) -> bool) -> bool {
         self.view();
         let workers = self.workers.borrow();
         let mut of_service = workers.values().filter(|worker| *worker.upstream.service == *service);
-        of_service.any(|worker| worker.takes_work() && !binding.allows(&worker.version()))
+        of_service.any(|worker| worker.takes_work() && matches(worker))
     }
 
     /// How many engines of a service accept work, and how many of them are processing prompts, as
