--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -10,14 +10,17 @@
 //! from a common cause. A request that is served anywhere is cleared of all its crashes. See
 //! [docs/DESIGN.md](../../../docs/DESIGN.md), "Poison requests".
 
+mod record;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use self::record::{MAX_RECORDED_REQUESTS, Record, merge};
 use super::super::crash::{Crash, CrashRecord, EarlyCrash, Stage};
 use super::super::fingerprint::Fingerprint;
 use super::super::fleet::Upstream;
 use super::coincidence::{JUDGEMENT_DELAY_MS, RecentEnds};
-use super::poison_parts::{self, Evidence, Group};
+use super::poison_parts::{self, Group};
 
 /// Crashes of just-started runs after which a request is quarantined. With two, an innocent request
 /// that lost one upstream to a poison request, and was retried on the same next upstream, would be
@@ -44,8 +47,6 @@
 pub const QUARANTINE_MS: u64 = 10 * 60_000;
 /// Maximum number of crash records; beyond it, the one with the fewest points is evicted.
 const MAX_RECORDS: usize = 512;
-/// Maximum number of requests that are recorded for a part: a few tell that it isn't one of them.
-const MAX_RECORDED_REQUESTS: usize = 8;
 /// Maximum number of crashes waiting to be judged.
 const MAX_PENDING: usize = 1_024;
 /// Maximum number of early crashes queued for peers: when a failure domain loses power, each
@@ -53,9 +54,6 @@
 const MAX_UNSENT_EARLY_CRASHES: usize = 16;
 /// Maximum number of records in one sync batch.
 const MAX_BATCH_RECORDS: usize = 16;
-/// A received quarantine end replaces the known one only if it is later by more than this; smaller
-/// differences are message delay.
-const MAX_MESSAGE_DELAY_MS: u64 = 2_000;
 
 /// Returns the stage of a stream that was lost at an upstream, given the time since the response
 /// head (`None` if it had not arrived) and the number of events since. Returns `None` for a run
@@ -84,52 +82,6 @@
     points + BEGUN_POINTS >= QUARANTINE_POINTS
 }
 
-/// Crash record of a fingerprint.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-struct Record {
-    /// Incremented each time the request is cleared; reports from a lower epoch are obsolete.
-    epoch: u64,
-    /// Stage of each crash, by upstream.
-    crashes: BTreeMap<Arc<str>, Stage>,
-    /// The part of prompts that is suspected, if it isn't a request.
-    part: Option<Arc<str>>,
-    /// The requests under which upstreams ended, up to a number.
-    requests: BTreeSet<Fingerprint>,
-    /// Highest of the last events that were delivered to the caller before each crash.
-    event: u64,
-    until_ms: Option<u64>,
-    changed_ms: u64,
-}
-
-impl Record {
-    fn points(&self) -> u32 {
-        self.crashes.values().map(|stage| points(*stage)).sum()
-    }
-
-    /// Notes a request under which an upstream ended.
-    fn note_request(&mut self, request: Fingerprint) {
-        if self.requests.len() < MAX_RECORDED_REQUESTS {
-            self.requests.insert(request);
-        }
-    }
-
-    /// Whether the crashes that `counts` are enough for a quarantine.
-    fn is_due(&self, counts: impl Fn(&str) -> bool) -> bool {
-        let counted = || self.crashes.iter().filter(|(id, _)| counts(id));
-        let points = counted().map(|(_, stage)| points(*stage)).sum();
-        if self.part.is_none() {
-            return points >= QUARANTINE_POINTS;
-        }
-        let evidence =
-            Evidence { points, crashes: counted().count(), requests: self.requests.len() };
-        evidence.is_enough()
-    }
-
-    fn is_expired(&self, now_ms: u64) -> bool {
-        self.until_ms.unwrap_or(self.changed_ms + QUARANTINE_MS) <= now_ms
-    }
-}
-
 /// Crash status of a fingerprint, for request handling and for operators.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Suspect {
@@ -492,30 +444,3 @@
         }
     }
 }
-
-/// Merges the records of two instances. The later epoch wins; within one epoch, the result has the
-/// crashes of both and the later quarantine end.
-fn merge(known: &Record, incoming: Record) -> Record {
-    if incoming.epoch != known.epoch {
-        return if incoming.epoch > known.epoch { incoming } else { known.clone() };
-    }
-    let mut merged = known.clone();
-    for (id, stage) in incoming.crashes {
-        let known = merged.crashes.entry(id).or_insert(stage);
-        *known = stage.max(*known);
-    }
-    merged.part = merged.part.or(incoming.part);
-    incoming.requests.into_iter().for_each(|request| merged.note_request(request));
-    merged.event = merged.event.max(incoming.event);
-    if merged.crashes != known.crashes {
-        merged.changed_ms = merged.changed_ms.max(incoming.changed_ms);
-    }
-    merged.until_ms = match (known.until_ms, incoming.until_ms) {
-        // Each message arrives a little late, which must not prolong the quarantine with every hop.
-        (Some(known_ms), Some(incoming_ms)) if incoming_ms <= known_ms + MAX_MESSAGE_DELAY_MS => {
-            Some(known_ms)
-        }
-        (known_ms, incoming_ms) => known_ms.max(incoming_ms),
-    };
-    merged
-}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -5,6 +5,7 @@
 //! from the copy after the last whole event that the caller has, and a new copy is started at once.
 
 mod attempt;
+mod choice;
 mod copy;
 mod crashes;
 mod outcome;
@@ -22,14 +23,12 @@
 use self::copy::{FinishedCopy, RunCopy};
 use self::outcome::{LossCause, NotRunReason, Outcome, lost_run};
 use self::queueing::QueueEnd;
-use super::ablation::Mechanism;
 use super::answer::{self, Answer, BodyChunk, Truncated};
 use super::dialect::Copy;
 use super::failure::Failure;
 use super::job::Job;
 use super::policy::admission;
 use super::policy::engine::Need;
-use super::policy::placement::Constraints;
 use super::policy::silence::SilenceTimeouts;
 use super::policy::stream_versions::Binding;
 use super::route::Repeat;
@@ -43,10 +42,6 @@
 /// Maximum of this delay: a run that lost its engine resumes within a second of an engine becoming
 /// free.
 const MAX_RETRY_DELAY_MS: u64 = 800;
-/// How long a run avoids a failure domain in which it lost an engine. Engines that crashed are back
-/// after about 1.2 s, and if one domain of three were avoided for longer, copies would lie in the
-/// same domain as their runs at the next loss.
-const DOMAIN_AVOIDANCE_MS: u64 = 1_500;
 
 /// Serves a stream. Returns the head of the response, whose body is sent as events arrive.
 pub async fn serve(traffic: &Rc<Traffic>, job: Job) -> Answer {
@@ -393,63 +388,6 @@
         false
     }
 
-    /// Chooses the engine that has the run's copy, else the one that has its prompt cached.
-    fn engine_with_memory(&mut self) -> Option<(Rc<Worker>, Option<Copy>)> {
-        self.poll_pending_copy(self.traffic.now_ms());
-        if let Some(copy) = self.copy.take()
-            && self.is_copy_usable(&copy.worker)
-            && self.allows(&copy.worker)
-        {
-            if let Some(release) = copy.release {
-                release.cancel();
-            }
-            return Some((copy.worker, Some(copy.name)));
-        }
-        if let Some(worker) =
-            self.own_prefix().and_then(|prefix| self.traffic.cache_location(prefix))
-            && !self.excluded.contains(&worker.upstream.id)
-            && self.is_eligible(&worker)
-            && self.allows(&worker)
-        {
-            return Some((worker, None));
-        }
-        None
-    }
-
-    /// Waits for engines outside this instance's share of the service; returns whether there are more now.
-    async fn wait_for_more_upstreams(&mut self) -> bool {
-        tokio::select! {
-            () = caller_disconnected(&mut self.response_tx, &self.body_tx) => false,
-            has_more = self.traffic.wait_for_more_upstreams(&self.job) => has_more,
-        }
-    }
-
-    /// Chooses the engine with the lowest cost.
-    fn best_engine(&self) -> Option<Rc<Worker>> {
-        let constraints = Constraints {
-            need: self.need(),
-            excluded: self.excluded.clone(),
-            avoided_domains: self.avoided_domains(),
-            apart_from: None,
-            preferred_domain: Some(Arc::clone(&self.traffic.settings.domain)),
-            can_repeat: self.can_retry_elsewhere(self.attempts + 1),
-            binding: self.binding.clone(),
-        };
-        let prompt = &self.job.demand.prompt_parts;
-        self.traffic.choose_for_prompt(&self.job.service, &constraints, prompt)
-    }
-
-    /// Failure domains in which the run recently lost an engine.
-    fn avoided_domains(&self) -> Vec<Arc<str>> {
-        if !Mechanism::Avoid.is_on() {
-            return Vec::new();
-        }
-        let now_ms = self.traffic.now_ms();
-        let recent =
-            self.lost_domains.iter().filter(|(_, at_ms)| at_ms + DOMAIN_AVOIDANCE_MS > now_ms);
-        recent.map(|(domain, _)| Arc::clone(domain)).collect()
-    }
-
     /// How long the route allows the stream to be silent.
     fn silence_timeouts(&self) -> SilenceTimeouts {
         SilenceTimeouts::of(self.job.route.target_latency_ms, self.job.route.target_gap_ms)
