--- a/src/gateway/stream/version.rs
+++ b/src/gateway/stream/version.rs
@@ -85,20 +85,18 @@
     /// Waits until an engine of the run's version has room, or is there again. Returns false if the
     /// run has ended.
     pub(super) async fn wait_for_version(&mut self) -> bool {
-        if self.traffic.has_engine_for(&self.job.service, &self.binding) {
-            // Those that are there are full; a new run would have gone to another version.
-            self.version_awaited_ms = None;
-            return self.wait_to_retry().await;
-        }
         let now_ms = self.traffic.now_ms();
         if self.version_awaited_ms.is_none() {
             slog::info!(self.traffic.log, "no engine of the stream's version";
-                "request" => self.job.id(), "version" => ?self.binding.version(),
+                "request" => self.job.id(),
+                "version" => self.binding.version().map(ToString::to_string),
                 "after" => self.last_event);
             self.traffic.metrics.count("streams_waited_for_version");
         }
         let since_ms = *self.version_awaited_ms.get_or_insert(now_ms);
-        if now_ms >= since_ms + MAX_VERSION_WAIT_MS {
+        // One that is listed may only be full, and a new run would have gone to another version.
+        let is_listed = self.traffic.has_engine_for(&self.job.service, &self.binding);
+        if !is_listed && now_ms >= since_ms + MAX_VERSION_WAIT_MS {
             self.traffic.metrics.count("streams_ended_for_version");
             self.give_up(Failure::NoUpstreamOfVersion);
             return false;
