The quarantine names its record through the module

Cause: layers::decisions_import_nothing_of_the_shell refuses an import from self, which the move of the record into a file of its own had brought in. Change: named through its module, as the house style has it; no logic. The check is as it was.

--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -15,7 +15,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use self::record::{MAX_RECORDED_REQUESTS, Record, merge};
 use super::super::crash::{Crash, CrashRecord, EarlyCrash, Stage};
 use super::super::fingerprint::Fingerprint;
 use super::super::fleet::Upstream;
@@ -114,7 +113,7 @@
 /// Quarantine state of one instance.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    records: BTreeMap<Fingerprint, Record>,
+    records: BTreeMap<Fingerprint, record::Record>,
     pending: Vec<Crash>,
     ends: RecentEnds,
     /// Incremented on each change of `records`.
@@ -257,8 +256,8 @@
     }
 
     /// The upstreams whose end a banned part of prompts explains, other than what is recorded.
-    fn explained_crashes(&self, record: &Record) -> BTreeSet<Arc<str>> {
-        let explains = |banned: &&Record| {
+    fn explained_crashes(&self, record: &record::Record) -> BTreeSet<Arc<str>> {
+        let explains = |banned: &&record::Record| {
             banned.part.is_some()
                 && banned.until_ms.is_some()
                 && poison_parts::is_explained(record.crashes.len(), banned.crashes.len())
@@ -293,7 +292,11 @@
         }
         // Keep the empty record with its new epoch: it makes crashes that peers still report
         // obsolete.
-        *record = Record { epoch: record.epoch + 1, changed_ms: now_ms, ..Record::default() };
+        *record = record::Record {
+            epoch: record.epoch + 1,
+            changed_ms: now_ms,
+            ..record::Record::default()
+        };
         self.note_change(fingerprint);
         true
     }
@@ -303,11 +306,11 @@
     pub fn merge_record(&mut self, received: CrashRecord, now_ms: u64) -> bool {
         let fingerprint = received.fingerprint;
         let changed_ms = now_ms.saturating_sub(received.age_ms);
-        let incoming = Record {
+        let incoming = record::Record {
             epoch: received.epoch,
             crashes: received.crashes.into_iter().collect(),
             part: received.part,
-            requests: received.requests.into_iter().take(MAX_RECORDED_REQUESTS).collect(),
+            requests: received.requests.into_iter().take(record::MAX_RECORDED_REQUESTS).collect(),
             event: received.event,
             until_ms: received.left_ms.map(|left_ms| now_ms + left_ms.min(QUARANTINE_MS)),
             changed_ms,
@@ -318,7 +321,7 @@
         let before = self.records.get(&fingerprint).cloned();
         let merged = match &before {
             None => incoming,
-            Some(known) => merge(known, incoming),
+            Some(known) => record::merge(known, incoming),
         };
         if before.as_ref() == Some(&merged) {
             return false;
@@ -424,7 +427,7 @@
     }
 
     /// The status of one of them, in a group of its own.
-    fn suspect(&self, record: &Record) -> Suspect {
+    fn suspect(&self, record: &record::Record) -> Suspect {
         let is_part = record.part.is_some();
         // What has come to light since may explain the crashes of a part that is banned.
         let is_cause = || {
