--- a/src/gateway/control/stream_versions.rs
+++ b/src/gateway/control/stream_versions.rs
@@ -9,13 +9,13 @@
 
 use tokio::sync::{Notify, mpsc};
 
+use super::super::fleet::SoftwareVersion;
 use super::super::membership::Message;
 use super::super::policy::stream_versions::{
     self as policy, Lookup, StreamAnswer, StreamQuery, StreamRecord, StreamRecords, VERSION_TTL_MS,
     VersionHistory, VersionNote,
 };
 use super::super::policy::watchers;
-use super::super::software_version::SoftwareVersion;
 use super::super::view::StreamSearch;
 use super::{Control, ControlState};
 
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -3,6 +3,7 @@
 //! An empty or old reading must not empty the list, and after an outage of the directory entries
 //! that lapsed meanwhile get a short time to come back before they count as gone.
 
+mod software_version;
 mod upstream;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use self::software_version::SoftwareVersion;
 pub use self::upstream::{Departure, Upstream};
 use super::policy::eras::{self, Known, Reconciled};
 
--- a/src/gateway/software_version.rs
+++ b/src/gateway/fleet/software_version.rs
@@ -7,7 +7,7 @@
 /// The version of an upstream's software, which is not that of its models' weights.
 ///
 /// Versions have no order: two of them are the same or they are not. Runs don't cross from one
-/// version to another, see [docs/design/stream-versions.md](../../docs/design/stream-versions.md).
+/// version to another, see [docs/design/stream-versions.md](../../../docs/design/stream-versions.md).
 #[derive(
     Debug,
     Clone,
--- a/src/gateway/fleet/upstream.rs
+++ b/src/gateway/fleet/upstream.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::super::software_version::SoftwareVersion;
+use super::SoftwareVersion;
 
 /// One incarnation of a server of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -5,7 +5,7 @@
     CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 
-use super::software_version::SoftwareVersion;
+use super::fleet::SoftwareVersion;
 
 /// In a request: another instance sent it for its caller.
 const RELAYED: HeaderName = HeaderName::from_static("siskinrock-relayed");
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -9,11 +9,11 @@
 
 use super::dialect::{Demand, Dialect, Dispatch};
 use super::fingerprint::Fingerprint;
+use super::fleet::SoftwareVersion;
 use super::headers;
 use super::metrics::{Metrics, Time};
 use super::policy::stream_versions::StreamKey;
 use super::route::Route;
-use super::software_version::SoftwareVersion;
 
 /// Number of priorities that are told apart within a route.
 pub const PRIORITIES: u8 = 10;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,7 +41,6 @@
 pub mod route;
 pub mod server;
 pub mod settings;
-pub mod software_version;
 pub mod stream;
 pub mod traffic;
 pub mod via_peer;
--- a/src/gateway/native/document.rs
+++ b/src/gateway/native/document.rs
@@ -8,9 +8,8 @@
 use serde::Deserialize;
 
 use crate::error::{Kind, Result};
-use crate::gateway::fleet::Upstream;
+use crate::gateway::fleet::{SoftwareVersion, Upstream};
 use crate::gateway::route::{Config, Engine, Limits, Organisation, Repeat, Route, Service, Target};
-use crate::gateway::software_version::SoftwareVersion;
 
 /// The path that tells whether an upstream is well, where the file names none: the usual one.
 const HEALTH_PATH: &str = "/healthz";
--- a/src/gateway/policy/rediscovered.rs
+++ b/src/gateway/policy/rediscovered.rs
@@ -8,8 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::super::fleet::Upstream;
-use super::super::software_version::SoftwareVersion;
+use super::super::fleet::{SoftwareVersion, Upstream};
 
 /// How long rediscovered engines are kept after the directory answers again. Upstreams whose
 /// entries lapsed during the outage are listed again within two seconds; any that is still missing
--- a/src/gateway/policy/stream_versions/binding.rs
+++ b/src/gateway/policy/stream_versions/binding.rs
@@ -1,6 +1,6 @@
 //! What a run may go on at.
 
-use super::super::super::software_version::SoftwareVersion;
+use super::super::super::fleet::SoftwareVersion;
 
 /// The software version that a run is bound to, from its first event on.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/src/gateway/policy/stream_versions/history.rs
+++ b/src/gateway/policy/stream_versions/history.rs
@@ -6,8 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::super::super::fleet::Upstream;
-use super::super::super::software_version::SoftwareVersion;
+use super::super::super::fleet::{SoftwareVersion, Upstream};
 
 /// How long a version counts after its last upstream has gone: longer than a caller takes up a
 /// stream of it.
--- a/src/gateway/policy/stream_versions/lookup.rs
+++ b/src/gateway/policy/stream_versions/lookup.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::super::super::software_version::SoftwareVersion;
+use super::super::super::fleet::SoftwareVersion;
 use super::records::StreamKey;
 
 /// How long the version of a stream is searched for: a few round trips, also on a busy machine.
--- a/src/gateway/policy/stream_versions/records.rs
+++ b/src/gateway/policy/stream_versions/records.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::super::super::software_version::SoftwareVersion;
+use super::super::super::fleet::SoftwareVersion;
 
 /// Number of instances that hold a stream's record beside its owner.
 pub const REPLICAS: usize = 8;
--- a/src/gateway/stream/version.rs
+++ b/src/gateway/stream/version.rs
@@ -6,9 +6,9 @@
 use hyper::body::Incoming;
 
 use super::super::failure::Failure;
+use super::super::fleet::SoftwareVersion;
 use super::super::headers;
 use super::super::route::Repeat;
-use super::super::software_version::SoftwareVersion;
 use super::super::worker::Worker;
 use super::Run;
 
--- a/src/gateway/traffic/peers.rs
+++ b/src/gateway/traffic/peers.rs
@@ -8,9 +8,8 @@
 use std::sync::Arc;
 
 use super::super::channel::Fault;
-use super::super::fleet::Upstream;
+use super::super::fleet::{SoftwareVersion, Upstream};
 use super::super::policy::relay::{self, Candidate};
-use super::super::software_version::SoftwareVersion;
 use super::super::view::{Front, View};
 use super::super::worker::{Lease, Worker};
 use super::Traffic;
--- a/src/gateway/traffic/stream_versions.rs
+++ b/src/gateway/traffic/stream_versions.rs
@@ -5,9 +5,9 @@
 
 use tokio::sync::oneshot;
 
+use super::super::fleet::SoftwareVersion;
 use super::super::job::Job;
 use super::super::policy::stream_versions::{StreamKey, StreamRecord};
-use super::super::software_version::SoftwareVersion;
 use super::super::view::{Signal, StreamSearch};
 use super::Traffic;
 
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -10,7 +10,7 @@
 
 use super::crash::Crash;
 use super::fingerprint::Fingerprint;
-use super::fleet::{Departure, Fleet};
+use super::fleet::{Departure, Fleet, SoftwareVersion};
 use super::loads::{
     CacheLocations, LocalTraffic, Observations, OtherQueues, SentRequests, UpstreamLoad,
 };
@@ -23,7 +23,6 @@
 use super::policy::subset::Share;
 use super::rate::{Permit, Rate};
 use super::route::Config;
-use super::software_version::SoftwareVersion;
 
 mod queues;
 
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -9,11 +9,10 @@
 
 use super::channel::{self, Channel};
 use super::dialect::Load;
-use super::fleet::Upstream;
+use super::fleet::{SoftwareVersion, Upstream};
 use super::loads::Aged;
 use super::policy::speed::SpeedHistory;
 use super::rate::Rate;
-use super::software_version::SoftwareVersion;
 use crate::clock::Clock;
 
 /// How long an upstream that broke off is kept out of placement, unless it answers: a check takes
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use siskinrock::gateway::events::EventSplitter;
-use siskinrock::gateway::fleet::{Change, Fleet, Upstream};
+use siskinrock::gateway::fleet::{Change, Fleet, SoftwareVersion, Upstream};
 use siskinrock::gateway::policy::budget::{Bound, Budget};
 use siskinrock::gateway::policy::engine::Load;
 use siskinrock::gateway::policy::losses::{Loss, Losses, QueriedUpstream};
@@ -13,7 +13,6 @@
 use siskinrock::gateway::policy::placement::{Candidate, Constraints, choose};
 use siskinrock::gateway::policy::rediscovered::Rediscovered;
 use siskinrock::gateway::policy::spread;
-use siskinrock::gateway::software_version::SoftwareVersion;
 use siskinrock::platform::document;
 use yare::parameterized;
 
--- a/tests/gateway/departures.rs
+++ b/tests/gateway/departures.rs
@@ -2,9 +2,8 @@
 
 use std::sync::Arc;
 
-use siskinrock::gateway::fleet::{Departure, Upstream};
+use siskinrock::gateway::fleet::{Departure, SoftwareVersion, Upstream};
 use siskinrock::gateway::policy::departures::Departures;
-use siskinrock::gateway::software_version::SoftwareVersion;
 
 fn upstream(born_ms: Option<u64>) -> Upstream {
     Upstream {
--- a/tests/gateway/eras.rs
+++ b/tests/gateway/eras.rs
@@ -2,10 +2,9 @@
 
 use std::sync::Arc;
 
-use siskinrock::gateway::fleet::{Change, Fleet, Upstream};
+use siskinrock::gateway::fleet::{Change, Fleet, SoftwareVersion, Upstream};
 use siskinrock::gateway::policy::eras::{self, position};
 use siskinrock::gateway::policy::lease::{AcquireAttempt, Action, DutyLease, Holder};
-use siskinrock::gateway::software_version::SoftwareVersion;
 use yare::parameterized;
 
 fn upstream(id: &str, era: u64, created: u64, is_leaving: bool) -> Upstream {
--- a/tests/gateway/outliers.rs
+++ b/tests/gateway/outliers.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use siskinrock::gateway::fleet::Upstream;
+use siskinrock::gateway::fleet::{SoftwareVersion, Upstream};
 use siskinrock::gateway::loads::{
     Aged, LocalTraffic, PeerLoads, ReportedTraffic, UpstreamObservation,
 };
@@ -16,7 +16,6 @@
     Cause, Outliers, Standing, Status, Transition, UpstreamEvidence,
 };
 use siskinrock::gateway::policy::placement::{Candidate, Constraints, choose};
-use siskinrock::gateway::software_version::SoftwareVersion;
 use siskinrock::gateway::worker::Worker;
 use siskinrock_fakes::service::Fault;
 use yare::parameterized;
--- a/tests/gateway/part_decisions.rs
+++ b/tests/gateway/part_decisions.rs
@@ -7,11 +7,10 @@
 
 use siskinrock::gateway::crash::{Crash, Stage};
 use siskinrock::gateway::fingerprint::Fingerprint;
-use siskinrock::gateway::fleet::Upstream;
+use siskinrock::gateway::fleet::{SoftwareVersion, Upstream};
 use siskinrock::gateway::policy::poison_parts::{Evidence, ServedParts};
 use siskinrock::gateway::policy::quarantine::{Quarantine, Suspect};
 use siskinrock::gateway::policy::stream_end::{ResponseEnd, Verdict};
-use siskinrock::gateway::software_version::SoftwareVersion;
 use yare::parameterized;
 
 /// Engines of three failure domains.
--- a/tests/gateway/patience.rs
+++ b/tests/gateway/patience.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use siskinrock::gateway::fleet::{Change, Fleet, Upstream};
+use siskinrock::gateway::fleet::{Change, Fleet, SoftwareVersion, Upstream};
 use siskinrock::gateway::policy::admission::{EngineActivity, LateRequest};
 use siskinrock::gateway::policy::budget::{Bound, Budget};
 use siskinrock::gateway::policy::cache_lookup;
@@ -15,7 +15,6 @@
 use siskinrock::gateway::policy::silence::{
     self, LeaveReason, RunStatus, Silence, SilenceTimeouts, Verdict,
 };
-use siskinrock::gateway::software_version::SoftwareVersion;
 use siskinrock::platform::document;
 use yare::parameterized;
 
--- a/tests/gateway/subset.rs
+++ b/tests/gateway/subset.rs
@@ -3,9 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use siskinrock::gateway::fleet::{Change, Delta, Fleet, Upstream};
+use siskinrock::gateway::fleet::{Change, Delta, Fleet, SoftwareVersion, Upstream};
 use siskinrock::gateway::policy::subset::{self, InstanceSubset, Share};
-use siskinrock::gateway::software_version::SoftwareVersion;
 use yare::parameterized;
 
 fn upstream(number: usize) -> Upstream {
--- a/tests/gateway/suspicion.rs
+++ b/tests/gateway/suspicion.rs
@@ -8,10 +8,9 @@
 use hyper::Method;
 use siskinrock::gateway::crash::{Crash, Stage};
 use siskinrock::gateway::fingerprint::Fingerprint;
-use siskinrock::gateway::fleet::Upstream;
+use siskinrock::gateway::fleet::{SoftwareVersion, Upstream};
 use siskinrock::gateway::policy::coincidence::JUDGEMENT_DELAY_MS;
 use siskinrock::gateway::policy::quarantine::{self, Judgement, Quarantine};
-use siskinrock::gateway::software_version::SoftwareVersion;
 use yare::parameterized;
 
 const DOMAINS: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
--- a/tests/gateway/version_decisions.rs
+++ b/tests/gateway/version_decisions.rs
@@ -4,13 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use siskinrock::gateway::fleet::Upstream;
+use siskinrock::gateway::fleet::{SoftwareVersion, Upstream};
 use siskinrock::gateway::policy::rediscovered;
 use siskinrock::gateway::policy::stream_versions::{
     Binding, Lookup, RECORD_TTL_MS, REPLICAS, StreamAnswer, StreamKey, StreamRecord, StreamRecords,
     VERSION_TTL_MS, VersionHistory, VersionNote, ranked,
 };
-use siskinrock::gateway::software_version::SoftwareVersion;
 use yare::parameterized;
 
 fn named(name: &str) -> SoftwareVersion {
