Test: streams of a living version go on as often as new ones begin

Six of nine instances are killed at once; 18 streams are taken up at the others, beside as many new ones.

--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -283,3 +283,36 @@
     assert_eq!(running.runs_of(&again.id), 0);
     assert!(caller::stream(running.front(1), &plan()).await.unwrap().is_complete);
 }
+
+/// Most instances are lost at the same moment: of the streams that are taken up at the others, the share
+/// that goes on is at least half of that of new streams that begin there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn streams_of_a_living_version_go_on_as_often_as_new_ones_begin() {
+    const LOST: usize = 6;
+    let mut running = start(4, 9).await;
+    let all: Vec<(usize, Call)> = (0..18).map(|number| (number % LOST, plan())).collect();
+    let reading: Vec<_> = all
+        .iter()
+        .map(|(instance, sent)| {
+            let (front, sent) = (running.front(*instance), sent.clone());
+            tokio::spawn(async move { caller::stream(front, &sent).await })
+        })
+        .collect();
+    for (_, sent) in &all {
+        running.engine_of(sent).await;
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    running.gateways[..LOST].iter_mut().for_each(Process::kill);
+    let (mut begun, mut taken, mut gone_on) = (0, 0, 0);
+    for (number, ((_, sent), stream)) in all.iter().zip(reading).enumerate() {
+        let part = stream.await.unwrap().unwrap();
+        let front = running.front(LOST + number % 3);
+        let again = taken_up(sent, last_event(&part));
+        let rest = caller::stream(front, &again).await.unwrap();
+        taken += 1;
+        gone_on += usize::from(part.text + &rest.text == whole_text(sent, 0));
+        begun += usize::from(caller::stream(front, &plan()).await.unwrap().is_complete);
+        assert!(running.versions_of(&[sent.clone(), again]).len() <= 1);
+    }
+    assert!(2 * gone_on >= begun, "{gone_on} of {taken} went on, {begun} new ones began");
+}
