A stream that its caller takes up after event 0 has begun

Cause: Last-Event-Id 0 was read as no event, also with the name of the attempt that brought the first one: where events begin at 0, such a stream would have gone on at any version. Change: with that name, any number takes a stream up.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -47,9 +47,10 @@
 }
 
 impl Demand {
-    /// Whether it takes up a stream of which the caller has events.
+    /// Whether it takes up a stream of which the caller has events. Without the name of the attempt
+    /// that brought the first one, 0 stands for none.
     pub fn takes_up_stream(&self) -> bool {
-        self.last_event.is_some_and(|last| last > 0)
+        self.last_event.is_some_and(|last| last > 0 || self.resumes.is_some())
     }
 }
 
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -316,3 +316,11 @@
     }
     assert!(2 * gone_on >= begun, "{gone_on} of {taken} went on, {begun} new ones began");
 }
+
+/// A caller that has the first event of a stream whose events begin at 0 has begun it.
+#[tokio::test]
+async fn a_stream_that_is_taken_up_after_event_zero_has_begun() {
+    let running = start(2, 3).await;
+    let unknown = Call { resumes: Some("nobody".to_owned()), last_event: Some(0), ..plan() };
+    assert_eq!(caller::send(running.front(1), &unknown).await.unwrap().status(), 503);
+}
