Streams without a name share no record

Cause: a request without an id has the name '-' for logs, and that made the key of its stream; the record of one such stream was found for every other. Change: without a name there is no key: nothing is recorded, and a stream that is taken up is served only where its service had one version. Run: a_stream_without_a_name_is_not_taken_for_another_one failed before (200, 503 is due) and passes, with all 34 cases of stream_versions and version_decisions. The fake engine names no request that has no name.

--- a/src/gateway/control/stream_versions.rs
+++ b/src/gateway/control/stream_versions.rs
@@ -124,7 +124,9 @@
         let streams = &state.streams;
         StreamAnswer {
             number: query.number,
-            version: streams.records.version_of(query.stream, now_ms).cloned(),
+            version: query
+                .stream
+                .and_then(|stream| streams.records.version_of(stream, now_ms).cloned()),
             service_versions: streams.history.versions_of(&query.service, now_ms),
             knows_all: Control::knows_all_versions(&state, now_ms),
         }
@@ -156,7 +158,7 @@
         let query = StreamQuery { number, stream, service };
         let version = self.ask_for_stream(&query, &mut answers).await;
         self.state.borrow_mut().streams.searches.remove(&number);
-        slog::info!(self.log, "stream version searched for"; "stream" => %stream,
+        slog::info!(self.log, "stream version searched for"; "stream" => stream.as_ref().map(ToString::to_string),
             "version" => version.as_ref().map(ToString::to_string));
         // The caller may have left.
         let _ = found.send(version);
@@ -220,7 +222,10 @@
         let alive = || state.membership.alive().map(|member| &member.descriptor);
         let registrations = alive().map(|descriptor| &descriptor.registration);
         let by_id = registrations.map(|other| (&other.id, other));
-        let mut asked = policy::ranked(query.stream, by_id, policy::MAX_ASKED);
+        let mut asked = match query.stream {
+            Some(stream) => policy::ranked(stream, by_id, policy::MAX_ASKED),
+            None => Vec::new(),
+        };
         let ranks = alive().map(|descriptor| (descriptor.rank(), &descriptor.registration));
         asked.extend(watchers::full_holders(ranks));
         let mut ids = BTreeSet::new();
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -63,10 +63,12 @@
         Fingerprint::of(method, &route.host, target, organisation.as_ref(), body)
     }
 
-    /// The key of its stream, over all tries of its caller.
-    pub fn stream_key(&self) -> StreamKey {
+    /// The key of its stream, over all tries of its caller; `None` if the caller names nothing that
+    /// tells it from others.
+    pub fn stream_key(&self) -> Option<StreamKey> {
         let resumed = self.demand.resumes.as_deref().filter(|_| self.demand.takes_up_stream());
-        StreamKey::of(resumed.unwrap_or(self.id()), self.organisation.as_deref(), &self.service)
+        let attempt = resumed.or(self.demand.id.as_deref())?;
+        Some(StreamKey::of(attempt, self.organisation.as_deref(), &self.service))
     }
 
     /// Its class where routes of different priority compete for one service: the route's priority
--- a/src/gateway/policy/stream_versions/lookup.rs
+++ b/src/gateway/policy/stream_versions/lookup.rs
@@ -21,7 +21,8 @@
 pub struct StreamQuery {
     /// Number of the query at its sender; the answer repeats it.
     pub number: u64,
-    pub stream: StreamKey,
+    /// The stream, if its caller names it.
+    pub stream: Option<StreamKey>,
     pub service: Arc<str>,
 }
 
--- a/src/gateway/stream/version.rs
+++ b/src/gateway/stream/version.rs
@@ -38,7 +38,8 @@
     /// Reports the stream with the version that began it.
     fn own_stream(&mut self, version: &SoftwareVersion) {
         if self.job.route.repeat == Repeat::Resumable {
-            self.own_stream = Some(self.traffic.own_stream(self.job.stream_key(), version));
+            let stream = self.job.stream_key();
+            self.own_stream = stream.map(|stream| self.traffic.own_stream(stream, version));
         }
     }
 
@@ -54,7 +55,7 @@
         };
         slog::info!(self.traffic.log, "stream taken up"; "request" => self.job.id(),
             "resumes" => self.job.demand.resumes.as_deref(), "after" => self.last_event,
-            "stream" => %self.job.stream_key(),
+            "stream" => self.job.stream_key().as_ref().map(ToString::to_string),
             "version" => found.as_ref().map(ToString::to_string));
         let Some(version) = found else {
             self.traffic.metrics.count("streams_of_unknown_version");
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -167,8 +167,8 @@
 /// The search for the version that began a stream.
 #[derive(Debug)]
 pub struct StreamSearch {
-    /// The stream.
-    pub stream: StreamKey,
+    /// The stream, if its caller names it.
+    pub stream: Option<StreamKey>,
     /// Its service.
     pub service: Arc<str>,
     /// Takes the version, if it was found.
--- a/tests/fakes/src/caller.rs
+++ b/tests/fakes/src/caller.rs
@@ -18,7 +18,7 @@
     pub path: String,
     /// The host that it names.
     pub host: String,
-    /// Its name.
+    /// Its name; empty if the caller gives it none.
     pub id: String,
     /// The caller's key.
     pub key: Option<String>,
@@ -40,9 +40,12 @@
     /// The request as bytes.
     pub fn encode(&self) -> Vec<u8> {
         let mut head = format!(
-            "{} {} HTTP/1.1\r\nHost: {}\r\nX-Request-Id: {}\r\nX-Request-Deadline: {}\r\n",
-            self.method, self.path, self.host, self.id, self.deadline_ms
+            "{} {} HTTP/1.1\r\nHost: {}\r\nX-Request-Deadline: {}\r\n",
+            self.method, self.path, self.host, self.deadline_ms
         );
+        if !self.id.is_empty() {
+            head += &format!("X-Request-Id: {}\r\n", self.id);
+        }
         if let Some(key) = &self.key {
             head += &format!("X-Key: {key}\r\n");
         }
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -418,6 +418,7 @@
             return std::future::pending().await;
         }
         let fault = self.lock().fault;
+        let named = if id.is_empty() { String::new() } else { format!("X-Request-Id: {id}\r\n") };
         let framing = match crash_point {
             Some(CrashPoint::InFirstEvent | CrashPoint::BetweenEvents) => "Connection: close",
             _ if fault == Fault::Unframed => "Connection: close",
@@ -427,7 +428,7 @@
         let said: String =
             said.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\n\
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{named}\
              X-Response-Signature: {}\r\n{said}{framing}\r\n\r\n",
             self.id
         );
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -317,6 +317,18 @@
     assert!(2 * gone_on >= begun, "{gone_on} of {taken} went on, {begun} new ones began");
 }
 
+/// Streams without a name shared one record, so that one was taken for another.
+#[tokio::test]
+async fn a_stream_without_a_name_is_not_taken_for_another_one() {
+    let running = start(2, 3).await;
+    for _ in 0..4 {
+        let nameless = Call { id: String::new(), ..plan() };
+        assert!(caller::stream(running.front(0), &nameless).await.unwrap().is_complete);
+    }
+    let again = Call { id: String::new(), last_event: Some(3), ..plan() };
+    assert_eq!(caller::send(running.front(1), &again).await.unwrap().status(), 503);
+}
+
 /// A caller that has the first event of a stream whose events begin at 0 has begun it.
 #[tokio::test]
 async fn a_stream_that_is_taken_up_after_event_zero_has_begun() {
