A relayed stream keeps to the stated version also before its first event

Cause: an instance that relays a stream states the version of the head that its caller has; the one that serves it looked at that only for streams with events. A head of one version, no event, a further relay and events of another: the record would have named the first, and a caller's next try gone on there. Run: a_relayed_stream_keeps_to_the_version_that_its_instance_states failed before (v1, where v1.1 is stated) and passes; cut_off::streams_under_way_are_whole passed.

--- a/src/gateway/stream/version.rs
+++ b/src/gateway/stream/version.rs
@@ -46,11 +46,12 @@
     /// Finds the version of a stream that its caller takes up, and binds the run to it. Returns false
     /// if nobody knows it: any version could be the wrong one.
     pub(super) async fn find_version(&mut self) -> bool {
-        if !self.job.demand.takes_up_stream() || self.job.route.repeat != Repeat::Resumable {
+        if self.job.route.repeat != Repeat::Resumable {
             return true;
         }
         let found = match self.job.relayed_version.clone() {
             Some(version) => Some(version),
+            None if !self.job.demand.takes_up_stream() => return true,
             None => self.traffic.version_of_stream(&self.job).await,
         };
         slog::info!(self.traffic.log, "stream taken up"; "request" => self.job.id(),
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -6,8 +6,10 @@
 
 use siskinrock_fakes::caller::{self, Call, Stream};
 use siskinrock_fakes::engine::{EVENTS, Fault};
+use siskinrock_fakes::http::Connection;
 use siskinrock_fakes::process::{Process, wait_for};
 use siskinrock_fakes::site::Site;
+use tokio::net::TcpStream;
 use yare::parameterized;
 
 use crate::support::{self, Running, plan, whole_text};
@@ -336,3 +338,20 @@
     let unknown = Call { resumes: Some("nobody".to_owned()), last_event: Some(0), ..plan() };
     assert_eq!(caller::send(running.front(1), &unknown).await.unwrap().status(), 503);
 }
+
+/// The instance that relays a stream has passed on a head of this version, and no event yet.
+#[tokio::test]
+async fn a_relayed_stream_keeps_to_the_version_that_its_instance_states() {
+    let running = start(2, 1).await;
+    for _ in 0..8 {
+        let sent = plan();
+        let stated = "Siskinrock-Relayed: 1\r\nSiskinrock-Stream-Version: =v1.1\r\nContent-Length";
+        let text = String::from_utf8(sent.encode()).unwrap().replace("Content-Length", stated);
+        let stream = TcpStream::connect(running.front(0)).await.unwrap();
+        let mut connection = Connection::new(stream);
+        connection.write(text.as_bytes()).await.unwrap();
+        assert_eq!(connection.read_answer().await.unwrap().status(), 200);
+        while connection.read_chunk().await.is_ok_and(|chunk| !chunk.is_empty()) {}
+        assert_eq!(running.versions_of(&[sent]), BTreeSet::from(["v1.1".to_owned()]));
+    }
+}
