An instance's own old list proves no stream's version

Cause: a stream without a record was served as of its service's only version on the word of the instance's own list, without asking anybody: one that had stood still or was cut off knew v1 alone while others had begun streams at v1.1. Unknown was taken for any.

Change: it asks first, and believes an answer of one that hears of changes now (from the directory or, while that answers nobody, in the larger half of the instances of the last minute). Its own list counts only if nobody answers and the directory answered within 3 s, or if it is the only instance. Decided in policy/stream_versions/lookup, without I/O. The datagrams' layout is 10.

Run: an_old_list_proves_no_version (7 cases), the_smaller_half_is_current_only_by_the_directory (3); with stream_versions, version_decisions, streams, lost_instances and membership 98 passed. No test of real processes shows the fault before: the fakes can't cut links between instances.

--- a/src/gateway/control/stream_versions.rs
+++ b/src/gateway/control/stream_versions.rs
@@ -12,8 +12,8 @@
 use super::super::fleet::SoftwareVersion;
 use super::super::membership::Message;
 use super::super::policy::stream_versions::{
-    self as policy, Lookup, StreamAnswer, StreamQuery, StreamRecord, StreamRecords, VERSION_TTL_MS,
-    VersionHistory, VersionNote,
+    self as policy, Contact, Lookup, StreamAnswer, StreamQuery, StreamRecord, StreamRecords,
+    VERSION_TTL_MS, VersionHistory, VersionNote,
 };
 use super::super::policy::watchers;
 use super::super::view::StreamSearch;
@@ -129,6 +129,7 @@
                 .and_then(|stream| streams.records.version_of(stream, now_ms).cloned()),
             service_versions: streams.history.versions_of(&query.service, now_ms),
             knows_all: Control::knows_all_versions(&state, now_ms),
+            is_current: Control::contact(&state, now_ms).is_current(),
         }
     }
 
@@ -138,6 +139,16 @@
         state.has_fleet && state.held_part.share.is_all() && has_seen
     }
 
+    /// Whether this instance is in contact with the directory and the others.
+    fn contact(state: &ControlState, now_ms: u64) -> Contact {
+        let age_ms = now_ms.saturating_sub(state.directory_answered_ms);
+        Contact {
+            directory_age_ms: Control::has_working_watch(state).then_some(age_ms),
+            alive: state.membership.alive().count(),
+            lost: state.membership.unplanned_deaths_since(now_ms.saturating_sub(VERSION_TTL_MS)),
+        }
+    }
+
     pub(super) fn handle_stream_query(&self, query: &StreamQuery, from: SocketAddr) {
         self.send(&Message::StreamAnswer(self.known_of_stream(query)), &[from]);
     }
@@ -170,7 +181,7 @@
         answers: &mut mpsc::UnboundedReceiver<(SocketAddr, StreamAnswer)>,
     ) -> Option<SoftwareVersion> {
         let mut lookup = Lookup::default();
-        let known = lookup.note(Arc::clone(&self.me.id), self.known_of_stream(query));
+        let known = lookup.begin(self.known_of_stream(query));
         if known.is_some() {
             return known;
         }
@@ -184,7 +195,7 @@
                 .collect();
             let knows_members = Control::knows_members(&self.state.borrow());
             if unanswered.is_empty() && knows_members {
-                return None;
+                break;
             }
             self.send(&Message::AskStream(query.clone()), &unanswered);
             let next_ms = (self.clock.now_ms() + policy::LOOKUP_INTERVAL_MS).min(until_ms);
@@ -200,9 +211,11 @@
                 }
             }
             if self.clock.now_ms() >= until_ms {
-                return None;
+                break;
             }
         }
+        let contact = Control::contact(&self.state.borrow(), self.clock.now_ms());
+        lookup.conclude(contact)
     }
 
     async fn next_answer(
--- a/src/gateway/membership/message.rs
+++ b/src/gateway/membership/message.rs
@@ -17,7 +17,7 @@
 use super::sums::BucketChecksums;
 
 /// Version of the datagram layout; datagrams of any other version are rejected.
-const LAYOUT: u8 = 9;
+const LAYOUT: u8 = 10;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/src/gateway/policy/stream_versions/mod.rs
+++ b/src/gateway/policy/stream_versions/mod.rs
@@ -10,6 +10,6 @@
 pub use self::binding::Binding;
 pub use self::history::{VERSION_TTL_MS, VersionHistory, VersionNote};
 pub use self::lookup::{
-    LOOKUP_INTERVAL_MS, Lookup, MAX_ASKED, MAX_LOOKUP_MS, StreamAnswer, StreamQuery,
+    Contact, LOOKUP_INTERVAL_MS, Lookup, MAX_ASKED, MAX_LOOKUP_MS, StreamAnswer, StreamQuery,
 };
 pub use self::records::{RECORD_TTL_MS, REPLICAS, StreamKey, StreamRecord, StreamRecords, ranked};
--- a/tests/gateway/version_decisions.rs
+++ b/tests/gateway/version_decisions.rs
@@ -7,8 +7,8 @@
 use siskinrock::gateway::fleet::{SoftwareVersion, Upstream};
 use siskinrock::gateway::policy::rediscovered;
 use siskinrock::gateway::policy::stream_versions::{
-    Binding, Lookup, RECORD_TTL_MS, REPLICAS, StreamAnswer, StreamKey, StreamRecord, StreamRecords,
-    VERSION_TTL_MS, VersionHistory, VersionNote, ranked,
+    Binding, Contact, Lookup, RECORD_TTL_MS, REPLICAS, StreamAnswer, StreamKey, StreamRecord,
+    StreamRecords, VERSION_TTL_MS, VersionHistory, VersionNote, ranked,
 };
 use yare::parameterized;
 
@@ -139,6 +139,7 @@
         version: record.map(named),
         service_versions: versions.iter().map(|name| named(name)).collect(),
         knows_all,
+        is_current: true,
     };
     assert_eq!(lookup.note(Arc::from("g1"), answer), found.map(named));
 }
@@ -152,6 +153,7 @@
         version: None,
         service_versions: [named(version)].into(),
         knows_all,
+        is_current: true,
     };
     assert_eq!(lookup.note(Arc::from("g1"), answer("v1", false)), None);
     assert_eq!(lookup.note(Arc::from("g2"), answer("v2", true)), None);
@@ -167,3 +169,37 @@
     assert_eq!(of(&[lost.clone(), upstream("a", named("v1"))]), named("v1"));
     assert_eq!(of(&[lost.clone(), upstream("a", named("v2"))]), SoftwareVersion::Unknown);
 }
+
+/// An instance that stood still or was cut off knows one version, and another one began streams since.
+#[parameterized(
+    own_list_and_nobody_answers = { None, Contact { directory_age_ms: None, alive: 8, lost: 0 }, None },
+    cut_off_from_all = { None, Contact { directory_age_ms: None, alive: 0, lost: 8 }, None },
+    stood_still = { None, Contact { directory_age_ms: Some(9_000), alive: 8, lost: 0 }, None },
+    the_directory_answers = { None, Contact { directory_age_ms: Some(500), alive: 0, lost: 8 }, Some("v1") },
+    the_only_instance = { None, Contact { directory_age_ms: None, alive: 0, lost: 0 }, Some("v1") },
+    another_is_current = { Some(true), Contact { directory_age_ms: None, alive: 8, lost: 0 }, Some("v1") },
+    another_is_cut_off_too = { Some(false), Contact { directory_age_ms: None, alive: 1, lost: 7 }, None },
+)]
+fn an_old_list_proves_no_version(other: Option<bool>, contact: Contact, found: Option<&str>) {
+    let answer = |is_current| StreamAnswer {
+        number: 1,
+        version: None,
+        service_versions: [named("v1")].into(),
+        knows_all: true,
+        is_current,
+    };
+    let mut lookup = Lookup::default();
+    assert_eq!(lookup.begin(answer(true)), None);
+    let told = other.and_then(|is_current| lookup.note(Arc::from("g2"), answer(is_current)));
+    assert_eq!(told.or_else(|| lookup.conclude(contact)), found.map(named));
+}
+
+#[parameterized(
+    larger_half = { 5, 3, true },
+    smaller_half = { 3, 5, false },
+    smaller_half_with_the_directory = { 3, 5, true },
+)]
+fn the_smaller_half_is_current_only_by_the_directory(alive: usize, lost: usize, is_current: bool) {
+    let directory_age_ms = (is_current && alive < lost).then_some(100);
+    assert_eq!(Contact { directory_age_ms, alive, lost }.is_current(), is_current);
+}
