A found engine's version follows from the service's last minute

Cause: an engine that is found without an entry was taken to run its service's version if the present list names one; a version whose last engine had left a moment before was forgotten. Unknown was taken for any. Change: the last minute's versions count.

--- a/src/gateway/control/rediscovery.rs
+++ b/src/gateway/control/rediscovery.rs
@@ -85,7 +85,9 @@
         slog::info!(self.log, "engine rediscovered"; "upstream" => &*id, "before" => &*lost.id,
             "address" => %lost.addr, "domain" => &*lost.domain);
         self.metrics.count("engines_found_again");
-        let version = rediscovered::software_version(&lost, &self.state.borrow().fleet.upstreams);
+        let now_ms = self.clock.now_ms();
+        let versions = self.state.borrow().streams.history.versions_of(&lost.service, now_ms);
+        let version = rediscovered::software_version(&lost, &versions);
         let rediscovered = Upstream { id, version, ..lost };
         self.add_rediscovered(rediscovered);
     }
--- a/src/gateway/policy/rediscovered.rs
+++ b/src/gateway/policy/rediscovered.rs
@@ -5,7 +5,7 @@
 //! failure domain after another, until none is left.
 
 use std::borrow::Cow;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::super::fleet::{SoftwareVersion, Upstream};
@@ -16,10 +16,12 @@
 const RETENTION_MS: u64 = 1_900;
 
 /// The software version of an engine that was found at the address of a lost one: that of its
-/// service, if all listed upstreams of it run one. The engine itself doesn't state it.
-pub fn software_version(lost: &Upstream, listed: &BTreeMap<Arc<str>, Upstream>) -> SoftwareVersion {
-    let mut of_service = listed.values().filter(|known| known.service == lost.service);
-    if of_service.all(|known| known.version == lost.version) {
+/// service, if it had one alone in the last minute. The engine itself doesn't state it.
+pub fn software_version(
+    lost: &Upstream,
+    service_versions: &BTreeSet<SoftwareVersion>,
+) -> SoftwareVersion {
+    if service_versions.iter().all(|version| *version == lost.version) {
         lost.version.clone()
     } else {
         SoftwareVersion::Unknown
--- a/tests/gateway/version_decisions.rs
+++ b/tests/gateway/version_decisions.rs
@@ -162,12 +162,16 @@
 #[test]
 fn a_found_engine_runs_what_its_service_runs_if_that_is_one_version() {
     let lost = upstream("lost", named("v1"));
-    let of = |listed: &[Upstream]| {
-        let listed = listed.iter().map(|known| (Arc::clone(&known.id), known.clone())).collect();
-        rediscovered::software_version(&lost, &listed)
+    let mut history = VersionHistory::default();
+    history.note_list([lost.clone()].iter(), 1, 0);
+    let of = |history: &VersionHistory, now_ms| {
+        rediscovered::software_version(&lost, &history.versions_of("plan", now_ms))
     };
-    assert_eq!(of(&[lost.clone(), upstream("a", named("v1"))]), named("v1"));
-    assert_eq!(of(&[lost.clone(), upstream("a", named("v2"))]), SoftwareVersion::Unknown);
+    assert_eq!(of(&history, 0), named("v1"));
+    history.note_list([lost.clone(), upstream("a", named("v2"))].iter(), 2, 10);
+    assert_eq!(of(&history, 20), SoftwareVersion::Unknown);
+    history.note_list([lost.clone()].iter(), 3, 30);
+    assert_eq!(of(&history, 40), SoftwareVersion::Unknown, "another version has only just left");
 }
 
 /// An instance that stood still or was cut off knows one version, and another one began streams since.
