Versions are stored only for services whose streams can be taken up

A roll-out of a plain service wrote its versions to the store every 20 s, for nothing. Found by reading the diff. Run: a_version_that_left_is_remembered_after_the_loss_of_all_instances and the 121 tests beside it passed.

--- a/src/gateway/control/stream_versions.rs
+++ b/src/gateway/control/stream_versions.rs
@@ -16,6 +16,7 @@
     VERSION_TTL_MS, VersionHistory, VersionNote,
 };
 use super::super::policy::watchers;
+use super::super::route::{Repeat, Route};
 use super::super::view::StreamSearch;
 use super::{Control, ControlState};
 
@@ -262,6 +263,20 @@
         self.state.borrow_mut().streams.history.note_stored(note, now_ms);
     }
 
+    /// The versions of services that have several and whose streams callers may take up.
+    fn versions_to_store(&self) -> Vec<VersionNote> {
+        let state = self.state.borrow();
+        let mut notes = state.streams.history.notes(self.clock.now_ms());
+        let routes = || state.config.iter().flat_map(|config| &config.routes);
+        notes.retain(|note| {
+            let leads_there = |route: &&Arc<Route>| {
+                route.targets.iter().any(|target| target.service == note.service)
+            };
+            routes().filter(leads_there).any(|route| route.repeat == Repeat::Resumable)
+        });
+        notes
+    }
+
     /// Keeps the versions of services that have several in the directory, so that they outlast the
     /// loss of all instances. A few instances do this for all.
     pub(super) async fn store_versions(self: Rc<Control>) {
@@ -274,8 +289,7 @@
             if !self.should_register() {
                 continue;
             }
-            let notes = self.state.borrow().streams.history.notes(self.clock.now_ms());
-            for note in notes {
+            for note in self.versions_to_store() {
                 if let Err(fault) = self.directory.remember_versions(&note, STORED_TTL_MS).await {
                     slog::info!(self.log, "could not store the versions of a service";
                         "service" => &*note.service, "why" => %fault);
