--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -75,8 +75,7 @@
     }
 }
 
-/// Streams went on at an engine of another version, first within an answer and then at another
-/// instance, after both their engine and their instance had been lost.
+/// The engine of a stream is lost, and then the instance that took it on to the next one.
 #[tokio::test]
 async fn a_stream_holds_events_of_one_software_version() {
     for _ in 0..4 {
@@ -98,8 +97,7 @@
     }
 }
 
-/// The engine of a run fails while the copy, the cached prompt and the free engines are of another
-/// version as well as of its own.
+/// Copies, cached prompts and free engines are of both versions when the engine fails.
 #[parameterized(
     torn = { Fault::Torn },
     dark = { Fault::Dark },
@@ -125,8 +123,7 @@
     }
 }
 
-/// The last engine of a version is gone: its stream waits for one that comes back, and is not
-/// continued at another version meanwhile.
+/// The last engine of a version is gone, and comes back.
 #[tokio::test]
 async fn a_stream_waits_for_an_engine_of_its_version() {
     let site = Site::start(2, 40).await;
@@ -184,8 +181,7 @@
     assert_eq!(running.versions_of(&[sent.clone(), again]).len(), 1);
 }
 
-/// Guards against streams that go on at another version after the instance that began them is lost:
-/// the others know nothing of it, and the engine that had the prompt is gone too.
+/// The instance that began the streams is lost, and so are the engines that have their prompts.
 #[parameterized(
     nine_instances = { 9, [1, 4, 8] },
     many_instances = { 73, [1, 35, 72] },
@@ -207,8 +203,7 @@
     futures_util::future::join_all(taken).await;
 }
 
-/// The attempt that brought the first event is named also by the third and fourth try, when the
-/// instances of the earlier ones are gone.
+/// Later tries name the attempt that brought the first event, and the instances between are gone.
 #[tokio::test]
 async fn a_stream_that_is_taken_up_again_and_again_keeps_its_version() {
     let mut running = start(2, 9).await;
@@ -234,8 +229,7 @@
     assert_eq!(running.versions_of(&tries).len(), 1);
 }
 
-/// What nobody knows is refused at once and has not run: all instances were lost, or the name is of
-/// nobody's stream. With one version in the service it is served.
+/// A caller names nothing, or nobody's stream.
 #[tokio::test]
 async fn a_stream_of_unknown_version_is_refused_where_several_may_have_begun_it() {
     let running = start(2, 3).await;
@@ -260,8 +254,7 @@
     assert_eq!(own.text, whole_text(&began, 3));
 }
 
-/// The last engines of a version left before all instances were lost: that there was another one is
-/// in the store, so a stream of it is not taken for one of the version that is left.
+/// The last engines of a version left, and then all instances were lost.
 #[tokio::test]
 async fn a_version_that_left_is_remembered_after_the_loss_of_all_instances() {
     let mut running = start(2, 3).await;
@@ -286,8 +279,7 @@
     assert!(caller::stream(running.front(1), &plan()).await.unwrap().is_complete);
 }
 
-/// Most instances are lost at the same moment: of the streams that are taken up at the others, the share
-/// that goes on is at least half of that of new streams that begin there.
+/// Most instances are lost at the same moment.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn streams_of_a_living_version_go_on_as_often_as_new_ones_begin() {
     const LOST: usize = 6;
