What is kept of parts is bounded also by the length of their names

Cause: 65,536 names of parts that runs got past were kept whole, and 512 records with names that go into datagrams; callers choose the names, up to the length of a head, so an instance could be filled. Change: the parts that were got past are kept by fingerprint; a record keeps the first 64 characters of a name. With it, since the same lines change: asking for the suspected parts reports nothing any more, the acquittal does; and a crash is reported against the request before its parts, so that a bound hits these first.

--- a/src/gateway/policy/poison_parts/evidence.rs
+++ b/src/gateway/policy/poison_parts/evidence.rs
@@ -1,5 +1,7 @@
 //! When a part is banned.
 
+use std::sync::Arc;
+
 /// Points of the crashes, each of a run that had just begun counting 2, at which a part is banned.
 const BAN_POINTS: u32 = 8;
 /// Number of crashes at which it is banned, however far the runs had come.
@@ -10,6 +12,18 @@
 /// Points of one more crash at the most.
 const MAX_CRASH_POINTS: u32 = 2;
 
+/// Maximum number of characters of a part's name that is recorded: callers choose it, and operators
+/// only have to recognise it.
+const MAX_LABEL_CHARS: usize = 64;
+
+/// The beginning of a part's name, for records and operators.
+pub fn label(name: &Arc<str>) -> Arc<str> {
+    match name.char_indices().nth(MAX_LABEL_CHARS) {
+        Some((end, _)) => Arc::from(&name[..end]),
+        None => Arc::clone(name),
+    }
+}
+
 /// The evidence against a part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Evidence {
--- a/src/gateway/policy/poison_parts/mod.rs
+++ b/src/gateway/policy/poison_parts/mod.rs
@@ -5,6 +5,6 @@
 mod groups;
 mod served;
 
-pub use self::evidence::{Evidence, is_explained, may_ban};
+pub use self::evidence::{Evidence, is_explained, label, may_ban};
 pub use self::groups::{Group, complete_groups, crashes_id};
 pub use self::served::ServedParts;
--- a/src/gateway/traffic/quarantine.rs
+++ b/src/gateway/traffic/quarantine.rs
@@ -31,24 +31,16 @@
         view.quarantine.get(&job.fingerprint()).cloned()
     }
 
-    /// What the quarantine knows of the parts of a request's prompt. A part that runs got past here
-    /// is none of them: all instances are told so.
+    /// What the quarantine knows of the parts of a request's prompt that no run got past here lately.
     fn suspected_parts(&self, job: &Job) -> Vec<(Fingerprint, Suspect)> {
         let view = self.shared.view.load();
         if view.quarantine.is_empty() {
             return Vec::new();
         }
-        let mut suspects = Vec::new();
-        for part in &job.demand.shared_parts {
-            let fingerprint = Fingerprint::of_part(part);
-            let Some(suspect) = view.quarantine.get(&fingerprint) else { continue };
-            if self.served_parts.borrow().contains(part, self.now_ms()) {
-                self.shared.report(Report::Served(fingerprint, None));
-            } else {
-                suspects.push((fingerprint, suspect.clone()));
-            }
-        }
-        suspects
+        let unproved = self.unproved_parts(job).into_iter();
+        let suspect =
+            |(fingerprint, _)| Some((fingerprint, view.quarantine.get(&fingerprint)?.clone()));
+        unproved.filter_map(suspect).collect()
     }
 
     /// The banned parts of a request's prompt for which it is refused.
@@ -139,33 +131,38 @@
         tokio::task::spawn_local(async move {
             let has_exited = check.wait_for(Option::is_some).await;
             if has_exited.is_ok_and(|has_exited| *has_exited == Some(true)) {
-                for part in parts {
-                    let fingerprint = Fingerprint::of_part(&part);
-                    let crash = Crash { fingerprint, part: Some(part), ..crash.clone() };
+                traffic.shared.report(Report::Crash(crash.clone()));
+                for (fingerprint, name) in parts {
+                    let part = Some(poison_parts::label(&name));
+                    let crash = Crash { fingerprint, part, ..crash.clone() };
                     traffic.shared.report(Report::Crash(crash));
                 }
-                traffic.shared.report(Report::Crash(crash));
             }
         });
     }
 
-    /// The parts of a request's prompt that no run got past here lately.
-    fn unproved_parts(&self, job: &Job) -> Vec<Arc<str>> {
+    /// The parts of a request's prompt that no run got past here lately, with their names.
+    fn unproved_parts(&self, job: &Job) -> Vec<(Fingerprint, Arc<str>)> {
         let served = self.served_parts.borrow();
         let now_ms = self.now_ms();
-        let unproved = job.demand.shared_parts.iter().filter(|part| !served.contains(part, now_ms));
-        unproved.cloned().collect()
+        let parts = job.demand.shared_parts.iter();
+        let parts = parts.map(|part| (Fingerprint::of_part(part), Arc::clone(part)));
+        parts.filter(|(fingerprint, _)| !served.contains(*fingerprint, now_ms)).collect()
     }
 
     /// Notes that a run got past the point at which a part of its prompt would have crashed its
-    /// upstream.
+    /// upstream, and reports so of those parts that are suspected.
     pub fn note_parts_served(&self, job: &Job) {
         let now_ms = self.now_ms();
+        let view = self.shared.view.load();
         let mut served = self.served_parts.borrow_mut();
-        job.demand.shared_parts.iter().for_each(|part| served.note(part, now_ms));
-        drop(served);
-        // Reports the parts that are suspected.
-        self.suspected_parts(job);
+        for part in &job.demand.shared_parts {
+            let fingerprint = Fingerprint::of_part(part);
+            served.note(fingerprint, now_ms);
+            if view.quarantine.contains_key(&fingerprint) {
+                self.shared.report(Report::Served(fingerprint, None));
+            }
+        }
     }
 
     /// Reports that a request was served, completely or up to an event, if crashes count against it
--- a/tests/gateway/part_decisions.rs
+++ b/tests/gateway/part_decisions.rs
@@ -8,7 +8,7 @@
 use siskinrock::gateway::crash::{Crash, Stage};
 use siskinrock::gateway::fingerprint::Fingerprint;
 use siskinrock::gateway::fleet::{SoftwareVersion, Upstream};
-use siskinrock::gateway::policy::poison_parts::{Evidence, ServedParts};
+use siskinrock::gateway::policy::poison_parts::{self, Evidence, ServedParts};
 use siskinrock::gateway::policy::quarantine::{Quarantine, Suspect};
 use siskinrock::gateway::policy::stream_end::{ResponseEnd, Verdict};
 use yare::parameterized;
@@ -119,13 +119,13 @@
 #[test]
 fn parts_that_were_got_past_are_remembered_for_a_minute_and_in_bounds() {
     let mut served = ServedParts::default();
-    let part: Arc<str> = Arc::from("aa");
-    served.note(&part, 0);
-    served.note(&part, 10_000);
-    assert!(served.contains("aa", 69_000) && !served.contains("aa", 70_000));
+    let part = Fingerprint::of_part("aa");
+    served.note(part, 0);
+    served.note(part, 10_000);
+    assert!(served.contains(part, 69_000) && !served.contains(part, 70_000));
     served.expire(70_000);
     assert!(served.is_empty());
-    (0..100_000).for_each(|number| served.note(&Arc::from(format!("{number}")), number));
+    (0..100_000).for_each(|number| served.note(request(number), number as u64));
     assert!(served.len() <= 65_536);
 }
 
@@ -146,3 +146,10 @@
     let end = ResponseEnd { ends_with_channel, is_between_events, has_events };
     assert_eq!(end.verdict(), verdict);
 }
+
+#[test]
+fn the_name_of_a_part_is_recorded_in_bounds() {
+    let name: Arc<str> = Arc::from("ä".repeat(10_000));
+    assert_eq!(poison_parts::label(&name).chars().count(), 64);
+    assert_eq!(poison_parts::label(&Arc::from("5c1e07a2")), Arc::from("5c1e07a2"));
+}
