Only an answer that has begun acquits the parts of a prompt

Cause: a refusal below 500 of a call, and a stream that ended without an event, counted as a run that got past the parts; a relayed run counted the events of the attempt before it. Change: a 2xx answer, or an event of the attempt itself. No test shows it: the fakes refuse with 503 alone. Run: poison_parts, quarantine, calls and cut_off::streams_under_way passed.

--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -322,7 +322,9 @@
             self.traffic.note_run_duration(&self.job.service, run_ms);
         }
         self.traffic.note_served(&self.job, None);
-        self.traffic.note_parts_served(&self.job);
+        if self.progress.events > 0 {
+            self.traffic.note_parts_served(&self.job);
+        }
         self.traffic.note_outcome(worker, outcomes::Outcome::Answered { is_slow: false });
         self.traffic.note_output_length(&self.job, self.last_event.unwrap_or(0));
         self.job.record(&self.traffic.metrics, whole_ms, self.first_event_ms);
--- a/src/gateway/stream/via_peer.rs
+++ b/src/gateway/stream/via_peer.rs
@@ -14,7 +14,9 @@
 use super::super::headers;
 use super::super::via_peer;
 use super::super::worker::{Lease, Worker};
-use super::{LossCause, NotRunReason, Outcome, Run, caller_disconnected, lost_run, sleep_until};
+use super::{
+    LossCause, NotRunReason, Outcome, Progress, Run, caller_disconnected, lost_run, sleep_until,
+};
 
 /// How long another instance may send no events after the first one. It handles the silence of an
 /// engine itself within that time.
@@ -46,6 +48,7 @@
     /// Has another instance make an attempt, and forwards its events.
     async fn attempt_via_peer(&mut self, peer: &Rc<Worker>) -> Outcome {
         self.tried_peers.push(peer.upstream.addr);
+        self.progress = Progress::default();
         self.reservation = None;
         self.copy = None;
         let mut lease = match self.traffic.lease_to_peer(peer).await {
--- a/src/gateway/whole_answer.rs
+++ b/src/gateway/whole_answer.rs
@@ -50,6 +50,9 @@
     job.record(&traffic.metrics, now_ms - job.since_ms, None);
     if whole.status < 500 {
         traffic.note_served(job, None);
+    }
+    // A refusal doesn't tell that the upstream began to answer.
+    if (200..300).contains(&whole.status) {
         traffic.note_parts_served(job);
     }
     slog::info!(traffic.log, "answered"; "request" => job.id(), "route" => &*job.route.name,
