Peers hear of all parts under which engines ended

Cause: sixteen early ends at most are told at once, a bound for requests; with the parts of their prompts eight runs have more, and a peer that lacks some takes the others for a common cause. Run: peers_hear_of_each_part_under_which_an_engine_ended failed before (16 of 24) and passes, with suspicion, quarantine and part_decisions.

--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -49,8 +49,8 @@
 /// Maximum number of crashes waiting to be judged.
 const MAX_PENDING: usize = 1_024;
 /// Maximum number of early crashes queued for peers: when a failure domain loses power, each
-/// instance has only a few such runs there.
-const MAX_UNSENT_EARLY_CRASHES: usize = 16;
+/// instance has only a few such runs there, each with a few parts of its prompt.
+const MAX_UNSENT_EARLY_CRASHES: usize = 64;
 /// Maximum number of records in one sync batch.
 const MAX_BATCH_RECORDS: usize = 16;
 
--- a/tests/gateway/part_decisions.rs
+++ b/tests/gateway/part_decisions.rs
@@ -153,3 +153,13 @@
     assert_eq!(poison_parts::label(&name).chars().count(), 64);
     assert_eq!(poison_parts::label(&Arc::from("5c1e07a2")), Arc::from("5c1e07a2"));
 }
+
+/// Peers that don't hear of an end under a part take it for a common cause.
+#[test]
+fn peers_hear_of_each_part_under_which_an_engine_ended() {
+    let mut known = Quarantine::default();
+    for number in 0..8 {
+        end(&mut known, number, number, &["bad", "beside", "other"], 10);
+    }
+    assert_eq!(known.take_early_crashes().len(), 24);
+}
