--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,7 +17,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standin"))
 import deployment  # noqa: E402
-from deployment import DIRECTORY, FRONT, HOST, KEY, ZONES  # noqa: E402
+from deployment import DIRECTORY, HOST, KEY, ZONES  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 WORKERS = 3
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -44,6 +44,8 @@
     """One store and some gateways; `processes` are all that were started."""
 
     def __init__(self, gateways, grace_s=8.0, memory_mb=260):
+        # Whoever ends the script ends its processes too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.processes = []
         self.folder = tempfile.TemporaryDirectory(prefix="siskinrock-review-")
         self.grace_s = grace_s
