A run that can go on nowhere else waits at its silent engine

Cause: an engine whose probes fail is left, also on the word of another run, whether or not the run can go on anywhere; can_retry_elsewhere was asked only for engines that answer. Ruled out: the kernel's timeout (the break comes 0.14 s before it, and a process that stands still keeps its channels).

Change: policy/silent_engine.rs decides: silence is a reason to leave only for a run that can go on elsewhere (its route, an attempt, a retry of the budget, another engine of its version); any other waits for what arrives, within its deadline, and ends with its channel or its engine's process, which is asked for with each probe. The same for the only engine of a version and for streams that another instance relays. What a run does that gets nothing moved from stream/attempt.rs to stream/silence.rs.

--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -40,6 +40,7 @@
 pub mod scaling;
 pub mod search;
 pub mod silence;
+pub mod silent_engine;
 pub mod speed;
 pub mod spread;
 pub mod stop;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,6 +12,7 @@
 mod outcome;
 mod queueing;
 mod relay;
+mod silence;
 mod version;
 mod via_peer;
 
@@ -122,6 +123,8 @@
     delivered: u32,
     /// Whether a retry was taken for the next attempt before the run left an engine that is alive.
     has_taken_retry: bool,
+    /// Whether it waits at an engine that doesn't answer, since it can go on nowhere else.
+    is_at_silent_engine: bool,
     /// Whether the caller reconnected after the loss of all instances, so that the allowed gap
     /// between events is exceeded already.
     is_late: bool,
@@ -172,6 +175,7 @@
             attempts: 0,
             delivered: 0,
             has_taken_retry: false,
+            is_at_silent_engine: false,
             is_late: false,
             stall_handovers: 0,
             retry_delay_ms: MIN_RETRY_DELAY_MS,
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -10,7 +10,6 @@
 use hyper::{HeaderMap, Request, Response};
 use tokio::sync::{mpsc, watch};
 
-use super::super::ablation::Mechanism;
 use super::super::answer;
 use super::super::channel::Fault;
 use super::super::dialect::{Copy, Dispatch, Marks};
@@ -19,10 +18,8 @@
 use super::super::policy::answer_end::{Framing, Life};
 use super::super::policy::eras;
 use super::super::policy::outcomes;
-use super::super::policy::placement::Constraints;
-use super::super::policy::silence::{Silence, Verdict};
-use super::super::route::{Repeat, Route};
-use super::super::traffic::Liveness;
+use super::super::policy::silence::Silence;
+use super::super::route::Repeat;
 use super::super::worker::{Count, Lease, What, Worker};
 use super::copy::GrowingCopy;
 use super::departure::SentRun;
@@ -217,11 +214,13 @@
                 () = caller_disconnected(&mut self.response_tx, &self.body_tx) =>
                     return Err(Outcome::CallerDisconnected),
                 _ = silences.changed() => {
-                    if !traffic.is_confirmed_lost(worker).await {
+                    let why = "silent before its response head";
+                    let Some(outcome) = self.leave_if_lost(worker, why, self.attempts + 1).await
+                    else {
                         continue;
-                    }
+                    };
                     self.count_attempt();
-                    return Err(self.leave_lost(worker, "silent before its response head"));
+                    return Err(outcome);
                 }
                 () = sleep_until(&traffic, wake_ms) => {}
             }
@@ -236,11 +235,9 @@
                     return Err(Outcome::CallerDisconnected),
                 liveness = traffic.probe(worker) => liveness,
             };
-            if matches!(liveness, Liveness::Lost) && !traffic.is_confirmed_lost(worker).await {
-                continue;
-            }
             let attempts = self.attempts + 1;
-            let left = self.evaluate_silence(&mut silence, &liveness, probed_ms, worker, attempts);
+            let left =
+                self.evaluate_silence(&mut silence, &liveness, probed_ms, worker, attempts).await;
             if let Some(outcome) = left {
                 traffic.note_first_event_wait(&self.job, traffic.now_ms() - sent_ms);
                 self.count_attempt();
@@ -258,87 +255,6 @@
         }
     }
 
-    /// How long after sending the first event is overdue, if another attempt is possible.
-    fn first_event_overdue_ms(&self) -> Option<u64> {
-        self.can_retry_elsewhere(self.attempts + 1)
-            .then(|| self.traffic.first_event_overdue_ms(&self.job, self.delivered))
-    }
-
-    /// Whether another attempt is possible after this many, so that leaving a silent engine gains
-    /// something. Otherwise the run waits for whatever arrives.
-    pub(super) fn can_retry_elsewhere(&self, attempts: u32) -> bool {
-        let Route { repeat, max_attempts, .. } = *self.job.route;
-        let is_last = attempts >= max_attempts;
-        let has_retry = || self.has_taken_retry || self.traffic.has_retry(&self.job.service);
-        repeat == Repeat::Resumable && !is_last && has_retry()
-    }
-
-    /// Like `can_retry_elsewhere`, but also takes the retry: all runs of an engine leave it at the
-    /// same moment, and those for which no retry is left would be truncated although their engine
-    /// is alive.
-    pub(super) fn take_retry_elsewhere(&mut self, attempts: u32) -> bool {
-        self.has_taken_retry = self.can_retry_elsewhere(attempts) && self.take_retry();
-        self.has_taken_retry
-    }
-
-    /// Takes a retry from the budget, or uses the one taken before.
-    pub(super) fn take_retry(&mut self) -> bool {
-        std::mem::take(&mut self.has_taken_retry) || self.traffic.take_retry(&self.job.service)
-    }
-
-    /// Decides what an engine's state means for a run that is silent there; `attempts` includes the
-    /// present one.
-    pub(super) fn evaluate_silence(
-        &mut self,
-        silence: &mut Silence,
-        liveness: &Liveness,
-        probed_ms: u64,
-        worker: &Worker,
-        attempts: u32,
-    ) -> Option<Outcome> {
-        if matches!(liveness, Liveness::Lost) {
-            return Some(lost_run("silent, and its liveness probe failed", LossCause::Silent));
-        }
-        let run_status = liveness.run_status(self.job.id());
-        let verdict = silence.judge(run_status, probed_ms);
-        slog::info!(self.traffic.log, "silent run checked"; "request" => self.job.id(),
-            "upstream" => &*worker.upstream.id, "sighting" => ?run_status, "verdict" => ?verdict,
-            "told" => %liveness, "reading" => self.traffic.prefills_at(worker),
-            "after" => self.last_event, "quiet_ms" => probed_ms - self.last_event_ms);
-        match verdict {
-            Verdict::Wait => None,
-            Verdict::Leave(why)
-                if why.requires_room_elsewhere() && !self.has_room_elsewhere(worker) =>
-            {
-                self.traffic.metrics.count("overdue_runs_kept");
-                None
-            }
-            Verdict::Leave(why)
-                if Mechanism::Silence.is_on() && self.take_retry_elsewhere(attempts) =>
-            {
-                Some(lost_run(why.to_string(), LossCause::EngineAlive))
-            }
-            Verdict::Leave(_) => None,
-        }
-    }
-
-    /// Whether the engine that would get the run next has room for it, as far as known.
-    fn has_room_elsewhere(&self, worker: &Worker) -> bool {
-        let mut excluded = self.excluded.clone();
-        excluded.push(Arc::clone(&worker.upstream.id));
-        let need = self.need();
-        let constraints = Constraints {
-            need,
-            excluded,
-            avoided_domains: self.avoided_domains(),
-            binding: self.binding.clone(),
-            ..Constraints::default()
-        };
-        let Some(next) = self.traffic.choose(&self.job.service, &constraints) else { return false };
-        let known = self.traffic.placement_state(&next);
-        self.is_eligible(&next) && !known.status.is_full && known.load.has_room(need)
-    }
-
     /// Whether an engine has the prompt of a reconnecting caller cached. If the prompt is processed
     /// again, the allowed gap is exceeded anyway, and new requests that can still be on time don't
     /// wait for it.
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -82,10 +82,10 @@
                 () = caller_disconnected(&mut self.response_tx, &self.body_tx) =>
                     return Outcome::CallerDisconnected,
                 _ = silences.changed() => {
-                    if self.copy.is_none() && !traffic.is_confirmed_lost(worker).await {
-                        continue;
+                    match self.leave_if_lost(worker, "silent", self.attempts).await {
+                        Some(outcome) => return outcome,
+                        None => continue,
                     }
-                    return self.leave_lost(worker, "silent");
                 }
                 () = sleep_until(&traffic, wake_ms.min(self.job.until_ms)) => {
                     let now_ms = traffic.now_ms();
@@ -121,6 +121,7 @@
             };
             last_data_ms = traffic.now_ms();
             silence = Silence::new(last_data_ms);
+            self.is_at_silent_engine = false;
             let data = match frame {
                 Some(Ok(frame)) => {
                     worker.hear(last_data_ms);
@@ -204,17 +205,14 @@
                 return SilenceCheck::Leave(Outcome::CallerDisconnected),
             liveness = traffic.probe(worker) => liveness,
         };
-        if matches!(liveness, Liveness::Lost)
-            && self.copy.is_none()
-            && !traffic.is_confirmed_lost(worker).await
-        {
-            return SilenceCheck::Wait;
-        }
-        if let Some(outcome) =
-            self.evaluate_silence(silence, &liveness, probed_ms, worker, self.attempts)
-        {
+        let left =
+            self.evaluate_silence(silence, &liveness, probed_ms, worker, self.attempts).await;
+        if let Some(outcome) = left {
             return SilenceCheck::Leave(outcome);
         }
+        if matches!(liveness, Liveness::Lost) {
+            return SilenceCheck::Wait;
+        }
         let can_move = self.copy.is_some() && self.stall_handovers < MAX_STALL_HANDOVERS;
         // Without another attempt the run would have to be given up, although its engine is alive.
         if awaits_first_event || !can_move || !self.can_retry_elsewhere(self.attempts) {
--- a/src/gateway/stream/via_peer.rs
+++ b/src/gateway/stream/via_peer.rs
@@ -175,6 +175,9 @@
                     if traffic.now_ms() >= self.job.until_ms {
                         return Outcome::DeadlinePassed;
                     }
+                    if !self.can_leave_silent_instance() {
+                        continue;
+                    }
                     peer.broke(traffic.now_ms());
                     return lost_run("the other instance is silent", LossCause::Silent);
                 }
--- a/src/gateway/traffic/choice.rs
+++ b/src/gateway/traffic/choice.rs
@@ -5,6 +5,7 @@
 
 use super::super::ablation::Mechanism;
 use super::super::dialect::PromptPart;
+use super::super::fleet::Upstream;
 use super::super::policy::admission::EngineActivity;
 use super::super::policy::engine;
 use super::super::policy::placement::{self, Candidate, Constraints};
@@ -85,6 +86,13 @@
         self.has_worker(service, |worker| binding.allows(&worker.version()))
     }
 
+    /// Whether its service has another one than this.
+    pub fn has_other_engine_for(&self, engine: &Worker, binding: &Binding) -> bool {
+        let Upstream { id, service, .. } = &engine.upstream;
+        let is_other = |other: &Worker| other.upstream.id != *id;
+        self.has_worker(service, |other| is_other(other) && binding.allows(&other.version()))
+    }
+
     fn has_worker(&self, service: &str, matches: impl Fn(&Worker) -> bool) -> bool {
         self.view();
         let workers = self.workers.borrow();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -42,6 +42,7 @@
 mod scaling;
 mod short_silence;
 mod silence;
+mod silent_engines;
 mod speed;
 mod stops;
 mod store;
