The versions of streams outlast the loss of all instances

Cause: which version began a stream is known to instances alone, and is lost with them. A second fault, by reading and then shown by a test: a version that was the only one was noted nowhere, so that instances that start after its engines have left take the next one for the only one, and join streams (ORDER).

Change: while a service has several versions, the first instance in rank writes the records of all new streams to the directory, together, twice a second at most (policy/stream_versions/log.rs); the second in rank writes what the first doesn't. Records of the directory are taken in with its list. A single version is noted as well, once in 200 s.

One check changed: version_decisions had "the first word holds" where two versions are told for one stream. It was wrong: the second may be the stream that its caller takes up, whose first attempt had a name that was used before, and a join follows. Now neither is believed, which refuses more; the check says so.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -331,6 +331,7 @@
         tokio::task::spawn_local(Rc::clone(self).process_signals());
         tokio::task::spawn_local(Rc::clone(self).repeat_stream_records());
         tokio::task::spawn_local(Rc::clone(self).store_versions());
+        tokio::task::spawn_local(Rc::clone(self).store_streams());
         tokio::task::spawn_local(Rc::clone(self).send_usage());
         tokio::task::spawn_local(Rc::clone(self).run_duties());
         tokio::task::spawn_local(Rc::clone(self).publish_when_dirty());
--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -161,7 +161,7 @@
         )
     }
 
-    fn ranked_before_self(&self) -> usize {
+    pub(super) fn ranked_before_self(&self) -> usize {
         self.state.borrow().membership.ranked_before_self()
     }
 
@@ -284,6 +284,7 @@
             state.is_directory_lost = false;
             if !std::mem::take(&mut state.is_outage_local) {
                 state.fleet.regained(now_ms);
+                state.streams.log.forget_written();
             }
             slog::info!(self.log, "directory answers again");
         }
@@ -362,6 +363,9 @@
     }
 
     pub(super) fn apply_changes(&self, changes: Changes) {
+        if !changes.records.is_empty() && self.has_only_streams(&changes) {
+            return;
+        }
         let now_ms = self.clock.now_ms();
         let mut upstream_changes = Vec::new();
         for record in changes.records {
@@ -371,6 +375,7 @@
                     self.log_unusable(&id, &detail);
                     upstream_changes.push(Change::Foreign(id));
                 }
+                record @ Record::Streams(_) => self.note_written_streams(&record),
                 record => self.apply_record(record),
             }
         }
@@ -396,6 +401,17 @@
         self.publish();
     }
 
+    /// Whether changes are only records of streams that another instance wrote, so that nothing is new
+    /// to the others. Takes them in then.
+    fn has_only_streams(&self, changes: &Changes) -> bool {
+        let is_streams = |record: &Record| matches!(record, Record::Streams(_));
+        if !changes.removed.is_empty() || !changes.records.iter().all(is_streams) {
+            return false;
+        }
+        changes.records.iter().for_each(|record| self.note_written_streams(record));
+        true
+    }
+
     pub(super) fn log_change(&self, change: &Change) {
         match change {
             Change::Put(upstream) => slog::debug!(self.log, "upstream listed";
@@ -423,6 +439,7 @@
                 self.merge_crash_record(record, "directory");
             }
             Record::Versions(note) => self.note_stored_versions(note),
+            Record::Streams(records) => self.note_stored_streams(&records),
             Record::Holder(holder) => self.record_duty_holder(Some(holder)),
             Record::Unreadable { key, detail } => {
                 slog::warn!(self.log, "record refused; the previous value stays in force";
--- a/src/gateway/control/stream_versions.rs
+++ b/src/gateway/control/stream_versions.rs
@@ -9,11 +9,12 @@
 
 use tokio::sync::{Notify, mpsc};
 
+use super::super::directory::Record;
 use super::super::fleet::SoftwareVersion;
 use super::super::membership::Message;
 use super::super::policy::stream_versions::{
-    self as policy, Contact, Lookup, StreamAnswer, StreamQuery, StreamRecord, StreamRecords,
-    VERSION_TTL_MS, VersionHistory, VersionNote,
+    self as policy, Contact, Lookup, StreamAnswer, StreamLog, StreamQuery, StreamRecord,
+    StreamRecords, VERSION_TTL_MS, VersionHistory, VersionNote,
 };
 use super::super::policy::watchers;
 use super::super::route::{Repeat, Route};
@@ -26,15 +27,30 @@
 const MAX_BATCH_RECORDS: usize = 400;
 /// How often the versions of services that have several are stored again.
 const STORE_INTERVAL_MS: u64 = 20_000;
+/// How often it is checked whether they have to be stored.
+const STORE_CHECK_MS: u64 = 1_000;
 /// The pause after a failed store call.
 const STORE_RETRY_PAUSE_MS: u64 = 1_000;
 /// How long the directory keeps them: the last write may be an interval old.
 const STORED_TTL_MS: u64 = VERSION_TTL_MS + 2 * STORE_INTERVAL_MS;
 
+/// How long the directory keeps the version of a service that has one, and how often it is stored again.
+const SINGLE_TTL_MS: u64 = 600_000;
+const SINGLE_INTERVAL_MS: u64 = SINGLE_TTL_MS / 3;
+
+/// The versions of a service as they were last stored here.
+struct StoredVersions {
+    versions: BTreeSet<SoftwareVersion>,
+    at_ms: u64,
+}
+
 /// The state of stream versions at one instance.
 #[derive(Default)]
 pub(super) struct StreamVersionState {
     records: StreamRecords,
+    /// The records that this instance writes to the directory for all.
+    pub(super) log: StreamLog,
+    stored: BTreeMap<Arc<str>, StoredVersions>,
     pub(super) history: VersionHistory,
     /// Whether this instance has read the whole directory, with the versions that are noted there.
     pub(super) has_listed: bool,
@@ -82,11 +98,15 @@
     /// Sends each record to its holders, those for one instance together.
     fn send_stream_records(&self, records: &[StreamRecord]) {
         let mut batches: BTreeMap<SocketAddr, Vec<StreamRecord>> = BTreeMap::new();
+        let writers = self.stream_writers();
         let state = self.state.borrow();
         for record in records {
             let alive = state.membership.alive().map(|member| &member.descriptor.registration);
             let alive = alive.map(|other| (&other.id, other.peer_addr));
-            for addr in policy::ranked(record.stream, alive, policy::REPLICAS) {
+            let mut holders: BTreeSet<SocketAddr> =
+                policy::ranked(record.stream, alive, policy::REPLICAS).into_iter().collect();
+            holders.extend(&writers);
+            for addr in holders {
                 batches.entry(addr).or_default().push(record.clone());
             }
         }
@@ -98,6 +118,78 @@
         }
     }
 
+    /// The instances that write the records of all streams to the directory, while a service has
+    /// several versions.
+    fn stream_writers(&self) -> BTreeSet<SocketAddr> {
+        if !self.has_several_versions() {
+            return BTreeSet::new();
+        }
+        let state = self.state.borrow();
+        let alive = state.membership.alive().map(|member| &member.descriptor);
+        let ranks = alive.map(|other| (other.rank(), other.registration.peer_addr));
+        watchers::stream_writers(ranks).into_iter().collect()
+    }
+
+    /// Whether a service whose streams callers may take up had several versions in the last minute.
+    fn has_several_versions(&self) -> bool {
+        self.versions_to_store().iter().any(|note| note.versions.len() > 1)
+    }
+
+    /// The number of writers before this one, if it is one of those that write the records of streams.
+    fn writer_position(&self) -> Option<usize> {
+        let ahead = self.ranked_before_self();
+        (ahead < policy::WRITERS && self.should_register()).then_some(ahead)
+    }
+
+    /// Takes in records of streams from the directory, as they were when it was listed.
+    pub(super) fn note_stored_streams(&self, records: &[StreamRecord]) {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.state.borrow_mut();
+        records.iter().for_each(|record| state.streams.records.note_stored(record, now_ms));
+    }
+
+    /// Takes in that records of streams were written to the directory.
+    pub(super) fn note_written_streams(&self, record: &Record) {
+        if let Record::Streams(records) = record {
+            self.state.borrow_mut().streams.log.note_stored(records, self.clock.now_ms());
+        }
+    }
+
+    /// Writes the records of all streams to the directory while a service has several versions, so that
+    /// they outlast the loss of all instances.
+    pub(super) async fn store_streams(self: Rc<Control>) {
+        // A segment of an earlier process under this id must not be replaced.
+        let writer = format!("{}-{:08x}", self.me.id, fastrand::u32(..));
+        loop {
+            tokio::time::sleep(Duration::from_millis(policy::WRITE_INTERVAL_MS)).await;
+            let Some(ahead) = self.writer_position() else { continue };
+            if !self.has_several_versions() {
+                continue;
+            }
+            let now_ms = self.clock.now_ms();
+            let segment = {
+                let StreamVersionState { records, log, .. } = &mut self.state.borrow_mut().streams;
+                log.next(records, ahead, now_ms)
+            };
+            let Some(segment) = segment else { continue };
+            let written =
+                self.directory.remember_streams(&writer, &segment, policy::SEGMENT_TTL_MS).await;
+            let now_ms = self.clock.now_ms();
+            let log = &mut self.state.borrow_mut().streams.log;
+            match written {
+                Ok(lease) => {
+                    self.metrics.count("stream_segments_written");
+                    log.note_written(segment, lease, now_ms);
+                }
+                Err(fault) => {
+                    log.note_failed();
+                    slog::info!(self.log, "could not store the versions of streams";
+                        "records" => segment.records.len(), "why" => %fault);
+                }
+            }
+        }
+    }
+
     pub(super) fn handle_stream_records(&self, records: &[StreamRecord], now_ms: u64) {
         let mut state = self.state.borrow_mut();
         records.iter().for_each(|record| state.streams.records.note(record, now_ms));
@@ -263,10 +355,10 @@
         self.state.borrow_mut().streams.history.note_stored(note, now_ms);
     }
 
-    /// The versions of services that have several and whose streams callers may take up.
+    /// The versions of services whose streams callers may take up.
     fn versions_to_store(&self) -> Vec<VersionNote> {
         let state = self.state.borrow();
-        let mut notes = state.streams.history.notes(self.clock.now_ms());
+        let mut notes = state.streams.history.all_notes(self.clock.now_ms());
         let routes = || state.config.iter().flat_map(|config| &config.routes);
         notes.retain(|note| {
             let leads_there = |route: &&Arc<Route>| {
@@ -277,26 +369,53 @@
         notes
     }
 
-    /// Keeps the versions of services that have several in the directory, so that they outlast the
-    /// loss of all instances. A few instances do this for all.
+    /// Keeps the versions of services in the directory, so that they outlast the loss of all instances.
+    /// A few instances do this for all.
     pub(super) async fn store_versions(self: Rc<Control>) {
         let changed = Rc::clone(&self.state.borrow().streams.changed);
         loop {
             tokio::select! {
                 () = changed.notified() => {}
-                () = tokio::time::sleep(Duration::from_millis(STORE_INTERVAL_MS)) => {}
+                () = tokio::time::sleep(Duration::from_millis(STORE_CHECK_MS)) => {}
             }
             if !self.should_register() {
                 continue;
             }
             for note in self.versions_to_store() {
-                if let Err(fault) = self.directory.remember_versions(&note, STORED_TTL_MS).await {
+                let Some(ttl_ms) = self.must_store(&note) else { continue };
+                if let Err(fault) = self.directory.remember_versions(&note, ttl_ms).await {
                     slog::info!(self.log, "could not store the versions of a service";
                         "service" => &*note.service, "why" => %fault);
                     tokio::time::sleep(Duration::from_millis(STORE_RETRY_PAUSE_MS)).await;
                     changed.notify_one();
+                    continue;
                 }
+                let at_ms = self.clock.now_ms();
+                let VersionNote { service, versions } = note;
+                let stored = StoredVersions { versions, at_ms };
+                self.state.borrow_mut().streams.stored.insert(service, stored);
             }
         }
     }
+
+    /// For how long the versions of a service are to be stored now, if they are. A single one is stored
+    /// as well, by the first in rank alone: another one may appear, and all instances be lost before that
+    /// is stored.
+    fn must_store(&self, note: &VersionNote) -> Option<u64> {
+        let has_several = note.versions.len() > 1;
+        if !has_several && self.ranked_before_self() > 0 {
+            return None;
+        }
+        let (interval_ms, ttl_ms) = match has_several {
+            true => (STORE_INTERVAL_MS, STORED_TTL_MS),
+            false => (SINGLE_INTERVAL_MS, SINGLE_TTL_MS),
+        };
+        let now_ms = self.clock.now_ms();
+        let state = self.state.borrow();
+        let stored = state.streams.stored.get(&note.service);
+        let is_stored = stored.is_some_and(|stored| {
+            stored.versions == note.versions && now_ms < stored.at_ms + interval_ms
+        });
+        (!is_stored).then_some(ttl_ms)
+    }
 }
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -9,7 +9,7 @@
 use super::fleet::Upstream;
 use super::instance::Registration;
 use super::policy::lease::Holder;
-use super::policy::stream_versions::VersionNote;
+use super::policy::stream_versions::{Segment, StreamRecord, VersionNote};
 use super::route::Config;
 
 /// Why a call to the directory brought nothing.
@@ -57,6 +57,8 @@
     Crashes(CrashRecord),
     /// The software versions that a service had lately.
     Versions(VersionNote),
+    /// The software versions of streams.
+    Streams(Vec<StreamRecord>),
     /// Who has the duties that one instance at a time has.
     Holder(Holder),
     /// An entry among the upstreams that names none to use: another writer made it.
@@ -140,6 +142,15 @@
         ttl_ms: u64,
     ) -> LocalBoxFuture<'a, Result<(), Fault>>;
 
+    /// Writes a segment of `writer` with the software versions of streams, under its lease or a new one
+    /// of `ttl_ms`, so that it outlasts the loss of all instances. Returns the lease.
+    fn remember_streams<'a>(
+        &'a self,
+        writer: &'a str,
+        segment: &'a Segment,
+        ttl_ms: u64,
+    ) -> LocalBoxFuture<'a, Result<u64, Fault>>;
+
     /// Ends a lease, which removes the registration under it.
     fn release(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), Fault>>;
 
--- a/src/gateway/native/file.rs
+++ b/src/gateway/native/file.rs
@@ -15,7 +15,7 @@
 use crate::gateway::crash::CrashRecord;
 use crate::gateway::directory::{Changes, Directory, Fault, Listing, Record, Removed};
 use crate::gateway::instance::Registration;
-use crate::gateway::policy::stream_versions::VersionNote;
+use crate::gateway::policy::stream_versions::{Segment, VersionNote};
 
 /// How often a watch looks at the file: a saved change is in force within half a second.
 const LOOK_MS: u64 = 200;
@@ -131,6 +131,15 @@
         Box::pin(std::future::ready(Ok(())))
     }
 
+    fn remember_streams<'a>(
+        &'a self,
+        _: &'a str,
+        _: &'a Segment,
+        _: u64,
+    ) -> LocalBoxFuture<'a, Result<u64, Fault>> {
+        Box::pin(std::future::ready(Ok(0)))
+    }
+
     fn renew(&self, _: u64) -> LocalBoxFuture<'_, Result<(), Fault>> {
         Box::pin(std::future::ready(Ok(())))
     }
--- a/src/gateway/policy/stream_versions/mod.rs
+++ b/src/gateway/policy/stream_versions/mod.rs
@@ -4,11 +4,13 @@
 
 mod binding;
 mod history;
+mod log;
 mod lookup;
 mod records;
 
 pub use self::binding::Binding;
 pub use self::history::{VERSION_TTL_MS, VersionHistory, VersionNote};
+pub use self::log::{SEGMENT_TTL_MS, Segment, StreamLog, WRITE_INTERVAL_MS, WRITERS};
 pub use self::lookup::{
     Contact, LOOKUP_INTERVAL_MS, Lookup, MAX_ASKED, MAX_LOOKUP_MS, StreamAnswer, StreamQuery,
 };
--- a/src/gateway/policy/stream_versions/records.rs
+++ b/src/gateway/policy/stream_versions/records.rs
@@ -42,9 +42,23 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Known {
     version: SoftwareVersion,
+    /// Whether two versions were told, so that either may have made its first event.
+    is_disputed: bool,
     until_ms: u64,
     /// Number of runs of this instance that serve it.
     own_runs: u32,
+    /// When an instance that serves it told of it first and last; `None` if only the directory did.
+    told: Option<(u64, u64)>,
+}
+
+/// A stream that an instance told of which serves it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Told {
+    pub record: StreamRecord,
+    /// When it was told first.
+    pub since_ms: u64,
+    /// When it was told last.
+    pub last_ms: u64,
 }
 
 /// The streams whose versions this instance knows.
@@ -71,14 +85,34 @@
         }
     }
 
-    /// Takes in a record. The first word on a stream holds, unless that did not name a version.
+    /// Takes in a record that an instance tells which serves the stream.
     pub fn note(&mut self, record: &StreamRecord, now_ms: u64) {
+        self.note_stored(record, now_ms);
+        if let Some(known) = self.known.get_mut(&record.stream) {
+            let since_ms = known.told.map_or(now_ms, |(since_ms, _)| since_ms);
+            known.told = Some((since_ms, now_ms));
+        }
+    }
+
+    /// Takes in a record of the directory. The first word on a stream holds, unless that did not name a
+    /// version; a second name means that two streams have the key, and that neither is certain.
+    pub fn note_stored(&mut self, record: &StreamRecord, now_ms: u64) {
         let StreamRecord { stream, version } = record;
         let until_ms = now_ms + RECORD_TTL_MS;
-        let new = || Known { version: version.clone(), until_ms, own_runs: 0 };
+        let new = || Known {
+            version: version.clone(),
+            is_disputed: false,
+            until_ms,
+            own_runs: 0,
+            told: None,
+        };
         let known = self.known.entry(*stream).or_insert_with(new);
-        if !matches!(known.version, SoftwareVersion::Named(_)) {
-            known.version = version.clone();
+        match (&known.version, version) {
+            (SoftwareVersion::Named(first), SoftwareVersion::Named(second)) => {
+                known.is_disputed |= first != second;
+            }
+            (SoftwareVersion::Named(_), _) => {}
+            _ => known.version = version.clone(),
         }
         self.by_age.remove(&(known.until_ms, *stream));
         known.until_ms = until_ms;
@@ -97,7 +131,17 @@
     /// The version that began a stream, if it is known.
     pub fn version_of(&self, stream: StreamKey, now_ms: u64) -> Option<&SoftwareVersion> {
         let known = self.known.get(&stream).filter(|known| known.until_ms > now_ms)?;
-        Some(&known.version)
+        Some(&known.version).filter(|_| !known.is_disputed)
+    }
+
+    /// The streams that instances told of which serve them.
+    pub fn told(&self) -> impl Iterator<Item = Told> {
+        let certain = self.known.iter().filter(|(_, known)| !known.is_disputed);
+        certain.filter_map(|(stream, known)| {
+            let (since_ms, last_ms) = known.told?;
+            let record = StreamRecord { stream: *stream, version: known.version.clone() };
+            Some(Told { record, since_ms, last_ms })
+        })
     }
 
     /// The records of all streams that runs of this instance serve, which it tells again. Their time
--- a/src/gateway/policy/watchers.rs
+++ b/src/gateway/policy/watchers.rs
@@ -10,6 +10,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::stream_versions;
+
 /// Number of instances that watch the directory. The directory may reject a third of all instances
 /// at once; it rejects all four watchers once in eighty times, and the next in rank then take over.
 const WATCHERS: usize = 4;
@@ -124,6 +126,12 @@
     first_in_rank(FULL_HOLDERS, alive)
 }
 
+/// Returns the instances that write the records of streams for all others, given all live ones with
+/// their ranks.
+pub fn stream_writers<T>(alive: impl Iterator<Item = (Rank, T)>) -> Vec<T> {
+    first_in_rank(stream_versions::WRITERS, alive)
+}
+
 /// Returns the instances that may hold the duty lease, given all live ones with their ranks.
 pub fn duty_candidates<T>(alive: impl Iterator<Item = (Rank, T)>) -> Vec<T> {
     first_in_rank(WATCHERS, alive)
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -48,6 +48,7 @@
 mod store;
 mod store_era;
 mod store_return;
+mod stream_log;
 mod stream_versions;
 mod streams;
 mod subset;
