Answers without end are bounded, and draw no further requests

Cause: six places collected a body with no limit on its size, some with none on time, and so did the clients of the platform; calls had 8 MB each and no limit in sum; interim answers without end kept the traffic thread busy beyond the time of calls; and an engine that fails fast looks free until it is ejected.

Change: body.rs reads every body that is held until it ends, within a size, a time and a memory that all share (policy/body_limit.rs); the bytes before the end of a head are counted; an event may have 256 KB (1 MB before, which two hundred channels could hold at once); an upstream that sends without end gets no new request for 5 s, at all instances, and keeps its runs.

Not played: answers without end of the directory and of peers.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -331,7 +331,7 @@
     let latency_recorder = LatencyRecorder { traffic, job, since_ms: now_ms };
     let mut pending = PendingAttempt { traffic, job, worker, since_ms: now_ms, is_over: false };
     let result = tokio::select! {
-        result = whole_answer::exchange_proved(traffic, worker, &mut lease, request) => Some(result),
+        result = whole_answer::exchange_proved(traffic, job, worker, &mut lease, request) => Some(result),
         () = traffic.clock.sleep_until(job.until_ms) => None,
     };
     let Some(result) = result else {
--- a/src/gateway/channel.rs
+++ b/src/gateway/channel.rs
@@ -31,6 +31,10 @@
 /// over 400 KB per connection.
 const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
 
+/// Maximum number of bytes before the end of an answer's head, with the interim answers before it. A
+/// read may bring as much of the body as the buffer holds.
+const MAX_HEAD_BYTES: usize = 4 * MAX_READ_BUFFER_BYTES;
+
 /// Why a channel could not be opened, or a request on it got no answer.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub enum Fault {
@@ -65,6 +69,18 @@
     sender: http1::SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     bytes_written: Rc<Cell<u64>>,
+    awaited_head: Rc<Cell<AwaitedHead>>,
+    is_flooded: bool,
+}
+
+/// The bytes read since a request was sent.
+#[derive(Debug, Clone, Copy, Default)]
+enum AwaitedHead {
+    /// No head of an answer is awaited.
+    #[default]
+    None,
+    /// So many came, and the head has not ended.
+    Read(usize),
 }
 
 impl Drop for Channel {
@@ -106,7 +122,12 @@
         };
         configure_socket(&stream).map_err(|error| not_sent(error.to_string()))?;
         let bytes_written = Rc::new(Cell::new(0));
-        let io = TokioIo::new(CountingStream { stream, bytes_written: Rc::clone(&bytes_written) });
+        let awaited_head = Rc::new(Cell::default());
+        let io = TokioIo::new(CountingStream {
+            stream,
+            bytes_written: Rc::clone(&bytes_written),
+            awaited_head: Rc::clone(&awaited_head),
+        });
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
             .handshake(io)
@@ -116,7 +137,7 @@
             // The request on the connection gets its error; that of an idle connection is ignored.
             let _ = connection.await;
         });
-        Ok(Channel { sender, task, bytes_written })
+        Ok(Channel { sender, task, bytes_written, awaited_head, is_flooded: false })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -132,9 +153,13 @@
         if let Err(error) = self.sender.ready().await {
             return Err(Fault::NotSent { detail: error.to_string() });
         }
-        match self.sender.send_request(request).await {
+        self.awaited_head.set(AwaitedHead::Read(0));
+        let answered = self.sender.send_request(request).await;
+        let awaited = self.awaited_head.take();
+        match answered {
             Ok(response) => Ok(response),
             Err(error) => {
+                self.is_flooded = error.is_parse_too_large() || awaited.is_too_long();
                 let detail = error_with_cause(&error);
                 if self.bytes_written.get() == written_before {
                     return Err(Fault::NotSent { detail });
@@ -144,6 +169,12 @@
         }
     }
 
+    /// Whether the last request failed because the head of its answer didn't end, or interim answers
+    /// didn't.
+    pub fn is_flooded(&self) -> bool {
+        self.is_flooded
+    }
+
     /// The number of bytes written since the connection was opened.
     pub fn bytes_written(&self) -> u64 {
         self.bytes_written.get()
@@ -180,10 +211,24 @@
     socket.set_tcp_user_timeout(Some(Duration::from_millis(TCP_USER_TIMEOUT_MS)))
 }
 
-/// A socket that counts the bytes written to it.
+impl AwaitedHead {
+    fn is_too_long(self) -> bool {
+        matches!(self, AwaitedHead::Read(bytes) if bytes > MAX_HEAD_BYTES)
+    }
+}
+
+/// Whether the chunks of a body hold something that is too long, such as an extension without end.
+pub fn is_flooded_body(error: &hyper::Error) -> bool {
+    let cause =
+        std::error::Error::source(error).and_then(|cause| cause.downcast_ref::<io::Error>());
+    cause.is_some_and(|cause| cause.kind() == io::ErrorKind::InvalidData)
+}
+
+/// A socket that counts the bytes written to it, and those read before the head of an answer.
 struct CountingStream {
     stream: TcpStream,
     bytes_written: Rc<Cell<u64>>,
+    awaited_head: Rc<Cell<AwaitedHead>>,
 }
 
 impl CountingStream {
@@ -200,7 +245,17 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if let AwaitedHead::Read(bytes) = self.awaited_head.get() {
+            let awaited = AwaitedHead::Read(bytes + buffer.filled().len() - filled);
+            self.awaited_head.set(awaited);
+            if awaited.is_too_long() {
+                let why = "the head of the answer does not end";
+                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, why)));
+            }
+        }
+        read
     }
 }
 
--- a/src/gateway/control/fetch.rs
+++ b/src/gateway/control/fetch.rs
@@ -5,18 +5,20 @@
 //! fetched in pages, each from any peer that answers, so that a slow peer delays one page and not the whole
 //! list.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use super::super::body::{self, Limit};
 use super::super::channel::Channel;
 use super::super::fleet::{Delta, Page};
 use super::super::instance::Registration;
@@ -34,6 +36,8 @@
 const MAX_WATCH_LAG_MS: u64 = 1_000;
 /// The timeout of one request to a peer: a page or a configuration is about 50 KB.
 pub const FETCH_TIMEOUT_MS: u64 = 1_500;
+/// The maximum size of a peer's answer: a configuration may have several megabytes.
+const MAX_FETCH_BYTES: usize = 16 << 20;
 /// After how many consecutive failed requests a list fetch is given up.
 const MAX_FETCH_FAILURES: u32 = 4;
 /// The pause after a failed request: the peer may have been busy with others.
@@ -101,7 +105,8 @@
         let request = Request::post(path).header(HOST, addr.to_string()).body(body).ok()?;
         let response = channel.send(request).await.ok()?;
         let is_answer = response.status().is_success();
-        let body = response.into_body().collect().await.ok()?.to_bytes();
+        let limit = Limit { max_bytes: MAX_FETCH_BYTES, timeout_ms: FETCH_TIMEOUT_MS };
+        let body = body::read(response.into_body(), limit, &RefCell::default()).await.ok()?;
         is_answer.then(|| rmp_serde::from_slice(&body).ok()).flatten()
     };
     let limit = Duration::from_millis(FETCH_TIMEOUT_MS);
--- a/src/gateway/control/rediscovery.rs
+++ b/src/gateway/control/rediscovery.rs
@@ -1,19 +1,22 @@
 //! Searches for restarted engines at the addresses of lost ones while the directory is unreachable.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
 use hyper::http::response::Parts;
 
 use super::super::ablation::Mechanism;
+use super::super::body::{self, Limit};
 use super::super::channel::Channel;
 use super::super::fleet::Upstream;
 use super::super::membership::{Phase, Rumor};
+use super::super::policy::body_limit::MAX_QUESTION_BYTES;
 use super::super::policy::rediscovered;
 use super::super::policy::search::SearchList;
 use super::Control;
@@ -117,7 +120,8 @@
         let request = Request::get(path).header(HOST, lost.addr.to_string());
         let response = channel.send(request.body(Full::<Bytes>::default()).ok()?).await.ok()?;
         let (head, body) = response.into_parts();
-        Some((head, body.collect().await.ok()?.to_bytes()))
+        let limit = Limit { max_bytes: MAX_QUESTION_BYTES, timeout_ms: ANSWER_TIMEOUT_MS };
+        Some((head, body::read(body, limit, &RefCell::default()).await.ok()?))
     }
 
     /// Adds an engine that this instance or a peer rediscovered while the directory is unreachable, and gossips
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// The maximum length of an event; a stream with a longer one counts as broken.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// A complete event as received, including its blank line.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod ablation;
 pub mod answer;
+pub mod body;
 pub mod call;
 pub mod caller;
 pub mod channel;
--- /dev/null
+++ b/src/gateway/policy/body_limit.rs
@@ -0,0 +1,79 @@
+//! How much of an answer's body is held in memory until it is whole.
+//!
+//! A body may come without end, from many upstreams at once. Each has a limit, and beyond a small part
+//! of it all share one, so that an instance's memory is bounded and short answers always have room.
+
+/// The maximum size of an answer to a caller.
+pub const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// The maximum size of the answer to a question of the gateway itself, such as an engine's state or
+/// the list of the prompts that it keeps.
+pub const MAX_QUESTION_BYTES: usize = 2 << 20;
+/// The size up to which a body needs none of the shared memory.
+const MAX_SMALL_BYTES: usize = 64 << 10;
+/// The maximum size of what all bodies hold beyond that, a sixth of a small instance's memory.
+const MAX_SHARED_BYTES: usize = 24 << 20;
+
+/// The shared memory of all bodies that are being read by one thread.
+#[derive(Debug, Default)]
+pub struct SharedMemory {
+    used_bytes: usize,
+}
+
+/// What one body holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Held {
+    max_bytes: usize,
+    bytes: usize,
+}
+
+/// Why a body is read no further.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum Exceeded {
+    /// It is longer than any answer may be.
+    #[display("its body is longer than {max_bytes} bytes; it was not read further")]
+    Limit {
+        /// The limit.
+        max_bytes: usize,
+    },
+    /// Too many long bodies are being read.
+    #[display("too many long bodies are being read; it was not read further")]
+    Shared,
+}
+
+impl Held {
+    /// A body of which nothing was read, and that may have so many bytes.
+    pub fn new(max_bytes: usize) -> Held {
+        Held { max_bytes, bytes: 0 }
+    }
+
+    /// What it holds of the shared memory.
+    fn shared_bytes(self) -> usize {
+        self.bytes.saturating_sub(MAX_SMALL_BYTES)
+    }
+}
+
+impl SharedMemory {
+    /// Has a body hold more.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it may not; it holds what it did then.
+    pub fn grow(&mut self, held: &mut Held, more_bytes: usize) -> Result<(), Exceeded> {
+        let grown = Held { bytes: held.bytes.saturating_add(more_bytes), ..*held };
+        if grown.bytes > held.max_bytes {
+            return Err(Exceeded::Limit { max_bytes: held.max_bytes });
+        }
+        let used_bytes = self.used_bytes + grown.shared_bytes() - held.shared_bytes();
+        if grown.shared_bytes() > 0 && used_bytes > MAX_SHARED_BYTES {
+            return Err(Exceeded::Shared);
+        }
+        self.used_bytes = used_bytes;
+        *held = grown;
+        Ok(())
+    }
+
+    /// Frees what a body holds.
+    pub fn free(&mut self, held: Held) {
+        self.used_bytes -= held.shared_bytes();
+    }
+}
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -10,6 +10,7 @@
 pub mod answer_end;
 pub mod answer_match;
 pub mod arrivals;
+pub mod body_limit;
 pub mod budget;
 pub mod cache_lookup;
 pub mod closed_classes;
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Request, Response};
@@ -16,6 +16,7 @@
 use super::super::headers;
 use super::super::metrics::Time;
 use super::super::policy::answer_end::{Framing, Life};
+use super::super::policy::body_limit::MAX_ANSWER_BYTES;
 use super::super::policy::eras;
 use super::super::policy::outcomes;
 use super::super::policy::silence::Silence;
@@ -142,6 +143,7 @@
         let target = copy.as_ref().map(|copy| &copy.worker);
         let mut sent = self.sent_run(worker, target);
         let answered = self.wait_for_head(worker, &mut lease, request, &mut silences).await;
+        traffic.note_if_flooded(worker, &lease);
         if matches!(answered, Err(Outcome::NotRun { .. })) {
             sent.end();
         }
@@ -352,7 +354,12 @@
         self.copy = None;
         let framing = self.framing(&response);
         let headers = headers::end_to_end(response.headers().clone());
-        let body = response.into_body().collect().await;
+        let (body, until_ms) = (response.into_body(), self.job.until_ms);
+        let body = self.traffic.read_body(worker, body, MAX_ANSWER_BYTES, until_ms).await;
+        if let Err(fault) = &body {
+            let why = format!("status {status}, and {fault}");
+            return lost_run(why, LossCause::EngineAlive);
+        }
         let is_whole =
             framing == Framing::Stated || self.traffic.check_life(worker).await == Life::LivesOn;
         let Some(body) = body.ok().filter(|_| is_whole) else {
@@ -364,7 +371,7 @@
         if self.job.body.is_empty() {
             worker.give_back(lease, metadata.keep_ms, self.traffic.now_ms());
         }
-        self.respond(answer::whole(status, headers, body.to_bytes()));
+        self.respond(answer::whole(status, headers, body));
         Outcome::Done
     }
 
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -128,7 +128,12 @@
                     frame.into_data().unwrap_or_default()
                 }
                 Some(Err(error)) => {
-                    return self.note_connection_closed(worker, channel::error_with_cause(&error));
+                    let outcome =
+                        self.note_connection_closed(worker, channel::error_with_cause(&error));
+                    if channel::is_flooded_body(&error) {
+                        traffic.mark_endless(worker);
+                    }
+                    return outcome;
                 }
                 None => {
                     let end = ResponseEnd {
@@ -150,6 +155,7 @@
                 }
             };
             if !splitter.push(&data, &mut events) {
+                traffic.mark_endless(worker);
                 return lost_run("an event exceeds the maximum length", LossCause::EngineAlive);
             }
             traffic.note_run_start(&self.job, last_data_ms);
--- a/src/gateway/stream/via_peer.rs
+++ b/src/gateway/stream/via_peer.rs
@@ -13,6 +13,7 @@
 use super::super::failure::Failure;
 use super::super::headers;
 use super::super::policy::answer_end::Framing;
+use super::super::policy::body_limit::MAX_ANSWER_BYTES;
 use super::super::via_peer;
 use super::super::worker::{Lease, Worker};
 use super::{
@@ -147,12 +148,13 @@
         }
         let framing = headers::framing(&self.job.method, response.status(), response.headers());
         let headers = headers::end_to_end(response.headers().clone());
-        let body = response.into_body().collect().await;
+        let (body, until_ms) = (response.into_body(), self.job.until_ms);
+        let body = self.traffic.read_peer_body(body, MAX_ANSWER_BYTES, until_ms).await;
         // Instances state the length of all their answers.
         let Some(body) = body.ok().filter(|_| framing == Framing::Stated) else {
             return lost_run("an incomplete response", LossCause::EngineAlive);
         };
-        self.respond(answer::whole(status, headers, body.to_bytes()));
+        self.respond(answer::whole(status, headers, body));
         Outcome::Done
     }
 
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -1,6 +1,7 @@
 //! State of the traffic thread: upstreams, retry budgets, latency statistics and metrics.
 
 mod admission;
+mod bodies;
 mod budgets;
 mod choice;
 mod concurrency;
@@ -42,6 +43,7 @@
 use super::headers;
 use super::job::Job;
 use super::metrics::Metrics;
+use super::policy::body_limit::SharedMemory;
 use super::policy::budget::Budget;
 use super::policy::departures::Departures;
 use super::policy::engine::Need;
@@ -103,6 +105,8 @@
     cache_queried: RefCell<BTreeSet<Arc<str>>>,
     /// Liveness probes in progress, by upstream.
     probes: RefCell<BTreeMap<Arc<str>, losses::Probe>>,
+    /// What the bodies of answers hold that are being read.
+    body_memory: RefCell<SharedMemory>,
     /// Second probes in progress, with a longer timeout, by upstream.
     second_probes: RefCell<BTreeMap<Arc<str>, losses::Probe>>,
     /// Checks in progress whether an upstream's process has exited.
@@ -175,6 +179,7 @@
             first_event_us_per_token: RefCell::default(),
             speeds: speed::Speeds::default(),
             served_parts: RefCell::default(),
+            body_memory: RefCell::default(),
         })
     }
 
--- a/src/gateway/traffic/endings.rs
+++ b/src/gateway/traffic/endings.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
 use tokio::sync::watch;
@@ -18,6 +18,7 @@
 use super::super::dialect::Dispatch;
 use super::super::policy::answer_end::{Life, Reply};
 use super::super::policy::answer_match::Message;
+use super::super::policy::body_limit::MAX_QUESTION_BYTES;
 use super::super::worker::{Lease, Worker};
 use super::Traffic;
 
@@ -128,7 +129,11 @@
         let Ok(response) = lease.send(request).await else { return Reply::Broken };
         let (head, body) = response.into_parts();
         let marks = self.dialect.marks(&head.headers);
-        if !self.is_own_answer(worker, &mut lease, None, &marks) || body.collect().await.is_err() {
+        if !self.is_own_answer(worker, &mut lease, None, &marks) {
+            return Reply::Broken;
+        }
+        let until_ms = self.now_ms() + LIFE_CHECK_TIMEOUT_MS;
+        if self.read_body(worker, body, MAX_QUESTION_BYTES, until_ms).await.is_err() {
             return Reply::Broken;
         }
         worker.give_back(lease, marks.keep_ms, self.now_ms());
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -329,7 +329,7 @@
     }
 }
 
-fn new_loss(worker: &Worker, at_ms: u64, is_own: bool) -> Loss {
+pub(super) fn new_loss(worker: &Worker, at_ms: u64, is_own: bool) -> Loss {
     let Upstream { service, domain, .. } = &worker.upstream;
     Loss { service: Arc::clone(service), domain: Arc::clone(domain), at_ms, is_own }
 }
--- a/src/gateway/traffic/upstreams.rs
+++ b/src/gateway/traffic/upstreams.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Method, Request};
 
@@ -13,6 +13,7 @@
 use super::super::dialect::Marks;
 use super::super::fleet::Fleet;
 use super::super::policy::answer_match::{AnswerMatch, Message};
+use super::super::policy::body_limit::MAX_QUESTION_BYTES;
 use super::super::policy::placement;
 use super::super::view::View;
 use super::super::worker::{Lease, Worker};
@@ -20,6 +21,8 @@
 
 /// Channels per upstream that an instance may open beyond its even share, since load is never even.
 const CHANNEL_SLACK: u32 = 2;
+/// How long the body of an engine's answer to the gateway itself may take; most callers wait less.
+const QUESTION_TIMEOUT_MS: u64 = 5_000;
 
 impl Traffic {
     /// The current view. Changes of its upstreams are applied to the workers first.
@@ -143,8 +146,10 @@
         if !self.is_own_answer(worker, &mut lease, None, &marks) {
             return Err(broken("the answer belongs to another request".to_owned()));
         }
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|error| broken(error.to_string()))?.to_bytes();
+        let until_ms = self.now_ms() + QUESTION_TIMEOUT_MS;
+        let body = response.into_body();
+        let body = self.read_body(worker, body, MAX_QUESTION_BYTES, until_ms).await;
+        let body = body.map_err(|fault| broken(fault.to_string()))?;
         worker.give_back(lease, marks.keep_ms, self.now_ms());
         Ok((status, body))
     }
--- a/src/gateway/via_peer.rs
+++ b/src/gateway/via_peer.rs
@@ -83,7 +83,7 @@
     }
     let request = job.relayed_request(&*traffic.dialect, job.demand.last_event, None, now_ms);
     let result = tokio::select! {
-        result = whole_answer::exchange(traffic, &mut lease, request) => result,
+        result = whole_answer::exchange_with_peer(traffic, job, &mut lease, request) => result,
         () = traffic.clock.sleep_until(job.until_ms) => return Outcome::TimeOver { is_sent: true },
     };
     let (whole, marks) = match result {
--- a/src/gateway/whole_answer.rs
+++ b/src/gateway/whole_answer.rs
@@ -3,22 +3,22 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
+use hyper::http::response::Parts;
 use hyper::{HeaderMap, Request};
 
 use super::answer::{self, Answer};
+use super::body;
 use super::channel::Fault;
 use super::dialect::Marks;
 use super::failure::Failure;
 use super::headers;
 use super::job::Job;
 use super::policy::answer_end::{AnswerHead, Framing, Life};
+use super::policy::body_limit::MAX_ANSWER_BYTES;
 use super::traffic::Traffic;
 use super::worker::{Lease, Worker};
 
-/// The maximum size of an answer, which is held in memory until it is whole.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
-
 /// A whole answer of an upstream.
 #[derive(Debug)]
 pub struct WholeAnswer {
@@ -35,31 +35,51 @@
 /// A whole answer with what its headers say, or why there is none.
 pub type ExchangeResult = Result<(WholeAnswer, Marks), Fault>;
 
-/// Sends a request and receives the whole answer.
-pub async fn exchange(
+/// Sends a request to another instance and receives the whole answer.
+pub async fn exchange_with_peer(
     traffic: &Traffic,
+    job: &Job,
     lease: &mut Lease,
     request: Request<Full<Bytes>>,
 ) -> ExchangeResult {
-    let method = request.method().clone();
     let response = lease.send(request).await?;
     let (head, body) = response.into_parts();
+    let body = traffic.read_peer_body(body, MAX_ANSWER_BYTES, job.until_ms).await;
+    whole(traffic, job, head, body)
+}
+
+/// An answer whose body was read.
+fn whole(
+    traffic: &Traffic,
+    job: &Job,
+    head: Parts,
+    body: Result<Bytes, body::Fault>,
+) -> ExchangeResult {
+    let body = body.map_err(|fault| Fault::Broken { detail: fault.to_string() })?;
     let marks = traffic.dialect.marks(&head.headers);
-    let framing = headers::framing(&method, head.status, &head.headers);
-    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|error| Fault::Broken { detail: error.to_string() })?.to_bytes();
+    let framing = headers::framing(&job.method, head.status, &head.headers);
     Ok((WholeAnswer { status: head.status.as_u16(), headers: head.headers, framing, body }, marks))
 }
 
-/// Sends a request and receives the whole answer. One that ends with its channel counts as broken off
-/// unless its upstream lives on.
+/// Sends a request to an upstream and receives the whole answer. One that ends with its channel counts
+/// as broken off unless its upstream lives on.
 pub async fn exchange_proved(
     traffic: &Rc<Traffic>,
+    job: &Job,
     worker: &Rc<Worker>,
     lease: &mut Lease,
     request: Request<Full<Bytes>>,
 ) -> ExchangeResult {
-    let (whole, marks) = exchange(traffic, lease, request).await?;
+    let response = match lease.send(request).await {
+        Ok(response) => response,
+        Err(fault) => {
+            traffic.note_if_flooded(worker, lease);
+            return Err(fault);
+        }
+    };
+    let (head, body) = response.into_parts();
+    let body = traffic.read_body(worker, body, MAX_ANSWER_BYTES, job.until_ms).await;
+    let (whole, marks) = whole(traffic, job, head, body)?;
     let head = AnswerHead {
         framing: whole.framing,
         is_refusal: marks.not_run || whole.status == 421,
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -442,10 +442,15 @@
 
     /// Notes that it is gone or silent; all who wait for it leave.
     pub fn lost(&self, now_ms: u64) {
+        self.avoid(now_ms);
+        self.silences.send_modify(|count| *count += 1);
+    }
+
+    /// Keeps it out of placement for as long as one that is lost, though it is alive.
+    pub fn avoid(&self, now_ms: u64) {
         self.suspect_until_ms.set(now_ms + LOST_MS);
         self.lost_until_ms.set(now_ms + LOST_MS);
         self.idle.borrow_mut().clear();
-        self.silences.send_modify(|count| *count += 1);
     }
 
     /// Notes that it answered.
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 use tokio::sync::watch;
 
+use crate::endless::Endless;
 use crate::http::{Connection, Message, Process};
 use crate::signals::Signals;
 
@@ -44,6 +45,12 @@
     LosesAnswers,
     /// It resets the channel of a new request at once.
     TornAtOnce,
+    /// The bytes of its answers to new requests never end.
+    Endless(Endless),
+    /// The bytes of its state never end.
+    EndlessState(Endless),
+    /// It closes its channel after so many bytes of an answer's head.
+    CutHead(usize),
 }
 
 /// What an engine does when it is told to stop a run.
@@ -378,6 +385,9 @@
             let served = match (fault, request.path()) {
                 (Fault::Dark, _) => return std::future::pending().await,
                 (Fault::Mute, "/siskinrock/report") => return std::future::pending().await,
+                (Fault::EndlessState(endless), "/siskinrock/report") => {
+                    endless.write(&mut connection, "").await
+                }
                 (Fault::Crowded, "/siskinrock/report") => return connection.reset(),
                 (Fault::Late, "/siskinrock/report") => {
                     tokio::time::sleep(LATE_STATE).await;
@@ -616,6 +626,13 @@
              X-Response-Signature: {}\r\n{said}{framing}\r\n\r\n",
             self.id
         );
+        if let Fault::Endless(endless) = fault {
+            return endless.write(connection, id).await;
+        }
+        if let Fault::CutHead(bytes) = fault {
+            connection.write(&head.as_bytes()[..bytes.min(head.len())]).await?;
+            return Err(std::io::ErrorKind::BrokenPipe.into());
+        }
         if !is_lost {
             connection.write(head.as_bytes()).await?;
         }
--- a/tests/fakes/src/lib.rs
+++ b/tests/fakes/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod cloud;
+pub mod endless;
 pub mod engine;
 pub mod http;
 pub mod links;
--- a/tests/fakes/src/service.rs
+++ b/tests/fakes/src/service.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::Semaphore;
 
+use crate::endless::Endless;
 use crate::engine::Seen;
 use crate::http::{self, Connection, Message, Process};
 use crate::signals::Signals;
@@ -37,6 +38,10 @@
     Crossed,
     /// Its answers have no length: it writes them in pieces, and closes the channel at their end.
     Unframed,
+    /// The bytes of its answers never end.
+    Endless(Endless),
+    /// It closes its channel after so many bytes of an answer's head.
+    CutHead(usize),
 }
 
 /// How its process ends while it writes an answer without a length.
@@ -388,6 +393,7 @@
             let answered = match fault {
                 Fault::LateFull => self.refuse(&mut connection, &id, 503).await,
                 Fault::LostAnswer => return connection.reset(),
+                Fault::Endless(endless) => endless.write(&mut connection, &id).await,
                 Fault::Mute => return std::future::pending().await,
                 fault => self.reply(&mut connection, &id, fault).await,
             };
@@ -525,6 +531,10 @@
         }
         let bytes = http::encode(status, &headers, body.as_bytes());
         match fault {
+            Fault::CutHead(bytes_sent) => {
+                connection.write(&bytes[..bytes_sent.min(bytes.len())]).await?;
+                Err(std::io::ErrorKind::BrokenPipe.into())
+            }
             Fault::Truncated => {
                 connection.write(&bytes[..bytes.len() - body.len() / 2]).await?;
                 Err(std::io::ErrorKind::BrokenPipe.into())
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod decisions;
 mod departures;
 mod duties;
+mod endless;
 mod engine;
 mod eras;
 mod explain;
