A test that cuts answers in their head

Reported by operators of systems like ours: a worker stops in the middle of its answer's head and closes, and callers get a 200 with an empty or short body. Nothing is changed.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod concurrency;
 mod configuration;
 mod connections;
+mod cut_heads;
 mod cut_off;
 mod decisions;
 mod departures;
