--- a/src/gateway/stream/silence.rs
+++ b/src/gateway/stream/silence.rs
@@ -58,15 +58,16 @@
         attempts: u32,
     ) -> Option<Outcome> {
         let has_ended = worker.has_exited() || worker.is_replaced();
+        // A full engine may only be late with its state.
+        if !has_ended && self.copy.is_none() && !self.traffic.is_confirmed_lost(worker).await {
+            return None;
+        }
         let continuation = self.continuation_after_loss(worker, attempts);
         match silent_engine::judge(has_ended, continuation) {
             silent_engine::Verdict::EndsThere => return Some(self.leave_lost(worker, why)),
             silent_engine::Verdict::Waits => return self.wait_at_silent_engine(worker).await,
             silent_engine::Verdict::GoesOn => {}
         }
-        if self.copy.is_none() && !self.traffic.is_confirmed_lost(worker).await {
-            return None;
-        }
         // All runs of the engine leave it at this moment, and there may not be a retry for each.
         self.has_taken_retry = self.take_retry();
         if !self.has_taken_retry {
