Tests of clients that don't behave, before the product is changed

Judged by life, peak memory with the bytes that wait to be read, sockets, and one ordinary request beside the crowd. The crowd and the bounds are fixed here. One test measures at a time.

--- a/tests/fakes/src/lib.rs
+++ b/tests/fakes/src/lib.rs
@@ -3,8 +3,10 @@
 
 pub mod caller;
 pub mod cloud;
+pub mod crowd;
 pub mod endless;
 pub mod engine;
+pub mod footprint;
 pub mod http;
 pub mod links;
 pub mod process;
--- a/tests/fakes/src/process.rs
+++ b/tests/fakes/src/process.rs
@@ -87,6 +87,13 @@
         }
     }
 
+    /// Lets it open so many descriptors from now on.
+    pub fn limit_descriptors(&self, count: u64) {
+        if let Some(child) = &self.child {
+            limit_descriptors(child.id(), count);
+        }
+    }
+
     /// Kills it and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -149,6 +156,13 @@
     }
 }
 
+/// Lets a process open so many descriptors from now on.
+pub fn limit_descriptors(pid: u32, count: u64) {
+    let limit = libc::rlimit { rlim_cur: count, rlim_max: count };
+    // SAFETY: the limit outlives the call, and nothing is written back.
+    unsafe { libc::prlimit(pid as i32, libc::RLIMIT_NOFILE, &limit, std::ptr::null_mut()) };
+}
+
 fn question(target: String) -> Call {
     Call {
         method: "GET",
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -31,6 +31,10 @@
 }
 
 impl RouterProcess {
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: i32) {
         // SAFETY: the process was started by this test and has not been waited for.
         unsafe { libc::kill(self.child.id() as i32, signal) };
@@ -95,6 +99,7 @@
     pub seats: Vec<Host>,
     pub routers: Vec<RouterProcess>,
     pub http: reqwest::Client,
+    environment: Vec<(&'static str, &'static str)>,
 }
 
 pub struct Shape {
@@ -102,12 +107,14 @@
     pub engines: usize,
     pub engine: engine::Settings,
     pub horizon_ms: u64,
+    /// Variables of the routers' environment.
+    pub environment: Vec<(&'static str, &'static str)>,
 }
 
 impl Default for Shape {
     fn default() -> Shape {
         let engine = engine::Settings { load_lag_ms: 100, ..engine::Settings::default() };
-        Shape { routers: 3, engines: 3, engine, horizon_ms: 60_000 }
+        Shape { routers: 3, engines: 3, engine, horizon_ms: 60_000, environment: Vec::new() }
     }
 }
 
@@ -121,7 +128,9 @@
         let start_seats = |_| seats::start("127.0.0.1:0", Arc::clone(&books));
         let seats: Vec<_> = (0..2).map(start_seats).collect();
         let http = siskinrock_standin::caller::client();
-        let mut cluster = Cluster { platform, engines, seats, routers: Vec::new(), http };
+        let environment = shape.environment;
+        let mut cluster =
+            Cluster { platform, engines, seats, routers: Vec::new(), http, environment };
         for number in 0..shape.routers {
             cluster.add_router(number, shape.horizon_ms);
         }
@@ -146,6 +155,7 @@
             .args(["--tick-ms", "200", "--keep-ms", "500", "--log", "debug"])
             .args(["--horizon-ms", &horizon_ms.to_string()])
             .args(["--seeds", &seeds.join(",")])
+            .envs(self.environment.iter().copied())
             .stderr(stderr)
             .spawn()
             .expect("the binary starts");
