Refused bodies are dropped, not kept, and answered at once

What callers saw: a crowd without a route, without a key or with bodies over the limit ended the process, or waited three seconds for its answer. Cause: front::discard collected what it said that it drops, up to 8 MB a caller, before it answered. Whoever was refused held the most. Change: the answer goes out at once, with Connection: close. Beside it the rest of the body is read and dropped, up to 8 MB and the time of a head (intake::drop_rest); a caller that sends more is reset. One that waits for leave to send (Expect) gets the answer and no leave. A connection in that stage (Stage::Dropping) holds up no planned stop, and its bytes can't be taken for a request. The same goes for bodies that came too slowly or too long, whose callers saw a reset.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -27,6 +27,8 @@
     Answering,
     /// The body of the answer has ended, but isn't fully written to the socket.
     Flushing,
+    /// The answer is written, since the given time, and the rest of its request is read and dropped.
+    Dropping(u64),
 }
 
 /// Tracks the stage of a connection.
@@ -35,13 +37,16 @@
     stage: Cell<Stage>,
     /// Whether bytes of the next request arrived before the answer was written.
     has_next_request: Cell<bool>,
+    /// Whether the rest of the request's body is read and dropped.
+    drops_rest: Cell<bool>,
 }
 
 impl Progress {
     /// Starts to track a connection that was just accepted.
     pub fn new(clock: Clock) -> Progress {
         let stage = Cell::new(Stage::Idle(clock.now_ms()));
-        Progress { clock, stage, has_next_request: Cell::new(false) }
+        let (has_next_request, drops_rest) = (Cell::default(), Cell::default());
+        Progress { clock, stage, has_next_request, drops_rest }
     }
 
     pub fn stage(&self) -> Stage {
@@ -54,6 +59,11 @@
         self.stage.set(Stage::Serving);
     }
 
+    /// Records that the rest of the request's body is read and dropped. The connection ends then.
+    pub fn rest_dropped(&self) {
+        self.drops_rest.set(true);
+    }
+
     /// Records that the head of the answer is there.
     pub fn answer_started(&self) {
         self.stage.set(Stage::Answering);
@@ -74,7 +84,11 @@
         }
         let now_ms = self.clock.now_ms();
         let has_next_request = self.has_next_request.take();
-        self.stage.set(if has_next_request { Stage::Head(now_ms) } else { Stage::Idle(now_ms) });
+        self.stage.set(match has_next_request {
+            _ if self.drops_rest.get() => Stage::Dropping(now_ms),
+            true => Stage::Head(now_ms),
+            false => Stage::Idle(now_ms),
+        });
     }
 
     /// Records that bytes were read.
@@ -82,8 +96,8 @@
         match self.stage.get() {
             Stage::Idle(_) => self.stage.set(Stage::Head(self.clock.now_ms())),
             Stage::Answering | Stage::Flushing => self.has_next_request.set(true),
-            // The bytes belong to the head, or to the body of the request being served.
-            Stage::Head(_) | Stage::Serving => {}
+            // The bytes belong to the head, or to the body of the request.
+            Stage::Head(_) | Stage::Serving | Stage::Dropping(_) => {}
         }
     }
 }
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -68,6 +68,8 @@
     KeepServing,
     /// Close it after the request in progress, or at once if there is none.
     Close,
+    /// Close it at once, with what has arrived on it.
+    Drop,
     /// Reject it: the head of a request did not arrive within its timeout.
     TooSlow,
 }
@@ -97,6 +99,9 @@
                 NextAction::KeepServing
             }
         }
+        // Whatever else comes is dropped.
+        Stage::Dropping(_) if is_closing => NextAction::Drop,
+        Stage::Dropping(_) => NextAction::KeepServing,
         Stage::Serving | Stage::Answering | Stage::Flushing if is_closing => NextAction::Close,
         Stage::Serving | Stage::Answering | Stage::Flushing => NextAction::KeepServing,
     }
@@ -104,8 +109,7 @@
 
 async fn serve(traffic: Rc<Traffic>, stream: TcpStream, mut close: watch::Receiver<bool>) {
     let _ = stream.set_nodelay(true);
-    let view = traffic.shared.view.load_full();
-    let limits = view.config.as_ref().map(|config| config.limits).unwrap_or_default();
+    let limits = traffic.limits();
     let progress = Rc::new(Progress::new(traffic.clock));
     let requests = Rc::new(Cell::new(0));
     let service = {
@@ -121,7 +125,7 @@
             async move {
                 let demand = traffic.dialect.demand(request.headers());
                 let open = OpenRequestGuard::new(&traffic, demand.id.clone(), number);
-                let answer = front::serve(&traffic, demand, request).await;
+                let answer = front::serve(&traffic, &progress, demand, request).await;
                 progress.answer_started();
                 Ok::<_, Infallible>(answer.map(|body| DeliveredBody::new(body, open, progress)))
             }
@@ -173,6 +177,7 @@
                     "why" => %failure);
                 return caller::write_failure(&stream, &failure);
             }
+            NextAction::Drop => return,
             NextAction::Close | NextAction::KeepServing => {}
         }
     }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -5,47 +5,62 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request};
 
 use super::ablation::Mechanism;
 use super::answer::{self, Answer};
+use super::caller::Progress;
 use super::dialect::Demand;
 use super::failure::Failure;
 use super::headers;
+use super::intake;
 use super::job::Job;
 use super::policy::outages;
-use super::route::{Config, Limits, Route};
+use super::route::{Config, Route};
 use super::traffic::Traffic;
 use super::{call, stream};
 
 /// The deadline of a request if the caller sets none, and the timeout of a route that sets none.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
-/// How much of a refused body is read, so that the caller gets the answer instead of a reset.
-const MAX_DISCARDED_BYTES: usize = 8 << 20;
 
 /// Serves a request. If a planned stop is under way, it is answered or refused before the stop ends.
-pub async fn serve(traffic: &Rc<Traffic>, demand: Demand, request: Request<Incoming>) -> Answer {
-    let mut answer = dispatch(traffic, demand, request).await;
-    if traffic.stop.get().is_some() {
-        // The caller's next connection then goes to another instance.
+pub async fn serve(
+    traffic: &Rc<Traffic>,
+    progress: &Progress,
+    demand: Demand,
+    request: Request<Incoming>,
+) -> Answer {
+    let (head, mut body) = request.into_parts();
+    let waits_for_leave = intake::waits_for_leave(&head.headers);
+    let mut answer = dispatch(traffic, demand, head, &mut body).await;
+    let is_body_left = !body.is_end_stream();
+    if is_body_left && !waits_for_leave {
+        progress.rest_dropped();
+        tokio::task::spawn_local(intake::drop_rest(body, traffic.limits()));
+    }
+    if is_body_left || traffic.stop.get().is_some() {
+        // After a stop, the caller's next connection then goes to another instance.
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     answer
 }
 
 /// Reads a request, and refuses it or passes it to its service.
-async fn dispatch(traffic: &Rc<Traffic>, demand: Demand, request: Request<Incoming>) -> Answer {
+async fn dispatch(
+    traffic: &Rc<Traffic>,
+    demand: Demand,
+    head: Parts,
+    body: &mut Incoming,
+) -> Answer {
     let id = demand.id.clone();
-    let is_relayed = headers::is_relayed(request.headers());
-    let (host, path) =
-        (host(request.headers(), request.uri()).to_owned(), request.uri().path().to_owned());
+    let is_relayed = headers::is_relayed(&head.headers);
+    let (host, path) = (host(&head.headers, &head.uri).to_owned(), head.uri.path().to_owned());
     let read = tokio::select! {
         biased;
-        read = read_request(traffic, demand, request) => read,
+        read = read_request(traffic, demand, head, body) => read,
         // No part of it was sent to an upstream or will be.
         () = traffic.wait_for_final_responses() => {
             let failure = Failure::Stopping;
@@ -115,12 +130,12 @@
 async fn read_request(
     traffic: &Traffic,
     demand: Demand,
-    request: Request<Incoming>,
+    head: Parts,
+    body: &mut Incoming,
 ) -> Result<Job, Rejected> {
     let since_ms = traffic.now_ms();
     wait_for_configuration(traffic, &demand).await;
     let view = traffic.view();
-    let (head, body) = request.into_parts();
     let host = host(&head.headers, &head.uri).to_owned();
     let reject = |failure| Rejected {
         failure,
@@ -139,14 +154,9 @@
         return Err(Rejected { retry_after_ms, ..reject(Failure::Starting) });
     };
     let admitted = admit(config, &demand, &head.headers, &host, head.uri.path());
-    let (route, organisation) = match admitted {
-        Ok(admitted) => admitted,
-        Err(failure) => {
-            discard(body, config.limits).await;
-            return Err(reject(failure));
-        }
-    };
-    let body = read_body(body, &head.headers, config.limits).await.map_err(reject)?;
+    let (route, organisation) = admitted.map_err(reject)?;
+    let read = intake::read(body, &head.headers, config.limits).await;
+    let body = read.map_err(reject)?;
     let service = route.target(fastrand::u64(..));
     let service = service.ok_or_else(|| reject(Failure::NoUpstream))?;
     let stated_version = headers::stream_version(&head.headers);
@@ -207,28 +217,3 @@
     }
     Ok((Arc::clone(route), organisation))
 }
-
-async fn read_body(body: Incoming, headers: &HeaderMap, limits: Limits) -> Result<Bytes, Failure> {
-    let too_large = Failure::TooLarge { limit_bytes: limits.body_bytes };
-    let announced_bytes = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
-    let announced_bytes = announced_bytes.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0);
-    if announced_bytes > limits.body_bytes as u64 {
-        discard(body, limits).await;
-        return Err(too_large);
-    }
-    let timeout_ms = limits.idle_timeout_ms;
-    let read = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(Duration::from_millis(timeout_ms), read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large),
-        Ok(Err(error)) => Err(Failure::Malformed { detail: error.to_string() }),
-        Err(_) => Err(Failure::TooSlow { timeout_ms }),
-    }
-}
-
-/// Reads and drops a body. Closing a connection with unread bytes would reset it, and the caller
-/// would not get the answer.
-async fn discard(body: Incoming, limits: Limits) {
-    let read = Limited::new(body, MAX_DISCARDED_BYTES).collect();
-    let _ = tokio::time::timeout(Duration::from_millis(limits.head_timeout_ms), read).await;
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 pub mod front;
 pub mod headers;
 pub mod instance;
+pub mod intake;
 pub mod job;
 pub mod loads;
 pub mod membership;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -54,6 +54,7 @@
 use super::policy::poison_parts::ServedParts;
 use super::policy::silence;
 use super::policy::stop::Stop;
+use super::route::Limits;
 use super::settings::Settings;
 use super::view::Shared;
 use super::worker::Worker;
@@ -183,6 +184,12 @@
         })
     }
 
+    /// The limits on callers that are in force.
+    pub fn limits(&self) -> Limits {
+        let view = self.shared.view.load();
+        view.config.as_ref().map(|config| config.limits).unwrap_or_default()
+    }
+
     /// Whether this instance accepts a request; during a planned stop it accepts only some.
     pub fn accepts(&self, job: &Job) -> bool {
         let now_ms = self.now_ms();
