--- a/tests/gateway/front.rs
+++ b/tests/gateway/front.rs
@@ -102,3 +102,38 @@
     assert!(error.contains("seeds"), "{error}");
     assert!(error.contains("grace-s"), "{error}");
 }
+
+/// Guards against a body that is changed, cut or mixed up while it is put together from what arrives.
+#[parameterized(
+    at_once = { 60, false, 1 << 20 },
+    pieces = { 90_000, false, 700 },
+    chunks_of_one_byte = { 2_000, true, 1 },
+    chunks = { 90_000, true, 5_000 },
+)]
+#[test_macro(tokio::test)]
+async fn a_body_arrives_as_it_was_sent(bytes: usize, is_chunked: bool, piece_bytes: usize) {
+    let running = support::start(1).await;
+    let body: Vec<u8> = (0..bytes).map(|number| (number % 251) as u8).collect();
+    let sent = Call { body: body.clone(), ..call("POST", "/book/a") };
+    let encoded = sent.encode();
+    let mut head = String::from_utf8(encoded[..encoded.len() - bytes].to_vec()).unwrap();
+    let mut pieces: Vec<Vec<u8>> = body.chunks(piece_bytes).map(<[u8]>::to_vec).collect();
+    if is_chunked {
+        let length = format!("Content-Length: {bytes}");
+        head = head.replace(&length, "Transfer-Encoding: chunked");
+        let chunk = |piece: &Vec<u8>| {
+            [format!("{:x}\r\n", piece.len()).as_bytes(), piece.as_slice(), b"\r\n"].concat()
+        };
+        pieces = pieces.iter().map(chunk).collect();
+        pieces.push(b"0\r\n\r\n".to_vec());
+    }
+    let mut connection = Connection::new(TcpStream::connect(running.front(0)).await.unwrap());
+    connection.write(head.as_bytes()).await.unwrap();
+    for piece in &pieces {
+        connection.write(piece).await.unwrap();
+    }
+    assert_eq!(connection.read_answer().await.unwrap().status(), 200);
+    let seen = running.site.services.iter().flat_map(|service| service.seen());
+    let arrived: Vec<Vec<u8>> = seen.map(|seen| seen.request.body).collect();
+    assert!(arrived == [body], "{} bodies arrived, of other bytes", arrived.len());
+}
