All requests' bodies share an amount of memory, and slow ones yield

What callers saw: many bodies of legal size at once, whole at slow upstreams or stopping just short of their end, ended the process; each of them kept its room for up to 15 s. Cause: one body had a limit, all of them together had none. Where room is short, policy/yielding names who yields: bodies that came at less than 16 KB in the last second, then, for a short request, longer ones. In calm nobody yields. Who yields or finds no room gets 503 with Retry-After: 1, by which time what came too slowly yields; a whole request that was read never does. Counters requests_yielded, requests_without_room, gauge request_bytes; log lines "slow or longer requests yield" and, for a configuration whose longest body doesn't fit, "callers may send longer bodies than this instance can hold". Weighed: not reading on (what waits in the kernel counts too, and a crowd that stops holds its place); a least rate always (a slow honest caller would lose its time in calm). The longest request is served in calm, whole, in chunks and slowly (three tests).

--- a/bench/src/forwarder.rs
+++ b/bench/src/forwarder.rs
@@ -41,6 +41,7 @@
         upstream_source: None,
         metrics: None,
         link_mbps: 0,
+        machine: siskinrock::machine::usual(),
         reports_usage: false,
         seeds: Vec::new(),
         keep_ms: 5_000,
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -1,5 +1,5 @@
-//! A caller's socket that records when the next request starts to arrive and when an answer has
-//! been written.
+//! A caller's connection: what it waits for, and a socket that records when the next request starts to
+//! arrive and when an answer has been written.
 
 use std::cell::Cell;
 use std::io;
@@ -10,8 +10,10 @@
 use bytes::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use super::failure::Failure;
+use super::policy::yielding::{Pace, Wait};
 use crate::clock::Clock;
 
 /// The stage of a caller's connection.
@@ -39,20 +41,63 @@
     has_next_request: Cell<bool>,
     /// Whether the rest of the request's body is read and dropped.
     drops_rest: Cell<bool>,
+    /// How fast the body arrives that is being read, and what it holds.
+    arriving: Cell<Option<(Pace, usize)>>,
+    /// Whether it has to yield to another caller.
+    must_yield: Cell<bool>,
+    yielding: Notify,
 }
 
 impl Progress {
     /// Starts to track a connection that was just accepted.
     pub fn new(clock: Clock) -> Progress {
         let stage = Cell::new(Stage::Idle(clock.now_ms()));
-        let (has_next_request, drops_rest) = (Cell::default(), Cell::default());
-        Progress { clock, stage, has_next_request, drops_rest }
+        Progress {
+            clock,
+            stage,
+            has_next_request: Cell::default(),
+            drops_rest: Cell::default(),
+            arriving: Cell::default(),
+            must_yield: Cell::default(),
+            yielding: Notify::new(),
+        }
     }
 
     pub fn stage(&self) -> Stage {
         self.stage.get()
     }
 
+    /// What this instance and the caller wait for.
+    pub fn wait(&self) -> Wait {
+        match (self.stage.get(), self.arriving.get()) {
+            (Stage::Serving, Some((pace, held_bytes))) => Wait::Body { pace, held_bytes },
+            _ => Wait::Others,
+        }
+    }
+
+    /// Has the caller yield to another one.
+    pub fn yield_now(&self) {
+        self.must_yield.set(true);
+        self.yielding.notify_waiters();
+    }
+
+    /// Whether it has to yield.
+    pub fn must_yield(&self) -> bool {
+        self.must_yield.get()
+    }
+
+    /// Waits until it has to yield.
+    pub async fn yielded(&self) {
+        if !self.must_yield() {
+            self.yielding.notified().await;
+        }
+    }
+
+    /// Records how fast the body of the request arrives and what it holds; `None` once it is whole.
+    pub fn body_arriving(&self, arriving: Option<(Pace, usize)>) {
+        self.arriving.set(arriving);
+    }
+
     /// Records that the head of a request is complete.
     pub fn head_received(&self) {
         self.has_next_request.set(false);
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -17,7 +17,7 @@
 use super::caller::{self, ObservedStream, Progress, Stage};
 use super::failure::Failure;
 use super::front;
-use super::open::{ConnectionGuard, DeliveredBody, OpenRequestGuard};
+use super::open::{DeliveredBody, OpenRequestGuard};
 use super::route::Limits;
 use super::traffic::Traffic;
 
@@ -43,11 +43,12 @@
         match accepted {
             Ok((stream, _)) => {
                 // Counted before its task first runs, so that the count never misses it.
-                let guard = ConnectionGuard::new(&traffic);
-                let serving = serve(Rc::clone(&traffic), stream, close.clone());
+                let progress = Rc::new(Progress::new(traffic.clock));
+                let registered = traffic.callers.register(Rc::clone(&progress));
+                let serving = serve(Rc::clone(&traffic), stream, progress, close.clone());
                 tokio::task::spawn_local(async move {
                     serving.await;
-                    drop(guard);
+                    drop(registered);
                 });
             }
             Err(error) => {
@@ -107,10 +108,14 @@
     }
 }
 
-async fn serve(traffic: Rc<Traffic>, stream: TcpStream, mut close: watch::Receiver<bool>) {
+async fn serve(
+    traffic: Rc<Traffic>,
+    stream: TcpStream,
+    progress: Rc<Progress>,
+    mut close: watch::Receiver<bool>,
+) {
     let _ = stream.set_nodelay(true);
     let limits = traffic.limits();
-    let progress = Rc::new(Progress::new(traffic.clock));
     let requests = Rc::new(Cell::new(0));
     let service = {
         let requests = Rc::clone(&requests);
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -369,6 +369,11 @@
         }
         slog::info!(self.log, "configuration in force"; "version" => config.version,
             "before" => known, "from" => from, "routes" => config.routes.len());
+        if !self.settings.machine.holds_longest_body(&config.limits) {
+            slog::warn!(self.log, "callers may send longer bodies than this instance can hold";
+                "body_bytes" => config.limits.body_bytes,
+                "request_bytes" => self.settings.machine.request_bytes(&config.limits));
+        }
         state.config = Some(config);
     }
 
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -16,6 +16,8 @@
 const RETRY_ELSEWHERE_DELAY_MS: u64 = 20;
 /// When to retry a stream whose version has no upstream: about when one that crashed is back.
 const VERSION_RETRY_DELAY_MS: u64 = 2_000;
+/// When to retry at an instance that callers crowd: those that make no progress yield by then.
+const CROWDED_RETRY_DELAY_MS: u64 = 1_000;
 /// When to retry at an instance that has no configuration yet; reading one takes a few calls.
 const STARTING_RETRY_DELAY_MS: u64 = 500;
 
@@ -55,6 +57,12 @@
         /// The timeout.
         timeout_ms: u64,
     },
+    /// Callers hold as much of this instance as they may, and none of them yields to this one.
+    #[display(
+        "callers hold as much of this instance as they may; the request has not run, send it again \
+         after Retry-After, or to another address"
+    )]
+    Crowded,
     /// No upstream takes work; the request has not run.
     #[display(
         "no upstream of the service takes work now; send the request again after Retry-After"
@@ -189,6 +197,7 @@
             | Failure::PoisonPart { .. } => 502,
             Failure::Starting
             | Failure::Stopping
+            | Failure::Crowded
             | Failure::NoUpstream
             | Failure::NoUpstreamOfVersion
             | Failure::UnknownVersion
@@ -207,7 +216,7 @@
 
     /// Whether it is due to this instance alone, so that another one may serve the request.
     pub fn is_of_instance(&self) -> bool {
-        matches!(self, Failure::Starting | Failure::Stopping | Failure::CutOff)
+        matches!(self, Failure::Starting | Failure::Stopping | Failure::Crowded | Failure::CutOff)
     }
 
     /// Whether the request, or a part of its prompt, is in quarantine.
@@ -238,6 +247,7 @@
             Failure::Starting => Some(STARTING_RETRY_DELAY_MS),
             Failure::NoUpstreamOfVersion | Failure::UnknownVersion => Some(VERSION_RETRY_DELAY_MS),
             Failure::Stopping => Some(RETRY_ELSEWHERE_DELAY_MS),
+            Failure::Crowded => Some(CROWDED_RETRY_DELAY_MS),
             Failure::NoUpstream
             | Failure::CutOff
             | Failure::Throttled
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -35,9 +35,9 @@
 ) -> Answer {
     let (head, mut body) = request.into_parts();
     let waits_for_leave = intake::waits_for_leave(&head.headers);
-    let mut answer = dispatch(traffic, demand, head, &mut body).await;
+    let mut answer = dispatch(traffic, progress, demand, head, &mut body).await;
     let is_body_left = !body.is_end_stream();
-    if is_body_left && !waits_for_leave {
+    if is_body_left && !waits_for_leave && !progress.must_yield() {
         progress.rest_dropped();
         tokio::task::spawn_local(intake::drop_rest(body, traffic.limits()));
     }
@@ -51,6 +51,7 @@
 /// Reads a request, and refuses it or passes it to its service.
 async fn dispatch(
     traffic: &Rc<Traffic>,
+    progress: &Progress,
     demand: Demand,
     head: Parts,
     body: &mut Incoming,
@@ -60,7 +61,7 @@
     let (host, path) = (host(&head.headers, &head.uri).to_owned(), head.uri.path().to_owned());
     let read = tokio::select! {
         biased;
-        read = read_request(traffic, demand, head, body) => read,
+        read = read_request(traffic, progress, demand, head, body) => read,
         // No part of it was sent to an upstream or will be.
         () = traffic.wait_for_final_responses() => {
             let failure = Failure::Stopping;
@@ -129,6 +130,7 @@
 /// Finds the route of a request, checks its key and reads its body.
 async fn read_request(
     traffic: &Traffic,
+    progress: &Progress,
     demand: Demand,
     head: Parts,
     body: &mut Incoming,
@@ -155,8 +157,8 @@
     };
     let admitted = admit(config, &demand, &head.headers, &host, head.uri.path());
     let (route, organisation) = admitted.map_err(reject)?;
-    let read = intake::read(body, &head.headers, config.limits).await;
-    let body = read.map_err(reject)?;
+    let read = intake::read(traffic, progress, body, &head.headers, config.limits).await;
+    let intake::RequestBody { bytes: body, held } = read.map_err(reject)?;
     let service = route.target(fastrand::u64(..));
     let service = service.ok_or_else(|| reject(Failure::NoUpstream))?;
     let stated_version = headers::stream_version(&head.headers);
@@ -184,6 +186,7 @@
         route,
         demand,
         body,
+        held,
         is_relayed,
         relayed_version: stated_version.filter(|_| is_relayed),
         has_begun: Cell::new(false),
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -1,5 +1,8 @@
-//! Reads the bodies of callers' requests, and drops those that are refused.
+//! Reads the bodies of callers' requests, within what each and all of them together may hold, and drops
+//! those that are refused.
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,34 +11,91 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT};
 
+use super::caller::Progress;
 use super::failure::Failure;
+use super::policy::request_memory::{MIDDLE_BYTES, NoRoom, RequestMemory};
+use super::policy::yielding::Pace;
 use super::route::Limits;
+use super::traffic::Traffic;
 
 /// How much of a refused body is read, so that its caller gets the answer instead of a reset.
 const MAX_DROPPED_BYTES: usize = 8 << 20;
 /// The smallest buffer of a body that doesn't arrive at once.
 const MIN_BUFFER_BYTES: usize = 4 << 10;
-/// The longest body whose buffer has its announced size from the beginning.
-const MAX_EXPECTED_BYTES: usize = 64 << 10;
+/// How often a body that finds no room looks again after others were asked to yield.
+const ROOM_TRIES: usize = 3;
+
+/// What the body of a request holds, until it is dropped.
+#[derive(Debug)]
+pub struct HeldRequest {
+    memory: Rc<RefCell<RequestMemory>>,
+    bytes: usize,
+}
+
+impl HeldRequest {
+    /// Nothing is held yet.
+    pub fn new(memory: &Rc<RefCell<RequestMemory>>) -> HeldRequest {
+        HeldRequest { memory: Rc::clone(memory), bytes: 0 }
+    }
+
+    fn grow(&mut self, bytes: usize, max_bytes: usize) -> Result<(), NoRoom> {
+        if bytes > self.bytes {
+            self.memory.borrow_mut().grow(self.bytes, bytes, max_bytes)?;
+            self.bytes = bytes;
+        }
+        Ok(())
+    }
+}
+
+impl Drop for HeldRequest {
+    fn drop(&mut self) {
+        self.memory.borrow_mut().free(self.bytes);
+    }
+}
+
+/// A body that was read, and its room.
+#[derive(Debug)]
+pub struct RequestBody {
+    /// The body.
+    pub bytes: Bytes,
+    /// What it holds.
+    pub held: HeldRequest,
+}
 
 /// Reads the body of a request.
 ///
 /// # Errors
 ///
-/// Fails if it is too long or too late, or malformed. The rest of it is still to be read.
+/// Fails if it is too long or too late, is malformed, or finds no room. The rest of it is still to be
+/// read.
 pub async fn read(
+    traffic: &Traffic,
+    progress: &Progress,
     body: &mut Incoming,
     headers: &HeaderMap,
     limits: Limits,
-) -> Result<Bytes, Failure> {
+) -> Result<RequestBody, Failure> {
     let announced_bytes = announced_bytes(headers);
     if announced_bytes.is_some_and(|bytes| bytes > limits.body_bytes as u64) {
         return Err(Failure::TooLarge { limit_bytes: limits.body_bytes });
     }
-    let reading = Reading { limits, announced_bytes: announced_bytes.map(|bytes| bytes as usize) };
+    let reading = Reading {
+        traffic,
+        progress,
+        limits,
+        announced_bytes: announced_bytes.map(|bytes| bytes as usize),
+        pace: Pace::start(traffic.now_ms()),
+        held: HeldRequest::new(&traffic.request_memory),
+    };
     let timeout_ms = limits.idle_timeout_ms;
-    let read = tokio::time::timeout(Duration::from_millis(timeout_ms), reading.run(body)).await;
-    read.unwrap_or(Err(Failure::TooSlow { timeout_ms }))
+    let read = tokio::select! {
+        read = tokio::time::timeout(Duration::from_millis(timeout_ms), reading.run(body)) => {
+            read.unwrap_or(Err(Failure::TooSlow { timeout_ms }))
+        }
+        () = progress.yielded() => Err(Failure::Crowded),
+    };
+    progress.body_arriving(None);
+    read
 }
 
 fn announced_bytes(headers: &HeaderMap) -> Option<u64> {
@@ -43,46 +103,77 @@
 }
 
 /// The reading of one body.
-struct Reading {
+struct Reading<'a> {
+    traffic: &'a Traffic,
+    progress: &'a Progress,
     limits: Limits,
     announced_bytes: Option<usize>,
+    pace: Pace,
+    held: HeldRequest,
 }
 
-impl Reading {
-    /// Reads to the end. A frame may hold far more memory than it has bytes, since it shares the buffer
-    /// that it was read into: only the first one is kept as it is, if the whole body arrives with it.
-    async fn run(self, body: &mut Incoming) -> Result<Bytes, Failure> {
+impl Reading<'_> {
+    async fn run(mut self, body: &mut Incoming) -> Result<RequestBody, Failure> {
+        // A body that arrives at once is kept as it is.
         let mut first = Bytes::new();
         let mut all: Vec<u8> = Vec::new();
+        self.note(0);
         while let Some(frame) = body.frame().await {
             let malformed = |error: hyper::Error| Failure::Malformed { detail: error.to_string() };
             // Trailers hold nothing that matters here.
             let Ok(data) = frame.map_err(malformed)?.into_data() else { continue };
-            let length = first.len() + all.len() + data.len();
+            let more_bytes = data.len();
+            let length = first.len() + all.len() + more_bytes;
             if length > self.limits.body_bytes {
                 return Err(Failure::TooLarge { limit_bytes: self.limits.body_bytes });
             }
             if first.is_empty() && all.is_empty() {
+                self.hold(more_bytes).await?;
                 first = data;
-                continue;
-            }
-            if length > all.capacity() {
-                all.reserve_exact(self.capacity(length) - all.len());
+            } else {
+                if length > all.capacity() {
+                    let capacity = self.capacity(length);
+                    self.hold(capacity).await?;
+                    all.reserve_exact(capacity - all.len());
+                }
+                all.extend_from_slice(&std::mem::take(&mut first));
+                all.extend_from_slice(&data);
             }
-            all.extend_from_slice(&std::mem::take(&mut first));
-            all.extend_from_slice(&data);
+            self.note(more_bytes);
         }
-        Ok(if all.is_empty() { first } else { Bytes::from(all) })
+        let bytes = if all.is_empty() { first } else { Bytes::from(all) };
+        Ok(RequestBody { bytes, held: self.held })
     }
 
     /// The size of the buffer for so many bytes: what was announced, but not much more than has come.
     fn capacity(&self, length: usize) -> usize {
         let longest = self.announced_bytes.unwrap_or(self.limits.body_bytes);
-        let is_expected = self.announced_bytes.is_some_and(|bytes| bytes <= MAX_EXPECTED_BYTES);
+        let is_expected = self.announced_bytes.is_some_and(|bytes| bytes <= MIDDLE_BYTES);
         let doubled = length.saturating_mul(2).max(MIN_BUFFER_BYTES);
         let wanted = if is_expected { longest } else { doubled.min(longest) };
         wanted.max(length)
     }
+
+    /// Records that more has come.
+    fn note(&mut self, more_bytes: usize) {
+        self.pace = self.pace.moved(more_bytes, self.traffic.now_ms());
+        self.progress.body_arriving(Some((self.pace, self.held.bytes)));
+    }
+
+    /// Holds so many bytes; others may have to yield.
+    async fn hold(&mut self, bytes: usize) -> Result<(), Failure> {
+        let max_bytes = self.traffic.settings.machine.request_bytes(&self.limits);
+        for _ in 0..ROOM_TRIES {
+            let Err(no_room) = self.held.grow(bytes, max_bytes) else { return Ok(()) };
+            if !self.traffic.free_for_body(bytes, no_room.missing_bytes) {
+                break;
+            }
+            // Those that yield run before this task does.
+            tokio::task::yield_now().await;
+        }
+        self.traffic.metrics.count("requests_without_room");
+        Err(Failure::Crowded)
+    }
 }
 
 /// Reads and drops the rest of a refused body while its caller reads the answer. Closing a connection
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -11,6 +11,7 @@
 use super::fingerprint::Fingerprint;
 use super::fleet::SoftwareVersion;
 use super::headers;
+use super::intake::HeldRequest;
 use super::metrics::{Metrics, Time};
 use super::policy::answer_match::Message;
 use super::policy::stream_versions::StreamKey;
@@ -44,6 +45,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// What the body holds until the request has ended.
+    pub held: HeldRequest,
     /// Whether another instance sent it here for its caller.
     pub is_relayed: bool,
     /// The software version that began its stream, as the instance that relays it states.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -69,6 +69,11 @@
         *self.lock().counters.entry(name).or_default() += 1;
     }
 
+    /// Counts so many more.
+    pub fn count_more(&self, name: &'static str, more: u64) {
+        *self.lock().counters.entry(name).or_default() += more;
+    }
+
     /// Sets a gauge.
     pub fn gauge(&self, name: &'static str, value: u64) {
         self.lock().gauges.insert(name, value);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod body;
 pub mod call;
 pub mod caller;
+pub mod callers;
 pub mod channel;
 pub mod connection;
 pub mod control;
--- a/src/gateway/native/settings.rs
+++ b/src/gateway/native/settings.rs
@@ -4,7 +4,9 @@
 use std::path::PathBuf;
 
 use crate::error::Result;
+use crate::gateway::policy::caller_limits::Machine;
 use crate::gateway::settings::Settings;
+use crate::machine;
 use crate::settings::{Environment, Reader};
 
 /// The help of `siskinrock gateway`.
@@ -24,6 +26,8 @@
   --upstream-source IP  SISKINROCK_UPSTREAM_SOURCE where it connects to upstreams from [chosen by the system]
   --metrics IP:PORT     SISKINROCK_METRICS        where its metrics are served [nowhere]
   --link-mbps N         SISKINROCK_LINK_MBPS      the speed of its link, 0 if not known [0]
+  --memory-mb N         SISKINROCK_MEMORY_MB      the memory that it may use; callers get parts of it [256]
+  --max-fds N           SISKINROCK_MAX_FDS        the descriptors that it may open [the limit of the process]
   --seeds ADDRS         SISKINROCK_SEEDS          peers to begin with, with commas
   --keep-ms N           SISKINROCK_KEEP_MS        how long callers keep an address [5000]
   --grace-ms N          SISKINROCK_GRACE_MS       how long a planned stop may take [30000]
@@ -67,6 +71,9 @@
     let upstream_source = reader.optional("--upstream-source", "an address such as 10.0.0.5");
     let metrics = reader.optional("--metrics", ADDRESS);
     let link_mbps = reader.within("--link-mbps", 0, 0, 1_000_000);
+    let usual = machine::usual();
+    let memory_mb = reader.within("--memory-mb", (usual.memory_bytes >> 20) as u64, 32, 1 << 20);
+    let max_fds = reader.within("--max-fds", usual.descriptors as u64, 64, 1 << 20);
     let seeds = reader.addresses("--seeds");
     let keep_ms = reader.within("--keep-ms", 5_000, 100, 600_000);
     let grace_ms = reader.within("--grace-ms", 30_000, 500, 600_000);
@@ -83,6 +90,10 @@
             upstream_source,
             metrics,
             link_mbps: link_mbps? as u32,
+            machine: Machine {
+                memory_bytes: (memory_mb? as usize) << 20,
+                descriptors: max_fds? as usize,
+            },
             reports_usage: false,
             seeds,
             keep_ms: keep_ms?,
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -1,4 +1,4 @@
-//! Counts callers' open connections and open requests.
+//! Counts callers' open requests.
 //!
 //! A request is open until its whole answer has been handed to hyper for writing.
 
@@ -14,23 +14,6 @@
 use super::caller::Progress;
 use super::traffic::Traffic;
 
-/// Counts a caller's connection as open until it is dropped.
-pub struct ConnectionGuard(Rc<Traffic>);
-
-impl ConnectionGuard {
-    /// Counts a connection as open.
-    pub fn new(traffic: &Rc<Traffic>) -> ConnectionGuard {
-        traffic.connections.set(traffic.connections.get() + 1);
-        ConnectionGuard(Rc::clone(traffic))
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-    }
-}
-
 /// Counts a request as open until it is dropped, and logs it if it ends without a whole answer.
 pub struct OpenRequestGuard {
     traffic: Rc<Traffic>,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -236,17 +236,17 @@
     wait_until(traffic, stop.final_answers_ms(), is_idle).await;
     let after_ms = traffic.now_ms() - stop.since_ms;
     slog::info!(traffic.log, "closing to callers"; "open" => traffic.open_requests.get(),
-        "connections" => traffic.connections.get(), "after_ms" => after_ms);
+        "connections" => traffic.callers.count(), "after_ms" => after_ms);
     // An error means that there is neither a listener nor a connection.
     let _ = close.send(true);
     // The listener takes in those that came before; a panic there leaves it closed as well.
     let _ = accepting.await;
-    let is_left = || traffic.connections.get() == 0;
+    let is_left = || traffic.callers.count() == 0;
     wait_until(traffic, stop.final_answers_ms(), is_left).await;
     traffic.final_responses_due.send_replace(true);
     wait_until(traffic, stop.latest_end_ms(), is_left).await;
     slog::info!(traffic.log, "requests ended"; "cut" => traffic.open_requests.get(),
-        "connections" => traffic.connections.get(),
+        "connections" => traffic.callers.count(),
         "after_ms" => traffic.now_ms() - stop.since_ms);
 }
 
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -3,6 +3,8 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
+use super::policy::caller_limits::Machine;
+
 /// What one gateway needs to know to start.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -24,6 +26,8 @@
     pub metrics: Option<SocketAddr>,
     /// The speed of its link, by which the instances that others fetch from are chosen; 0 if not known.
     pub link_mbps: u32,
+    /// The memory and the descriptors that it may use.
+    pub machine: Machine,
     /// Peers to begin with.
     pub seeds: Vec<SocketAddr>,
     /// How long callers may keep an address.
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -37,6 +37,7 @@
 use self::places::CacheLocation;
 use super::ablation::Mechanism;
 use super::answer::{self, Answer};
+use super::callers::Callers;
 use super::dialect::{Demand, Dialect};
 use super::failure::Failure;
 use super::fleet::Fleet;
@@ -52,6 +53,7 @@
 use super::policy::losses::Losses;
 use super::policy::outages::{self, Outages};
 use super::policy::poison_parts::ServedParts;
+use super::policy::request_memory::RequestMemory;
 use super::policy::silence;
 use super::policy::stop::Stop;
 use super::route::Limits;
@@ -77,8 +79,10 @@
     pub metrics: Arc<Metrics>,
     /// Requests whose response is not complete.
     pub open_requests: Cell<usize>,
-    /// Open connections from callers.
-    pub connections: Cell<usize>,
+    /// Open connections of callers.
+    pub callers: Rc<Callers>,
+    /// What the bodies of callers' requests hold.
+    pub request_memory: Rc<RefCell<RequestMemory>>,
     /// The planned stop in progress, if any.
     pub stop: Cell<Option<Stop>>,
     /// Whether started requests are reported to usage accounting.
@@ -152,7 +156,8 @@
             log,
             metrics,
             open_requests: Cell::new(0),
-            connections: Cell::new(0),
+            callers: Rc::default(),
+            request_memory: Rc::default(),
             stop: Cell::new(None),
             final_responses_due: watch::Sender::new(false),
             swept_ms: Cell::default(),
@@ -349,7 +354,9 @@
         let workers = self.workers.borrow();
         let sum = |count: fn(&Worker) -> u64| workers.values().map(|worker| count(worker)).sum();
         self.metrics.gauge("open_requests", self.open_requests.get() as u64);
-        self.metrics.gauge("connections", self.connections.get() as u64);
+        self.metrics.gauge("connections", self.callers.count() as u64);
+        let request_bytes = self.request_memory.borrow().used_bytes();
+        self.metrics.gauge("request_bytes", request_bytes as u64);
         self.metrics.gauge("channels", sum(Worker::channels));
         self.metrics.gauge("runs", sum(|worker| u64::from(worker.runs.get())));
         self.metrics.gauge("copies", sum(|worker| u64::from(worker.copies.get())));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod error;
 pub mod gateway;
 pub mod log;
+pub mod machine;
 pub mod metrics;
 pub mod node;
 pub mod operators;
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -192,6 +192,23 @@
     judge(&mut running, watch, vec![crowd]).await;
 }
 
+/// Guards against limits that a single request meets that is inside the pages' limits.
+#[parameterized(
+    whole = { Sends::Whole, "" },
+    in_chunks = { Sends::LargeChunks, "0\r\n\r\n" },
+    slowly = { Sends::Pieces, "" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn the_longest_request_is_served_in_calm(sends: Sends, end: &str) {
+    let _alone = limits::alone().await;
+    let running = start().await;
+    let mut sent = Client::Known.crowd(sends).remove(0);
+    sent.headers += "X-Request-Id: longest\r\n";
+    let mut connection = sent.connect(running.front(0)).await.unwrap();
+    connection.write(end.as_bytes()).await.unwrap();
+    assert_eq!(connection.read_answer().await.unwrap().status(), 200);
+}
+
 /// Guards against two kinds of crowds together, and against crowds that come again and again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn crowds_that_come_again_are_borne() {
--- a/tests/fakes/src/crowd.rs
+++ b/tests/fakes/src/crowd.rs
@@ -7,6 +7,8 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 
+use crate::http::Connection;
+
 /// How long a client goes on sending; one that isn't read waits for that long.
 const SEND_TIME: Duration = Duration::from_secs(4);
 /// How long clients stay whose chunks of one byte take a process that long to read.
@@ -117,6 +119,11 @@
         head
     }
 
+    /// Sends it over a connection of its own.
+    pub async fn connect(&self, addr: SocketAddr) -> Option<Connection> {
+        self.send(addr).await.map(Connection::new)
+    }
+
     async fn send(&self, addr: SocketAddr) -> Option<TcpStream> {
         let socket = TcpSocket::new_v4().ok()?;
         socket.set_recv_buffer_size(RECEIVE_BYTES).ok()?;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod answer_match;
 mod backoff;
 mod brittle;
+mod caller_limits;
 mod calls;
 mod clock;
 mod concurrency;
