Callers' connections are bounded, and those that wait for their callers yield

What callers saw: 600 connections that sent nothing, or half a head, took all descriptors; an ordinary call had no answer in 10 s. Of bodies that were sent ahead, the kernel kept up to some 400 KB a connection, which counts as memory too. Cause: connections were accepted until no descriptor was left, beside channels to upstreams, the store and peers. At the bound a new connection takes the place of one whose caller is waited for: no whole request yet, a body or the rest of a refused one that comes too slowly; then one that was idle for longest. If all others are served, it is refused with 503 and Retry-After. A receive buffer is 64 KB. An answer that is written straight to a socket states the true reason and Retry-After; it said "Request Timeout" always.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use super::answer;
 use super::failure::Failure;
 use super::policy::yielding::{Pace, Wait};
 use crate::clock::Clock;
@@ -37,6 +38,8 @@
 pub struct Progress {
     clock: Clock,
     stage: Cell<Stage>,
+    /// Whether a whole head has arrived.
+    has_had_request: Cell<bool>,
     /// Whether bytes of the next request arrived before the answer was written.
     has_next_request: Cell<bool>,
     /// Whether the rest of the request's body is read and dropped.
@@ -55,6 +58,7 @@
         Progress {
             clock,
             stage,
+            has_had_request: Cell::default(),
             has_next_request: Cell::default(),
             drops_rest: Cell::default(),
             arriving: Cell::default(),
@@ -69,9 +73,16 @@
 
     /// What this instance and the caller wait for.
     pub fn wait(&self) -> Wait {
-        match (self.stage.get(), self.arriving.get()) {
-            (Stage::Serving, Some((pace, held_bytes))) => Wait::Body { pace, held_bytes },
-            _ => Wait::Others,
+        match self.stage.get() {
+            Stage::Idle(since_ms) if self.has_had_request.get() => Wait::NextRequest { since_ms },
+            Stage::Idle(since_ms) | Stage::Head(since_ms) | Stage::Dropping(since_ms) => {
+                Wait::NewRequest { since_ms }
+            }
+            Stage::Serving => match self.arriving.get() {
+                Some((pace, held_bytes)) => Wait::Body { pace, held_bytes },
+                None => Wait::Others,
+            },
+            Stage::Answering | Stage::Flushing => Wait::Others,
         }
     }
 
@@ -100,6 +111,7 @@
 
     /// Records that the head of a request is complete.
     pub fn head_received(&self) {
+        self.has_had_request.set(true);
         self.has_next_request.set(false);
         self.stage.set(Stage::Serving);
     }
@@ -169,13 +181,13 @@
 /// Writes an answer straight to the socket of a caller whose connection closes before hyper has read
 /// a request to answer.
 pub fn write_failure(stream: &TcpStream, failure: &Failure) {
-    let status = failure.status();
+    let answer = answer::failed(failure, None);
     let body = failure.body();
-    let head = format!(
-        "HTTP/1.1 {status} Request Timeout\r\nConnection: close\r\n\
-         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
+    let mut head = format!("HTTP/1.1 {}\r\nConnection: close\r\n", answer.status());
+    for (name, value) in answer.headers() {
+        head += &format!("{name}: {}\r\n", value.to_str().unwrap_or_default());
+    }
+    head += &format!("Content-Length: {}\r\n\r\n", body.len());
     // If the socket's send buffer is full, the caller sees only that the connection closes.
     let _ = stream.try_write(&[head.as_bytes(), &body].concat());
 }
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -11,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -23,6 +24,8 @@
 
 /// The smallest buffer for a head that hyper accepts.
 pub(super) const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// What the system may receive on a connection ahead of its reading.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// The delay after a failed accept; connections that end meanwhile free file descriptors.
 const ACCEPT_RETRY_DELAY_MS: u64 = 20;
 /// How often a connection that is to close checks whether its request has arrived or ended. With 300
@@ -32,6 +35,14 @@
 /// send one, which arrives a round trip later.
 const FIRST_REQUEST_TIMEOUT_MS: u64 = 100;
 
+/// Bounds what waits in the system to be read of each connection, which counts as memory of this
+/// process as well.
+pub fn limit_receive_buffers(listener: &TcpListener) {
+    let limited = SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    // The system then keeps to its own bounds.
+    let _ = limited;
+}
+
 /// Accepts connections until `close` is set, and then those that are still in the listener's queue.
 pub async fn accept(traffic: Rc<Traffic>, listener: TcpListener, mut close: watch::Receiver<bool>) {
     loop {
@@ -42,6 +53,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                if !traffic.takes_connection() {
+                    caller::write_failure(&stream, &Failure::Crowded);
+                    continue;
+                }
                 // Counted before its task first runs, so that the count never misses it.
                 let progress = Rc::new(Progress::new(traffic.clock));
                 let registered = traffic.callers.register(Rc::clone(&progress));
@@ -50,6 +65,8 @@
                     serving.await;
                     drop(registered);
                 });
+                // Those that yield to it close before the next one is accepted.
+                tokio::task::yield_now().await;
             }
             Err(error) => {
                 slog::warn!(traffic.log, "can't accept"; "detail" => %error);
@@ -143,6 +160,7 @@
     let mut connection = builder.serve_connection(TokioIo::new(observed), service);
     let mut is_closing = false;
     let mut has_closed = false;
+    let mut has_yielded = false;
     loop {
         let is_checking = is_closing && !has_closed;
         let wait_ms =
@@ -156,6 +174,15 @@
                 }
                 return;
             }
+            () = progress.yielded(), if !has_yielded => {
+                if progress.stage() != Stage::Serving {
+                    return;
+                }
+                // The request is refused, or it became whole in this moment and is served.
+                has_yielded = true;
+                has_closed = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
             _ = close.wait_for(|close| *close), if !is_closing => is_closing = true,
             () = tokio::time::sleep(Duration::from_millis(wait_ms)) => {}
         }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -197,6 +197,7 @@
     let local = LocalSet::new();
     local.block_on(&runtime, async move {
         let listener = listen(parts.settings.front).await?;
+        connection::limit_receive_buffers(&listener);
         listening.send_replace(true);
         let traffic = Traffic::new(
             parts.settings,
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod bodies;
 mod budgets;
+mod caller_room;
 mod choice;
 mod concurrency;
 mod endings;
--- a/src/gateway/traffic/bodies.rs
+++ b/src/gateway/traffic/bodies.rs
@@ -1,4 +1,4 @@
-//! Room for bodies of callers' requests, bodies of upstreams' answers, and the standing of upstreams that send bytes without end.
+//! Bodies of upstreams' answers, and the standing of upstreams that send bytes without end.
 
 use std::rc::Rc;
 
@@ -47,18 +47,6 @@
         body::read(body, Limit { max_bytes, timeout_ms }, &self.body_memory).await
     }
 
-    /// Has callers yield so that the body of a request may grow to `bytes`. Returns whether any does.
-    pub fn free_for_body(&self, bytes: usize, missing_bytes: usize) -> bool {
-        let yielding = self.callers.free_for_body(bytes, missing_bytes, self.now_ms());
-        if yielding > 0 {
-            self.metrics.count_more("requests_yielded", yielding as u64);
-            slog::warn!(self.log, "slow or longer requests yield"; "callers" => yielding,
-                "to_bytes" => bytes, "missing_bytes" => missing_bytes,
-                "held_bytes" => self.request_memory.borrow().used_bytes());
-        }
-        yielding > 0
-    }
-
     /// Notes it if the head of an upstream's answer didn't end.
     pub fn note_if_flooded(&self, worker: &Rc<Worker>, lease: &Lease) {
         if lease.channel.is_flooded() {
