Channels to upstreams leave descriptors to others

What callers saw: requests sent behind each other on 120 connections, to slow upstreams, opened 240 channels: two for a request that is sent to a second upstream. Nothing bounded all channels together. Cause: a channel was opened while its upstream had fewer than its share of the operator's max-connections, whatever the descriptors. Change: channels to upstreams take two fifths of the sockets at most, as callers' connections do. Where that is short, channels that carry nothing are closed; beyond it a request goes to a kept channel or is refused as before when all channels are in use. Counter channels_short, log line "channels to upstreams take all descriptors that they may".

--- a/src/gateway/policy/caller_limits.rs
+++ b/src/gateway/policy/caller_limits.rs
@@ -30,11 +30,15 @@
         self.descriptors.saturating_sub(FILE_DESCRIPTORS).max(self.descriptors / 2)
     }
 
-    /// The most connections of callers. As many channels to upstreams may be open beside them.
+    /// The most connections of callers.
     pub fn connections(self, limits: &Limits) -> usize {
-        let by_descriptors = self.sockets() * 2 / 5;
         let by_memory = self.memory_bytes / 3 / (CONNECTION_BYTES + limits.head_bytes);
-        by_descriptors.min(by_memory).max(1)
+        self.channels().min(by_memory).max(1)
+    }
+
+    /// The most channels to upstreams: a request may need two.
+    pub fn channels(self) -> usize {
+        self.sockets() * 2 / 5
     }
 
     /// The most connections to each listener that answers questions.
--- a/src/gateway/traffic/isolation.rs
+++ b/src/gateway/traffic/isolation.rs
@@ -73,7 +73,8 @@
         worker: &Rc<Worker>,
         message: Message,
     ) -> Result<Lease, Fault> {
-        let max_channels = self.channel_share(&worker.upstream.service);
+        let share = self.channel_share(&worker.upstream.service);
+        let max_channels = share.min(self.channels_left(worker));
         let began_ms = self.now_ms();
         let leased = worker.lease(message, max_channels, began_ms).await;
         match &leased {
--- a/src/gateway/traffic/upstreams.rs
+++ b/src/gateway/traffic/upstreams.rs
@@ -96,6 +96,23 @@
         (all - all / 10) / view.holders(service).max(1) + CHANNEL_SLACK
     }
 
+    /// How many channels may be open to one upstream, so that those to all of them leave descriptors to
+    /// others. Where they don't, channels that carry nothing are closed.
+    pub(super) fn channels_left(&self, worker: &Rc<Worker>) -> u32 {
+        let most = self.settings.machine.channels() as u64;
+        let workers = self.workers.borrow();
+        let open = || workers.values().map(|worker| worker.channels()).sum::<u64>();
+        if open() >= most {
+            let others = workers.values().filter(|other| !Rc::ptr_eq(other, worker));
+            others.for_each(|other| other.close_idle());
+            self.metrics.count("channels_short");
+            slog::warn!(self.log, "channels to upstreams take all descriptors that they may";
+                "most" => most, "in_use" => open());
+        }
+        let left = most.saturating_sub(open()) + worker.channels();
+        u32::try_from(left).unwrap_or(u32::MAX)
+    }
+
     /// Whether an answer is that to the message which was sent on a channel; `sent` is its name. The
     /// channel of any other is in step with nothing, and is closed.
     pub fn is_own_answer(
