Listeners for small questions have bounded connections

What callers saw: 600 connections to where addresses or readiness are asked for, that sent nothing, took all descriptors: an ordinary call had no answer in 10 s. Cause: questions::serve had no limit on connections and none on their time. Change: each such listener has a thirty-second of the sockets, 64 at most, and each connection a minute. At the bound the oldest connection is closed for the new one: an ordinary question is answered by then. The listener of peers refuses the new one as before, since a peer can ask elsewhere. Counter questions_closed, log line "a connection is closed: its listener has as many as it may"; receive buffers as those of callers.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -24,7 +24,7 @@
 use super::membership::Phase;
 use super::metrics::Metrics;
 use super::policy::stop::Stop;
-use super::questions::{Limit, Place, Places};
+use super::questions::{Closes, Limit, Place, Places};
 use super::settings::Settings;
 use super::traffic::Traffic;
 use super::view::{Shared, View};
@@ -158,7 +158,7 @@
         );
         let socket = UdpSocket::bind(parts.settings.peer).await;
         let socket = socket.map_err(|error| cannot_listen(parts.settings.peer, &error))?;
-        serve_peers(&control, parts.settings.peer).await?;
+        serve_peers(&parts, &control).await?;
         serve_questions(&parts).await?;
         // An instance that says it is ready before it listens has its first callers refused.
         if traffic_state.wait_for(|is_listening| *is_listening).await.is_err() {
@@ -273,7 +273,9 @@
     Kind::Listen { address: addr.to_string(), detail: error.to_string() }.into()
 }
 
-async fn serve_peers(control: &Rc<Control>, addr: SocketAddr) -> Result<()> {
+async fn serve_peers(parts: &Parts, control: &Rc<Control>) -> Result<()> {
+    let addr = parts.settings.peer;
+    let closed = note_closed(parts, addr);
     let listener = listen(addr).await?;
     let control = Rc::clone(control);
     let places = Places::new(LISTS_AT_ONCE);
@@ -289,8 +291,9 @@
             peer_reply(Rc::clone(&control), request, has_place)
         }
     };
-    let limit = Limit { connections: PEERS_AT_ONCE, each_ms: FETCH_TIMEOUT_MS };
-    tokio::task::spawn_local(questions::serve_within(listener, limit, reply_of));
+    let (connections, each_ms) = (PEERS_AT_ONCE, FETCH_TIMEOUT_MS);
+    let limit = Limit { connections, each_ms, closes: Closes::New };
+    tokio::task::spawn_local(questions::serve_within(listener, limit, closed, reply_of));
     Ok(())
 }
 
@@ -316,15 +319,27 @@
     }
 }
 
+/// Notes that a connection to an address was closed for want of a place.
+fn note_closed(parts: &Parts, addr: SocketAddr) -> impl Fn() + 'static {
+    let (metrics, log) = (Arc::clone(&parts.metrics), parts.log.clone());
+    move || {
+        metrics.count("questions_closed");
+        slog::warn!(log, "a connection is closed: its listener has as many as it may"; "addr" => %addr);
+    }
+}
+
 /// Serves callers' questions, the readiness and the metrics, each on its own address.
 async fn serve_questions(parts: &Parts) -> Result<()> {
     let mut addrs = vec![parts.settings.readiness, parts.settings.directory];
     addrs.push(parts.settings.metrics);
     addrs.sort_unstable();
     addrs.dedup();
+    let connections = parts.settings.machine.questions();
     for addr in addrs.into_iter().flatten() {
         let listener = listen(addr).await?;
+        connection::limit_receive_buffers(&listener);
         let is_metrics = Some(addr) == parts.settings.metrics;
+        let closed = note_closed(parts, addr);
         let parts = parts.clone();
         let reply = move |request: Request<Incoming>| {
             let answer = if is_metrics {
@@ -335,7 +350,7 @@
             };
             std::future::ready(answer)
         };
-        tokio::task::spawn_local(questions::serve(listener, reply));
+        tokio::task::spawn_local(questions::serve(listener, connections, closed, reply));
     }
     Ok(())
 }
