Answers hold their memory until their callers have taken them

What callers saw: short requests with answers of 4 MB that nobody read took 170 of 64 MB. Cause: the memory that long answers share was freed once a body was read, before it was written. Change: an answer holds its room until its last byte is in the socket (caller::Progress keeps it). An answer whose length is known holds all of it before the first byte is read, and waits for room within its request's time, where it failed; meanwhile callers who took less than 16 KB in the last second yield: their connections are closed. A caller that takes its answer never does. Counter answers_yielded, gauge answer_bytes, log line "callers that don't take their answers yield". body::read gives the bytes with their room, so that no borrowed guard is needed.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::sync::mpsc;
 
+use super::body::{HeldBody, HeldMemory};
 use super::failure::Failure;
 
 /// The answer ends without being complete. The connection is closed without a regular end of the
@@ -23,8 +24,8 @@
 /// The body of an answer.
 #[derive(Debug)]
 pub enum AnswerBody {
-    /// The whole body; `None` if it is empty or was passed on.
-    Whole(Option<Bytes>),
+    /// The whole body; `None` if it is empty or was passed on; and what it holds.
+    Whole(Option<Bytes>, Option<HeldMemory>),
     /// Chunks as they arrive; the body is complete once the sender is dropped.
     Streaming(mpsc::Receiver<BodyChunk>),
 }
@@ -38,7 +39,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
-            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|all| Ok(Frame::data(all)))),
+            AnswerBody::Whole(bytes, _) => {
+                Poll::Ready(bytes.take().map(|all| Ok(Frame::data(all))))
+            }
             AnswerBody::Streaming(chunks) => {
                 chunks.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
@@ -46,12 +49,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, AnswerBody::Whole(None))
+        matches!(self, AnswerBody::Whole(None, _))
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            AnswerBody::Whole(bytes) => {
+            AnswerBody::Whole(bytes, _) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
             AnswerBody::Streaming(_) => SizeHint::default(),
@@ -64,7 +67,13 @@
 
 /// Builds an answer with a whole body.
 pub fn whole(status: u16, headers: HeaderMap, body: Bytes) -> Answer {
-    build(status, headers, AnswerBody::Whole((!body.is_empty()).then_some(body)))
+    build(status, headers, AnswerBody::Whole((!body.is_empty()).then_some(body), None))
+}
+
+/// Builds an answer with a whole body, which holds memory until its caller has taken it.
+pub fn held(status: u16, headers: HeaderMap, body: HeldBody) -> Answer {
+    let HeldBody { bytes, held } = body;
+    build(status, headers, AnswerBody::Whole((!bytes.is_empty()).then_some(bytes), Some(held)))
 }
 
 /// Builds an answer with a streamed body.
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -1,6 +1,7 @@
 //! Reads the bodies of answers within a size and a time.
 
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -30,59 +31,84 @@
     },
 }
 
-/// The size and the time within which a body has to end.
-#[derive(Debug, Clone, Copy)]
-pub struct Limit {
-    pub max_bytes: usize,
-    pub timeout_ms: u64,
+/// What the body of an answer holds of the memory that all share, until it is dropped.
+#[derive(Debug)]
+pub struct HeldMemory {
+    memory: Rc<RefCell<SharedMemory>>,
+    held: Held,
 }
 
-/// Frees the memory of a body that is read, or no longer.
-struct HeldGuard<'a> {
-    memory: &'a RefCell<SharedMemory>,
-    held: Held,
+impl HeldMemory {
+    /// The memory of a body that may have so many bytes, of which none were read.
+    pub fn new(memory: &Rc<RefCell<SharedMemory>>, max_bytes: usize) -> HeldMemory {
+        HeldMemory { memory: Rc::clone(memory), held: Held::new(max_bytes) }
+    }
+
+    /// Memory that is shared with no other body.
+    pub fn unshared(max_bytes: usize) -> HeldMemory {
+        HeldMemory::new(&Rc::default(), max_bytes)
+    }
+
+    /// What it holds of the shared memory.
+    pub fn shared_bytes(&self) -> usize {
+        self.held.shared_bytes()
+    }
+
+    fn limit_exceeded(&self) -> Exceeded {
+        Exceeded::Limit { max_bytes: self.held.max_bytes() }
+    }
+
+    /// Holds at least so many bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it may not; it holds what it did then.
+    pub fn cover(&mut self, bytes: usize) -> Result<(), Exceeded> {
+        let more_bytes = bytes.saturating_sub(self.held.bytes());
+        self.memory.borrow_mut().grow(&mut self.held, more_bytes)
+    }
 }
 
-impl Drop for HeldGuard<'_> {
+impl Drop for HeldMemory {
     fn drop(&mut self) {
         self.memory.borrow_mut().free(self.held);
     }
 }
 
-/// Reads a whole body, in memory that is shared with others until it ends.
+/// A body that was read, and what it holds.
+#[derive(Debug)]
+pub struct HeldBody {
+    /// The body.
+    pub bytes: Bytes,
+    /// What it holds.
+    pub held: HeldMemory,
+}
+
+/// Reads a whole body, in memory that it holds.
 ///
 /// # Errors
 ///
 /// Fails if it is too long, late or broken off; its channel can't be used again.
-pub async fn read(
-    body: Incoming,
-    limit: Limit,
-    memory: &RefCell<SharedMemory>,
-) -> Result<Bytes, Fault> {
-    let Limit { max_bytes, timeout_ms } = limit;
-    let reading = read_frames(body, max_bytes, memory);
+pub async fn read(body: Incoming, timeout_ms: u64, held: HeldMemory) -> Result<HeldBody, Fault> {
+    let reading = read_frames(body, held);
     match tokio::time::timeout(Duration::from_millis(timeout_ms), reading).await {
         Ok(read) => read,
         Err(_) => Err(Fault::Late { timeout_ms }),
     }
 }
 
-async fn read_frames(
-    mut body: Incoming,
-    max_bytes: usize,
-    memory: &RefCell<SharedMemory>,
-) -> Result<Bytes, Fault> {
-    let mut guard = HeldGuard { memory, held: Held::new(max_bytes) };
+async fn read_frames(mut body: Incoming, mut held: HeldMemory) -> Result<HeldBody, Fault> {
     let mut first = Bytes::new();
     let mut all = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| match channel::is_flooded_body(&error) {
-            true => Fault::TooLong(Exceeded::Limit { max_bytes }),
+            true => Fault::TooLong(held.limit_exceeded()),
             false => Fault::Broken { detail: channel::error_with_cause(&error) },
         })?;
         // Trailers hold nothing that matters here.
         let Ok(data) = frame.into_data() else { continue };
-        memory.borrow_mut().grow(&mut guard.held, data.len()).map_err(Fault::TooLong)?;
+        let length = first.len() + all.len() + data.len();
+        held.cover(length).map_err(Fault::TooLong)?;
         if first.is_empty() && all.is_empty() {
             first = data;
             continue;
@@ -90,5 +116,6 @@
         all.extend_from_slice(&std::mem::take(&mut first));
         all.extend_from_slice(&data);
     }
-    Ok(if all.is_empty() { first } else { all.freeze() })
+    let bytes = if all.is_empty() { first } else { all.freeze() };
+    Ok(HeldBody { bytes, held })
 }
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -1,7 +1,7 @@
 //! A caller's connection: what it waits for, and a socket that records when the next request starts to
 //! arrive and when an answer has been written.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 
 use super::answer;
+use super::body::HeldMemory;
 use super::failure::Failure;
 use super::policy::yielding::{Pace, Wait};
 use crate::clock::Clock;
@@ -46,6 +47,10 @@
     drops_rest: Cell<bool>,
     /// How fast the body arrives that is being read, and what it holds.
     arriving: Cell<Option<(Pace, usize)>>,
+    /// How fast the caller takes its answer, since it first let one wait.
+    taking: Cell<Option<Pace>>,
+    /// The memory of the answer, until it is written.
+    answer_memory: RefCell<Option<HeldMemory>>,
     /// Whether it has to yield to another caller.
     must_yield: Cell<bool>,
     yielding: Notify,
@@ -62,6 +67,8 @@
             has_next_request: Cell::default(),
             drops_rest: Cell::default(),
             arriving: Cell::default(),
+            taking: Cell::default(),
+            answer_memory: RefCell::default(),
             must_yield: Cell::default(),
             yielding: Notify::new(),
         }
@@ -82,10 +89,18 @@
                 Some((pace, held_bytes)) => Wait::Body { pace, held_bytes },
                 None => Wait::Others,
             },
-            Stage::Answering | Stage::Flushing => Wait::Others,
+            Stage::Answering | Stage::Flushing => match self.taking.get() {
+                Some(pace) => Wait::Taking { pace, held_bytes: self.answer_bytes() },
+                None => Wait::Others,
+            },
         }
     }
 
+    /// What the answer holds that is being written.
+    fn answer_bytes(&self) -> usize {
+        self.answer_memory.borrow().as_ref().map_or(0, HeldMemory::shared_bytes)
+    }
+
     /// Has the caller yield to another one.
     pub fn yield_now(&self) {
         self.must_yield.set(true);
@@ -126,8 +141,9 @@
         self.stage.set(Stage::Answering);
     }
 
-    /// Records that the body of the answer has ended.
-    pub fn body_ended(&self) {
+    /// Records that the body of the answer has ended, and the memory that it holds until it is written.
+    pub fn body_ended(&self, memory: Option<HeldMemory>) {
+        *self.answer_memory.borrow_mut() = memory;
         if self.stage.get() == Stage::Answering {
             self.stage.set(Stage::Flushing);
         }
@@ -136,9 +152,11 @@
     /// Records that the answer is fully written. The idle and head timeouts of the next request start
     /// here and not at the head of the answer, whose body may take far longer than these timeouts.
     fn answer_written(&self) {
+        self.taking.set(None);
         if self.stage.get() != Stage::Flushing {
             return;
         }
+        *self.answer_memory.borrow_mut() = None;
         let now_ms = self.clock.now_ms();
         let has_next_request = self.has_next_request.take();
         self.stage.set(match has_next_request {
@@ -148,6 +166,20 @@
         });
     }
 
+    /// Records that the socket takes no more bytes.
+    fn write_blocked(&self) {
+        if self.taking.get().is_none() {
+            self.taking.set(Some(Pace::start(self.clock.now_ms())));
+        }
+    }
+
+    /// Records that the socket took bytes.
+    fn bytes_written(&self, bytes: usize) {
+        if let Some(pace) = self.taking.get() {
+            self.taking.set(Some(pace.moved(bytes, self.clock.now_ms())));
+        }
+    }
+
     /// Records that bytes were read.
     fn bytes_read(&self) {
         match self.stage.get() {
@@ -237,10 +269,17 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            std::task::ready!(self.stream.poll_write_ready(context))?;
+            let Poll::Ready(ready) = self.stream.poll_write_ready(context) else {
+                self.progress.write_blocked();
+                return Poll::Pending;
+            };
+            ready?;
             match self.stream.try_write_vectored(parts) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result),
+                result => {
+                    self.progress.bytes_written(result.as_ref().map_or(0, |bytes| *bytes));
+                    return Poll::Ready(result);
+                }
             }
         }
     }
--- a/src/gateway/control/fetch.rs
+++ b/src/gateway/control/fetch.rs
@@ -5,7 +5,6 @@
 //! fetched in pages, each from any peer that answers, so that a slow peer delays one page and not the whole
 //! list.
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,7 +17,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::super::body::{self, Limit};
+use super::super::body::{self, HeldMemory};
 use super::super::channel::Channel;
 use super::super::fleet::{Delta, Page};
 use super::super::instance::Registration;
@@ -105,9 +104,9 @@
         let request = Request::post(path).header(HOST, addr.to_string()).body(body).ok()?;
         let response = channel.send(request).await.ok()?;
         let is_answer = response.status().is_success();
-        let limit = Limit { max_bytes: MAX_FETCH_BYTES, timeout_ms: FETCH_TIMEOUT_MS };
-        let body = body::read(response.into_body(), limit, &RefCell::default()).await.ok()?;
-        is_answer.then(|| rmp_serde::from_slice(&body).ok()).flatten()
+        let held = HeldMemory::unshared(MAX_FETCH_BYTES);
+        let body = body::read(response.into_body(), FETCH_TIMEOUT_MS, held).await.ok()?;
+        is_answer.then(|| rmp_serde::from_slice(&body.bytes).ok()).flatten()
     };
     let limit = Duration::from_millis(FETCH_TIMEOUT_MS);
     tokio::time::timeout(limit, exchange).await.ok().flatten()
--- a/src/gateway/control/rediscovery.rs
+++ b/src/gateway/control/rediscovery.rs
@@ -1,6 +1,5 @@
 //! Searches for restarted engines at the addresses of lost ones while the directory is unreachable.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +11,7 @@
 use hyper::http::response::Parts;
 
 use super::super::ablation::Mechanism;
-use super::super::body::{self, Limit};
+use super::super::body::{self, HeldMemory};
 use super::super::channel::Channel;
 use super::super::fleet::Upstream;
 use super::super::membership::{Phase, Rumor};
@@ -120,8 +119,8 @@
         let request = Request::get(path).header(HOST, lost.addr.to_string());
         let response = channel.send(request.body(Full::<Bytes>::default()).ok()?).await.ok()?;
         let (head, body) = response.into_parts();
-        let limit = Limit { max_bytes: MAX_QUESTION_BYTES, timeout_ms: ANSWER_TIMEOUT_MS };
-        Some((head, body::read(body, limit, &RefCell::default()).await.ok()?))
+        let held = HeldMemory::unshared(MAX_QUESTION_BYTES);
+        Some((head, body::read(body, ANSWER_TIMEOUT_MS, held).await.ok()?.bytes))
     }
 
     /// Adds an engine that this instance or a peer rediscovered while the directory is unreachable, and gossips
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -64,7 +64,7 @@
         progress: Rc<Progress>,
     ) -> DeliveredBody {
         // hyper takes a whole body together with the head, and may never poll for its end.
-        open.is_answered = matches!(body, AnswerBody::Whole(_));
+        open.is_answered = matches!(body, AnswerBody::Whole(..));
         DeliveredBody { body, open, progress }
     }
 }
@@ -95,6 +95,10 @@
 
 impl Drop for DeliveredBody {
     fn drop(&mut self) {
-        self.progress.body_ended();
+        let memory = match &mut self.body {
+            AnswerBody::Whole(_, held) => held.take(),
+            AnswerBody::Streaming(_) => None,
+        };
+        self.progress.body_ended(memory);
     }
 }
--- a/src/gateway/policy/body_limit.rs
+++ b/src/gateway/policy/body_limit.rs
@@ -1,4 +1,4 @@
-//! How much of an answer's body is held in memory until it is whole.
+//! How much of an answer's body is held in memory until it is whole and its caller has taken it.
 //!
 //! A body may come without end, from many upstreams at once. Each has a limit, and beyond a small part
 //! of it all share one, so that an instance's memory is bounded and short answers always have room.
@@ -13,12 +13,19 @@
 /// The maximum size of what all bodies hold beyond that, a sixth of a small instance's memory.
 const MAX_SHARED_BYTES: usize = 24 << 20;
 
-/// The shared memory of all bodies that are being read by one thread.
-#[derive(Debug, Default)]
+/// The memory that the bodies of one thread share.
+#[derive(Debug)]
 pub struct SharedMemory {
+    max_bytes: usize,
     used_bytes: usize,
 }
 
+impl Default for SharedMemory {
+    fn default() -> SharedMemory {
+        SharedMemory::new(MAX_SHARED_BYTES)
+    }
+}
+
 /// What one body holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Held {
@@ -46,13 +53,34 @@
         Held { max_bytes, bytes: 0 }
     }
 
+    /// What it may hold.
+    pub fn max_bytes(self) -> usize {
+        self.max_bytes
+    }
+
+    /// What it holds.
+    pub fn bytes(self) -> usize {
+        self.bytes
+    }
+
     /// What it holds of the shared memory.
-    fn shared_bytes(self) -> usize {
+    pub fn shared_bytes(self) -> usize {
         self.bytes.saturating_sub(MAX_SMALL_BYTES)
     }
 }
 
 impl SharedMemory {
+    /// Memory of so many bytes, but enough for the longest answer and never more than usual.
+    pub fn new(bytes: usize) -> SharedMemory {
+        let max_bytes = bytes.clamp(MAX_ANSWER_BYTES, MAX_SHARED_BYTES);
+        SharedMemory { max_bytes, used_bytes: 0 }
+    }
+
+    /// What all bodies hold of it.
+    pub fn used_bytes(&self) -> usize {
+        self.used_bytes
+    }
+
     /// Has a body hold more.
     ///
     /// # Errors
@@ -64,7 +92,7 @@
             return Err(Exceeded::Limit { max_bytes: held.max_bytes });
         }
         let used_bytes = self.used_bytes + grown.shared_bytes() - held.shared_bytes();
-        if grown.shared_bytes() > 0 && used_bytes > MAX_SHARED_BYTES {
+        if grown.shared_bytes() > 0 && used_bytes > self.max_bytes {
             return Err(Exceeded::Shared);
         }
         self.used_bytes = used_bytes;
--- a/src/gateway/stream/attempt.rs
+++ b/src/gateway/stream/attempt.rs
@@ -371,7 +371,7 @@
         if self.job.body.is_empty() {
             worker.give_back(lease, metadata.keep_ms, self.traffic.now_ms());
         }
-        self.respond(answer::whole(status, headers, body));
+        self.respond(answer::held(status, headers, body));
         Outcome::Done
     }
 
--- a/src/gateway/stream/via_peer.rs
+++ b/src/gateway/stream/via_peer.rs
@@ -154,7 +154,7 @@
         let Some(body) = body.ok().filter(|_| framing == Framing::Stated) else {
             return lost_run("an incomplete response", LossCause::EngineAlive);
         };
-        self.respond(answer::whole(status, headers, body));
+        self.respond(answer::held(status, headers, body));
         Outcome::Done
     }
 
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -111,8 +111,8 @@
     cache_queried: RefCell<BTreeSet<Arc<str>>>,
     /// Liveness probes in progress, by upstream.
     probes: RefCell<BTreeMap<Arc<str>, losses::Probe>>,
-    /// What the bodies of answers hold that are being read.
-    body_memory: RefCell<SharedMemory>,
+    /// What the bodies of answers hold until their callers have taken them.
+    answer_memory: Rc<RefCell<SharedMemory>>,
     /// Second probes in progress, with a longer timeout, by upstream.
     second_probes: RefCell<BTreeMap<Arc<str>, losses::Probe>>,
     /// Checks in progress whether an upstream's process has exited.
@@ -148,6 +148,7 @@
         metrics: Arc<Metrics>,
     ) -> Rc<Traffic> {
         let reports_usage = settings.reports_usage;
+        let answer_memory = SharedMemory::new(settings.machine.answer_bytes());
         Rc::new(Traffic {
             settings,
             reports_usage,
@@ -159,6 +160,7 @@
             open_requests: Cell::new(0),
             callers: Rc::default(),
             request_memory: Rc::default(),
+            answer_memory: Rc::new(RefCell::new(answer_memory)),
             stop: Cell::new(None),
             final_responses_due: watch::Sender::new(false),
             swept_ms: Cell::default(),
@@ -186,7 +188,6 @@
             first_event_us_per_token: RefCell::default(),
             speeds: speed::Speeds::default(),
             served_parts: RefCell::default(),
-            body_memory: RefCell::default(),
         })
     }
 
@@ -358,6 +359,8 @@
         self.metrics.gauge("connections", self.callers.count() as u64);
         let request_bytes = self.request_memory.borrow().used_bytes();
         self.metrics.gauge("request_bytes", request_bytes as u64);
+        let answer_bytes = self.answer_memory.borrow().used_bytes();
+        self.metrics.gauge("answer_bytes", answer_bytes as u64);
         self.metrics.gauge("channels", sum(Worker::channels));
         self.metrics.gauge("runs", sum(|worker| u64::from(worker.runs.get())));
         self.metrics.gauge("copies", sum(|worker| u64::from(worker.copies.get())));
--- a/src/gateway/traffic/bodies.rs
+++ b/src/gateway/traffic/bodies.rs
@@ -1,16 +1,19 @@
 //! Bodies of upstreams' answers, and the standing of upstreams that send bytes without end.
 
 use std::rc::Rc;
+use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
-use super::super::body::{self, Fault, Limit};
+use super::super::body::{self, Fault, HeldBody, HeldMemory};
 use super::super::policy::body_limit::Exceeded;
 use super::super::worker::{Lease, Worker};
 use super::Traffic;
 use super::losses;
 
+/// How often an answer that finds no room looks again.
+const ROOM_CHECK_MS: u64 = 20;
+
 impl Traffic {
     /// Reads the whole body of an upstream's answer, until a time. An upstream whose body is too long
     /// gets no requests for a while.
@@ -24,7 +27,7 @@
         body: Incoming,
         max_bytes: usize,
         until_ms: u64,
-    ) -> Result<Bytes, Fault> {
+    ) -> Result<HeldBody, Fault> {
         let read = self.read_peer_body(body, max_bytes, until_ms).await;
         if matches!(read, Err(Fault::TooLong(Exceeded::Limit { .. }))) {
             self.mark_endless(worker);
@@ -42,9 +45,30 @@
         body: Incoming,
         max_bytes: usize,
         until_ms: u64,
-    ) -> Result<Bytes, Fault> {
-        let timeout_ms = until_ms.saturating_sub(self.now_ms());
-        body::read(body, Limit { max_bytes, timeout_ms }, &self.body_memory).await
+    ) -> Result<HeldBody, Fault> {
+        let mut held = HeldMemory::new(&self.answer_memory, max_bytes);
+        if let Some(bytes) = body.size_hint().exact() {
+            self.hold_announced(&mut held, bytes, until_ms).await?;
+        }
+        body::read(body, until_ms.saturating_sub(self.now_ms()), held).await
+    }
+
+    /// Holds the memory for a body whose length is known. If there is none it waits: callers who don't
+    /// take their answers yield, and others take theirs.
+    async fn hold_announced(
+        &self,
+        held: &mut HeldMemory,
+        bytes: u64,
+        until_ms: u64,
+    ) -> Result<(), Fault> {
+        let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+        loop {
+            match held.cover(bytes) {
+                Err(Exceeded::Shared) if self.now_ms() < until_ms => self.free_for_answer(bytes),
+                covered => return covered.map_err(Fault::TooLong),
+            }
+            tokio::time::sleep(Duration::from_millis(ROOM_CHECK_MS)).await;
+        }
     }
 
     /// Notes it if the head of an upstream's answer didn't end.
--- a/src/gateway/traffic/caller_room.rs
+++ b/src/gateway/traffic/caller_room.rs
@@ -21,6 +21,17 @@
         has_room
     }
 
+    /// Has callers yield who don't take their answers, so that another one of so many bytes may be read.
+    pub(super) fn free_for_answer(&self, bytes: usize) {
+        let yielding = self.callers.free_for_answer(bytes, self.now_ms());
+        if yielding > 0 {
+            self.metrics.count_more("answers_yielded", yielding as u64);
+            slog::warn!(self.log, "callers that don't take their answers yield";
+                "callers" => yielding, "to_bytes" => bytes,
+                "held_bytes" => self.answer_memory.borrow().used_bytes());
+        }
+    }
+
     /// Has callers yield so that the body of a request may grow to `bytes`. Returns whether any does.
     pub fn free_for_body(&self, bytes: usize, missing_bytes: usize) -> bool {
         let yielding = self.callers.free_for_body(bytes, missing_bytes, self.now_ms());
--- a/src/gateway/traffic/upstreams.rs
+++ b/src/gateway/traffic/upstreams.rs
@@ -168,6 +168,6 @@
         let body = self.read_body(worker, body, MAX_QUESTION_BYTES, until_ms).await;
         let body = body.map_err(|fault| broken(fault.to_string()))?;
         worker.give_back(lease, marks.keep_ms, self.now_ms());
-        Ok((status, body))
+        Ok((status, body.bytes))
     }
 }
--- a/src/gateway/whole_answer.rs
+++ b/src/gateway/whole_answer.rs
@@ -8,7 +8,7 @@
 use hyper::{HeaderMap, Request};
 
 use super::answer::{self, Answer};
-use super::body;
+use super::body::{self, HeldBody};
 use super::channel::Fault;
 use super::dialect::Marks;
 use super::failure::Failure;
@@ -29,7 +29,7 @@
     /// How it told its end.
     pub framing: Framing,
     /// Its body.
-    pub body: Bytes,
+    pub body: HeldBody,
 }
 
 /// A whole answer with what its headers say, or why there is none.
@@ -53,7 +53,7 @@
     traffic: &Traffic,
     job: &Job,
     head: Parts,
-    body: Result<Bytes, body::Fault>,
+    body: Result<HeldBody, body::Fault>,
 ) -> ExchangeResult {
     let body = body.map_err(|fault| Fault::Broken { detail: fault.to_string() })?;
     let marks = traffic.dialect.marks(&head.headers);
@@ -105,10 +105,10 @@
     }
     slog::info!(traffic.log, "answered"; "request" => job.id(), "route" => &*job.route.name,
         "upstream" => &*worker.upstream.id, "status" => whole.status,
-        "framing" => %whole.framing, "bytes" => whole.body.len(),
+        "framing" => %whole.framing, "bytes" => whole.body.bytes.len(),
         "ms" => now_ms - job.since_ms);
     let headers = headers::end_to_end(whole.headers);
-    answer::whole(whole.status, headers, whole.body)
+    answer::held(whole.status, headers, whole.body)
 }
 
 /// Refuses a request for the last failure, or with `Failure::Unknown` if an earlier attempt may have
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -18,6 +18,8 @@
 /// How long a call takes at a slow service, and the timeout of its route.
 const SLOW_MS: u64 = 3_000;
 const ROUTE_TIMEOUT_MS: u64 = 6_000;
+/// How long a crowd leaves its answers unread.
+const UNREAD_TIME: Duration = Duration::from_secs(4);
 /// How much longer answers are that nobody reads.
 const ANSWER_BYTES: usize = 4 << 20;
 
@@ -192,6 +194,25 @@
     judge(&mut running, watch, vec![crowd]).await;
 }
 
+/// Guards against the same where the requests are ordinary ones, which are served.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_to_ordinary_requests_that_nobody_reads_are_borne() {
+    let _alone = limits::alone().await;
+    let mut running = start().await;
+    let services = &running.site.services;
+    services.iter().for_each(|service| service.answer_more(ANSWER_BYTES));
+    let watch = watch(&running.gateways[0]);
+    let mut sent = Client::Known.crowd(Sends::Ordinary);
+    for (number, request) in sent.iter_mut().enumerate() {
+        request.headers += &format!("X-Request-Id: unread-{number}\r\n");
+    }
+    let crowd = Crowd::send(running.front(0), sent).await;
+    tokio::time::sleep(UNREAD_TIME).await;
+    let services = &running.site.services;
+    services.iter().for_each(|service| service.answer_more(0));
+    judge(&mut running, watch, vec![crowd]).await;
+}
+
 /// Guards against limits that a single request meets that is inside the pages' limits.
 #[parameterized(
     whole = { Sends::Whole, "" },
--- a/tests/fakes/src/crowd.rs
+++ b/tests/fakes/src/crowd.rs
@@ -28,6 +28,8 @@
 const SENT_OVER_BYTES: usize = 7 << 20;
 /// The part of a head that a client sends that never ends it.
 const HALF_HEAD_BYTES: usize = 12 << 10;
+/// An ordinary body.
+const ORDINARY_BYTES: usize = 600;
 /// Requests that are sent behind each other.
 const PIPELINED: usize = 400;
 
@@ -56,6 +58,8 @@
     ExpectedOver,
     /// A body far over the limit in large chunks, unannounced.
     SentOver,
+    /// A body of a few bytes.
+    Ordinary,
     /// Many requests, one behind the other, without waiting for answers.
     Pipelined,
 }
@@ -92,6 +96,7 @@
                 vec![self.announced(FAR_OVER_BYTES, SENT_OVER_BYTES, expect)]
             }
             Sends::SentOver => vec![self.chunked(&large_chunks(SENT_OVER_BYTES))],
+            Sends::Ordinary => vec![self.announced(ORDINARY_BYTES, ORDINARY_BYTES, "")],
             Sends::Pipelined => {
                 vec![self.announced(PIECE_BYTES, PIECE_BYTES, "").repeat(PIPELINED)]
             }
--- a/tests/gateway/caller_limits.rs
+++ b/tests/gateway/caller_limits.rs
@@ -88,3 +88,41 @@
     assert_eq!(yielding(600, 3 * LONG_BYTES), [3, 2, 5]);
     assert!(yielding(600, 6 * LONG_BYTES).is_empty());
 }
+
+/// Guards against connections that are kept by doing nothing, and against ordinary callers who lose
+/// theirs while there are others.
+#[test]
+fn connections_yield_whose_callers_are_waited_for() {
+    let now_ms = 10_000;
+    let fast = Pace::start(9_500);
+    let waits = vec![
+        ("served", Wait::Others),
+        ("kept", Wait::NextRequest { since_ms: 100 }),
+        ("kept lately", Wait::NextRequest { since_ms: 9_000 }),
+        ("stops short", body(Pace::start(8_000), 0)),
+        ("sends", body(fast, LONG_BYTES)),
+        ("half a head", Wait::NewRequest { since_ms: 9_900 }),
+        ("doesn't take its answer", Wait::Taking { pace: Pace::start(7_000), held_bytes: 0 }),
+        ("takes its answer", Wait::Taking { pace: fast, held_bytes: 0 }),
+    ];
+    let mut open = waits;
+    let mut order = Vec::new();
+    while let Some(yielding) = yielding::connection(open.iter().copied(), now_ms) {
+        order.push(yielding);
+        open.retain(|(caller, _)| *caller != yielding);
+    }
+    let expected = ["doesn't take its answer", "stops short", "half a head", "kept", "kept lately"];
+    assert_eq!(order, expected);
+}
+
+/// Guards against answers that are lost because others aren't taken, and against callers who lose theirs
+/// while they take them.
+#[test]
+fn answers_yield_that_are_not_taken() {
+    let taking = |since_ms| Wait::Taking { pace: Pace::start(since_ms), held_bytes: LONG_BYTES };
+    let waits = [(1, taking(1_500)), (2, taking(500)), (3, taking(0)), (4, Wait::Others)];
+    let yielding = |missing_bytes| yielding::for_answer(waits.into_iter(), missing_bytes, 2_000);
+    assert_eq!(yielding(LONG_BYTES), [3]);
+    assert_eq!(yielding(2 * LONG_BYTES), [3, 2]);
+    assert!(yielding(3 * LONG_BYTES).is_empty(), "the first took bytes half a second ago");
+}
