A router's callers share its memory and descriptors as a gateway's do

What callers saw: the same crowds ended or filled siskinrock router: bodies short of their end, in chunks of one byte or behind each other, 600 connections that sent nothing. Cause: the same as at the gateway. A body had a limit of its own, collect kept its frames, connections had no bound, and each could have 400 KB read ahead of its requests. A body that was announced as too long was read to its end, 64 MB, before it was refused. Change: request/callers keeps all connections, of peers too, and asks the same decisions (caller_limits, request_memory, yielding) who yields; request/intake reads bodies as the gateway does, answers refusals at once and drops the rest beside that. 503 'crowded' with Retry-After. What is read ahead is bounded by the longest head, 16 KB. What stood twice, putting a body together, is assembly now, which the gateway uses as well. A connection on which bytes moved in the last 2 s isn't taken for idle: streams write every second. (The tests now lower the descriptors by a setting as well, as they did the memory; crowd and bounds are unchanged.) Not mended: the prompt of a generation is counted until its request is read, not until the run ends.

--- a/src/error.rs
+++ b/src/error.rs
@@ -82,6 +82,10 @@
         "this attempt was not run, and whether an earlier one with this key was can't be told now; send the request again with the same key after the time in Retry-After"
     )]
     ClaimUnavailable { retry_after_ms: u64 },
+    #[display(
+        "callers hold as much of this instance as they may; the request has not run, send it again after the time in Retry-After, or to another address"
+    )]
+    Crowded { retry_after_ms: u64 },
     #[display("this instance is not in service yet; use another address from /v1/addresses")]
     NotServing { retry_after_ms: u64 },
     #[display(
@@ -179,6 +183,7 @@
             Kind::TooLate { .. } => "too_late",
             Kind::NoUpstream { .. } => "no_upstream",
             Kind::ClaimUnavailable { .. } => "claim_unavailable",
+            Kind::Crowded { .. } => "crowded",
             Kind::NotServing { .. } => "not_serving",
             Kind::OutcomeUnknown => "outcome_unknown",
             Kind::InProgress { .. } => "in_progress",
@@ -211,6 +216,7 @@
             Kind::QueueFull { .. } | Kind::TooLate { .. } => 429,
             Kind::NoUpstream { .. }
             | Kind::ClaimUnavailable { .. }
+            | Kind::Crowded { .. }
             | Kind::NotServing { .. }
             | Kind::StoreDown { .. }
             | Kind::StoreStale { .. } => 503,
@@ -249,6 +255,7 @@
             | Kind::NoUpstream { retry_after_ms, .. }
             | Kind::ClaimUnavailable { retry_after_ms }
             | Kind::InProgress { retry_after_ms }
+            | Kind::Crowded { retry_after_ms }
             | Kind::NotServing { retry_after_ms } => Some(retry_after_ms),
             _ => None,
         }
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -13,15 +13,14 @@
 
 use super::caller::Progress;
 use super::failure::Failure;
-use super::policy::request_memory::{MIDDLE_BYTES, NoRoom, RequestMemory};
+use super::policy::request_memory::{NoRoom, RequestMemory};
 use super::policy::yielding::Pace;
 use super::route::Limits;
 use super::traffic::Traffic;
+use crate::assembly::Assembly;
 
 /// How much of a refused body is read, so that its caller gets the answer instead of a reset.
 const MAX_DROPPED_BYTES: usize = 8 << 20;
-/// The smallest buffer of a body that doesn't arrive at once.
-const MIN_BUFFER_BYTES: usize = 4 << 10;
 /// How often a body that finds no room looks again after others were asked to yield.
 const ROOM_TRIES: usize = 3;
 
@@ -83,7 +82,7 @@
         traffic,
         progress,
         limits,
-        announced_bytes: announced_bytes.map(|bytes| bytes as usize),
+        assembly: Assembly::new(announced_bytes.map(|bytes| bytes as usize), limits.body_bytes),
         pace: Pace::start(traffic.now_ms()),
         held: HeldRequest::new(&traffic.request_memory),
     };
@@ -107,51 +106,26 @@
     traffic: &'a Traffic,
     progress: &'a Progress,
     limits: Limits,
-    announced_bytes: Option<usize>,
+    assembly: Assembly,
     pace: Pace,
     held: HeldRequest,
 }
 
 impl Reading<'_> {
     async fn run(mut self, body: &mut Incoming) -> Result<RequestBody, Failure> {
-        // A body that arrives at once is kept as it is.
-        let mut first = Bytes::new();
-        let mut all: Vec<u8> = Vec::new();
         self.note(0);
         while let Some(frame) = body.frame().await {
             let malformed = |error: hyper::Error| Failure::Malformed { detail: error.to_string() };
             // Trailers hold nothing that matters here.
             let Ok(data) = frame.map_err(malformed)?.into_data() else { continue };
             let more_bytes = data.len();
-            let length = first.len() + all.len() + more_bytes;
-            if length > self.limits.body_bytes {
-                return Err(Failure::TooLarge { limit_bytes: self.limits.body_bytes });
-            }
-            if first.is_empty() && all.is_empty() {
-                self.hold(more_bytes).await?;
-                first = data;
-            } else {
-                if length > all.capacity() {
-                    let capacity = self.capacity(length);
-                    self.hold(capacity).await?;
-                    all.reserve_exact(capacity - all.len());
-                }
-                all.extend_from_slice(&std::mem::take(&mut first));
-                all.extend_from_slice(&data);
-            }
+            let too_large = Failure::TooLarge { limit_bytes: self.limits.body_bytes };
+            let bytes = self.assembly.bytes_with(more_bytes).ok_or(too_large)?;
+            self.hold(bytes).await?;
+            self.assembly.push(data);
             self.note(more_bytes);
         }
-        let bytes = if all.is_empty() { first } else { Bytes::from(all) };
-        Ok(RequestBody { bytes, held: self.held })
-    }
-
-    /// The size of the buffer for so many bytes: what was announced, but not much more than has come.
-    fn capacity(&self, length: usize) -> usize {
-        let longest = self.announced_bytes.unwrap_or(self.limits.body_bytes);
-        let is_expected = self.announced_bytes.is_some_and(|bytes| bytes <= MIDDLE_BYTES);
-        let doubled = length.saturating_mul(2).max(MIN_BUFFER_BYTES);
-        let wanted = if is_expected { longest } else { doubled.min(longest) };
-        wanted.max(length)
+        Ok(RequestBody { bytes: self.assembly.finish(), held: self.held })
     }
 
     /// Records that more has come.
--- a/src/gateway/native/settings.rs
+++ b/src/gateway/native/settings.rs
@@ -4,9 +4,7 @@
 use std::path::PathBuf;
 
 use crate::error::Result;
-use crate::gateway::policy::caller_limits::Machine;
 use crate::gateway::settings::Settings;
-use crate::machine;
 use crate::settings::{Environment, Reader};
 
 /// The help of `siskinrock gateway`.
@@ -71,9 +69,7 @@
     let upstream_source = reader.optional("--upstream-source", "an address such as 10.0.0.5");
     let metrics = reader.optional("--metrics", ADDRESS);
     let link_mbps = reader.within("--link-mbps", 0, 0, 1_000_000);
-    let usual = machine::usual();
-    let memory_mb = reader.within("--memory-mb", (usual.memory_bytes >> 20) as u64, 32, 1 << 20);
-    let max_fds = reader.within("--max-fds", usual.descriptors as u64, 64, 1 << 20);
+    let machine = reader.machine();
     let seeds = reader.addresses("--seeds");
     let keep_ms = reader.within("--keep-ms", 5_000, 100, 600_000);
     let grace_ms = reader.within("--grace-ms", 30_000, 500, 600_000);
@@ -90,10 +86,7 @@
             upstream_source,
             metrics,
             link_mbps: link_mbps? as u32,
-            machine: Machine {
-                memory_bytes: (memory_mb? as usize) << 20,
-                descriptors: max_fds? as usize,
-            },
+            machine: machine?,
             reports_usage: false,
             seeds,
             keep_ms: keep_ms?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 //! assert!(error.to_string().contains("did you mean \"drain\"?"));
 //! ```
 
+pub mod assembly;
 pub mod clock;
 pub mod control;
 pub mod ctl;
--- a/src/node.rs
+++ b/src/node.rs
@@ -25,6 +25,7 @@
 use crate::request::admission::Arrival;
 use crate::request::admission_task::{AdmissionTask, Permit};
 use crate::request::budget::RetryBudget;
+use crate::request::callers::Callers;
 use crate::request::engine::Engine;
 use crate::request::registry::Registry;
 use crate::settings::Settings;
@@ -77,6 +78,8 @@
     pub calls: reqwest::Client,
     /// Repeats that may still be made.
     pub budget: Mutex<RetryBudget>,
+    /// Connections of callers and peers, and what their bodies hold.
+    pub callers: Arc<Callers>,
     /// Callers' requests whose answers are not complete.
     pub open: Arc<AtomicUsize>,
 }
--- a/src/request/connections.rs
+++ b/src/request/connections.rs
@@ -14,6 +14,8 @@
 use salvo::fuse::ArcFusePolicy;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::request::callers::{Callers, Registered};
+
 /// The number of connections that have received bytes since the last answer was written.
 #[derive(Debug, Clone, Default)]
 pub struct PartialRequests(Arc<AtomicUsize>);
@@ -29,12 +31,36 @@
 pub struct WatchedAcceptor {
     acceptor: TcpAcceptor,
     partial_requests: PartialRequests,
+    callers: Arc<Callers>,
 }
 
 impl WatchedAcceptor {
-    /// Counts the connections of `acceptor` in `partial_requests`.
-    pub fn new(acceptor: TcpAcceptor, partial_requests: PartialRequests) -> WatchedAcceptor {
-        WatchedAcceptor { acceptor, partial_requests }
+    /// Counts the connections of `acceptor` in `partial_requests`, and registers them with `callers`.
+    pub fn new(
+        acceptor: TcpAcceptor,
+        partial_requests: PartialRequests,
+        callers: Arc<Callers>,
+    ) -> WatchedAcceptor {
+        WatchedAcceptor { acceptor, partial_requests, callers }
+    }
+
+    /// Accepts a connection that finds room; others are closed at once.
+    async fn accept_registered(
+        &mut self,
+        fuse_policy: Option<ArcFusePolicy>,
+    ) -> io::Result<(Accepted<TcpCoupler<Stream>, Stream>, Option<Registered>)> {
+        loop {
+            let accepted = self.acceptor.accept(fuse_policy.clone()).await?;
+            let Some(addr) = accepted.remote_addr.clone().into_std() else {
+                return Ok((accepted, None));
+            };
+            let registered = self.callers.register(addr);
+            // Those that yield to it close before the next one is accepted.
+            tokio::task::yield_now().await;
+            if registered.is_some() {
+                return Ok((accepted, registered));
+            }
+        }
     }
 }
 
@@ -52,13 +78,14 @@
         &mut self,
         fuse_policy: Option<ArcFusePolicy>,
     ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
-        let accepted = self.acceptor.accept(fuse_policy).await?;
+        let (accepted, registered) = self.accept_registered(fuse_policy).await?;
         Ok(Accepted {
             coupler: TcpCoupler::new(),
             stream: WatchedConnection {
                 stream: accepted.stream,
                 partial_requests: self.partial_requests.clone(),
                 is_counted: false,
+                registered,
             },
             fuse_config: accepted.fuse_config,
             conn_ctrl: accepted.conn_ctrl,
@@ -74,9 +101,21 @@
     stream: Stream,
     partial_requests: PartialRequests,
     is_counted: bool,
+    registered: Option<Registered>,
 }
 
 impl WatchedConnection {
+    /// Whether it has to be closed now, to make room for another one.
+    fn yields(&self, context: &Context<'_>) -> bool {
+        self.registered.as_ref().is_some_and(|registered| registered.caller.poll_closed(context))
+    }
+
+    fn note_written(&self) {
+        if let Some(registered) = &self.registered {
+            registered.caller.bytes_written();
+        }
+    }
+
     fn count(&mut self) {
         if !std::mem::replace(&mut self.is_counted, true) {
             self.partial_requests.0.fetch_add(1, Ordering::SeqCst);
@@ -102,10 +141,16 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.yields(context) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         if buffer.filled().len() > before {
             self.count();
+            if let Some(registered) = &self.registered {
+                registered.caller.bytes_read();
+            }
         }
         polled
     }
@@ -118,6 +163,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.uncount();
+        self.note_written();
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -127,6 +173,7 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.uncount();
+        self.note_written();
         Pin::new(&mut self.stream).poll_write_vectored(context, parts)
     }
 
--- a/src/request/server.rs
+++ b/src/request/server.rs
@@ -1,9 +1,7 @@
 //! The HTTP endpoints of an instance, for callers, operators and peers.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use futures_util::StreamExt;
 use salvo::http::{HeaderValue, Method};
 use salvo::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -23,17 +21,12 @@
 use crate::request::claim::ClaimRequest;
 use crate::request::generate;
 use crate::request::generation_request::{EventId, GenerationRequest};
+use crate::request::intake;
 use crate::request::reply;
 use crate::wire::{self, AskHandover, Batch, Inquiry, Replies, Status, Witness};
 
-/// The longest request body of a caller.
-const BODY_LIMIT_BYTES: usize = 1 << 20;
-/// How much of a too long body is read and dropped before the answer.
-const DISCARD_LIMIT_BYTES: usize = 64 << 20;
 /// The longest message of a peer.
 const PEER_LIMIT_BYTES: usize = 256 << 20;
-/// How long a body may take to arrive.
-const BODY_TIMEOUT_MS: u64 = 10_000;
 /// The longest idempotency key.
 const KEY_LIMIT: usize = 200;
 /// The default of `max_tokens`.
@@ -47,6 +40,7 @@
 pub fn router(node: Arc<Node>) -> Router {
     Router::new()
         .hoop(salvo::affix_state::inject(node))
+        .hoop(intake::follow_callers)
         .push(Router::with_path("v1/addresses").get(answer_addresses))
         .push(Router::with_path("v1/completions").post(take_completion))
         .push(Router::with_path("v1/services/{service}/{**path}").goal(take_call))
@@ -122,7 +116,7 @@
     let organisation = authenticate(&snapshot.document, req)?;
     let key = idempotency_key(req)?.unwrap_or_else(|| format!("auto-{:016x}", fastrand::u64(..)));
     let last_event = last_event(req)?;
-    let body = read_body(req).await?;
+    let (body, _held) = intake::read_body(node, req).await?;
     let parsed: Completion = serde_json::from_slice(&body).map_err(malformed)?;
     let name = parsed.model.as_str();
     let model = snapshot.document.models.get(name);
@@ -172,7 +166,7 @@
     let organisation = authenticate(&snapshot.document, req)?;
     let name = req.param::<String>("service").unwrap_or_default();
     let service = find_plain(&snapshot.document, &name)?;
-    let body = read_body(req).await?;
+    let (body, _held) = intake::read_body(node, req).await?;
     refuse_if_not_serving(node)?;
     let path = req.param::<String>("path").unwrap_or_default();
     let path = match req.uri().query() {
@@ -253,35 +247,6 @@
     parsed.map(Some).ok_or_else(bad)
 }
 
-async fn read_body(req: &mut Request) -> Result<bytes::Bytes> {
-    let too_large = || Error::from(Kind::TooLarge { limit_bytes: BODY_LIMIT_BYTES });
-    let patience = Duration::from_millis(BODY_TIMEOUT_MS);
-    let announced = req.header::<usize>("content-length").unwrap_or(0);
-    if announced > BODY_LIMIT_BYTES {
-        // A caller that is still writing would see a connection error instead of the answer.
-        let _ = tokio::time::timeout(patience, discard(req.take_body())).await;
-        return Err(too_large());
-    }
-    let read = tokio::time::timeout(patience, req.payload_with_max_size(BODY_LIMIT_BYTES)).await;
-    match read {
-        Ok(Ok(body)) => Ok(body.clone()),
-        Ok(Err(_)) => Err(too_large()),
-        Err(_) => Err(Kind::TooSlow { timeout_ms: BODY_TIMEOUT_MS }.into()),
-    }
-}
-
-/// Reads and drops a body, up to [`DISCARD_LIMIT_BYTES`].
-async fn discard(mut body: salvo::http::ReqBody) {
-    let mut left = DISCARD_LIMIT_BYTES;
-    while let Some(Ok(frame)) = body.next().await {
-        let len = frame.data_ref().map_or(0, bytes::Bytes::len);
-        match left.checked_sub(len) {
-            Some(rest) => left = rest,
-            None => return,
-        }
-    }
-}
-
 fn malformed(error: serde_json::Error) -> Error {
     Kind::Malformed { detail: error.to_string() }.into()
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -18,17 +18,21 @@
 use crate::control::membership::{Member, Table};
 use crate::control::{self, Control};
 use crate::error::{Error, Kind, Result};
+use crate::gateway::connection;
+use crate::gateway::route::Limits;
 use crate::metrics::Metrics;
 use crate::node::{AllHolders, Node};
 use crate::operators::document::ServiceKind;
 use crate::operators::query;
 use crate::peer;
-use crate::records::ledger::{Ledger, Limits};
+use crate::records::ledger::{self, Ledger};
 use crate::records::ledger_task::LedgerTask;
 use crate::request::admission_task::AdmissionTask;
 use crate::request::budget::RetryBudget;
+use crate::request::callers::Callers;
 use crate::request::connections::{PartialRequests, WatchedAcceptor};
 use crate::request::engine::HttpEngine;
+use crate::request::intake;
 use crate::request::placement;
 use crate::request::registry::Registry;
 use crate::request::server;
@@ -45,6 +49,8 @@
 /// How long an unused connection to a plain service is kept: far shorter than services keep
 /// theirs, so that the two ends rarely close and use it at the same moment.
 const CALL_IDLE_MS: u64 = 1_000;
+/// The longest head of a request, and what is read of a connection ahead of it.
+const HEAD_LIMIT_BYTES: usize = 16 << 10;
 /// How often admission limits follow the reported load.
 const LIMITS_MS: u64 = 100;
 /// How many repeats may be made in a burst.
@@ -102,8 +108,11 @@
         start_control(&node, inbox, own, control_peers)?;
         tokio::spawn(follow_load(Arc::clone(&node)));
         let partial_requests = PartialRequests::default();
-        let watching = WatchedAcceptor::new(acceptor(listener)?, partial_requests.clone());
-        let server = salvo::Server::new(watching);
+        connection::limit_receive_buffers(&listener);
+        let callers = Arc::clone(&node.callers);
+        let watching = WatchedAcceptor::new(acceptor(listener)?, partial_requests.clone(), callers);
+        let mut server = salvo::Server::new(watching);
+        server.http1_mut().max_buf_size(HEAD_LIMIT_BYTES);
         let handle = server.handle();
         let paths = server::router(Arc::clone(&node));
         let serving = tokio::spawn(server.serve(paths));
@@ -215,8 +224,10 @@
 ) -> Result<Node> {
     let calls = client(CALL_IDLE_MS)?;
     let peers = peer::Client::new(client(PEER_IDLE_MS)?, &settings.peer_key);
-    let limits =
-        Limits { horizon_ms: settings.horizon_ms, organisation_bytes: settings.organisation_bytes };
+    let limits = ledger::Limits {
+        horizon_ms: settings.horizon_ms,
+        organisation_bytes: settings.organisation_bytes,
+    };
     let ledger = LedgerTask::spawn(Ledger::new(me.clone(), limits), clock, peers.clone());
     let holders = |client| AllHolders {
         me: me.clone(),
@@ -246,11 +257,18 @@
         calls,
         budget: Mutex::new(RetryBudget::new(REPEATS)),
         open: Arc::default(),
+        callers: Callers::new(clock, settings.machine, caller_limits(), log.clone()),
         me,
         settings,
     })
 }
 
+/// The limits on callers, as far as what all of them may hold follows from them.
+fn caller_limits() -> Limits {
+    let body_bytes = intake::BODY_LIMIT_BYTES;
+    Limits { head_bytes: HEAD_LIMIT_BYTES, body_bytes, ..Limits::default() }
+}
+
 fn start_control(
     node: &Arc<Node>,
     inbox: mpsc::UnboundedReceiver<control_loop::Message>,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 
 use crate::error::{Kind, Result};
+use crate::gateway::policy::caller_limits::Machine;
+use crate::machine;
 
 /// The help of `siskinrock router`.
 pub const HELP: &str = "\
@@ -27,6 +29,8 @@
   --keep-ms N           SISKINROCK_KEEP_MS        how long callers keep an address [5000]
   --threads N           SISKINROCK_THREADS        threads each for calls and for streams [2]
   --answer-mb N         SISKINROCK_ANSWER_MB      kept answers of one organisation [64]
+  --memory-mb N         SISKINROCK_MEMORY_MB      the memory that it may use; callers get parts of it [256]
+  --max-fds N           SISKINROCK_MAX_FDS        the descriptors that it may open [the limit of the process]
   --statsd IP:PORT      SISKINROCK_STATSD         where to send metrics [nowhere]
   --log LEVEL           SISKINROCK_LOG            error, warning, info or debug [info]
 ";
@@ -60,6 +64,8 @@
     pub threads: usize,
     /// Bytes of kept answers of one organisation.
     pub organisation_bytes: usize,
+    /// The memory and the descriptors that it may use.
+    pub machine: Machine,
     /// Where metrics go.
     pub statsd: Option<SocketAddr>,
     /// The least severe log records that are written.
@@ -126,6 +132,7 @@
         let keep_ms = self.within("--keep-ms", 5_000, 100, 600_000);
         let threads = self.within("--threads", 2, 1, 256);
         let answer_mb = self.within("--answer-mb", 64, 1, 65_536);
+        let machine = self.machine();
         let statsd = self.optional("--statsd", "an address such as 10.0.0.9:8125");
         let log = self.parsed("--log", "info", "error, warning, info or debug");
         let listen = listen?;
@@ -143,11 +150,20 @@
             keep_ms: keep_ms?,
             threads: threads? as usize,
             organisation_bytes: (answer_mb? as usize) << 20,
+            machine: machine?,
             statsd,
             log: log?,
         })
     }
 
+    /// The memory and the descriptors that the process may use.
+    pub(crate) fn machine(&mut self) -> Option<Machine> {
+        let usual = machine::usual();
+        let memory_mb = self.within("--memory-mb", (usual.memory_bytes >> 20) as u64, 32, 1 << 20);
+        let max_fds = self.within("--max-fds", usual.descriptors as u64, 64, 1 << 20);
+        Some(Machine { memory_bytes: (memory_mb? as usize) << 20, descriptors: max_fds? as usize })
+    }
+
     fn value(&mut self, flag: &'static str) -> Option<String> {
         match self.arguments.opt_value_from_str::<_, String>(flag) {
             Ok(Some(value)) => Some(value),
--- a/tests/clients/router.rs
+++ b/tests/clients/router.rs
@@ -13,7 +13,8 @@
 
 /// How long an ordinary caller goes on sending its request again.
 const PATIENCE: Duration = Duration::from_secs(20);
-const ENVIRONMENT: [(&str, &str); 1] = [("SISKINROCK_MEMORY_MB", "64")];
+const ENVIRONMENT: [(&str, &str); 2] =
+    [("SISKINROCK_MEMORY_MB", "64"), ("SISKINROCK_MAX_FDS", "500")];
 /// A service's path, one that no service has, and the completions.
 const CHECK: &str = "POST /v1/services/booking/check/K3-07";
 const NO_SERVICE: &str = "POST /v1/services/none/check/K3-07";
