A connection is reckoned with twice the longest head

What was seen: on a machine of 88 MB, 938 connections with half a head took 43 KB each where 32 were reckoned; with bodies that stop short beside them the process took 84 of 88 MB. Cause: the buffer for a head grows by doubling and may be twice as long as the longest head. Change: policy/caller_limits reckons 16 KB and two heads each: 625 connections on 88 MB, 782 on 110 MB, 1,560 from 235 MB on, where descriptors bound them.

--- a/src/gateway/policy/caller_limits.rs
+++ b/src/gateway/policy/caller_limits.rs
@@ -32,7 +32,9 @@
 
     /// The most connections of callers.
     pub fn connections(self, limits: &Limits) -> usize {
-        let by_memory = self.memory_bytes / 3 / (CONNECTION_BYTES + limits.head_bytes);
+        // The buffer for a head may grow to twice its size.
+        let each_bytes = CONNECTION_BYTES + 2 * limits.head_bytes;
+        let by_memory = self.memory_bytes / 3 / each_bytes;
         self.channels().min(by_memory).max(1)
     }
 
