A router's request that became whole no longer yields

What callers would have seen: a connection that closes in place of an answer, though the request ran. Found by reading. Cause: a caller is told to yield while its body arrives. If the body becomes whole in the same moment, the request is served, but the mark stayed, and the connection could be closed once its handler had ended and before its answer was out. Change: a request that was read whole takes the mark away (Caller::request_whole). A gateway closes such a connection only after its answer, as it did.

--- a/src/request/callers.rs
+++ b/src/request/callers.rs
@@ -89,6 +89,12 @@
         *self.stage() = Stage::Serving;
     }
 
+    /// Records that a request is whole: from now on it is answered, whatever others need.
+    pub fn request_whole(&self) {
+        self.request_begun();
+        self.must_yield.store(false, Ordering::SeqCst);
+    }
+
     /// Records how a request's body arrives.
     pub fn body_arriving(&self, pace: Pace, held_bytes: usize) {
         *self.stage() = Stage::Body { pace, held_bytes };
--- a/src/request/intake.rs
+++ b/src/request/intake.rs
@@ -90,8 +90,10 @@
         }
         () = yielded => Err(crowded()),
     };
-    if let Some(caller) = &caller {
-        caller.request_begun();
+    match &caller {
+        Some(caller) if read.is_ok() => caller.request_whole(),
+        Some(caller) => caller.request_begun(),
+        None => {}
     }
     read
 }
