A short body yields to short ones only

What callers would have seen: under pressure, a short request whose body comes late loses its place to a long one. Found by reading. Cause: slow bodies yielded to any newcomer, for longest first, so that short ones, which free next to nothing, were cut first.

--- a/src/gateway/policy/yielding.rs
+++ b/src/gateway/policy/yielding.rs
@@ -103,8 +103,8 @@
 }
 
 /// Which callers yield so that the body of a request may grow to `bytes`: those that are too slow, for
-/// longest first, then those with longer bodies, the longest first. None if all of them together would
-/// not free enough.
+/// longest first, then those with longer bodies, the longest first. A short body yields to short ones
+/// only. None if all of them together would not free enough.
 pub fn for_body<K>(
     callers: impl Iterator<Item = (K, Wait)>,
     bytes: usize,
@@ -113,9 +113,11 @@
 ) -> Vec<K> {
     let ranked = callers.filter_map(|(caller, wait)| {
         let Wait::Body { held_bytes, .. } = wait else { return None };
+        let (held, wanted) = (Length::of(held_bytes), Length::of(bytes));
         let rank = match wait.slow_since_ms(now_ms) {
+            _ if held == Length::Short && wanted != Length::Short => return None,
             Some(since_ms) => (0, since_ms),
-            None if Length::of(held_bytes) > Length::of(bytes) => (1, u64::MAX - held_bytes as u64),
+            None if held > wanted => (1, u64::MAX - held_bytes as u64),
             None => return None,
         };
         Some((rank, held_bytes, caller))
--- a/tests/gateway/caller_limits.rs
+++ b/tests/gateway/caller_limits.rs
@@ -89,6 +89,16 @@
     assert!(yielding(600, 6 * LONG_BYTES).is_empty());
 }
 
+/// Guards against ordinary callers who lose their requests, however slow, to longer ones.
+#[test]
+fn a_short_body_yields_to_short_ones_only() {
+    let short = [(1, body(Pace::start(0), 600)), (2, body(Pace::start(0), SHORT_BYTES))];
+    let yielding = |bytes| yielding::for_body(short.into_iter(), bytes, 1, 2_000);
+    assert!(yielding(LONG_BYTES).is_empty());
+    assert!(yielding(SHORT_BYTES + 1).is_empty());
+    assert_eq!(yielding(600), [1]);
+}
+
 /// Guards against connections that are kept by doing nothing, and against ordinary callers who lose
 /// theirs while there are others.
 #[test]
