A router's log has the bound on each message that a gateway's has

Cause: what a router writes of crowds ("no room for a body", "all connections of callers are taken") had no bound; only what is written to standard output had. Change: the same filter, 200 records of a message a second, stands before standard error.

--- a/src/log.rs
+++ b/src/log.rs
@@ -11,7 +11,7 @@
 pub fn to_stderr(level: slog::Level) -> slog::Logger {
     let json = slog_json::Json::default(std::io::stderr());
     let drain = slog_async::Async::new(Mutex::new(json).fuse()).build().fuse();
-    let drain = slog::LevelFilter::new(drain, level).fuse();
+    let drain = slog::LevelFilter::new(PerMessage::new(drain), level).fuse();
     slog::Logger::root(drain, slog::o!())
 }
 
