Stand-ins of the routers' tests listen where they can be started again

Cause: engines and seats listened on ports that the system had drawn for them. Change: they get ports below those of outgoing connections, each given out once, as routers do. The stand-ins of tests/fakes have the same form and are not changed here.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -111,6 +111,11 @@
     pub environment: Vec<(&'static str, &'static str)>,
 }
 
+/// An address that a stand-in can be started at again: no outgoing connection is given its port.
+fn free_addr() -> String {
+    format!("127.0.0.1:{}", host::free_port())
+}
+
 impl Default for Shape {
     fn default() -> Shape {
         let engine = engine::Settings { load_lag_ms: 100, ..engine::Settings::default() };
@@ -122,10 +127,10 @@
     /// Brings everything up and configures it through the operators' command line.
     pub async fn start(shape: Shape) -> Cluster {
         let platform = platform::start("127.0.0.1:0");
-        let start_engine = |_| engine::start("127.0.0.1:0", shape.engine.clone());
+        let start_engine = |_| engine::start(&free_addr(), shape.engine.clone());
         let engines: Vec<_> = (0..shape.engines).map(start_engine).collect();
         let books = Arc::new(seats::Seats::default());
-        let start_seats = |_| seats::start("127.0.0.1:0", Arc::clone(&books));
+        let start_seats = |_| seats::start(&free_addr(), Arc::clone(&books));
         let seats: Vec<_> = (0..2).map(start_seats).collect();
         let http = siskinrock_standin::caller::client();
         let environment = shape.environment;
@@ -143,7 +148,7 @@
     pub fn add_router(&mut self, number: usize, horizon_ms: u64) {
         let domain = DOMAINS[number % DOMAINS.len()];
         let id = format!("{domain}-{}", number / DOMAINS.len());
-        let addr = format!("127.0.0.1:{}", host::free_port());
+        let addr = free_addr();
         let seeds: Vec<_> = self.routers.iter().map(|router| router.addr.as_str()).collect();
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let log = folder.join(format!("{id}-{}.log", addr.replace(':', "-")));
