--- a/tests/fakes/src/store.rs
+++ b/tests/fakes/src/store.rs
@@ -7,6 +7,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
@@ -75,6 +76,8 @@
     calls: u64,
     /// The targets of all calls.
     targets: Vec<String>,
+    /// How many items a page has, if not as few as give a listing several pages.
+    page_items: Option<usize>,
 }
 
 /// A running store; cloning shares it.
@@ -139,6 +142,11 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Gives pages of so many items from now on.
+    pub fn set_page(&self, items: usize) {
+        self.lock().page_items = Some(items);
+    }
+
     /// Forgets what changed so far.
     pub fn forget_history(&self) {
         let mut items = self.lock();
@@ -245,6 +253,9 @@
     }
 
     async fn answer(&self, request: &Message) -> (u16, Value) {
+        if !request.start.1.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return (400, json!({}));
+        }
         let number = |name| request.query(name).and_then(|value| value.parse::<u64>().ok());
         let path = request.path();
         let id = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
@@ -264,10 +275,10 @@
     }
 
     fn one(&self, request: &Message) -> (u16, Value) {
-        let key = request.query("key").unwrap_or_default();
+        let key = text(request, "key");
         let mut items = self.lock();
         items.end_leases();
-        if items.items.contains_key(key) { (200, items.item(key)) } else { (404, json!({})) }
+        if items.items.contains_key(&key) { (200, items.item(&key)) } else { (404, json!({})) }
     }
 
     fn range(&self, request: &Message) -> (u16, Value) {
@@ -275,12 +286,12 @@
         const PAGE: usize = 5;
         /// The most pages, so that a listing of thousands ends.
         const PAGES: usize = 10;
-        let prefix = request.query("path-prefix").unwrap_or_default();
-        let after = request.query("after").unwrap_or_default();
+        let prefix = text(request, "path-prefix");
+        let after = text(request, "after");
         let items = self.lock();
-        let fits = |key: &&String| key.starts_with(prefix) && key.as_str() > after;
+        let fits = |key: &&String| key.starts_with(&prefix) && **key > after;
         let keys: Vec<&String> = items.items.keys().filter(fits).collect();
-        let most = PAGE.max(items.items.len() / PAGES);
+        let most = items.page_items.unwrap_or(PAGE.max(items.items.len() / PAGES));
         let page: Vec<Value> = keys.iter().take(most).map(|key| items.item(key)).collect();
         (200, json!({"items": page, "has-more": keys.len() > most, "at": items.revision}))
     }
@@ -433,3 +444,11 @@
         (!newer.is_empty()).then(|| (200, json!({"events": newer, "at": self.revision})))
     }
 }
+
+/// A text of a query as a server of HTTP reads it: cut at a `#`, a `+` stands for a blank.
+fn text(request: &Message, name: &str) -> String {
+    let target = request.start.1.split('#').next().unwrap_or_default();
+    let cut = Message { start: (String::new(), target.to_owned()), ..Message::default() };
+    let written = cut.query(name).unwrap_or_default().replace('+', " ");
+    percent_decode_str(&written).decode_utf8_lossy().into_owned()
+}
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -1,5 +1,8 @@
 //! The platform adapter's store client against faults of the store that its published protocol permits.
 
+use std::time::Duration;
+
+use serde_json::json;
 use siskinrock::gateway::directory::{Directory, Fault, Record, Removed};
 use siskinrock::gateway::instance::Registration;
 use siskinrock::log;
@@ -7,6 +10,15 @@
 use siskinrock_fakes::site::{KEY, Site, config};
 use siskinrock_fakes::store;
 use tokio::task::LocalSet;
+use yare::parameterized;
+
+/// A list of 130 pages that are answered at once.
+const LIST_TIMEOUT: Duration = Duration::from_secs(5);
+/// As long as the store allows, less the prefix and a number.
+const LONGEST_KEY: &str = match std::str::from_utf8(&[b'+'; 190]) {
+    Ok(key) => key,
+    Err(_) => "",
+};
 
 fn registration() -> Registration {
     Registration {
@@ -37,6 +49,52 @@
     .await;
 }
 
+/// Guards against keys that are cut, read as others or refused where a page begins after them.
+#[parameterized(
+    plus = { "lab+bench" },
+    escape = { "lab%20bench" },
+    fragment = { "lab#bench" },
+    parameter = { "lab&path-prefix=x" },
+    blank = { "lab bench" },
+    beyond_ascii = { "läb-bänk-実験" },
+    control = { "lab\u{7}\u{0}\nbench" },
+    slashes = { "../lab//bench?" },
+    longest = { LONGEST_KEY },
+)]
+#[test_macro(tokio::test)]
+async fn odd_keys_at_the_ends_of_pages_are_read_past(key: &str) {
+    with_store(async |site, client| {
+        for prefix in ["servers/", "lab/"] {
+            for number in 0..60 {
+                let key = format!("{prefix}{key}{number:02}");
+                site.store.put(&key, &json!({"owner": "lab", "rack": number}));
+            }
+        }
+        site.store.set_page(1);
+        let listing = tokio::time::timeout(LIST_TIMEOUT, client.list()).await;
+        let listing = listing.expect("the list ends").unwrap();
+        let is_upstream = |record: &&Record| matches!(record, Record::Upstream(_));
+        let upstreams = listing.records.iter().filter(is_upstream).count();
+        assert_eq!(upstreams, site.engines.len() + site.services.len());
+        let is_foreign = |record: &&Record| matches!(record, Record::ForeignUpstream { .. });
+        assert_eq!(listing.records.iter().filter(is_foreign).count(), 60);
+    })
+    .await;
+}
+
+/// Guards against ordinary keys that are written in another way than they always were.
+#[tokio::test]
+async fn an_ordinary_key_stands_in_a_target_as_it_is() {
+    with_store(async |site, client| {
+        site.store.set_page(1);
+        client.list().await.unwrap();
+        let target =
+            format!("/siskinrock/kv-range?path-prefix=&after=servers/{}", site.engines[0].id);
+        assert!(site.store.targets().contains(&target), "{:?}", site.store.targets());
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_watch_returns_the_last_change_of_each_record() {
     with_store(async |site, client| {
