A caller's time is not over before its own clock says so

Cause: the clock of an instance says whole milliseconds, cut off. A request that comes at 5.9 ms is taken at 5, and its time ends at 305.0 where its caller counts to 305.9. It is as old as the clock.

Change: policy/caller_time rounds the end up, and what is left for an upstream down, so that none is given more than before.

Evidence: the rule's test tries each microsecond of a millisecond; with the end as it was (no millisecond more) its first assertion fails for every moment but the whole ones, by arithmetic.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -18,7 +18,7 @@
 use super::headers;
 use super::intake;
 use super::job::Job;
-use super::policy::outages;
+use super::policy::{caller_time, outages};
 use super::route::{Config, Route};
 use super::traffic::Traffic;
 use super::{call, stream};
@@ -188,7 +188,7 @@
         organisation: organisation.map(|organisation| organisation.name),
         priority: priority.unwrap_or(route.priority),
         since_ms,
-        until_ms: since_ms + caller_timeout_ms.min(route_timeout_ms),
+        until_ms: caller_time::end_ms(since_ms, caller_timeout_ms.min(route_timeout_ms)),
         route,
         demand,
         body,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -14,6 +14,7 @@
 use super::intake::HeldRequest;
 use super::metrics::{Metrics, Time};
 use super::policy::answer_match::Message;
+use super::policy::caller_time;
 use super::policy::stream_versions::StreamKey;
 use super::route::Route;
 
@@ -111,7 +112,7 @@
 
     /// The time left until the deadline, at least 1 ms.
     pub fn left_ms(&self, now_ms: u64) -> u64 {
-        self.until_ms.saturating_sub(now_ms).max(1)
+        caller_time::left_ms(self.until_ms, now_ms)
     }
 
     /// Builds the request to send to an upstream.
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -15,6 +15,7 @@
 pub mod budget;
 pub mod cache_lookup;
 pub mod caller_limits;
+pub mod caller_time;
 pub mod closed_classes;
 pub mod coincidence;
 pub mod concurrency;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod connections;
 mod cut_heads;
 mod cut_off;
+mod deadlines;
 mod decisions;
 mod departures;
 mod duties;
