A router ends when a part of it has panicked that the others need

What callers saw: nothing by now, since no input is known that makes one panic. Read: a panic in the router's thread for control left it running with an old view, out of the exchange with its peers; one of its records, its admission or its list of requests left it answering nothing or `outcome unknown`; the text was in the log, and the process served on half-dead.

Class: a part whose end nobody waits for.

Change: `src/supervisor.rs` runs each of these parts; a panic is logged with the part's name and told to `run_router`, which ends with status 1. An end is right, and not a restart of the part: what these parts keep (records, a place in the table) may be half changed, while the records are held by others, who take over as from any router that is lost. What keeps nothing (the limits of admission) is made again. `build_node` gets what belongs together as one value.

Not run: a panic in a whole process, which has no seam for it.

--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -19,6 +19,7 @@
 use crate::peer;
 use crate::request::engine::{self, Engine};
 use crate::store::{Entry, Store, Write, Written};
+use crate::supervisor::Supervisor;
 use crate::wire::Witness;
 
 /// The store's key of the table.
@@ -48,6 +49,8 @@
 pub struct Parts {
     /// Receives messages.
     pub inbox: mpsc::UnboundedReceiver<Message>,
+    /// Notices a call whose event never comes, without which the decision waits for ever.
+    pub supervisor: Supervisor,
     /// Its own tasks send their events here.
     pub events: mpsc::UnboundedSender<Message>,
     /// The decision.
@@ -156,7 +159,7 @@
 
     fn spawn(&self, work: impl Future<Output = Event> + Send + 'static) {
         let events = self.parts.events.clone();
-        tokio::spawn(async move {
+        self.parts.supervisor.spawn("calls of control", async move {
             let event = work.await;
             let _ = events.send(Message::Event(event));
         });
@@ -165,7 +168,7 @@
     fn list(&self) {
         let store = Arc::clone(&self.parts.store);
         let events = self.parts.events.clone();
-        tokio::spawn(async move {
+        self.parts.supervisor.spawn("calls of control", async move {
             if let Ok(listed) = store.list().await {
                 let _ = events.send(Message::Event(Event::Listed(listed)));
             }
--- a/src/error.rs
+++ b/src/error.rs
@@ -293,6 +293,13 @@
         ))
     }
 
+    /// The error of an instance without a part that it needs.
+    pub fn from_failed_part(part: &str) -> Error {
+        Error::internal(format!(
+            "a part that the others need panicked ({part}); 'panicked' in the log has the text and the place"
+        ))
+    }
+
     /// The error of a process without a runtime.
     pub fn from_runtime(error: &std::io::Error) -> Error {
         Error::internal(format!("the runtime can't be started: {error}"))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,6 +81,7 @@
 pub mod settings_file;
 pub mod signals;
 pub mod store;
+pub mod supervisor;
 pub mod wire;
 
 pub use error::{Category, Error, Result};
--- a/src/main.rs
+++ b/src/main.rs
@@ -262,9 +262,11 @@
             return Ok(());
         }
     };
+    let supervisor = router.supervisor().clone();
     tokio::select! {
         _ = orders.changed() => {}
         () = router.wait_for_stop() => {}
+        failure = supervisor.failure() => return Err(failure),
     }
     // Further signals are taken and change nothing: a planned stop cuts no request.
     tokio::spawn(async move {
@@ -272,8 +274,10 @@
             slog::info!(logger, "already stopping; requests in progress end first");
         }
     });
-    router.stop().await;
-    Ok(())
+    tokio::select! {
+        () = router.stop() => Ok(()),
+        failure = supervisor.failure() => Err(failure),
+    }
 }
 
 fn operate(arguments: Vec<OsString>) -> ExitCode {
--- a/src/records/ledger_task.rs
+++ b/src/records/ledger_task.rs
@@ -12,6 +12,7 @@
 use crate::peer;
 use crate::records::ledger::{Action, Event, Handover, Ledger};
 use crate::records::record::{Record, Reply, Request};
+use crate::supervisor::Supervisor;
 use crate::wire::AskHandover;
 
 /// How often the ledger checks its timeouts.
@@ -48,7 +49,12 @@
 
 impl LedgerTask {
     /// Starts the task on the current runtime.
-    pub fn spawn(ledger: Ledger, clock: Clock, client: peer::Client) -> LedgerTask {
+    pub fn spawn(
+        ledger: Ledger,
+        clock: Clock,
+        client: peer::Client,
+        supervisor: &Supervisor,
+    ) -> LedgerTask {
         let (messages, inbox) = mpsc::unbounded_channel();
         let handle = LedgerTask { messages };
         let task = Task {
@@ -61,7 +67,7 @@
             questions: HashMap::new(),
             next: 0,
         };
-        tokio::spawn(driver::run(task, inbox, TICK_MS));
+        supervisor.spawn("records", driver::run(task, inbox, TICK_MS));
         handle
     }
 
--- a/src/request/admission_task.rs
+++ b/src/request/admission_task.rs
@@ -10,6 +10,7 @@
 use crate::driver::{self, Driver};
 use crate::error::{Error, Kind, Result};
 use crate::request::admission::{Action, Admission, Arrival, Depth, Event, Reason};
+use crate::supervisor::Supervisor;
 
 /// How often waiting requests are checked against their deadlines.
 const TICK_MS: u64 = 100;
@@ -60,7 +61,7 @@
 
 impl AdmissionTask {
     /// Starts the task on the current runtime.
-    pub fn spawn(clock: Clock) -> AdmissionTask {
+    pub fn spawn(clock: Clock, supervisor: &Supervisor) -> AdmissionTask {
         let (messages, inbox) = mpsc::unbounded_channel();
         let handle = AdmissionTask { messages, next_id: Arc::default(), clock };
         let task = Task {
@@ -69,7 +70,7 @@
             waiting: HashMap::new(),
             handle: handle.clone(),
         };
-        tokio::spawn(driver::run(task, inbox, TICK_MS));
+        supervisor.spawn("admission", driver::run(task, inbox, TICK_MS));
         handle
     }
 
--- a/src/request/registry.rs
+++ b/src/request/registry.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::metrics::{Metrics, Points, Sample};
 use crate::request::shared::Shared;
+use crate::supervisor::Supervisor;
 use crate::wire::RunState;
 
 /// How many ended requests are kept for queries.
@@ -97,9 +98,9 @@
 
 impl Registry {
     /// Starts the task on the current runtime.
-    pub fn spawn(metrics: Metrics) -> Registry {
+    pub fn spawn(metrics: Metrics, supervisor: &Supervisor) -> Registry {
         let (messages, inbox) = mpsc::unbounded_channel();
-        tokio::spawn(Task::new(metrics).run(inbox));
+        supervisor.spawn("requests", Task::new(metrics).run(inbox));
         Registry { messages }
     }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -39,6 +39,7 @@
 use crate::request::server;
 use crate::settings::Settings;
 use crate::store::HttpStore;
+use crate::supervisor::Supervisor;
 use crate::wire::Status;
 
 /// How long a connection to another process may take to open.
@@ -69,6 +70,7 @@
 /// A running instance.
 pub struct Router {
     node: Arc<Node>,
+    supervisor: Supervisor,
     partial_requests: PartialRequests,
     server: ServerHandle,
     serving: tokio::task::JoinHandle<()>,
@@ -101,6 +103,7 @@
             domain: Arc::clone(&settings.domain),
         };
         let log = log.new(slog::o!("instance" => me.id.to_string()));
+        let supervisor = Supervisor::new(log.clone());
         let (control, inbox) = mpsc::unbounded_channel();
         // The control thread has connections of its own, so that traffic can't hold them up.
         let own = client(PEER_IDLE_MS)?;
@@ -108,9 +111,11 @@
         let traffic = Arc::clone(control_peers.traffic());
         let streams = stream_threads(settings.threads)?;
         let running = streams.handle().clone();
-        let node = Arc::new(build_node(settings, clock, &log, me, control, traffic, running)?);
-        start_control(&node, inbox, own, control_peers)?;
-        tokio::spawn(follow_load(Arc::clone(&node)));
+        let parts = NodeParts { clock, me, control, control_traffic: traffic, streams: running };
+        let node = Arc::new(build_node(settings, &log, parts, &supervisor)?);
+        start_control(&node, inbox, own, control_peers, &supervisor)?;
+        let followed = Arc::clone(&node);
+        supervisor.keep_running("load", move || follow_load(Arc::clone(&followed)));
         let partial_requests = PartialRequests::default();
         connection::limit_receive_buffers(&listener);
         let callers = Arc::clone(&node.callers);
@@ -119,9 +124,16 @@
         server.http1_mut().max_buf_size(HEAD_LIMIT_BYTES);
         let handle = server.handle();
         let paths = server::router(Arc::clone(&node));
-        let serving = tokio::spawn(server.serve(paths));
+        let serving = supervisor.spawn("server", server.serve(paths));
         slog::info!(log, "listening"; "address" => &*node.me.addr, "domain" => &*node.me.domain);
-        Ok(Router { node, partial_requests, server: handle, serving, streams: Some(streams) })
+        Ok(Router {
+            node,
+            supervisor,
+            partial_requests,
+            server: handle,
+            serving,
+            streams: Some(streams),
+        })
     }
 
     /// What its parts share.
@@ -139,6 +151,12 @@
         }
     }
 
+    /// What watches its parts. A router one of whose parts has failed must end: its records are held by
+    /// others, which take over what it runs.
+    pub fn supervisor(&self) -> &Supervisor {
+        &self.supervisor
+    }
+
     /// Stops without cutting a request: the address is withdrawn, callers that keep it are served
     /// for as long as they may, the records are handed over, and every request ends first.
     pub async fn stop(mut self) {
@@ -210,22 +228,30 @@
     client.map_err(Error::internal)
 }
 
-fn build_node(
-    settings: Settings,
+/// What a node gets from the start of its instance.
+struct NodeParts {
     clock: Clock,
-    log: &slog::Logger,
     me: Member,
     control: mpsc::UnboundedSender<control_loop::Message>,
     control_traffic: Arc<peer::Traffic>,
     streams: Handle,
+}
+
+fn build_node(
+    settings: Settings,
+    log: &slog::Logger,
+    parts: NodeParts,
+    supervisor: &Supervisor,
 ) -> Result<Node> {
+    let NodeParts { clock, me, control, control_traffic, streams } = parts;
     let calls = client(CALL_IDLE_MS)?;
     let peers = peer::Client::new(client(PEER_IDLE_MS)?, &settings.peer_key);
     let limits = ledger::Limits {
         horizon_ms: settings.horizon_ms,
         organisation_bytes: settings.organisation_bytes,
     };
-    let ledger = LedgerTask::spawn(Ledger::new(me.clone(), limits), clock, peers.clone());
+    let ledger =
+        LedgerTask::spawn(Ledger::new(me.clone(), limits), clock, peers.clone(), supervisor);
     let holders = |client| AllHolders {
         me: me.clone(),
         ledger: ledger.clone(),
@@ -247,8 +273,8 @@
         streams,
         engine: Arc::new(HttpEngine::new(client(IDLE_MS)?)),
         store: Arc::new(HttpStore::new(client(IDLE_MS)?, settings.store.clone())),
-        admission: AdmissionTask::spawn(clock),
-        registry: Registry::spawn(metrics),
+        admission: AdmissionTask::spawn(clock, supervisor),
+        registry: Registry::spawn(metrics, supervisor),
         peers,
         control_traffic,
         calls,
@@ -271,11 +297,13 @@
     inbox: mpsc::UnboundedReceiver<control_loop::Message>,
     own: reqwest::Client,
     peers: peer::Client,
+    supervisor: &Supervisor,
 ) -> Result<()> {
     let published = Arc::downgrade(node);
     let adopted = Arc::downgrade(node);
     let parts = Parts {
         inbox,
+        supervisor: supervisor.clone(),
         events: node.control.clone(),
         control: Control::new(node.me.clone()),
         clock: node.clock,
@@ -300,7 +328,8 @@
     let thread = thread::Builder::new().name("control".to_owned());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(Error::internal)?;
-    let started = thread.spawn(move || runtime.block_on(control_loop::run(parts)));
+    let watched = supervisor.clone().watch("control", control_loop::run(parts));
+    let started = thread.spawn(move || runtime.block_on(watched));
     started.map(drop).map_err(Error::internal)
 }
 
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -3,6 +3,7 @@
 
 mod hostile;
 mod log;
+mod panics;
 mod run;
 mod signals;
 mod start;
