The soak plays seeds over the same processes and watches their ends, memory and descriptors

The soak started its gateways anew for each seed, and looked only at a seed's end whether a process had ended by itself: one that ended between two faults was started again by the next fault's end, and nobody heard of it. Memory was looked at only where crowds came, and descriptors nowhere; no process lived for longer than some 20 s.

Each second, each process is now looked at, in seeds and in the new long mode (--minutes N): an end that nobody ordered is told with its status and the last lines of its log, and one in a planned stop that is no success is too; VmHWM and the open descriptors are held against the machine of the settings, and RLIMIT_NOFILE is set for processes whose settings name their descriptors. Between seeds, requests of earlier ones are kept by name, so that a run that nobody sent still shows.

world.rs is split: rounds.rs has what is played and judged, world.rs the site and each fault's beginning and end.

--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -352,6 +352,11 @@
         self.lock().seen.clone()
     }
 
+    /// What it was asked since the last time that this was asked.
+    pub fn take_seen(&self) -> Vec<Seen> {
+        std::mem::take(&mut self.lock().seen)
+    }
+
     /// Requests that it works on.
     pub fn working(&self) -> usize {
         self.lock().working
@@ -377,6 +382,14 @@
         self.lock().works.clone()
     }
 
+    /// What it has worked on; forgets what has ended.
+    pub fn take_works(&self) -> Vec<Work> {
+        let mut state = self.lock();
+        let works = state.works.clone();
+        state.works.retain(|work| work.ended.is_none());
+        works
+    }
+
     /// The most events that a run here has made.
     pub fn made(&self) -> u64 {
         self.lock().runs.values().copied().max().unwrap_or(0)
--- a/tests/fakes/src/process.rs
+++ b/tests/fakes/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 use crate::caller::{self, Call};
@@ -28,6 +28,8 @@
     settings: PathBuf,
     /// What it logs.
     pub log: PathBuf,
+    /// The descriptors that it may open, if its settings say it.
+    descriptors: Option<u64>,
     child: Option<Child>,
 }
 
@@ -44,7 +46,7 @@
         let settings = folder.join(format!("node-{number}.toml"));
         let text = site::boot(place, number, store, seeds, GRACE.as_secs_f64());
         std::fs::write(&settings, text).expect("the folder can be written");
-        let Place { base_port, .. } = place;
+        let Place { base_port, limits, .. } = place;
         let ip = place.ip(number);
         let mut process = Process {
             number,
@@ -54,6 +56,7 @@
             binary: binary.to_owned(),
             settings,
             log: folder.join(format!("node-{number}.log")),
+            descriptors: limits.map(|limits| limits.descriptors),
             child: None,
         };
         process.restart();
@@ -77,6 +80,9 @@
             .stdin(Stdio::null())
             .spawn();
         self.child = Some(child.expect("the binary was built"));
+        if let Some(count) = self.descriptors {
+            self.limit_descriptors(count);
+        }
     }
 
     /// Sends it a signal.
@@ -104,14 +110,15 @@
 
     /// Whether it has ended by itself.
     pub fn has_ended(&mut self) -> bool {
-        let ended = match &mut self.child {
-            Some(child) => child.try_wait().ok().flatten().is_some(),
-            None => true,
-        };
-        if ended {
-            self.child = None;
-        }
-        ended
+        self.take_end();
+        self.child.is_none()
+    }
+
+    /// How it ended by itself, the first time that this is asked after its end.
+    pub fn take_end(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok().flatten()?;
+        self.child = None;
+        Some(status)
     }
 
     /// Its process id, while it runs.
--- a/tests/fakes/src/service.rs
+++ b/tests/fakes/src/service.rs
@@ -335,6 +335,11 @@
         self.lock().seen.clone()
     }
 
+    /// What it was asked since the last time that this was asked.
+    pub fn take_seen(&self) -> Vec<Seen> {
+        std::mem::take(&mut self.lock().seen)
+    }
+
     async fn serve(self, mut connection: Connection) {
         let mut stray: Option<Vec<u8>> = None;
         if self.lock().fault == Fault::EarlyPart {
--- a/tests/fakes/src/site.rs
+++ b/tests/fakes/src/site.rs
@@ -141,6 +141,9 @@
     pub descriptors: u64,
 }
 
+/// A machine of the platform.
+pub const MACHINE: Limits = Limits { memory_mb: 260, descriptors: 4_100 };
+
 impl Place {
     /// The address of a gateway.
     pub fn ip(&self, number: u8) -> std::net::Ipv4Addr {
--- a/tests/soak/src/callers.rs
+++ b/tests/soak/src/callers.rs
@@ -21,10 +21,9 @@
 const CALLERS: usize = 4;
 /// Gateways for which there are so many callers.
 const USUAL_GATEWAYS: usize = 24;
-/// The pause between two requests of a caller.
-const PAUSE: Duration = Duration::from_millis(25);
-/// The pause of a caller that follows a stop: short, since what comes at its very end counts.
-const FOLLOW_PAUSE: Duration = Duration::from_millis(5);
+/// The part of the usual pause that a caller makes which follows a stop: short, since what comes at its
+/// very end counts.
+const FOLLOW_PART: u32 = 5;
 /// The longest that a caller waits.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -85,7 +84,8 @@
     let mut kept: Option<Kept> = None;
     while !world.is_over() {
         let stopping = (habit == Habit::Follows).then(|| world.stopping(&mut random)).flatten();
-        tokio::time::sleep(if stopping.is_some() { FOLLOW_PAUSE } else { PAUSE }).await;
+        let part = if stopping.is_some() { FOLLOW_PART } else { 1 };
+        tokio::time::sleep(world.pause / part).await;
         let drawn = stopping.unwrap_or_else(|| random.usize(..world.fronts.len()));
         let gateway = kept.as_ref().map_or(drawn, |kept| kept.gateway);
         let sent = new_call(&world, &kind);
@@ -144,7 +144,7 @@
 /// Sends streams; one that was cut goes on once at another gateway, after its last event.
 async fn plan(world: Arc<World>, mut random: fastrand::Rng) {
     while !world.is_over() {
-        tokio::time::sleep(PAUSE).await;
+        tokio::time::sleep(world.pause).await;
         let part = world.new_id();
         let mut after = 0;
         let mut first: Option<String> = None;
--- a/tests/soak/src/checks.rs
+++ b/tests/soak/src/checks.rs
@@ -8,6 +8,7 @@
 
 use crate::history::{History, Span, Target};
 use crate::lost;
+use crate::processes::Most;
 
 /// The statuses that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -68,6 +69,8 @@
     pub broken: Vec<String>,
     /// The most memory that the gateways and the soak had in use together.
     pub most_kb: u64,
+    /// The most that one gateway took.
+    pub most: Most,
     /// Where logs and the list of faults are.
     pub folder: PathBuf,
 }
@@ -75,10 +78,15 @@
 impl Report {
     /// One line.
     pub fn summary(&self) -> String {
-        let Report { sent, served, broken, most_kb, .. } = self;
+        let Report { sent, served, broken, most_kb, most, .. } = self;
         let broken = broken.len();
         let most_mb = most_kb >> 10;
-        format!("{served} of {sent} requests served, {broken} promises broken, {most_mb} MB in use")
+        let gateway_mb = most.memory_kb >> 10;
+        format!(
+            "{served} of {sent} requests served, {broken} promises broken, {most_mb} MB in use; \
+             {gateway_mb} MB and {} descriptors in one gateway at most",
+            most.descriptors
+        )
     }
 }
 
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod history;
 pub mod lost;
 pub mod memory;
+pub mod processes;
+pub mod rounds;
 pub mod signals;
 pub mod tasks;
 pub mod works;
--- /dev/null
+++ b/tests/soak/src/processes.rs
@@ -0,0 +1,94 @@
+//! The gateways as processes: none ends by itself, and none passes what its machine has.
+
+use std::fs;
+use std::process::ExitStatus;
+use std::sync::Arc;
+use std::time::Duration;
+
+use siskinrock_fakes::process::Process;
+use siskinrock_fakes::site::Limits;
+
+use crate::memory;
+use crate::world::World;
+
+/// The pause between two looks at the processes.
+const LOOK: Duration = Duration::from_secs(1);
+/// The last lines of a log that are told of an end, and the most of each.
+const LAST_LINES: usize = 4;
+const LINE_CHARS: usize = 300;
+
+/// The most that one process took.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Most {
+    /// Its memory.
+    pub memory_kb: u64,
+    /// Its open descriptors.
+    pub descriptors: u64,
+}
+
+/// Looks at the processes until the faults and callers are over.
+pub async fn watch(world: Arc<World>) {
+    while !world.is_over() {
+        look(&world);
+        tokio::time::sleep(LOOK).await;
+    }
+    look(&world);
+}
+
+/// Notes each process that has ended by itself, and starts it again; and each that passes what its
+/// machine has.
+fn look(world: &World) {
+    let machine = world.machine();
+    for (index, gateway) in world.gateways().iter_mut().enumerate() {
+        if !world.is_stopping(index)
+            && let Some(status) = gateway.take_end()
+        {
+            world.note_broken(say_end(gateway, "by itself", status));
+            gateway.restart();
+        }
+        let Some(pid) = gateway.pid() else { continue };
+        let used = Most { memory_kb: memory::peak_kb(pid), descriptors: open_descriptors(pid) };
+        world.note_most(used);
+        if let Some(over) = machine.and_then(|machine| over(used, machine)) {
+            let rss_kb = memory::resident_kb(pid);
+            world.note_broken(format!(
+                "gateway {index} passed its machine: {over}, {rss_kb} kB now"
+            ));
+        }
+    }
+}
+
+/// What a process took beyond its machine.
+pub fn over(used: Most, machine: Limits) -> Option<String> {
+    let Most { memory_kb, descriptors } = used;
+    let limit_kb = machine.memory_mb << 10;
+    let is_over = memory_kb > limit_kb || descriptors > machine.descriptors;
+    is_over.then(|| {
+        format!(
+            "{memory_kb} of {limit_kb} kB, {descriptors} of {} descriptors",
+            machine.descriptors
+        )
+    })
+}
+
+/// The end of a process with its status and its last lines.
+pub fn say_end(gateway: &Process, how: &str, status: ExitStatus) -> String {
+    let log = fs::read(&gateway.log).unwrap_or_default();
+    let log = String::from_utf8_lossy(&log);
+    let mut lines: Vec<String> = log
+        .lines()
+        .rev()
+        .take(LAST_LINES)
+        .map(|line| line.chars().take(LINE_CHARS).collect())
+        .collect();
+    lines.reverse();
+    let number = gateway.number;
+    format!(
+        "gateway {number} ended {how} with {status}; its last lines:\n    {}",
+        lines.join("\n    ")
+    )
+}
+
+fn open_descriptors(pid: u32) -> u64 {
+    fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |entries| entries.count() as u64)
+}
--- a/tests/soak/src/world.rs
+++ b/tests/soak/src/world.rs
@@ -1,10 +1,12 @@
-//! One seed: a site behind proxies, gateways as processes, callers, and faults.
+//! A site behind proxies with gateways as processes, and the beginning and end of each fault on it.
 
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
+use std::process::ExitStatus;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -13,33 +15,26 @@
 use siskinrock_fakes::process::{GRACE, Process, wait_for};
 use siskinrock_fakes::proxy::{Harm, Proxy};
 use siskinrock_fakes::service::PieceCrash;
-use siskinrock_fakes::signals::Signals;
-use siskinrock_fakes::site::{self, KEY, Place, SECOND_KEY, Site};
+use siskinrock_fakes::site::{self, KEY, Limits, Place, SECOND_KEY, Site};
 use siskinrock_fakes::{engine, service, store};
-use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use crate::checks::{self, Outcome, Report, Run};
-use crate::faults::{self, Fault, Sizes, Timed};
+use crate::checks::{Outcome, Run};
+use crate::faults::Fault;
 use crate::history::{History, Span, Target};
-use crate::signals::{self, Limit};
-use crate::works::{self, Works};
-use crate::{callers, crowds, memory, tasks};
+use crate::processes::Most;
+use crate::works::Works;
+use crate::{memory, processes};
 
 /// The pause between two looks whether a gateway has ended.
 const LOOK: Duration = Duration::from_millis(25);
 /// A planned stop that takes longer has failed: the grace, and as much again for a gateway that
 /// stood still before.
 const STOP_LIMIT: Duration = Duration::from_secs(2 * GRACE.as_secs());
-/// How long after the last fault everything must be served again: an engine that was lost is kept
-/// out for five seconds unless it is asked.
-const SETTLE: Duration = Duration::from_millis(6_000);
-/// How long it is checked that everything is served.
-const CALM: Duration = Duration::from_millis(1_500);
-/// The range of the services' time for a call: some calls outlast a step of a planned stop.
-const WORK_MS: std::ops::Range<u64> = 5..40;
 /// Connections to a service for each gateway, enough for the calls that meet by chance.
 const CONNECTIONS_A_GATEWAY: usize = 8;
+/// The time that a fake engine takes for an event.
+const STEP_MS: u64 = 20;
 /// How long the store is away before it comes back from a copy.
 const STORE_AWAY: Duration = Duration::from_millis(400);
 /// How long after its return what it lost is written again.
@@ -48,9 +43,6 @@
 const VERSIONS: [&str; 2] = ["v1", "v1.1"];
 /// How many pieces of its answer a service writes before it crashes.
 const CRASH_AFTER_PIECES: usize = 2;
-/// How often the memory in use is looked at.
-const MEMORY_LOOK: Duration = Duration::from_millis(500);
-
 /// What all seeds of a run share.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -60,86 +52,42 @@
     pub length: Duration,
     /// How many gateways there are.
     pub gateways: u8,
+    /// Engines in each zone.
+    pub engines_a_zone: usize,
+    /// What the machine of each gateway has, if the settings say it.
+    pub machine: Option<Limits>,
+    /// The pause between two requests of a caller.
+    pub pause: Duration,
 }
 
 /// A running site and what has happened on it.
 pub struct World {
-    site: Site,
+    pub(crate) site: Site,
     engine_links: Vec<Proxy>,
     store_link: Proxy,
     gateways: Mutex<Vec<Process>>,
     /// Where callers reach each gateway.
     pub fronts: Vec<SocketAddr>,
     place: Place,
+    /// The pause between two requests of a caller.
+    pub pause: Duration,
     /// Gateways that reach no upstream.
     cut: Mutex<BTreeSet<usize>>,
     /// Copies from which the store is to come back.
     copies: Mutex<Vec<store::Copy>>,
     /// Gateways that were told to stop and have not been started again, once for each order.
     stopping: Mutex<Vec<usize>>,
-    history: Mutex<History>,
-    most_kb: AtomicU64,
-    outcomes: Mutex<Vec<Outcome>>,
+    pub(crate) history: Mutex<History>,
+    /// What broke besides what callers saw.
+    broken: Mutex<Vec<String>>,
+    pub(crate) most_kb: AtomicU64,
+    /// The most that one gateway took.
+    most: Mutex<Most>,
+    pub(crate) outcomes: Mutex<Vec<Outcome>>,
     next_id: AtomicU64,
     version: AtomicU64,
-    is_calm: AtomicBool,
-    is_over: AtomicBool,
-}
-
-/// Plays one seed.
-pub async fn run(setup: Setup, seed: u64) -> Report {
-    let mut random = fastrand::Rng::with_seed(seed);
-    let folder =
-        std::env::temp_dir().join(format!("siskinrock-soak-{}-{seed}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
-    let world = Arc::new(start(&setup.binary, seed, &folder, setup.gateways).await);
-    let sizes = Sizes {
-        gateways: usize::from(setup.gateways),
-        engines: world.site.engines.len(),
-        services: world.site.services.len(),
-    };
-    let mut faults = faults::draw(&mut random, sizes, setup.length);
-    faults.extend(faults::draw_cuts_and_restores(seed, sizes, setup.length));
-    faults.extend(faults::draw_unended(seed, sizes, setup.length));
-    for index in faults::draw_engines_that_work_on(seed, sizes) {
-        world.site.engines[index].work_on();
-    }
-    let listed: String = faults.iter().map(|timed| format!("{timed:?}\n")).collect();
-    std::fs::write(folder.join("faults.txt"), listed).expect("the folder can be written");
-    for service in &world.site.services {
-        service.work_for(random.u64(WORK_MS));
-    }
-    let mut callers = callers::start(&world, &mut random);
-    callers.spawn(watch_memory(Arc::clone(&world)));
-    let limits = signals::draw(seed, sizes.services, setup.length);
-    let crowds = crowds::draw(seed, sizes.gateways, setup.length);
-    let (mut broken, over_limits, ()) = tokio::join!(
-        play(&world, &faults),
-        play_limits(&world, &limits),
-        crowds::play(&world, crowds)
-    );
-    broken.extend(over_limits);
-    broken.extend(world.over_memory(seed));
-    tokio::time::sleep(SETTLE).await;
-    world.is_calm.store(true, Ordering::SeqCst);
-    tokio::time::sleep(CALM).await;
-    world.is_over.store(true, Ordering::SeqCst);
-    broken.extend(tasks::join_all(callers).await);
-    judge(&world, broken, folder)
-}
-
-/// Notes the most memory in use; ends the seed before it takes more than it may.
-async fn watch_memory(world: Arc<World>) {
-    while !world.is_over() {
-        let used_kb = memory::resident_kb(std::process::id()) + world.gateways_kb();
-        world.most_kb.fetch_max(used_kb, Ordering::SeqCst);
-        if used_kb > memory::limit_kb() {
-            world.is_over.store(true, Ordering::SeqCst);
-            world.gateways().iter_mut().for_each(Process::kill);
-            panic!("{used_kb} kB in use, more than half of the machine's memory");
-        }
-        tokio::time::sleep(MEMORY_LOOK).await;
-    }
+    pub(crate) is_calm: AtomicBool,
+    pub(crate) is_over: AtomicBool,
 }
 
 /// The entry of an engine, which is reached through a link.
@@ -149,8 +97,10 @@
     entry
 }
 
-async fn start(binary: &Path, seed: u64, folder: &Path, count: u8) -> World {
-    let site = Site::start(2, 20).await;
+/// Starts a site and its gateways, and waits until they are ready.
+pub async fn start(setup: &Setup, seed: u64, folder: &Path) -> World {
+    let count = setup.gateways;
+    let site = Site::start(setup.engines_a_zone, STEP_MS).await;
     site.store.put("op/config", &config_for(usize::from(count), 3, &[]));
     let mut engine_links = Vec::new();
     for (index, engine) in site.engines.iter().enumerate() {
@@ -170,10 +120,11 @@
     let store_link = Proxy::start(site.store.addr).await;
     let run = (std::process::id() % 100) as u8;
     let network = [127, 101 + run, (seed % 256) as u8];
-    let limits = crowds::is_crowded(seed).then_some(crowds::MACHINE);
-    let place = Place { network, base_port: 20_000, limits };
+    let place = Place { network, base_port: 20_000, limits: setup.machine };
     let gateways: Vec<Process> = (0..count)
-        .map(|number| Process::start(binary, folder, number, place, store_link.addr, &[0, 1, 2]))
+        .map(|number| {
+            Process::start(&setup.binary, folder, number, place, store_link.addr, &[0, 1, 2])
+        })
         .collect();
     for gateway in &gateways {
         wait_for("a gateway is ready", async || gateway.is_ready().await).await;
@@ -185,12 +136,15 @@
         store_link,
         fronts,
         place,
+        pause: setup.pause,
         cut: Mutex::default(),
         copies: Mutex::default(),
         gateways: Mutex::new(gateways),
         stopping: Mutex::default(),
         history: Mutex::default(),
+        broken: Mutex::default(),
         most_kb: AtomicU64::new(0),
+        most: Mutex::default(),
         outcomes: Mutex::default(),
         next_id: AtomicU64::new(1),
         version: AtomicU64::new(10),
@@ -210,44 +164,9 @@
     config
 }
 
-/// Begins and ends each fault at its time; a fault may begin while others last. Returns what went
-/// wrong with that.
-async fn play(world: &Arc<World>, faults: &[Timed]) -> Vec<String> {
-    let start = Instant::now();
-    let mut playing = JoinSet::new();
-    for timed in faults.iter().copied() {
-        let world = Arc::clone(world);
-        playing.spawn(async move {
-            tokio::time::sleep_until(start + timed.at).await;
-            let from = Instant::now();
-            let old = world.begin(timed.fault);
-            tokio::time::sleep_until(start + timed.at + timed.lasts).await;
-            world.end(timed.fault, old).await;
-            world.remember(timed.fault, Span { from, until: Instant::now() });
-        });
-    }
-    tasks::join_all(playing).await
-}
-
-/// Has services name their rates; returns which were not kept to.
-async fn play_limits(world: &World, limits: &[Limit]) -> Vec<String> {
-    let start = Instant::now();
-    let play = async |limit: &Limit| {
-        let service = &world.site.services[limit.service];
-        tokio::time::sleep_until(start + limit.at).await;
-        let from = Instant::now();
-        service.signal(limit.signals());
-        tokio::time::sleep_until(start + limit.at + limit.lasts).await;
-        service.signal(Signals::default());
-        signals::check(limit, Span { from, until: Instant::now() }, &service.seen())
-    };
-    let played = futures_util::future::join_all(limits.iter().map(play)).await;
-    played.into_iter().flatten().collect()
-}
-
 impl World {
     /// Begins a fault; returns the process that it told to stop, if it was one and ran.
-    fn begin(&self, fault: Fault) -> Option<u32> {
+    pub(crate) fn begin(&self, fault: Fault) -> Option<u32> {
         let mut gateways = self.gateways();
         match fault {
             Fault::Kill(index) => gateways[index].kill(),
@@ -286,7 +205,7 @@
         None
     }
 
-    async fn end(&self, fault: Fault, old: Option<u32>) {
+    pub(crate) async fn end(&self, fault: Fault, old: Option<u32>) {
         match fault {
             Fault::Kill(index) => self.restart(index, None).await,
             Fault::Stop(index) => {
@@ -346,7 +265,7 @@
     }
 
     /// Keeps what the checks need to know of a fault that has ended.
-    fn remember(&self, fault: Fault, span: Span) {
+    pub(crate) fn remember(&self, fault: Fault, span: Span) {
         let mut history = self.history.lock().expect("no holder panics");
         match fault {
             Fault::EngineLink(index, _) | Fault::Engine(index, engine::Fault::Dark) => {
@@ -435,6 +354,9 @@
                 let mut gateways = self.gateways();
                 let gateway = &mut gateways[index];
                 gateway.signal(libc::SIGCONT);
+                if let Some(status) = gateway.take_end() {
+                    self.check_planned(gateway, status);
+                }
                 if gateway.has_ended() {
                     gateway.restart();
                     return;
@@ -460,25 +382,60 @@
         random.choice(self.stopping.lock().expect("no holder panics").iter().copied())
     }
 
-    fn gateways(&self) -> MutexGuard<'_, Vec<Process>> {
+    pub(crate) fn gateways(&self) -> MutexGuard<'_, Vec<Process>> {
         self.gateways.lock().expect("no holder panics")
     }
 
-    /// The gateways that took more memory than their machines have where crowds come.
-    fn over_memory(&self, seed: u64) -> Vec<String> {
-        if !crowds::is_crowded(seed) {
-            return Vec::new();
+    /// What the machine of each gateway has, if the settings say it.
+    pub(crate) fn machine(&self) -> Option<Limits> {
+        self.place.limits
+    }
+
+    /// Whether a gateway was told to stop and has not been started again.
+    pub(crate) fn is_stopping(&self, index: usize) -> bool {
+        self.stopping.lock().expect("no holder panics").contains(&index)
+    }
+
+    /// Checks how a process ended that was told to stop.
+    fn check_planned(&self, gateway: &Process, status: ExitStatus) {
+        if !status.success() && status.signal() != Some(libc::SIGTERM) {
+            self.note_broken(processes::say_end(gateway, "in its planned stop", status));
         }
-        let limit_kb = crowds::MACHINE.memory_mb << 10;
-        let gateways = self.gateways();
-        let peaks = gateways.iter().filter_map(|gateway| Some((gateway.number, gateway.pid()?)));
-        let peaks = peaks.map(|(number, pid)| (number, memory::peak_kb(pid)));
-        let over = peaks.filter(|(_, peak_kb)| *peak_kb > limit_kb);
-        over.map(|(number, peak_kb)| format!("gateway {number} took {peak_kb} of {limit_kb} kB"))
-            .collect()
     }
 
-    fn gateways_kb(&self) -> u64 {
+    /// Keeps a promise that broke besides what callers saw.
+    pub(crate) fn note_broken(&self, broken: String) {
+        self.broken.lock().expect("no holder panics").push(broken);
+    }
+
+    /// Keeps what a gateway took, if none took more.
+    pub(crate) fn note_most(&self, used: Most) {
+        let mut most = self.most.lock().expect("no holder panics");
+        most.memory_kb = most.memory_kb.max(used.memory_kb);
+        most.descriptors = most.descriptors.max(used.descriptors);
+    }
+
+    /// The most that one gateway took.
+    pub(crate) fn most(&self) -> Most {
+        *self.most.lock().expect("no holder panics")
+    }
+
+    /// Makes it ready for another round; returns the names of all requests of the last one.
+    pub(crate) fn forget_round(&self) -> Vec<String> {
+        *self.history.lock().expect("no holder panics") = History::default();
+        *self.most.lock().expect("no holder panics") = Most::default();
+        self.is_calm.store(false, Ordering::SeqCst);
+        self.is_over.store(false, Ordering::SeqCst);
+        let outcomes = std::mem::take(&mut *self.outcomes.lock().expect("no holder panics"));
+        outcomes.into_iter().map(|outcome| outcome.id).collect()
+    }
+
+    /// What broke besides what callers saw, since the last time that this was asked.
+    pub(crate) fn take_broken(&self) -> Vec<String> {
+        std::mem::take(&mut *self.broken.lock().expect("no holder panics"))
+    }
+
+    pub(crate) fn gateways_kb(&self) -> u64 {
         self.gateways().iter().filter_map(Process::pid).map(memory::resident_kb).sum()
     }
 
@@ -502,11 +459,11 @@
         self.is_calm.load(Ordering::SeqCst)
     }
 
-    /// What all engines worked on, by request.
-    fn works(&self) -> Works {
+    /// What all engines worked on since the last time that this was asked, by request.
+    pub(crate) fn works(&self) -> Works {
         let mut works = Works::new();
         for (index, engine) in self.site.engines.iter().enumerate() {
-            for work in engine.works() {
+            for work in engine.take_works() {
                 let until = work.ended.unwrap_or_else(std::time::Instant::now);
                 let span = Span { from: work.began.into(), until: until.into() };
                 works.entry(work.id).or_default().push((index, span));
@@ -515,19 +472,19 @@
         works
     }
 
-    /// What all upstreams ran.
-    fn runs(&self) -> Vec<Run> {
+    /// What all upstreams ran since the last time that this was asked.
+    pub(crate) fn runs(&self) -> Vec<Run> {
         let engines = self.site.engines.iter().enumerate();
         let of_engines = engines.flat_map(|(index, engine)| {
             engine
-                .seen()
+                .take_seen()
                 .into_iter()
                 .filter(|seen| seen.ran)
                 .map(move |seen| new_run(&seen.request, Target::Engine(index)))
         });
         let services = self.site.services.iter().enumerate();
         let of_services = services.flat_map(|(index, service)| {
-            let ran = service.seen().into_iter().filter(|seen| seen.ran);
+            let ran = service.take_seen().into_iter().filter(|seen| seen.ran);
             ran.map(move |seen| new_run(&seen.request, Target::Service(index)))
         });
         of_engines.chain(of_services).collect()
@@ -538,22 +495,3 @@
     let id = request.header("x-request-id").unwrap_or_default().to_owned();
     Run { id, path: request.path().to_owned(), upstream }
 }
-
-fn judge(world: &World, broken: Vec<String>, folder: PathBuf) -> Report {
-    let most_kb = world.most_kb.load(Ordering::SeqCst);
-    let mut report = Report { broken, most_kb, folder, ..Report::default() };
-    for (index, gateway) in world.gateways().iter_mut().enumerate() {
-        if gateway.has_ended() {
-            report.broken.push(format!("gateway {index} ended and was not told to"));
-        }
-    }
-    let outcomes = world.outcomes.lock().expect("no holder panics");
-    let history = world.history.lock().expect("no holder panics");
-    checks::check(&outcomes, &world.runs(), &history, &mut report);
-    report.broken.extend(works::check(&outcomes, world.works(), &history));
-    world.gateways().clear();
-    if report.broken.is_empty() {
-        let _ = std::fs::remove_dir_all(&report.folder);
-    }
-    report
-}
