The soak's surroundings go wrong: settings, ports, output, signals, a key, odd entries in the store

The postmortem of processes that end by themselves lists "the soak with such surroundings" as not run: its faults were upstreams, links, the store and whole processes. Beside these, a seed now draws, with a salt of its own (a seed keeps the faults that it had): settings that are missing, empty or cut while a gateway starts or gets SIGHUP; a port of a gateway that another holds as it starts; output that nobody reads, whose reader has left, or whose file can't grow; ten signals that mean nothing to it; a revoked key, which the callers of calls that may be repeated use; and odd entries in the store that come and go, or stay until everything had to be served: values (200,000 deep, 1e400, 2^64-1, 5,000 digits, odd addresses and states, no JSON, no UTF-8, empty, long, fields twice) of an unknown worker, of a sound engine's own entry and among the system's own entries; odd keys (blank, `+`, `#`, `&`, `%20`, `?`, `=`, beyond ASCII), among the workers and outside of them; and entries that point at a gateway's front, its port for peers, the store, or another worker.

--- a/tests/fakes/src/lib.rs
+++ b/tests/fakes/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod footprint;
 pub mod http;
 pub mod links;
+pub mod output;
 pub mod peer_links;
 pub mod process;
 pub mod proxy;
--- a/tests/fakes/src/store.rs
+++ b/tests/fakes/src/store.rs
@@ -188,8 +188,13 @@
 
     /// Writes an item, as the operator or an upstream does.
     pub fn put(&self, key: &str, value: &Value) -> u64 {
+        self.put_bytes(key, value.to_string().into_bytes())
+    }
+
+    /// Writes an item that need not be JSON.
+    pub fn put_bytes(&self, key: &str, value: Vec<u8>) -> u64 {
         let mut items = self.lock();
-        let revision = items.put(key, value.to_string().into_bytes(), 0);
+        let revision = items.put(key, value, 0);
         drop(items);
         self.changed.send_modify(|count| *count += 1);
         revision
--- a/tests/soak/src/callers.rs
+++ b/tests/soak/src/callers.rs
@@ -7,7 +7,7 @@
 
 use siskinrock_fakes::caller::{self, Call};
 use siskinrock_fakes::http::{Connection, Message};
-use siskinrock_fakes::site::{self, KEY};
+use siskinrock_fakes::site::{self, KEY, SECOND_KEY};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -70,7 +70,8 @@
         path: path.to_owned(),
         host: site::HOST.to_owned(),
         id: world.new_id(),
-        key: Some(KEY.to_owned()),
+        // The second key is revoked at times.
+        key: Some(if *kind == Kind::Look { SECOND_KEY } else { KEY }.to_owned()),
         deadline_ms: deadline.as_millis() as u64,
         last_event: None,
         resumes: None,
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -8,6 +8,7 @@
 
 use siskinrock_fakes::site;
 use siskinrock_soak::checks::Report;
+use siskinrock_soak::odd::Without;
 use siskinrock_soak::rounds;
 use siskinrock_soak::world::Setup;
 use tokio::runtime::Runtime;
@@ -34,6 +35,8 @@
   --first N          the first seed [1]
   --length-ms N      how long faults are injected in each [8000]
   --gateways N       how many gateways, 120 at most [4]
+  --without-odd-keys       leave out entries of the store whose keys are odd
+  --without-odd-addresses  leave out those that point at what is no worker of their own
   --minutes N        play seeds for so long over the same processes, which are kept to the
                      memory and descriptors of the platform's machines, with few callers
 ";
@@ -56,6 +59,10 @@
         gateways: arguments.opt_value_from_fn("--gateways", gateways)?.unwrap_or(4),
         engines_a_zone: minutes.map_or(ENGINES_A_ZONE, |_| MOST_ENGINES_A_ZONE),
         machine: minutes.map(|_| site::MACHINE),
+        without: Without {
+            keys: arguments.contains("--without-odd-keys"),
+            addresses: arguments.contains("--without-odd-addresses"),
+        },
         pause: minutes.map_or(PAUSE, |_| LONG_PAUSE),
     };
     Ok(Plan {
--- a/tests/soak/src/rounds.rs
+++ b/tests/soak/src/rounds.rs
@@ -17,7 +17,7 @@
 use crate::history::Span;
 use crate::signals::{self, Limit};
 use crate::world::{self, Setup, World};
-use crate::{callers, crowds, memory, processes, tasks, works};
+use crate::{callers, crowds, memory, processes, surroundings, tasks, works};
 
 /// How long after the last fault everything must be served again: an engine that was lost is kept
 /// out for five seconds unless it is asked.
@@ -93,7 +93,10 @@
     for index in faults::draw_engines_that_work_on(seed, sizes) {
         world.site.engines[index].work_on();
     }
-    let listed: String = faults.iter().map(|timed| format!("{timed:?}\n")).collect();
+    let surroundings = surroundings::draw(seed, sizes, setup.length, setup.without);
+    let listed = faults.iter().map(|timed| format!("{timed:?}\n"));
+    let listed: String =
+        listed.chain(surroundings.iter().map(|timed| format!("{timed:?}\n"))).collect();
     std::fs::write(folder.join(format!("faults-{seed}.txt")), listed)
         .expect("the folder can be written");
     for service in &world.site.services {
@@ -104,12 +107,14 @@
     callers.spawn(processes::watch(Arc::clone(world)));
     let limits = signals::draw(seed, sizes.services, setup.length);
     let crowds = crowds::draw(seed, sizes.gateways, setup.length);
-    let (mut broken, over_limits, ()) = tokio::join!(
+    let (mut broken, over_limits, (), surrounded) = tokio::join!(
         play(world, &faults),
         play_limits(world, &limits),
-        crowds::play(world, crowds)
+        crowds::play(world, crowds),
+        surroundings::play(world, surroundings)
     );
     broken.extend(over_limits);
+    broken.extend(surrounded);
     tokio::time::sleep(SETTLE).await;
     world.is_calm.store(true, Ordering::SeqCst);
     tokio::time::sleep(CALM).await;
--- a/tests/soak/src/world.rs
+++ b/tests/soak/src/world.rs
@@ -22,6 +22,7 @@
 use crate::checks::{Outcome, Run};
 use crate::faults::Fault;
 use crate::history::{History, Span, Target};
+use crate::odd::Without;
 use crate::processes::Most;
 use crate::works::Works;
 use crate::{memory, processes};
@@ -58,6 +59,8 @@
     pub machine: Option<Limits>,
     /// The pause between two requests of a caller.
     pub pause: Duration,
+    /// The kinds of odd entries that don't come.
+    pub without: Without,
 }
 
 /// A running site and what has happened on it.
@@ -73,6 +76,10 @@
     pub pause: Duration,
     /// Gateways that reach no upstream.
     cut: Mutex<BTreeSet<usize>>,
+    /// Odd entries that stay until the round is over.
+    odd_keys: Mutex<Vec<String>>,
+    /// Whether the second key is in force.
+    has_second_key: AtomicBool,
     /// Copies from which the store is to come back.
     copies: Mutex<Vec<store::Copy>>,
     /// Gateways that were told to stop and have not been started again, once for each order.
@@ -101,7 +108,7 @@
 pub async fn start(setup: &Setup, seed: u64, folder: &Path) -> World {
     let count = setup.gateways;
     let site = Site::start(setup.engines_a_zone, STEP_MS).await;
-    site.store.put("op/config", &config_for(usize::from(count), 3, &[]));
+    site.store.put("op/config", &config_for(usize::from(count), 3, true, &[]));
     let mut engine_links = Vec::new();
     for (index, engine) in site.engines.iter().enumerate() {
         let link = Proxy::start(engine.addr).await;
@@ -123,7 +130,14 @@
     let place = Place { network, base_port: 20_000, limits: setup.machine };
     let gateways: Vec<Process> = (0..count)
         .map(|number| {
-            Process::start(&setup.binary, folder, number, place, store_link.addr, &[0, 1, 2])
+            let store = store_link.addr;
+            let mut process = Process::new(&setup.binary, folder, number, place, store, &[0, 1, 2]);
+            // The others write to files.
+            if number % 2 == 1 {
+                process.pipe_output();
+            }
+            process.restart();
+            process
         })
         .collect();
     for gateway in &gateways {
@@ -138,6 +152,8 @@
         place,
         pause: setup.pause,
         cut: Mutex::default(),
+        odd_keys: Mutex::default(),
+        has_second_key: AtomicBool::new(true),
         copies: Mutex::default(),
         gateways: Mutex::new(gateways),
         stopping: Mutex::default(),
@@ -154,8 +170,10 @@
 }
 
 /// A configuration under which each gateway's share of a service's connections serves its callers.
-fn config_for(gateways: usize, version: u64, more: &[&str]) -> Value {
-    let mut config = site::config(version, &[KEY, SECOND_KEY], more);
+fn config_for(gateways: usize, version: u64, has_second_key: bool, more: &[&str]) -> Value {
+    let keys = [KEY, SECOND_KEY];
+    let keys = if has_second_key { &keys[..] } else { &keys[..1] };
+    let mut config = site::config(version, keys, more);
     for service in config["backends"].as_array_mut().into_iter().flatten() {
         let least = (gateways * CONNECTIONS_A_GATEWAY) as u64;
         let most = service["max-connections"].as_u64().unwrap_or_default().max(least);
@@ -333,7 +351,7 @@
         }
     }
 
-    fn list(&self, index: usize, state: &str) {
+    pub(crate) fn list(&self, index: usize, state: &str) {
         let engine = &self.site.engines[index];
         let entry = engine_entry(&self.site, index, &self.engine_links[index], state);
         self.site.store.put(&format!("servers/{}", engine.current_id()), &entry);
@@ -342,7 +360,40 @@
     fn configure(&self) {
         let version = self.version.fetch_add(3, Ordering::SeqCst);
         let name = format!("more-{version}");
-        self.site.store.put("op/config", &config_for(self.fronts.len(), version, &[&name]));
+        let has_second_key = self.has_second_key.load(Ordering::SeqCst);
+        let config = config_for(self.fronts.len(), version, has_second_key, &[&name]);
+        self.site.store.put("op/config", &config);
+    }
+
+    /// Gives or revokes the second key.
+    pub(crate) fn set_second_key(&self, is_given: bool) {
+        self.has_second_key.store(is_given, Ordering::SeqCst);
+        self.configure();
+    }
+
+    /// Where an engine is listed.
+    pub(crate) fn engine_addr(&self, index: usize) -> SocketAddr {
+        self.engine_links[index].addr
+    }
+
+    /// Writes what it likes as an engine's own entry.
+    pub(crate) fn put_engine(&self, index: usize, value: Vec<u8>) {
+        let id = self.site.engines[index].current_id();
+        self.site.store.put_bytes(&format!("servers/{id}"), value);
+    }
+
+    /// Leaves odd entries in the store until the round is over.
+    pub(crate) fn keep_odd(&self, keys: Vec<String>) {
+        self.odd_keys.lock().expect("no holder panics").extend(keys);
+    }
+
+    pub(crate) fn remove_all(&self, keys: Vec<String>) {
+        keys.iter().for_each(|key| self.site.store.remove(key));
+    }
+
+    /// Keeps that a target was disturbed.
+    pub(crate) fn harm(&self, target: Target, span: Span) {
+        self.history.lock().expect("no holder panics").harm(target, span);
     }
 
     /// Starts a gateway again once its old process has ended, also one that ends as planned;
@@ -424,6 +475,8 @@
     pub(crate) fn forget_round(&self) -> Vec<String> {
         *self.history.lock().expect("no holder panics") = History::default();
         *self.most.lock().expect("no holder panics") = Most::default();
+        let odd_keys = std::mem::take(&mut *self.odd_keys.lock().expect("no holder panics"));
+        self.remove_all(odd_keys);
         self.is_calm.store(false, Ordering::SeqCst);
         self.is_over.store(false, Ordering::SeqCst);
         let outcomes = std::mem::take(&mut *self.outcomes.lock().expect("no holder panics"));
