A fake's process that crashes says nothing more before the first of its channels is closed

An answer without a length had ended with its channel as its service crashed; the gateway asked the service for its life and was answered ("LivesOn") on another channel, and 0.35 ms later it was gone ("Exited").

Cause, of the fake: a crash aborts the task of each connection, one after the other, and on a busy machine one of them still reads and answers after another was closed. A real process answers nothing after the first of its sockets was closed. Now its connections fall silent first, and are closed then: a question that was asked after a channel was seen to end finds the mark, whatever the order.

The gateway is not changed.

--- a/tests/fakes/src/http.rs
+++ b/tests/fakes/src/http.rs
@@ -81,6 +81,7 @@
     /// Ends it: every connection ends, and nothing listens any more.
     pub fn crash(&self) {
         if let Some(process) = self.set(None) {
+            self.links.fall_silent();
             process.abort();
         }
     }
--- a/tests/fakes/src/links.rs
+++ b/tests/fakes/src/links.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::os::fd::{AsRawFd, RawFd};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use tokio::net::{TcpListener, TcpStream};
@@ -35,6 +36,8 @@
     connections: BTreeMap<RawFd, Ipv4Addr>,
     cut: Vec<Ipv4Addr>,
     how: Option<Cut>,
+    /// Whether the process that listens has ended; its successor has another one.
+    ended: Arc<AtomicBool>,
 }
 
 /// The links of one fake; cloning shares them.
@@ -50,6 +53,7 @@
     links: Links,
     fd: RawFd,
     source: Ipv4Addr,
+    ended: Arc<AtomicBool>,
 }
 
 impl Links {
@@ -76,6 +80,12 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Has nothing more said over the present connections: their process has ended, and they are closed
+    /// one after the other.
+    pub(crate) fn fall_silent(&self) {
+        self.lock().ended.store(true, Ordering::SeqCst);
+    }
+
     /// Serves each connection by `serve` until the handle is aborted.
     pub async fn listen<F, R>(
         &self,
@@ -103,13 +113,15 @@
         let addr = listener.local_addr().expect("a listener has an address");
         let links = self.clone();
         let guard = ListenerGuard::new(links.clone(), &listener);
+        let ended = Arc::new(AtomicBool::new(false));
+        self.lock().ended = Arc::clone(&ended);
         let task = tokio::spawn(async move {
             let _guard = guard;
             let mut connections = tokio::task::JoinSet::new();
             loop {
                 tokio::select! {
                     accepted = listener.accept() => if let Ok((stream, peer)) = accepted {
-                        let link = links.add(&stream, peer);
+                        let link = links.add(&stream, peer, Arc::clone(&ended));
                         connections.spawn(serve(stream, link));
                     },
                     Some(_) = connections.join_next() => {}
@@ -119,7 +131,7 @@
         (addr, task)
     }
 
-    fn add(&self, stream: &TcpStream, peer: SocketAddr) -> Link {
+    fn add(&self, stream: &TcpStream, peer: SocketAddr, ended: Arc<AtomicBool>) -> Link {
         let source = match peer.ip() {
             IpAddr::V4(source) => source,
             IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
@@ -128,13 +140,16 @@
         // It inherited the listener's filter.
         set_filter(fd, &[PASS]);
         self.lock().connections.insert(fd, source);
-        Link { links: self.clone(), fd, source }
+        Link { links: self.clone(), fd, source, ended }
     }
 }
 
 impl Link {
-    /// Waits while nothing passes.
+    /// Waits while nothing passes: for ever, if the process at this end has ended.
     pub async fn wait_until_passing(&self) {
+        if self.ended.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
         let mut changed = self.links.changed.subscribe();
         while self.is_hanging() {
             // The links keep the sender.
