Numbers of callers, upstreams and of peers' usage are bounded as they are read

What callers saw: on a build with checks for overflow, a stream that says it has 2^64-1 tokens panicked its own task on the thread for traffic and got no answer; a release build wraps silently, so that sums that decide about placement are wrong for as long as such a request is counted, and `Keep-Alive: timeout=` of an upstream wraps to a wrong time.

The sums are as old as what they sum. Class: a reader that trusts numbers from outside.

Change: `gateway/bounds.rs` (from `loads/`, now for all) bounds tokens (2^40), lengths of time (a year), clocks (2^48 ms) and requests (2^32) as they are read, in both dialects and in `UsageUpdate`. A header's number that isn't finite is none. Ids of events are compared and not summed (`checked_add`, `saturating_add`), since a caller's Last-Event-Id goes on to the upstream as it came. Retry-After of over a year ends after a year; that is the one answer that changes. The stand-in of an upstream adds to a Last-Event-Id without overflow.

The two tests of what is read (`numbers_of_callers_and_upstreams_...`, `usage_of_other_instances_...`) pass on this; they were not run on the code before.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -11,6 +11,7 @@
 use hyper::header::HeaderName;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::bounds;
 use super::rate::Rate;
 
 /// What a caller says of its request.
@@ -168,7 +169,7 @@
     /// Requests that have made nothing yet: they wait, or their prompts are being read.
     pub fn unstarted(&self) -> u64 {
         let running = self.runs.as_ref().map_or(0, Vec::len) as u64;
-        self.waiting + self.active.saturating_sub(running)
+        self.waiting.saturating_add(self.active.saturating_sub(running))
     }
 }
 
@@ -188,15 +189,30 @@
     headers.get(name)?.to_str().ok()
 }
 
-/// A header's number; a fraction is cut off.
+/// A header's number; a fraction is cut off, and what isn't finite is none.
 pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
-    text(headers, name)?.trim().parse::<f64>().ok().map(|value| value as u64)
+    let number = text(headers, name)?.trim().parse::<f64>().ok()?;
+    number.is_finite().then_some(number as u64)
+}
+
+/// A header's length of time in milliseconds.
+pub fn time_ms(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    number(headers, name).map(bounds::time_ms_of)
+}
+
+/// A number of tokens as text; 0 if there is none.
+pub fn tokens(text: &str) -> u64 {
+    /// More digits than a number has that is told apart.
+    const MANY: usize = 20;
+    let text = text.trim();
+    let is_large = text.len() >= MANY && text.bytes().all(|digit| digit.is_ascii_digit());
+    bounds::tokens_of(if is_large { u64::MAX } else { text.parse().unwrap_or(0) })
 }
 
 /// A header's time in seconds, which may have a fraction.
 pub fn seconds_ms(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     let seconds = text(headers, name)?.trim().parse::<f64>().ok()?;
-    seconds.is_finite().then_some((seconds * 1_000.0) as u64)
+    seconds.is_finite().then_some(bounds::time_ms_of((seconds * 1_000.0) as u64))
 }
 
 /// Whether a name is that of a field about a channel, which heads alone hold.
@@ -216,7 +232,8 @@
     let value = text(headers, &HeaderName::from_static("keep-alive"))?;
     let mut fields = value.split(',').filter_map(|field| field.trim().split_once('='));
     let seconds = fields.find(|(name, _)| *name == "timeout")?.1;
-    Some(seconds.trim().parse::<u64>().ok()? * 1_000)
+    let keep_ms = seconds.trim().parse::<u64>().ok()?.saturating_mul(1_000);
+    Some(bounds::time_ms_of(keep_ms))
 }
 
 /// A field of a query.
--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -6,7 +6,6 @@
 //! messages of one instance nor the traffic between domains grow with the fleet. The time to apply a
 //! message depends on its own length. See [docs/DESIGN.md](../../../docs/DESIGN.md).
 
-mod bounds;
 mod cache_locations;
 mod local_traffic;
 mod message;
--- a/src/gateway/native/wire.rs
+++ b/src/gateway/native/wire.rs
@@ -8,9 +8,10 @@
 use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue, RETRY_AFTER};
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::bounds;
 use crate::gateway::dialect::{
     self, Copy, Demand, Dialect, Dispatch, EngineState, Load, Marks, PromptPart, Question, number,
-    text,
+    text, time_ms,
 };
 use crate::gateway::rate::Rate;
 
@@ -85,16 +86,17 @@
 impl Dialect for Wire {
     fn demand(&self, headers: &HeaderMap) -> Demand {
         let bearer = text(headers, &AUTHORIZATION).and_then(|value| value.strip_prefix("Bearer "));
-        let prompt_tokens = number(headers, &PROMPT_TOKENS).unwrap_or(0);
+        let tokens = |name: HeaderName| bounds::tokens_of(number(headers, &name).unwrap_or(0));
+        let prompt_tokens = tokens(PROMPT_TOKENS);
         let own = text(headers, &PROMPT_PART).map(|name| PromptPart::new(name, prompt_tokens));
         Demand {
             id: text(headers, &REQUEST_ID).map(Arc::from),
-            deadline_ms: number(headers, &DEADLINE_MS),
+            deadline_ms: time_ms(headers, &DEADLINE_MS),
             key: bearer.map(Arc::from),
             last_event: number(headers, &LAST_EVENT),
             resumes: text(headers, &RESUMES).map(Arc::from),
             prompt_tokens,
-            output_tokens: number(headers, &OUTPUT_TOKENS).unwrap_or(0),
+            output_tokens: tokens(OUTPUT_TOKENS),
             prompt_parts: own.into_iter().collect(),
             shared_parts: Vec::new(),
         }
--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -269,8 +269,9 @@
     /// Clears a request that was served: completely if `event` is `None`, otherwise if it got far
     /// enough past the last crash.
     pub fn clear_served(&mut self, fingerprint: Fingerprint, event: Option<u64>, now_ms: u64) {
-        let is_beyond =
-            |crashed: u64| event.is_none_or(|event| event >= crashed + MIN_CLEARING_EVENTS);
+        let is_beyond = |crashed: u64| {
+            event.is_none_or(|event| event >= crashed.saturating_add(MIN_CLEARING_EVENTS))
+        };
         let is_served = |crash: &Crash| crash.fingerprint == fingerprint && is_beyond(crash.event);
         self.pending.retain(|crash| !is_served(crash));
         if self.records.get(&fingerprint).is_some_and(|record| is_beyond(record.event)) {
@@ -293,7 +294,7 @@
         // Keep the empty record with its new epoch: it makes crashes that peers still report
         // obsolete.
         *record = record::Record {
-            epoch: record.epoch + 1,
+            epoch: record.epoch.saturating_add(1),
             changed_ms: now_ms,
             ..record::Record::default()
         };
--- a/src/gateway/policy/usage.rs
+++ b/src/gateway/policy/usage.rs
@@ -13,6 +13,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::super::bounds;
+
 /// Length of a slot. A slot belongs to one window as a whole, so the error at the edges of a window
 /// of several seconds is a few percent.
 pub const SLOT_MS: u64 = 100;
@@ -35,10 +37,13 @@
     /// Its incarnation.
     pub incarnation: u64,
     /// Its monotonic clock when it sent this update.
+    #[serde(deserialize_with = "bounds::clock_ms")]
     pub monotonic_ms: u64,
     /// Its wall clock when it sent this update.
+    #[serde(deserialize_with = "bounds::clock_ms")]
     pub wall_ms: u64,
     /// Its counts, by slot of its monotonic clock.
+    #[serde(deserialize_with = "bounds::slots")]
     pub slots: BTreeMap<u64, Counts>,
 }
 
--- a/src/gateway/stream/crashes.rs
+++ b/src/gateway/stream/crashes.rs
@@ -60,7 +60,8 @@
     /// Reports that the run has progressed beyond the point at which engines crashed.
     pub(super) fn clear_crashes_if_beyond(&mut self) {
         let is_beyond = |crashed: &u64| {
-            self.last_event.is_some_and(|event| event >= crashed + MIN_CLEARING_EVENTS)
+            self.last_event
+                .is_some_and(|event| event >= crashed.saturating_add(MIN_CLEARING_EVENTS))
         };
         if self.last_crash_event.take_if(|crashed| is_beyond(crashed)).is_some() {
             self.unjudged_crashes.clear();
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -324,7 +324,7 @@
     pub(super) async fn forward_event(&mut self, event: Event) -> Option<Outcome> {
         let now_ms = self.traffic.now_ms();
         if let (Some(id), Some(last)) = (event.id, self.last_event)
-            && id != last + 1
+            && last.checked_add(1) != Some(id)
         {
             return Some(lost_run(format!("event {id} came after {last}"), LossCause::EngineAlive));
         }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -295,7 +295,7 @@
     /// Records how long the first event took, or for how long it was awaited before the attempt was
     /// abandoned.
     pub fn note_first_event_wait(&self, job: &Job, waited_ms: u64) {
-        let waited_us = waited_ms * 1_000;
+        let waited_us = waited_ms.saturating_mul(1_000);
         let Some(us_per_token) = waited_us.checked_div(job.demand.prompt_tokens) else { return };
         let mut known = self.first_event_us_per_token.borrow_mut();
         known.entry(Arc::clone(&job.service)).or_default().record(us_per_token);
@@ -330,7 +330,10 @@
         let engine = service.and_then(|service| service.engine.as_ref());
         let Some(event_tokens) = engine.and_then(|engine| engine.event_tokens) else { return };
         let mut lengths = self.output_lengths.borrow_mut();
-        lengths.entry(Arc::clone(&job.service)).or_default().record(events * event_tokens);
+        lengths
+            .entry(Arc::clone(&job.service))
+            .or_default()
+            .record(events.saturating_mul(event_tokens));
     }
 
     /// How long after sending the first event is overdue, after `attempts` earlier attempts.
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -662,7 +662,7 @@
             self.crash(&bad_part);
             return std::future::pending().await;
         }
-        for number in last.unwrap_or(0) + 1..=EVENTS {
+        for number in last.unwrap_or(0).saturating_add(1)..=EVENTS {
             self.pause(self.step_ms, connection).await?;
             if self.lock().stopped.contains(id) {
                 return Err(std::io::ErrorKind::BrokenPipe.into());
--- a/tests/processes/hostile.rs
+++ b/tests/processes/hostile.rs
@@ -1,23 +1,29 @@
 //! Messages that are damaged: an instance drops them, logs no panic, and serves on.
 
 use std::cell::Cell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
+use hyper::HeaderMap;
+use hyper::header::{HeaderName, HeaderValue};
 use siskinrock::gateway::control::fetch::{CONFIG_PATH, LIST_PATH};
+use siskinrock::gateway::dialect::Dialect;
 use siskinrock::gateway::loads::{SentRequests, UpstreamLoad};
 use siskinrock::gateway::membership::{self, Message, Phase};
 use siskinrock::gateway::metrics::Metrics;
+use siskinrock::gateway::native;
+use siskinrock::gateway::policy::usage::{Usage, UsageUpdate, Window};
 use siskinrock::gateway::tasks;
 use siskinrock::log;
+use siskinrock::platform;
 use siskinrock_fakes::caller::{self, Call};
 use siskinrock_fakes::process::wait_for;
 use siskinrock_fakes::site;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
 use yare::parameterized;
 
@@ -246,3 +252,129 @@
     let sent: SentRequests = rmp_serde::from_slice(&told).unwrap();
     assert!(sent.requests < u64::MAX / 1_000_000 && sent.repeats < u64::MAX / 1_000_000);
 }
+
+/// Numbers at which sums overflow, or that are none.
+const ODD_NUMBERS: [&str; 9] = [
+    "18446744073709551615",
+    "99999999999999999999999999999999",
+    "9007199254740993",
+    "1e400",
+    "-1e400",
+    "nan",
+    "-1",
+    "",
+    "0x10",
+];
+
+fn headers(fields: &[(&'static str, String)]) -> HeaderMap {
+    let fields = fields.iter().map(|(name, value)| {
+        (HeaderName::from_static(name), HeaderValue::try_from(value).unwrap())
+    });
+    fields.collect()
+}
+
+/// Guards against sums that overflow by what one caller or one upstream says.
+#[test]
+fn numbers_of_callers_and_upstreams_are_bounded_as_they_are_read() {
+    /// As many as callers may have at once, and more.
+    const REQUESTS: u64 = 1 << 20;
+    let dialects: [&dyn Dialect; 2] = [&native::wire::Wire, &platform::wire::Wire::new()];
+    for (dialect, number) in dialects.iter().flat_map(|dialect| ODD_NUMBERS.map(|n| (dialect, n))) {
+        let demand = dialect.demand(&headers(&[
+            ("x-token-usage", format!("{number},{number}")),
+            ("x-prompt-prefix", format!("a:{number},b:{number}")),
+            ("siskinrock-prompt-tokens", number.to_owned()),
+            ("siskinrock-output-tokens", number.to_owned()),
+            ("siskinrock-prompt-part", "a".to_owned()),
+            ("x-request-deadline", number.to_owned()),
+            ("siskinrock-deadline-ms", number.to_owned()),
+            ("last-event-id", number.to_owned()),
+        ]));
+        let parts = demand.prompt_parts.iter().map(|part| part.tokens);
+        for tokens in parts.chain([demand.prompt_tokens, demand.output_tokens]) {
+            assert!(tokens.checked_mul(REQUESTS).is_some(), "{number}: {tokens} tokens");
+        }
+        let marks = dialect.marks(&headers(&[
+            ("keep-alive", format!("timeout={number}")),
+            ("retry-after", number.to_owned()),
+            ("server-limit", number.to_owned()),
+            ("server-brittle", number.to_owned()),
+            ("x-server-load", format!("{number},{number},{number},{number}")),
+        ]));
+        for time_ms in [demand.deadline_ms, marks.keep_ms, marks.retry_after_ms] {
+            let bounded = time_ms.is_none_or(|time_ms| time_ms.checked_mul(REQUESTS).is_some());
+            assert!(bounded, "{number}: {time_ms:?} ms");
+        }
+    }
+}
+
+/// Guards against sums that overflow by the usage that one instance tells.
+#[test]
+fn usage_of_other_instances_is_bounded_as_it_is_read() {
+    let counts = |count: u64| BTreeMap::from([("an organisation", count)]);
+    let slots = BTreeMap::from([(u64::MAX, counts(7)), (1, counts(u64::MAX))]);
+    let mut usage = Usage::default();
+    for id in ["one", "two", "three"] {
+        let told = rmp_serde::to_vec(&(id, 1, u64::MAX, u64::MAX, &slots)).unwrap();
+        let update: UsageUpdate = rmp_serde::from_slice(&told).unwrap();
+        usage.apply(update, 5_000);
+    }
+    let cluster_ms = usage.cluster_ms(6_000);
+    let window = Window::containing(cluster_ms, 1_000);
+    assert!(window.end_ms() > cluster_ms);
+    assert!(usage.counts_in(Window { number: 0, length_ms: u64::MAX }).len() <= 1);
+}
+
+/// Guards against callers whose numbers end a thread, or cost others their answers.
+#[tokio::test]
+async fn odd_numbers_of_callers_are_borne() {
+    let ground = Ground::new().await;
+    ground.write(&ground.settings());
+    let mut running = ground.start();
+    ground.wait_until_ready().await;
+    for (order, number) in ODD_NUMBERS.into_iter().enumerate() {
+        for (path, last) in
+            [("/plan/voyage", Some(number)), ("/plan/voyage", None), ("/look/a", None)]
+        {
+            send_odd(ground.front(), order, path, number, last).await;
+        }
+    }
+    running.assert_lives("by odd numbers");
+    let log = running.log();
+    assert!(!log.contains("panicked"), "{log}");
+    let call = Call {
+        method: "POST",
+        path: "/plan/voyage".to_owned(),
+        host: site::HOST.to_owned(),
+        id: format!("{:016x}", 99),
+        key: Some(site::KEY.to_owned()),
+        deadline_ms: 5_000,
+        last_event: None,
+        resumes: None,
+        shared_parts: Vec::new(),
+        part: Some("a".to_owned()),
+        body: b"a body".to_vec(),
+    };
+    let stream = caller::stream(ground.front(), &call).await;
+    assert!(stream.is_ok_and(|stream| stream.is_complete), "{}", running.log());
+}
+
+/// Sends a request with an odd number in each of its fields, and waits for the first byte of its answer.
+async fn send_odd(front: SocketAddr, order: usize, path: &str, number: &str, last: Option<&str>) {
+    let method = if path == "/look/a" { "GET" } else { "POST" };
+    let last = last.map(|last| format!("Last-Event-Id: {last}\r\n")).unwrap_or_default();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {}\r\nX-Key: {}\r\nX-Request-Id: {order:016x}\r\n\
+         X-Request-Deadline: {number}\r\n{last}X-Token-Usage: {number},{number}\r\n\
+         X-Prompt-Prefix: aa:{number},bb:{number}\r\nKeep-Alive: timeout={number}\r\n\
+         Content-Length: 0\r\n\r\n",
+        site::HOST,
+        site::KEY,
+    );
+    let mut stream = TcpStream::connect(front).await.unwrap();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut first = [0; 12];
+    let read = tokio::time::timeout(Duration::from_secs(10), stream.read_exact(&mut first));
+    let read = read.await.unwrap_or_else(|_| panic!("{path} with {number}: no answer"));
+    assert!(read.is_ok(), "{path} with {number}: {read:?}");
+}
