--- a/tests/soak/src/surroundings.rs
+++ b/tests/soak/src/surroundings.rs
@@ -15,8 +15,8 @@
 use crate::faults::Sizes;
 use crate::history::{Span, Target};
 use crate::odd::{self, Odd, Points, Without};
-use crate::tasks;
 use crate::world::World;
+use crate::{processes, tasks};
 
 /// Makes the draw of a seed's surroundings another one than that of its faults.
 const SALT: u64 = 0x0050_7572_526f_756e;
@@ -188,7 +188,7 @@
 /// Kills a gateway and starts it again after a change of what surrounds it.
 fn restart_after<T>(world: &World, index: usize, change: impl FnOnce(&Process) -> T) -> T {
     let gateway = &mut world.gateways()[index];
-    gateway.kill();
+    processes::kill(world, gateway);
     let changed = change(gateway);
     gateway.restart();
     changed
--- a/tests/soak/tests/ends.rs
+++ b/tests/soak/tests/ends.rs
@@ -36,6 +36,12 @@
     fs::remove_dir_all(&folder).expect("it was written");
 }
 
+#[test]
+fn a_process_that_is_being_loaded_is_not_judged_by_the_descriptors_of_its_parent() {
+    assert!(!Most { memory_kb: 4, descriptors: 516 }.has_begun());
+    assert!(Most { memory_kb: 4_096, descriptors: 516 }.has_begun());
+}
+
 #[test]
 fn a_gateway_that_takes_more_than_its_machine_has_is_told() {
     let within = Most { memory_kb: 260 << 10, descriptors: 4_100 };
