The router's and the operators' calls read answers within a size, and escape keys

What callers saw: nothing yet; found by reading for the class of the odd keys, a reader that relies on its writers. An answer of any length by the store, a peer, an engine or a service filled the memory of `siskinrock router`, and of `siskinrock ctl` by the router.

Cause: `reqwest`'s `json()` and `bytes()` read to the end; where there was a limit (`read_answer`), it was looked at afterwards. Keys of the store went into paths as they were.

Change: `limited::read` ends at a size, before the memory is taken, and each place names its own; `HttpStore` escapes keys.

--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use crate::error::{Body, Error, Kind, Result};
+use crate::limited;
 use crate::operators::operate::{Answer, OperatorRequest};
 use crate::operators::query;
 use crate::settings::Environment;
@@ -45,6 +46,8 @@
 
 /// How long an instance may take.
 const TIMEOUT_MS: u64 = 20_000;
+/// The maximum size of an answer: a row for each upstream has a few hundred bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
 /// Accepted, but not yet in force everywhere.
 pub const EXIT_NOT_EVERYWHERE: u8 = 3;
 
@@ -132,15 +135,23 @@
         let address = call.router.clone();
         Kind::Unreachable { address, detail: error.without_url().to_string() }.into()
     };
+    let unreadable = |fault: limited::Fault| -> Error {
+        let detail = match fault {
+            limited::Fault::Broken(error) => error.without_url().to_string(),
+            fault => fault.to_string(),
+        };
+        Kind::Unreachable { address: call.router.clone(), detail }.into()
+    };
     let client = reqwest::Client::builder().no_proxy().build().map_err(unreachable)?;
     let request = client.post(format!("http://{}/v1/operator", call.router));
     let request = request.bearer_auth(&call.key).json(&call.question);
     let request = request.timeout(Duration::from_millis(TIMEOUT_MS));
     let response = request.send().await.map_err(unreachable)?;
     if response.status().is_success() {
-        return response.json().await.map_err(unreachable);
+        return limited::read_json(response, MAX_ANSWER_BYTES).await.map_err(unreadable);
     }
-    let failure: Failure = response.json().await.map_err(unreachable)?;
+    let failure: Failure =
+        limited::read_json(response, MAX_ANSWER_BYTES).await.map_err(unreadable)?;
     let Body { code, message, .. } = failure.error;
     match code.as_str() {
         "store_unknown" => Err(Kind::StoreUnknown { command_id: known_id(&message) }.into()),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod driver;
 pub mod error;
 pub mod gateway;
+pub mod limited;
 pub mod log;
 pub mod machine;
 pub mod metrics;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
 use crate::control::membership::Member;
+use crate::limited;
 use crate::records::record::{Reply, Request};
 use crate::wire::{self, Batch, Replies};
 
@@ -23,6 +24,8 @@
 const BATCHES_AT_ONCE: usize = 2;
 /// Where holders take operations.
 const RECORDS_PATH: &str = "/peer/records";
+/// The maximum size of an answer: a handover brings the records of several slots.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// The most operations in one batch.
 const BATCH_LIMIT: usize = 256;
 
@@ -90,7 +93,7 @@
         let request = request.header(wire::PEER_KEY, &*self.key).body(body);
         let sent = request.timeout(Duration::from_millis(timeout_ms)).send().await;
         let response = sent.ok()?.error_for_status().ok()?;
-        let answer = response.bytes().await.ok()?;
+        let answer = limited::read(response, MAX_ANSWER_BYTES).await.ok()?;
         self.traffic.count(sent_len, answer.len());
         wire::decode(&answer).ok()
     }
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -17,6 +17,7 @@
 use crate::gateway::policy::answer_end::Framing;
 use crate::gateway::policy::answer_head::{self, LineEnds, SoundHead, Spoilt};
 use crate::gateway::{dialect, headers};
+use crate::limited;
 use crate::metrics::Sample;
 use crate::node::Node;
 use crate::records::record::{Answer, Identity, Kind as RecordKind, Op, Outcome, Record};
@@ -381,11 +382,9 @@
     let header = response.headers().get("content-type");
     let content_type = header.and_then(|value| value.to_str().ok()).unwrap_or_default();
     let content_type = Arc::from(content_type);
-    match response.bytes().await {
-        Ok(body) if body.len() <= ANSWER_LIMIT_BYTES => {
-            SendOutcome::Answered(Answer { status, content_type, body: body.to_vec() })
-        }
-        _ => SendOutcome::Unknown,
+    match limited::read(response, ANSWER_LIMIT_BYTES).await {
+        Ok(body) => SendOutcome::Answered(Answer { status, content_type, body: body.to_vec() }),
+        Err(_) => SendOutcome::Unknown,
     }
 }
 
--- a/src/request/engine.rs
+++ b/src/request/engine.rs
@@ -11,11 +11,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::control::blackboard::Load;
+use crate::limited;
 use crate::peer;
 use crate::request::call;
 
 /// The timeout of a load poll or a cancellation.
 const CONTROL_TIMEOUT_MS: u64 = 1_000;
+/// The maximum size of an engine's answer about its load.
+const MAX_LOAD_BYTES: usize = 1 << 20;
 
 /// The request that starts a stream.
 #[derive(Debug, Clone, Serialize)]
@@ -212,7 +215,7 @@
         let request = request.timeout(Duration::from_millis(CONTROL_TIMEOUT_MS));
         Box::pin(async move {
             let response = request.send().await.ok()?.error_for_status().ok()?;
-            let body = response.bytes().await.ok()?;
+            let body = limited::read(response, MAX_LOAD_BYTES).await.ok()?;
             self.traffic.count(0, body.len());
             serde_json::from_slice(&body).ok()
         })
--- a/src/store.rs
+++ b/src/store.rs
@@ -7,9 +7,13 @@
 
 use crate::control::health::Listed;
 use crate::error::{Kind, Result};
+use crate::{limited, target};
 
 /// How long an ordinary call may take.
 const TIMEOUT_MS: u64 = 1_500;
+/// The maximum size of an answer: the configuration and the list of upstreams may have several
+/// megabytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// A stored value.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -126,13 +130,14 @@
         let response = sent.map_err(down)?;
         match response.status().as_u16() {
             204 | 404 => Ok(None),
-            200 => response.json().await.map(Some).map_err(down),
+            200 => limited::read_json(response, MAX_ANSWER_BYTES).await.map(Some).map_err(down),
             status => Err(down(format!("status {status}"))),
         }
     }
 
     async fn try_write(&self, key: &str, write: &Write) -> Written {
-        let request = self.client.put(format!("{}/kv/{key}", self.base)).json(write);
+        let request =
+            self.client.put(format!("{}/kv/{}", self.base, target::escape(key))).json(write);
         let sent = request.timeout(Duration::from_millis(TIMEOUT_MS)).send().await;
         let response = match sent {
             Ok(response) => response,
@@ -140,11 +145,14 @@
             Err(_) => return Written::Unknown,
         };
         match response.status().as_u16() {
-            200 => match response.json::<Revision>().await {
+            200 => match limited::read_json::<Revision>(response, MAX_ANSWER_BYTES).await {
                 Ok(Revision { revision }) => Written::Applied { revision },
                 Err(_) => Written::Unknown,
             },
-            409 => Written::Refused(response.json().await.unwrap_or_default()),
+            409 => {
+                let now = limited::read_json(response, MAX_ANSWER_BYTES).await;
+                Written::Refused(now.unwrap_or_default())
+            }
             503 | 400 => Written::NotSent,
             _ => Written::Unknown,
         }
@@ -153,7 +161,7 @@
 
 impl Store for HttpStore {
     fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Entry>>> {
-        Box::pin(async move { self.get(&format!("/kv/{key}"), TIMEOUT_MS).await })
+        Box::pin(async move { self.get(&format!("/kv/{}", target::escape(key)), TIMEOUT_MS).await })
     }
 
     fn watch<'a>(
@@ -162,7 +170,7 @@
         after: u64,
         wait_ms: u64,
     ) -> BoxFuture<'a, Result<Option<Entry>>> {
-        let path = format!("/watch/{key}?after={after}&wait_ms={wait_ms}");
+        let path = format!("/watch/{}?after={after}&wait_ms={wait_ms}", target::escape(key));
         Box::pin(async move { self.get(&path, wait_ms + TIMEOUT_MS).await })
     }
 
@@ -175,7 +183,8 @@
             let request = self.client.post(format!("{}/leases?ttl_ms={ttl_ms}", self.base));
             let sent = request.timeout(Duration::from_millis(TIMEOUT_MS)).send().await;
             let response = sent.and_then(reqwest::Response::error_for_status).map_err(down)?;
-            let Lease { lease } = response.json().await.map_err(down)?;
+            let answer = limited::read_json(response, MAX_ANSWER_BYTES).await;
+            let Lease { lease } = answer.map_err(down)?;
             Ok(lease)
         })
     }
