An upstream's interim answers are given up by their number

Callers saw: calls with 1.2 s were refused after up to 5.2 s where services sent interim answers without end, and everything else that the instance's thread served waited as long. Cause: a head was given up after 128 KB. An interim answer takes 18 bytes and is parsed as a head of its own: 7,281 in one turn of the thread for each call. Class: a bound on bytes where the cost goes by the number. Change: a channel is given up after 64 interim answers, counted as bytes are read, before they are parsed. Those that precede a final answer cost no more than 64 heads now, and so no pause.

--- a/src/gateway/message_bytes.rs
+++ b/src/gateway/message_bytes.rs
@@ -6,6 +6,9 @@
 /// Maximum number of bytes before the end of an answer's head, with the interim answers before it. A
 /// read may bring as much of the body as the buffer holds.
 const MAX_HEAD_BYTES: usize = 128 << 10;
+/// Maximum number of interim answers before the head of an answer. Each is parsed as a head of its own,
+/// so that without a bound on their number short ones keep the thread from all other requests.
+pub const MAX_INTERIM_ANSWERS: usize = 64;
 /// The place of the first digit of the status in its line.
 const STATUS_AT: usize = 9;
 /// Bytes behind an answer that are kept: enough to see whether they begin another one.
@@ -18,6 +21,7 @@
     is_awaited: bool,
     /// Those read before the end of its head, with interim answers and what came with the end.
     head_bytes: usize,
+    interim_answers: usize,
     /// Of the present head.
     lines: usize,
     line_bytes: usize,
@@ -47,9 +51,11 @@
         self.is_awaited = false;
     }
 
-    /// Whether the head that is awaited doesn't end.
+    /// Whether the head that is awaited doesn't end, or interim answers before it don't.
     pub fn is_too_long(&self) -> bool {
-        self.is_awaited && self.head_bytes > MAX_HEAD_BYTES
+        let is_over =
+            self.head_bytes > MAX_HEAD_BYTES || self.interim_answers > MAX_INTERIM_ANSWERS;
+        self.is_awaited && is_over
     }
 
     /// Takes in bytes that were read.
@@ -88,6 +94,7 @@
         self.ends[usize::from(has_return)] = true;
         self.lines += 1;
         if is_empty && self.status[0] == b'1' && self.status != *b"101" {
+            self.interim_answers += 1;
             self.lines = 0;
             self.ends = [false; 2];
             return false;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,7 +37,7 @@
 pub mod job;
 pub mod loads;
 pub mod membership;
-mod message_bytes;
+pub mod message_bytes;
 pub mod metrics;
 pub mod native;
 pub mod open;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod brittle;
 mod caller_limits;
 mod calls;
+mod channels;
 mod clock;
 mod concurrency;
 mod configuration;
