Each hand-over between the stand-ins' engines shows in the answer

Seen: paused_and_back_with_late_tokens counted one sampler instead of two, and killed_twice_in_one_answer two instead of three, once each, with answers that were otherwise right. No caller was harmed: the tests' stand-in was at fault. Cause: a stream draws its sampler from 256, and samplers that follow each other may be equal; the hand-over then isn't counted. Change: a stream that goes on after a token has another sampler than that token's. That the samplers were equal in the two failures can't be shown any more; no other way to exactly these counts was found.

--- a/standin/src/chain.rs
+++ b/standin/src/chain.rs
@@ -24,6 +24,23 @@
     format!("{:016x}", xxh3_64(prompt.as_bytes()))
 }
 
+/// The sampler of a stream that goes on after `previous`: never the one that generated it, so that every
+/// hand-over shows.
+pub fn sampler_after(previous: Option<&str>) -> u8 {
+    let before = previous.and_then(salt_of);
+    loop {
+        let salt = fastrand::u8(..);
+        if Some(salt) != before {
+            return salt;
+        }
+    }
+}
+
+/// The sampler that a token names.
+fn salt_of(token: &str) -> Option<u8> {
+    token.get(1..3).and_then(|hex| u8::from_str_radix(hex, 16).ok())
+}
+
 /// Checks that each of `tokens` was generated right after the one before it.
 ///
 /// # Errors
@@ -32,8 +49,7 @@
 pub fn verify(prompt: &str, tokens: &[String]) -> Result<(), Broken> {
     let mut previous = root(prompt);
     for (index, token) in tokens.iter().enumerate() {
-        let salt = token.get(1..3).and_then(|hex| u8::from_str_radix(hex, 16).ok());
-        let follows = salt.is_some_and(|salt| next(&previous, index, salt) == *token);
+        let follows = salt_of(token).is_some_and(|salt| next(&previous, index, salt) == *token);
         if !follows {
             return Err(Broken { index });
         }
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -253,12 +253,13 @@
         for block in &blocks[cached..] {
             state.remember(*block, self.settings.cache_blocks);
         }
+        let salt = chain::sampler_after(start.prefix.last().map(String::as_str));
         let previous = start.prefix.last().cloned().unwrap_or_else(|| chain::root(&start.prompt));
         let running = Running {
             first: start.prefix.len(),
             tokens: start.prefix,
             max_tokens: start.max_tokens,
-            salt: fastrand::u8(..),
+            salt,
             previous,
             prefill_blocks_left: missing,
             priority: start.priority,
--- a/tests/engine_loss.rs
+++ b/tests/engine_loss.rs
@@ -48,12 +48,30 @@
     assert_eq!((answer.connections, chain::samplers(&answer.tokens)), (1, 3));
 }
 
-/// An answer of 100 tokens whose engine stands still after 20, and comes back once it goes on.
+/// Tokens that other engines generate while one stands still.
+const TAKEN_OVER_TOKENS: u64 = 5;
+
+/// The tokens that all engines but one have generated.
+async fn tokens_of_others(cluster: &Cluster, engine: usize) -> u64 {
+    let mut tokens = 0;
+    for other in (0..cluster.engines.len()).filter(|other| *other != engine) {
+        tokens += cluster.engine_stats(other).await.tokens;
+    }
+    tokens
+}
+
+/// An answer of 100 tokens whose engine stands still after 20, until another one goes on with it.
 async fn pause_mid_stream(cluster: &Cluster) -> caller::Answer {
     let mut running = Running::start(cluster.plan("voyage", 100));
-    running.reach(20).await;
+    running.reach(0).await;
     let busy = cluster.busy_engine().await;
+    running.reach(20).await;
     cluster.engines[busy].fault(&Order::Pause);
+    let enough = tokens_of_others(cluster, busy).await + TAKEN_OVER_TOKENS;
+    support::wait_for("another engine goes on with the answer", async || {
+        (tokens_of_others(cluster, busy).await >= enough).then_some(())
+    })
+    .await;
     running.reach(25).await;
     cluster.engines[busy].fault(&Order::Resume);
     running.whole(100).await
