--- a/tests/soak/src/processes.rs
+++ b/tests/soak/src/processes.rs
@@ -62,6 +62,7 @@
     for (index, gateway) in world.gateways().iter_mut().enumerate() {
         if note_end(world, gateway) {
             gateway.restart();
+            world.note_start(gateway);
         }
         let Some(pid) = gateway.pid() else { continue };
         let used = Most { memory_kb: memory::peak_kb(pid), descriptors: open_descriptors(pid) };
--- a/tests/soak/src/surroundings.rs
+++ b/tests/soak/src/surroundings.rs
@@ -191,6 +191,7 @@
     processes::kill(world, gateway);
     let changed = change(gateway);
     gateway.restart();
+    world.note_start(gateway);
     changed
 }
 
--- a/tests/soak/src/world.rs
+++ b/tests/soak/src/world.rs
@@ -1,7 +1,7 @@
 //! A site behind proxies with gateways as processes, and the beginning and end of each fault on it.
 
 use std::collections::BTreeSet;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::ExitStatus;
@@ -24,6 +24,7 @@
 use crate::history::{History, Span, Target};
 use crate::odd::Without;
 use crate::processes::Most;
+use crate::signals::Start;
 use crate::works::Works;
 use crate::{memory, processes};
 
@@ -84,6 +85,8 @@
     copies: Mutex<Vec<store::Copy>>,
     /// Gateways that were told to stop and have not been started again, once for each order.
     stopping: Mutex<Vec<usize>>,
+    /// When gateways were started again.
+    pub(crate) starts: Mutex<Vec<Start>>,
     pub(crate) history: Mutex<History>,
     /// What broke besides what callers saw.
     broken: Mutex<Vec<String>>,
@@ -159,6 +162,7 @@
         copies: Mutex::default(),
         gateways: Mutex::new(gateways),
         stopping: Mutex::default(),
+        starts: Mutex::default(),
         history: Mutex::default(),
         broken: Mutex::default(),
         most_kb: AtomicU64::new(0),
@@ -186,6 +190,12 @@
 }
 
 impl World {
+    /// Notes that a gateway was started again.
+    pub(crate) fn note_start(&self, gateway: &Process) {
+        let start = Start { source: IpAddr::V4(self.place.ip(gateway.number)), at: Instant::now() };
+        self.starts.lock().expect("no holder panics").push(start);
+    }
+
     /// Begins a fault; returns the process that it told to stop, if it was one and ran.
     pub(crate) fn begin(&self, fault: Fault) -> Option<u32> {
         let mut gateways = self.gateways();
@@ -415,6 +425,7 @@
                 }
                 if gateway.has_ended() {
                     gateway.restart();
+                    self.note_start(gateway);
                     return;
                 }
                 if gateway.pid() != old {
