Test: a record that was written by a wrong clock ends no reader and lasts no longer than it says

Run for a record of crashes written in 1970, an hour ahead and at 2^64-1: its remaining time is never over what it says, its age never under.

--- a/tests/processes/hostile.rs
+++ b/tests/processes/hostile.rs
@@ -12,6 +12,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use siskinrock::gateway::control::fetch::{CONFIG_PATH, LIST_PATH};
 use siskinrock::gateway::dialect::Dialect;
+use siskinrock::gateway::directory::Record;
 use siskinrock::gateway::loads::{SentRequests, UpstreamLoad};
 use siskinrock::gateway::membership::{self, Message, Phase};
 use siskinrock::gateway::metrics::Metrics;
@@ -19,7 +20,7 @@
 use siskinrock::gateway::policy::usage::{Usage, UsageUpdate, Window};
 use siskinrock::gateway::tasks;
 use siskinrock::log;
-use siskinrock::platform;
+use siskinrock::platform::{self, document};
 use siskinrock_fakes::caller::{self, Call};
 use siskinrock_fakes::process::wait_for;
 use siskinrock_fakes::site;
@@ -119,7 +120,7 @@
 }
 
 /// Changes a message at a few places: other bytes, numbers of the largest kind, pieces cut or doubled.
-fn damage(bytes: &[u8], random: &mut Rng) -> Vec<u8> {
+pub fn damage(bytes: &[u8], random: &mut Rng) -> Vec<u8> {
     let mut bytes = bytes.to_vec();
     for _ in 0..random.usize(1..3) {
         if bytes.is_empty() {
@@ -378,3 +379,20 @@
     let read = read.await.unwrap_or_else(|_| panic!("{path} with {number}: no answer"));
     assert!(read.is_ok(), "{path} with {number}: {read:?}");
 }
+
+/// Guards against a record that ends its reader, or counts for longer than it says, by a clock that is
+/// in 1970 or far ahead.
+#[parameterized(in_1970 = { 0 }, an_hour_ahead = { 3_600_000 }, at_the_end = { u64::MAX })]
+fn a_record_written_by_a_wrong_clock_is_borne(written_unix_ms: u64) {
+    const LEFT_MS: u64 = 5_000;
+    let record = serde_json::json!({
+        "fingerprint": 7, "epoch": 1, "crashes": [], "event": 3, "left_ms": LEFT_MS, "age_ms": 100,
+    });
+    let now_ms = siskinrock::clock::wall_ms();
+    let written =
+        if written_unix_ms == 3_600_000 { now_ms + written_unix_ms } else { written_unix_ms };
+    let stored = serde_json::json!({ "record": record, "written_unix_ms": written });
+    let decoded = document::decode("siskinrock/crashes/7", stored.to_string().as_bytes(), 1);
+    let Some(Record::Crashes(read)) = decoded else { panic!("{decoded:?}") };
+    assert!(read.left_ms.is_some_and(|left_ms| left_ms <= LEFT_MS) && read.age_ms >= 100);
+}
