A router refuses a message with an epoch or a version that can't be right

What callers saw: nothing yet. In a release build the next epoch wraps to 0: read, not run; no table could follow that one, at no router that it reaches.

Cause: `Roster::epoch` is read as it comes and adopted where it is newer; `Table::next` adds 1. Reports of upstreams have versions of the same kind (`health.rs` adds 1). The class: a number from outside is taken at its word.

Change: `control/bounds.rs` refuses a message, or a table of the store, that holds an epoch or a version over 2^62 as a whole: cutting it down to a bound would only put another number there that nothing newer can follow. A damaged epoch under the bound is still believed.

--- a/src/control/blackboard.rs
+++ b/src/control/blackboard.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::control::bounds;
 use crate::control::membership::{Member, Table};
 use crate::operators::document::{Document, Service};
 use crate::request::placement;
@@ -37,6 +38,7 @@
     /// Its failure domain.
     pub domain: Arc<str>,
     /// Grows with each observation by any instance.
+    #[serde(deserialize_with = "bounds::version")]
     pub version: u64,
     /// Whether it answered the last poll.
     pub is_alive: bool,
@@ -52,6 +54,7 @@
     /// The upstream's address.
     pub addr: Arc<str>,
     /// The observation's version.
+    #[serde(deserialize_with = "bounds::version")]
     pub version: u64,
     /// The incarnation that was observed.
     pub incarnation: u64,
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -10,6 +10,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::control::bounds;
+
 /// How many instances hold the record of a key, in different failure domains where possible.
 pub const HOLDERS: usize = 3;
 /// The number of slots that keys hash to; all keys of a slot have the same holders. Far more than
@@ -42,6 +44,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roster {
     /// Grows with each change.
+    #[serde(deserialize_with = "bounds::version")]
     pub epoch: u64,
     /// Sorted by id.
     pub members: Vec<Member>,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! write the blackboard, and collects their actions.
 
 pub mod blackboard;
+pub mod bounds;
 pub mod control_loop;
 pub mod health;
 pub mod membership;
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod hostile;
 mod log;
 mod panics;
+mod router_messages;
 mod run;
 mod signals;
 mod start;
