A configuration file that is cut behind a table is waited for

Cause: only a missing field counted as missing; a service that isn't there, and a route that has neither service nor targets, counted as faults that waiting can't mend.

Change: `missing` gathers what more lines may bring, `check` what is never right. Either way all faults are told.

Evidence: `start::a_configuration_cut_anywhere_is_waited_for_or_whole` reads the example cut behind each of its bytes.

--- a/src/gateway/native/document.rs
+++ b/src/gateway/native/document.rs
@@ -172,10 +172,16 @@
         if is_cut { not_whole(fault) } else { self::fault(fault) }
     })?;
     let faults = check(&file);
-    if !faults.is_empty() {
-        return Err(Kind::Settings { faults }.into());
+    let missing = missing(&file);
+    match (missing.is_empty(), faults.is_empty()) {
+        (true, true) => Ok(document(file)),
+        (true, false) => Err(Kind::Settings { faults }.into()),
+        // What is missing may stand in what is still to be written, and is told beside the rest.
+        (false, _) => {
+            let faults = missing.into_iter().chain(faults).collect();
+            Err(Kind::SettingsNotWhole { faults }.into())
+        }
     }
-    Ok(document(file))
 }
 
 fn not_whole(fault: String) -> crate::error::Error {
@@ -186,7 +192,8 @@
     Kind::Settings { faults: vec![fault] }.into()
 }
 
-fn check(file: &File) -> Vec<String> {
+/// A fault for each thing that isn't there, as in a file that is cut behind a line.
+fn missing(file: &File) -> Vec<String> {
     let mut faults = Vec::new();
     let services: BTreeSet<&str> = file.service.iter().map(|service| &*service.name).collect();
     let mut check_service = |what: String, service: &str| {
@@ -203,6 +210,17 @@
     for upstream in &file.upstream {
         check_service(format!("upstream {:?}", upstream.id), &upstream.service);
     }
+    let lost =
+        file.route.iter().filter(|route| route.service.is_none() && route.targets.is_empty());
+    faults.extend(lost.map(|route| {
+        format!("route {:?} has neither service nor targets; give it one of them", route.name)
+    }));
+    faults
+}
+
+/// A fault for each thing that is never right.
+fn check(file: &File) -> Vec<String> {
+    let mut faults = Vec::new();
     for service in &file.service {
         faults.extend(check_engine(service));
     }
@@ -244,8 +262,8 @@
             route.name
         ));
     }
-    if route.service.is_some() != route.targets.is_empty() {
-        faults.push(format!("route {:?} needs either service or targets", route.name));
+    if route.service.is_some() && !route.targets.is_empty() {
+        faults.push(format!("route {:?} has service and targets; keep one of them", route.name));
     }
     if route.max_attempts == 0 {
         faults.push(format!("route {:?} has no attempt; use 1 or more", route.name));
--- a/tests/processes/start.rs
+++ b/tests/processes/start.rs
@@ -7,6 +7,7 @@
 
 use siskinrock::binds::Binds;
 use siskinrock::clock::Clock;
+use siskinrock::gateway::native;
 use siskinrock::log;
 use siskinrock_fakes::process::wait_for;
 use siskinrock_fakes::site::HOST;
@@ -395,3 +396,25 @@
         running.assert_lives("although it is ready");
     }
 }
+
+/// Guards against a configuration file that is refused, and not waited for, since it is still being written.
+#[test]
+fn a_configuration_cut_anywhere_is_waited_for_or_whole() {
+    let whole = include_str!("../../examples/gateway.toml");
+    assert!(native::document::parse(whole).is_ok());
+    for end in (0..whole.len()).filter(|end| whole.is_char_boundary(*end)) {
+        if let Err(error) = native::document::parse(&whole[..end]) {
+            assert!(error.is_passing(), "cut behind {:?}: {error}", whole[..end].lines().last());
+        }
+    }
+}
+
+/// Guards against a wait for a configuration that more lines can't mend.
+#[test]
+fn a_configuration_that_is_never_right_is_refused_at_once() {
+    let whole = include_str!("../../examples/gateway.toml");
+    let wrong = whole.replacen("path_prefix = \"/", "path_prefix = \"", 1);
+    assert_ne!(wrong, whole);
+    let error = native::document::parse(&wrong).unwrap_err();
+    assert!(!error.is_passing(), "{error}");
+}
