--- a/src/clock.rs
+++ b/src/clock.rs
@@ -20,7 +20,7 @@
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Clock {
-        Clock::of(source())
+        Clock::of(source(boot_if_readable_ms))
     }
 
     /// A clock over a source of milliseconds.
@@ -47,7 +47,11 @@
 
 /// Milliseconds since the machine started, those included for which it was suspended.
 fn boot_ms() -> u64 {
-    read_ms(ClockId::CLOCK_BOOTTIME).unwrap_or_else(steady_ms)
+    boot_if_readable_ms().unwrap_or_else(steady_ms)
+}
+
+fn boot_if_readable_ms() -> Option<u64> {
+    read_ms(ClockId::CLOCK_BOOTTIME)
 }
 
 /// The same without the time of a suspension.
@@ -64,8 +68,8 @@
 
 /// The clock of this machine that is nearest to the boot clock; one that can't be read isn't tried again,
 /// since two clocks in turn would leap.
-fn source() -> fn() -> u64 {
-    if read_ms(ClockId::CLOCK_BOOTTIME).is_some() { boot_ms } else { steady_ms }
+pub fn source(boot_ms_if_readable: fn() -> Option<u64>) -> fn() -> u64 {
+    if boot_ms_if_readable().is_some() { boot_ms } else { steady_ms }
 }
 
 /// Milliseconds since 1970.
