Dropping a channel closes its socket at once

Operators saw: up to 342 sockets of a process that may have 300, beside clients that pipeline; others' connections may then find no descriptor. Cause: a dropped channel was no longer counted and only told the task of its connection to end; the task closes the socket when the runtime comes to it. Requests whose answers are not matched drop a channel each and open another meanwhile, with all 120 channels in use. Class: a count that ends before the thing that it counts. Change: the channel and the task share the socket, and dropping the channel closes it. Nothing of what is counted or decided changes.

--- a/src/gateway/channel.rs
+++ b/src/gateway/channel.rs
@@ -62,11 +62,15 @@
     },
 }
 
+/// A socket that the channel and the task of its connection share, until the channel closes it.
+type SharedSocket = Rc<RefCell<Option<TcpStream>>>;
+
 /// A connection that carries one request at a time; dropping it closes it at once.
 #[derive(Debug)]
 pub struct Channel {
     sender: http1::SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    socket: SharedSocket,
     bytes_written: Rc<Cell<u64>>,
     answer: Rc<RefCell<AnswerBytes>>,
     request: Rc<RefCell<RequestBytes>>,
@@ -80,6 +84,9 @@
 impl Drop for Channel {
     fn drop(&mut self) {
         self.task.abort();
+        // The task ends when the runtime comes to it. Whoever opens the next channel meanwhile has to
+        // find the descriptor free.
+        self.socket.take();
     }
 }
 
@@ -115,11 +122,12 @@
             Err(_) => return Err(Fault::Unreachable { timeout_ms }),
         };
         configure_socket(&stream).map_err(|error| not_sent(error.to_string()))?;
+        let socket: SharedSocket = Rc::new(RefCell::new(Some(stream)));
         let bytes_written = Rc::new(Cell::new(0));
         let answer = Rc::new(RefCell::default());
         let request = Rc::new(RefCell::default());
         let io = TokioIo::new(CountingStream {
-            stream,
+            socket: Rc::clone(&socket),
             bytes_written: Rc::clone(&bytes_written),
             answer: Rc::clone(&answer),
             request: Rc::clone(&request),
@@ -136,6 +144,7 @@
         Ok(Channel {
             sender,
             task,
+            socket,
             bytes_written,
             answer,
             request,
@@ -291,13 +300,24 @@
 
 /// A socket that notes the bytes of requests and answers.
 struct CountingStream {
-    stream: TcpStream,
+    socket: SharedSocket,
     bytes_written: Rc<Cell<u64>>,
     answer: Rc<RefCell<AnswerBytes>>,
     request: Rc<RefCell<RequestBytes>>,
 }
 
 impl CountingStream {
+    /// Polls the socket. Fails once the channel has closed it.
+    fn poll_socket<T>(
+        &self,
+        poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        match self.socket.borrow_mut().as_mut() {
+            Some(stream) => poll(Pin::new(stream)),
+            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+        }
+    }
+
     fn count_written<'a>(
         &self,
         result: &Poll<io::Result<usize>>,
@@ -318,7 +338,9 @@
 
     /// Notes an end of the channel behind which the socket has an error: the other side has reset it.
     fn note_end(&self) {
-        if !matches!(self.stream.take_error(), Ok(None)) {
+        let socket = self.socket.borrow();
+        let error = socket.as_ref().map(TcpStream::take_error);
+        if !matches!(error, Some(Ok(None))) {
             self.answer.borrow_mut().note_failure();
         }
     }
@@ -326,12 +348,12 @@
 
 impl AsyncRead for CountingStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = self.poll_socket(|stream| stream.poll_read(context, buffer));
         let came = &buffer.filled()[filled..];
         if came.is_empty() {
             if matches!(read, Poll::Ready(Ok(()))) {
@@ -350,34 +372,34 @@
 
 impl AsyncWrite for CountingStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        let result = self.poll_socket(|stream| stream.poll_write(context, bytes));
         self.count_written(&result, std::iter::once(bytes));
         result
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        let result = self.poll_socket(|stream| stream.poll_write_vectored(context, parts));
         self.count_written(&result, parts.iter().map(|part| &**part));
         result
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.borrow().as_ref().is_some_and(TcpStream::is_write_vectored)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.poll_socket(|stream| stream.poll_flush(context))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.poll_socket(|stream| stream.poll_shutdown(context))
     }
 }
