A router whose part has panicked ends its requests first, and a harmless panic ends none

What callers saw: nothing by now; found by a review of the supervision. A panic while the list of upstreams is read, which is tried again by itself, ended the router, so that one odd value of the store could have ended all of them; and the end of a router one of whose parts had panicked cut the requests that it could still answer (LOST).

Cause: each task of the thread for control counted as a part that can't be done without, and a failure returned at once, also out of a planned stop.

Change: reading the list is an attempt, whose panic ends that try alone. A failure leads to a planned stop that has at most 5 s, since it may need the part that has ended; the status is still 1.

--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -168,7 +168,7 @@
     fn list(&self) {
         let store = Arc::clone(&self.parts.store);
         let events = self.parts.events.clone();
-        self.parts.supervisor.spawn("calls of control", async move {
+        self.parts.supervisor.attempt("list of upstreams", async move {
             if let Ok(listed) = store.list().await {
                 let _ = events.send(Message::Event(Event::Listed(listed)));
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use siskinrock::error::Error;
 use siskinrock::gateway::native;
@@ -22,6 +23,10 @@
 /// It isn't known whether a command was applied.
 const EXIT_UNKNOWN: u8 = 4;
 
+/// How long requests in progress may take where a part of a router has panicked: as long as the last
+/// connections of a planned stop.
+const LAST_ANSWERS: Duration = Duration::from_secs(5);
+
 const HELP: &str = "\
 siskinrock: a serving system for long generations on engines that fail
 
@@ -266,7 +271,7 @@
     tokio::select! {
         _ = orders.changed() => {}
         () = router.wait_for_stop() => {}
-        failure = supervisor.failure() => return Err(failure),
+        _ = supervisor.failure() => {}
     }
     // Further signals are taken and change nothing: a planned stop cuts no request.
     tokio::spawn(async move {
@@ -274,10 +279,7 @@
             slog::info!(logger, "already stopping; requests in progress end first");
         }
     });
-    tokio::select! {
-        () = router.stop() => Ok(()),
-        failure = supervisor.failure() => Err(failure),
-    }
+    supervisor.end(router.stop(), LAST_ANSWERS).await
 }
 
 fn operate(arguments: Vec<OsString>) -> ExitCode {
--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -5,13 +5,14 @@
 //! as from any instance that is lost. See [docs/design/starts.md](../docs/design/starts.md).
 
 use std::panic::AssertUnwindSafe;
+use std::pin::pin;
 use std::time::Duration;
 
 use futures_util::FutureExt;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::error::Error;
+use crate::error::{Error, Result};
 
 /// The pause before a part is made again; one that always panics must not take the processor.
 const RESTART_PAUSE: Duration = Duration::from_millis(100);
@@ -47,6 +48,16 @@
         tokio::spawn(self.clone().watch(part, work))
     }
 
+    /// Runs one try of what is tried again by itself. A panic ends that try alone.
+    pub fn attempt(&self, part: &'static str, work: impl Future<Output = ()> + Send + 'static) {
+        let log = self.log.clone();
+        tokio::spawn(async move {
+            if AssertUnwindSafe(work).catch_unwind().await.is_err() {
+                slog::error!(log, "a try panicked; the next one is made as usual"; "task" => part);
+            }
+        });
+    }
+
     /// Runs a part that keeps nothing. It is made again after a panic.
     pub fn keep_running<F>(&self, part: &'static str, make: impl Fn() -> F + Send + 'static)
     where
@@ -62,6 +73,26 @@
         });
     }
 
+    /// Ends an instance by its planned stop, so that requests in progress end first. One whose part has
+    /// panicked gets only so long for that, since the stop may need the part.
+    ///
+    /// # Errors
+    ///
+    /// If a part has panicked.
+    pub async fn end(&self, stop: impl Future<Output = ()>, last_answers: Duration) -> Result<()> {
+        let mut stop = pin!(stop);
+        tokio::select! {
+            () = &mut stop => match *self.failed.borrow() {
+                Some(part) => Err(Error::from_failed_part(part)),
+                None => Ok(()),
+            },
+            failure = self.failure() => {
+                let _ = tokio::time::timeout(last_answers, stop).await;
+                Err(failure)
+            }
+        }
+    }
+
     /// Waits until a part has panicked.
     pub async fn failure(&self) -> Error {
         let mut failed = self.failed.subscribe();
--- a/tests/processes/panics.rs
+++ b/tests/processes/panics.rs
@@ -15,6 +15,7 @@
 use siskinrock_standin::host;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use yare::parameterized;
 
 /// How long callers may wait for the end of an instance that can't serve them.
 const SOON: Duration = Duration::from_secs(1);
@@ -80,6 +81,31 @@
     assert!(tokio::time::timeout(SOON, supervisor.failure()).await.is_err());
 }
 
+/// Guards against a harmless panic, of a try that is made again anyway, that ends the instance.
+#[tokio::test]
+async fn a_panic_of_one_try_fails_nothing() {
+    let supervisor = Supervisor::new(log::discard());
+    supervisor.attempt("list of upstreams", async { panic!("on purpose") });
+    assert!(tokio::time::timeout(SOON, supervisor.failure()).await.is_err());
+    assert!(supervisor.end(async {}, SOON).await.is_ok());
+}
+
+/// Guards against an end that cuts requests in progress, and against one that waits for a dead part.
+#[parameterized(stop_ends = { 300, true }, stop_needs_the_part = { 60_000, false })]
+#[test_macro(tokio::test)]
+async fn an_instance_whose_part_panicked_ends_its_requests_first(stop_ms: u64, is_whole: bool) {
+    let supervisor = Supervisor::new(log::discard());
+    supervisor.spawn("records", async { panic!("on purpose") }).await.unwrap();
+    let mut answered = false;
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(stop_ms)).await;
+        answered = true;
+    };
+    let ended = supervisor.end(stop, SOON).await;
+    assert!(ended.unwrap_err().to_string().contains("(records)"));
+    assert_eq!(answered, is_whole);
+}
+
 /// Guards against a part that keeps nothing and ends the instance, or itself, by one panic.
 #[tokio::test]
 async fn a_part_that_keeps_nothing_is_made_again() {
