No request goes to an entry whose address is an instance's or the directory's

What callers saw: beside seven entries of each service that name a gateway's front, its port for peers or the store, 13, 9 and 14 of 15 streams were served (restarted: 14, 10 and 14); the calls of these runs were all served. Cause: whatever names an address was an upstream. A request to one of ours comes back as a caller's and is refused there; nothing says that it is no upstream. Change: a pure policy, listed_address, knows the addresses that are taken: an instance's own, those of living members and of the seeds, the directory's and the duties'; and those that name no single host and port, or are of another family than the address that connections come from. Whole addresses are compared. The one place that publishes the list to traffic leaves such entries out, whether they came from the directory, its changes, peers or a search, and looks again when members come and go; they stay in the list itself, since an instance that ends may leave its address to an upstream. They don't count as workers for the duty of ordering some. Log: `entry names an address that is no upstream's; not used`; gauge: upstream_entries_unusable. Six refused connections in a row ended a call (14 of 15 served in one run beside seven entries where nothing listens); now 16 do. Evidence: odd_entries front, peer and store failed on a debug build of the code before, with three gateways as real processes, and passed with it: 15 of 15 of each kind, running and restarted; `nothing` had passed before. Load average 25 to 39.

--- a/bench/src/forwarder.rs
+++ b/bench/src/forwarder.rs
@@ -40,6 +40,7 @@
         peer,
         upstream_source: None,
         metrics: None,
+        directory_addrs: Vec::new(),
         link_mbps: 0,
         machine: siskinrock::machine::usual(),
         reports_usage: false,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -22,8 +22,8 @@
 use super::worker::{Lease, What, Worker};
 
 /// How many attempts may fail before a byte was sent: all upstreams of a service in one failure
-/// domain may refuse connections.
-const MAX_UNSENT_ATTEMPTS: u32 = 6;
+/// domain may refuse connections, and entries may name addresses where nothing listens.
+const MAX_UNSENT_ATTEMPTS: u32 = 16;
 
 /// How one attempt ended.
 #[derive(Debug)]
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -49,6 +49,7 @@
 use super::policy::departures::Departures;
 use super::policy::eras;
 use super::policy::lease::{DutyLease, Holder};
+use super::policy::listed_address::{TakenAddresses, Unusable};
 use super::policy::quarantine::Quarantine;
 use super::policy::rate_limit::Limiter;
 use super::policy::rediscovered::Rediscovered;
@@ -163,6 +164,12 @@
     temporary_upstreams: BTreeMap<Arc<str>, TemporaryUpstream>,
     /// Counts the changes of `temporary_upstreams`.
     temporary_upstream_changes: u64,
+    /// The addresses at which no upstream is, whatever entries say.
+    taken: TakenAddresses,
+    /// Counts the changes of `taken`.
+    taken_changes: u64,
+    /// The entries that name such an address, so that each is logged once.
+    unusable: BTreeMap<Arc<str>, Unusable>,
     /// The inputs of the published upstream list.
     published: Option<Published>,
     /// The suitable share of the large services, cached with its inputs: the change count of `fleet` and the
@@ -281,6 +288,9 @@
             too_few_watchers_since_ms: None,
             temporary_upstreams: BTreeMap::new(),
             temporary_upstream_changes: 0,
+            taken: TakenAddresses::default(),
+            taken_changes: 0,
+            unusable: BTreeMap::new(),
             published: None,
             cached_suitable_share: None,
             duty_lease: DutyLease::new(lease_ms),
@@ -402,6 +412,7 @@
         self.metrics.gauge("list_revision", eras::revision_of(versions.fleet));
         self.metrics.gauge("directory_era", eras::era_of(versions.fleet));
         self.metrics.gauge("upstreams", state.fleet.upstreams.len() as u64);
+        self.metrics.gauge("upstream_entries_unusable", state.unusable.len() as u64);
         self.metrics.gauge("large_services", state.held_part.large.len() as u64);
         self.metrics.gauge("share_halvings", u64::from(state.held_part.share.halvings()));
         self.metrics.gauge("peers", state.membership.alive().count() as u64);
--- a/src/gateway/control/duties.rs
+++ b/src/gateway/control/duties.rs
@@ -299,6 +299,7 @@
             let of_service = || {
                 let all = state.fleet.upstreams.values();
                 all.filter(|upstream| upstream.service == *name)
+                    .filter(|upstream| !state.unusable.contains_key(&upstream.id))
             };
             let mut workers: BTreeMap<(Arc<str>, bool), WorkerCounts> = BTreeMap::new();
             for upstream in of_service() {
--- a/src/gateway/control/members.rs
+++ b/src/gateway/control/members.rs
@@ -7,7 +7,9 @@
 use super::super::membership::{InstanceDescriptor, MemberState, Phase};
 use super::super::policy::active;
 use super::super::policy::directory_return;
+use super::super::policy::listed_address::TakenAddresses;
 use super::super::policy::watchers::{self, Rank};
+use super::super::settings::Settings;
 use super::super::view::Front;
 use super::{Control, ControlState};
 
@@ -68,10 +70,29 @@
         let is_routing = routing.iter().any(|registration| registration.id == self.me.id);
         let others = routing.into_iter().filter(|registration| registration.id != self.me.id);
         let routing_peers = others.map(|registration| registration.peer_addr).collect();
+        let taken = self.taken_addresses(state);
         state.fronts = Arc::new(fronts);
         state.relays = Arc::new(relays);
         state.is_routing = is_routing;
         state.routing_peers = routing_peers;
+        if state.taken != taken {
+            state.taken = taken;
+            state.taken_changes += 1;
+        }
+    }
+
+    /// The addresses at which no upstream is, whatever entries say.
+    fn taken_addresses(&self, state: &ControlState) -> TakenAddresses {
+        let Settings { front, peer, readiness, directory, metrics, .. } = self.settings;
+        let own = [Some(front), Some(peer), readiness, directory, metrics];
+        let alive = state.membership.alive().map(|member| &member.descriptor.registration);
+        let others = alive.flat_map(|other| [other.front_addr, other.peer_addr]);
+        let seeds = self.settings.seeds.iter().copied();
+        TakenAddresses::new(
+            own.into_iter().flatten().chain(others).chain(seeds),
+            self.settings.directory_addrs.iter().copied(),
+            self.settings.upstream_source,
+        )
     }
 
     /// Checks this instance's own directory watch if another instance has lost the directory: a watch waits
--- a/src/gateway/control/publication.rs
+++ b/src/gateway/control/publication.rs
@@ -1,10 +1,11 @@
 //! Publishes snapshots of the control thread's state for request handling.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::super::fleet::Fleet;
+use super::super::fleet::{Fleet, Upstream};
 use super::super::loads::UpstreamSubset;
 use super::super::membership::Phase;
 use super::super::policy::subset::Share;
@@ -22,6 +23,7 @@
     rediscovered: u64,
     temporary_upstreams: (u64, usize),
     share: Share,
+    taken: u64,
 }
 
 impl Control {
@@ -130,6 +132,7 @@
                 state.temporary_upstreams.len(),
             ),
             share,
+            taken: state.taken_changes,
         };
         if state.published.replace(published) == Some(published) {
             return Arc::clone(before);
@@ -143,12 +146,34 @@
         for TemporaryUpstream { upstream, .. } in state.temporary_upstreams.values() {
             upstreams.entry(Arc::clone(&upstream.id)).or_insert_with(|| upstream.clone());
         }
+        self.drop_unusable(state, &mut upstreams);
         if before.upstreams == upstreams {
             return Arc::clone(before);
         }
         Arc::new(Fleet::of(state.fleet.revision, upstreams))
     }
 
+    /// Drops the entries whose address can't be an upstream's. They stay in the list itself: an instance
+    /// that ends may leave its address to an upstream.
+    fn drop_unusable(
+        &self,
+        state: &mut ControlState,
+        upstreams: &mut BTreeMap<Arc<str>, Upstream>,
+    ) {
+        let mut unusable = BTreeMap::new();
+        upstreams.retain(|id, upstream| {
+            let fault = state.taken.fault(upstream.addr);
+            unusable.extend(fault.map(|fault| (Arc::clone(id), fault)));
+            if let Some(fault) = fault.filter(|_| !state.unusable.contains_key(id)) {
+                slog::warn!(self.log, "entry names an address that is no upstream's; not used";
+                    "upstream" => &**id, "service" => &*upstream.service,
+                    "address" => %upstream.addr, "why" => %fault);
+            }
+            fault.is_none()
+        });
+        state.unusable = unusable;
+    }
+
     /// Publishes a new snapshot after changes, at a limited rate so that bursts are combined.
     pub(super) async fn publish_when_dirty(self: Rc<Control>) {
         loop {
--- a/src/gateway/native/settings.rs
+++ b/src/gateway/native/settings.rs
@@ -85,6 +85,7 @@
             peer: peer?,
             upstream_source,
             metrics,
+            directory_addrs: Vec::new(),
             link_mbps: link_mbps? as u32,
             machine: machine?,
             reports_usage: false,
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -26,6 +26,7 @@
 pub mod isolation;
 pub mod latency;
 pub mod lease;
+pub mod listed_address;
 pub mod losses;
 pub mod outages;
 pub mod outcomes;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -24,6 +24,8 @@
     pub upstream_source: Option<IpAddr>,
     /// Where its metrics are served.
     pub metrics: Option<SocketAddr>,
+    /// Where the directory is, and where calls of duties go: no upstream is there.
+    pub directory_addrs: Vec<SocketAddr>,
     /// The speed of its link, by which the instances that others fetch from are chosen; 0 if not known.
     pub link_mbps: u32,
     /// The memory and the descriptors that it may use.
--- /dev/null
+++ b/tests/gateway/odd_entries.rs
@@ -0,0 +1,147 @@
+//! Entries among the upstreams whose address is no upstream's: callers of sound upstreams lose nothing by them.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use siskinrock_fakes::caller;
+use siskinrock_fakes::process::wait_for;
+use siskinrock_fakes::site::{ZONES, server_entry};
+use tokio::net::TcpListener;
+use yare::parameterized;
+
+use crate::support::{self, Running, call, plan, whole_text};
+
+/// Odd entries of each service; the site has three sound upstreams of one, and six of the other.
+const ODD: usize = 7;
+const GATEWAYS: u8 = 3;
+/// Requests of each kind that are sent in turn to the gateways.
+const REQUESTS: usize = 15;
+/// A request that takes longer counts as not served.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// What is at the address of an odd entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum There {
+    Front,
+    Peer,
+    Store,
+    Nothing,
+}
+
+/// The address of an odd entry of a service.
+async fn odd_addr(running: &Running, there: There, number: usize) -> SocketAddr {
+    let gateway = &running.gateways[number % running.gateways.len()];
+    let at =
+        |after_base: u16| SocketAddr::new(gateway.front.ip(), gateway.front.port() + after_base);
+    match there {
+        There::Front => at(0),
+        There::Peer => at(8),
+        There::Store => running.site.store.addr,
+        There::Nothing => TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap(),
+    }
+}
+
+async fn list_odd(running: &Running, there: There) {
+    for number in 0..ODD {
+        for service in ["booking-app", "plan-llm"] {
+            let addr = odd_addr(running, there, number).await;
+            let entry = server_entry(service, ZONES[number % ZONES.len()], "ready", addr);
+            running.site.store.put(&format!("servers/odd-{service}-{number}"), &entry);
+        }
+    }
+}
+
+/// How many requests of each kind were served, and the longest time that one took.
+#[derive(Debug, Default)]
+struct Served {
+    repeatable: usize,
+    once: usize,
+    streams: usize,
+    longest: Duration,
+}
+
+/// What came of a request, if it came while its caller would wait.
+async fn in_time<T>(answer: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let answered = tokio::time::timeout(PATIENCE, answer).await;
+    answered.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+async fn send_all(running: &Running) -> Served {
+    let mut served = Served::default();
+    for number in 0..REQUESTS {
+        let front = running.front(number % running.gateways.len());
+        for path in ["/look/a", "/book/a"] {
+            let is_repeatable = path == "/look/a";
+            let sent = call(if is_repeatable { "GET" } else { "POST" }, path);
+            let since = Instant::now();
+            let answer = in_time(caller::send(front, &sent)).await;
+            served.longest = served.longest.max(since.elapsed());
+            let is_served = answer.as_ref().is_ok_and(|answer| answer.status() == 200);
+            let count = if is_repeatable { &mut served.repeatable } else { &mut served.once };
+            *count += usize::from(is_served);
+            if !is_served {
+                println!("{path} by {front}: {:?}", answer.map(|answer| answer.status()));
+            }
+            assert!(running.runs_of(&sent.id) <= if is_repeatable { 2 } else { 1 });
+        }
+        let sent = plan();
+        let since = Instant::now();
+        let stream = in_time(caller::stream(front, &sent)).await;
+        let is_whole = stream.as_ref().is_ok_and(|stream| stream.text == whole_text(&sent, 0));
+        served.streams += usize::from(is_whole);
+        if !is_whole {
+            println!(
+                "stream by {front} after {:?}: {:?}",
+                since.elapsed(),
+                stream.map(|stream| stream.head.status())
+            );
+        }
+    }
+    println!("served of {REQUESTS} each: {served:?}");
+    served
+}
+
+async fn restart(running: &mut Running) {
+    running.gateways.iter_mut().for_each(|gateway| {
+        gateway.kill();
+        gateway.restart();
+    });
+    running.wait_until_ready().await;
+}
+
+/// Waits until all gateways have the entries that were written.
+async fn wait_until_listed(running: &Running) {
+    let listed = running.site.store.keys("servers/").len();
+    for gateway in &running.gateways {
+        wait_for("a gateway has the entries", async || {
+            gateway.metrics().await.contains(&format!("siskinrock_upstreams {listed}\n"))
+        })
+        .await;
+    }
+}
+
+/// Guards against callers of sound upstreams that are sent to an address which is known to be no upstream's.
+#[parameterized(
+    front = { There::Front },
+    peer = { There::Peer },
+    store = { There::Store },
+    nothing = { There::Nothing }
+)]
+#[test_macro(tokio::test)]
+async fn sound_upstreams_serve_all_beside_entries_that_point_elsewhere(there: There) {
+    let mut running = support::start(GATEWAYS).await;
+    list_odd(&running, there).await;
+    wait_until_listed(&running).await;
+    let before = send_all(&running).await;
+    restart(&mut running).await;
+    let after = send_all(&running).await;
+    println!("{there:?}: running {before:?}; restarted {after:?}");
+    for served in [before, after] {
+        assert_eq!(
+            (served.repeatable, served.once, served.streams),
+            (REQUESTS, REQUESTS, REQUESTS)
+        );
+    }
+}
