A younger entry at a sound upstream's address no longer takes it out for ever

What callers saw: beside seven entries with ids of their own at the addresses of sound upstreams, 0 of 15 calls of each kind and 0 of 15 streams were served, before and after a restart of all instances. Cause: of several entries with one address the youngest was believed to say who is there, and the others were marked as replaced, which is final. The first request to the younger one got 421, so it was replaced too, and nobody was left. A claim took the place of what had been proved. Change: that a younger entry names the address is a judgement of its own, which is made anew when the list changes and when an answer shows that an upstream isn't at its address. An entry that was refuted supersedes nobody, so the request goes on to whoever was there before it. Only an entry of the same service that isn't leaving supersedes another: any other gets no requests, so that nothing would ever show who is there. Change to an existing test: patience compares the superseded ids as a list, since they are now a set; what it expects is the same.

--- a/src/gateway/policy/placement.rs
+++ b/src/gateway/policy/placement.rs
@@ -1,6 +1,6 @@
 //! Choice of the upstream for a request, from what is known of each.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -67,18 +67,23 @@
     pub binding: Binding,
 }
 
-/// Returns the upstreams at whose address another one was listed later, so that they no longer
-/// exist.
+/// Returns the upstreams at whose address another one of their service was listed later, so that they
+/// probably no longer exist.
 ///
 /// An engine that crashes is back within a second or two under a new id, while its old entry lapses
-/// only after several missed heartbeats. Each request sent to the old entry is refused.
-pub fn superseded<'a>(upstreams: impl Iterator<Item = &'a Upstream> + Clone) -> Vec<Arc<str>> {
-    let mut youngest: BTreeMap<SocketAddr, u64> = BTreeMap::new();
-    for upstream in upstreams.clone() {
-        let listed_at = youngest.entry(upstream.addr).or_default();
+/// only after several missed heartbeats. Each request sent to the old entry is refused. But any writer
+/// may name an address that an upstream still has, so only an entry counts that requests are sent to:
+/// the first one shows who is there.
+pub fn superseded<'a>(upstreams: impl Iterator<Item = &'a Upstream> + Clone) -> BTreeSet<Arc<str>> {
+    let mut youngest: BTreeMap<(SocketAddr, &str), u64> = BTreeMap::new();
+    for upstream in upstreams.clone().filter(|upstream| !upstream.is_leaving) {
+        let listed_at = youngest.entry((upstream.addr, &*upstream.service)).or_default();
         *listed_at = upstream.listed_at.max(*listed_at);
     }
-    let is_superseded = |known: &&Upstream| known.listed_at < youngest[&known.addr];
+    let is_superseded = |known: &&Upstream| {
+        let youngest = youngest.get(&(known.addr, &*known.service));
+        youngest.is_some_and(|youngest| known.listed_at < *youngest)
+    };
     upstreams.filter(is_superseded).map(|known| Arc::clone(&known.id)).collect()
 }
 
--- a/src/gateway/traffic/losses.rs
+++ b/src/gateway/traffic/losses.rs
@@ -257,6 +257,7 @@
     /// directory still lists it, it receives nothing more and is reported to peers as lost.
     pub fn mark_replaced(&self, worker: &Worker) {
         worker.replace();
+        Traffic::supersede(&self.workers.borrow());
         self.mark_lost(worker, "another upstream has its address");
     }
 
--- a/src/gateway/traffic/upstreams.rs
+++ b/src/gateway/traffic/upstreams.rs
@@ -1,5 +1,6 @@
 //! The upstreams of the published list, and calls of the gateway itself to them.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -57,13 +58,23 @@
                 }
             }
         }
+        Traffic::supersede(&workers);
+        *self.fleet.borrow_mut() = Arc::clone(fleet);
+    }
+
+    /// Judges anew which upstreams are superseded by younger entries. An entry that an answer refuted
+    /// supersedes nobody, so whoever was there before it gets requests again.
+    pub(super) fn supersede(workers: &BTreeMap<Arc<str>, Rc<Worker>>) {
+        let present = workers.values().filter(|worker| !worker.is_absent());
+        let present = present.map(|worker| &worker.upstream);
         let superseded = if Mechanism::Youngest.is_on() {
-            placement::superseded(fleet.upstreams.values())
+            placement::superseded(present)
         } else {
-            Vec::new()
+            BTreeSet::new()
         };
-        superseded.iter().filter_map(|id| workers.get(id)).for_each(|worker| worker.replace());
-        *self.fleet.borrow_mut() = Arc::clone(fleet);
+        for (id, worker) in workers {
+            worker.supersede(superseded.contains(id));
+        }
     }
 
     /// Marks the former incarnation of a restarted upstream as lost: its runs, copies and cached
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -71,6 +71,7 @@
     listed_ms: u64,
     leaving: Cell<bool>,
     replaced: Cell<bool>,
+    superseded: Cell<bool>,
     suspect_until_ms: Cell<u64>,
     lost_until_ms: Cell<u64>,
     has_exited: Cell<bool>,
@@ -229,6 +230,7 @@
             version: RefCell::new(upstream.version.clone()),
             leaving: Cell::new(upstream.is_leaving),
             replaced: Cell::new(false),
+            superseded: Cell::new(false),
             suspect_until_ms: Cell::new(0),
             lost_until_ms: Cell::new(0),
             has_exited: Cell::new(false),
@@ -406,16 +408,26 @@
         !self.is_leaving() && !self.is_replaced()
     }
 
-    /// Whether another life has its address, so that this one never comes back.
+    /// Whether another life has its address, as an answer from there or a younger entry says.
     pub fn is_replaced(&self) -> bool {
+        self.is_absent() || self.superseded.get()
+    }
+
+    /// Whether an answer from its address showed that it isn't there, so that it never comes back.
+    pub fn is_absent(&self) -> bool {
         self.replaced.get()
     }
 
-    /// Notes that another life has its address.
+    /// Notes that an answer from its address showed that it isn't there.
     pub fn replace(&self) {
         self.replaced.set(true);
     }
 
+    /// Takes in whether a younger entry names its address.
+    pub fn supersede(&self, is_superseded: bool) {
+        self.superseded.set(is_superseded);
+    }
+
     /// Takes in what the list says now of the same life.
     pub fn relist(&self, upstream: &Upstream) {
         self.leaving.set(upstream.is_leaving);
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -27,11 +27,13 @@
     Front,
     Peer,
     Store,
+    /// A sound upstream, which has another id.
+    SoundUpstream,
     Nothing,
 }
 
 /// The address of an odd entry of a service.
-async fn odd_addr(running: &Running, there: There, number: usize) -> SocketAddr {
+async fn odd_addr(running: &Running, there: There, service: &str, number: usize) -> SocketAddr {
     let gateway = &running.gateways[number % running.gateways.len()];
     let at =
         |after_base: u16| SocketAddr::new(gateway.front.ip(), gateway.front.port() + after_base);
@@ -39,6 +41,10 @@
         There::Front => at(0),
         There::Peer => at(8),
         There::Store => running.site.store.addr,
+        There::SoundUpstream if service == "plan-llm" => {
+            running.site.engines[number % running.site.engines.len()].addr
+        }
+        There::SoundUpstream => running.site.services[number % running.site.services.len()].addr,
         There::Nothing => TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap(),
     }
 }
@@ -46,7 +52,7 @@
 async fn list_odd(running: &Running, there: There) {
     for number in 0..ODD {
         for service in ["booking-app", "plan-llm"] {
-            let addr = odd_addr(running, there, number).await;
+            let addr = odd_addr(running, there, service, number).await;
             let entry = server_entry(service, ZONES[number % ZONES.len()], "ready", addr);
             running.site.store.put(&format!("servers/odd-{service}-{number}"), &entry);
         }
@@ -127,6 +133,7 @@
     front = { There::Front },
     peer = { There::Peer },
     store = { There::Store },
+    sound_upstream = { There::SoundUpstream },
     nothing = { There::Nothing }
 )]
 #[test_macro(tokio::test)]
--- a/tests/gateway/patience.rs
+++ b/tests/gateway/patience.rs
@@ -191,6 +191,18 @@
     assert!(placement::superseded([].iter()).is_empty());
 }
 
+/// Guards against a sound upstream that gets nothing because of an entry with its address that gets
+/// nothing either, so that nothing shows who is there.
+#[test]
+fn only_an_entry_that_gets_requests_supersedes_another() {
+    let sound = at("sound", 80, 1);
+    let leaving = Upstream { is_leaving: true, ..at("leaving", 80, 9) };
+    let elsewhere = Upstream { service: "chart".into(), ..at("elsewhere", 80, 9) };
+    for odd in [leaving, elsewhere] {
+        assert!(placement::superseded([sound.clone(), odd].iter()).is_empty());
+    }
+}
+
 /// Guards against refused streams. An engine that was rediscovered during an outage of the directory
 /// crashed again, and its entry replaced that of its next incarnation, which the directory had listed
 /// since: all streams sent to it were refused.
@@ -206,7 +218,9 @@
     assert_eq!(names(&rediscovered, &fleet), ["found"]);
     fleet.apply(9, vec![Change::Put(at("next", 80, 9))], 100);
     assert_eq!(names(&rediscovered, &fleet), ["next", "old"]);
-    assert_eq!(placement::superseded(fleet.upstreams.values()), [Arc::from("old")]);
+    let passed: Vec<Arc<str>> =
+        placement::superseded(fleet.upstreams.values()).into_iter().collect();
+    assert_eq!(passed, [Arc::from("old")]);
 }
 
 #[test]
