Names that another writer chose are bounded where they are taken in, logged and counted

What operators saw: an entry with a name of 900 KB added 2.6 MB to the log in ten seconds. Cause: a text is kept, shown and sent at the length that its writer chose. Change: an entry whose service or domain is over 200 bytes long, as keys may be, is unusable, and such a version is unknown. Every value of a log record is cut at 500 bytes, with its whole length, before it waits to be written. A label is cut at 200 bytes and escaped; beyond the most series, both names are `other`, since the class alone let the number of series grow without end. Evidence: odd_names::a_name_of_900_kb_adds_little_to_the_log (state) failed on a debug build of the code before and passes with 2,164 bytes; service, domain and version logged under 1 KB before and after. The test of the labels wasn't run on the code before.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::software_version::SoftwareVersion;
-pub use self::upstream::{Departure, Upstream};
+pub use self::upstream::{Departure, MAX_NAME_BYTES, Upstream};
 use super::policy::eras::{self, Known, Reconciled};
 
 /// How long an entry that lapsed in an outage of the directory may take to come back: upstreams
--- a/src/gateway/fleet/upstream.rs
+++ b/src/gateway/fleet/upstream.rs
@@ -7,6 +7,10 @@
 
 use super::SoftwareVersion;
 
+/// The longest name of a service, a failure domain or a version that is taken in, in bytes: as long as the
+/// directory's keys may be.
+pub const MAX_NAME_BYTES: usize = 200;
+
 /// One incarnation of a server of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Upstream {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -10,6 +10,8 @@
 const LONGEST_MS: u64 = 120_000;
 /// Significant digits; one keeps a histogram at about 2 KB.
 const DIGITS: u8 = 1;
+/// The longest name in a label, in bytes; longer ones are cut.
+const MAX_LABEL_BYTES: usize = 200;
 /// Series that are kept; further ones are counted together, so that memory is bounded.
 const MOST_SERIES: usize = 400;
 
@@ -86,6 +88,7 @@
             Series { time, organisation: Arc::clone(organisation), class: Arc::clone(class) };
         if kept.times.len() >= MOST_SERIES && !kept.times.contains_key(&series) {
             series.organisation = Arc::from("other");
+            series.class = Arc::from("other");
         }
         let histogram = kept.times.entry(series).or_insert_with(empty);
         histogram.saturating_record(value_ms);
@@ -99,8 +102,11 @@
             let _ = writeln!(text, "siskinrock_{name} {value}");
         }
         for (series, histogram) in &kept.times {
-            let labels =
-                format!("organisation=\"{}\",class=\"{}\"", series.organisation, series.class);
+            let labels = format!(
+                "organisation=\"{}\",class=\"{}\"",
+                label(&series.organisation),
+                label(&series.class)
+            );
             let name = series.time.name();
             for quantile in [0.5, 0.95, 0.99, 1.0] {
                 let value = histogram.value_at_quantile(quantile);
@@ -118,6 +124,12 @@
     }
 }
 
+/// A name as the value of a label: its beginning, without what would end the value.
+fn label(name: &str) -> String {
+    let name = &name[..name.floor_char_boundary(MAX_LABEL_BYTES)];
+    name.replace('\\', r"\\").replace('"', "\\\"").replace('\n', r"\n")
+}
+
 fn empty() -> Histogram<u64> {
     // The bounds are constants that the library accepts.
     Histogram::new_with_bounds(1, LONGEST_MS, DIGITS).expect("the bounds are valid")
--- a/src/log.rs
+++ b/src/log.rs
@@ -11,6 +11,7 @@
 
 use slog::Drain;
 
+mod bounded;
 mod output;
 mod panics;
 mod plain;
--- a/src/log/queue.rs
+++ b/src/log/queue.rs
@@ -7,9 +7,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use slog::{Drain, OwnedKVList, Record};
+use slog::{BorrowedKV, Drain, OwnedKVList, Record, RecordStatic};
 use slog_async::AsyncRecord;
 
+use super::bounded::Bounded;
 use super::output::{self, Output};
 
 /// Records that may wait to be written; further ones are dropped and counted, since a request
@@ -58,7 +59,11 @@
     type Err = slog::Never;
 
     fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
-        let record = AsyncRecord::from(record, values);
+        let kept = Bounded(record.kv());
+        let same =
+            RecordStatic { location: record.location(), tag: record.tag(), level: record.level() };
+        let record =
+            AsyncRecord::from(&Record::new(&same, record.msg(), BorrowedKV(&kept)), values);
         WAITING.fetch_add(1, Ordering::SeqCst);
         let sender = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if sender.try_send(record).is_err() {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -33,6 +33,7 @@
 mod lost_instances;
 mod membership;
 mod odd_entries;
+mod odd_names;
 mod operator_orders;
 mod operator_queue;
 mod out_of_step;
