Numbers of the configuration and of upstreams' answers are bounded before others are added

Cause, by reading: a time of 1e300 became 2^64-1 ms and was added to a clock, seconds of Keep-Alive near 2^64 were multiplied, weights, tokens and the counts of an engine's state were added up. A debug build panics there, a release build wraps. No caller was seen to suffer from it: the users' table has no such case. Evidence: odd_numbers passes; it wasn't run on the code before. Deadlines and tokens of callers and what peers tell aren't part of this.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -168,7 +168,7 @@
     /// Requests that have made nothing yet: they wait, or their prompts are being read.
     pub fn unstarted(&self) -> u64 {
         let running = self.runs.as_ref().map_or(0, Vec::len) as u64;
-        self.waiting + self.active.saturating_sub(running)
+        self.waiting.saturating_add(self.active.saturating_sub(running))
     }
 }
 
@@ -183,6 +183,9 @@
     pub events: u64,
 }
 
+/// The longest time of an answer's headers that is reckoned with: beyond it, sums of times would overflow.
+const MAX_TIME_MS: f64 = 86_400_000.0;
+
 /// A header's text, if it is one.
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
@@ -196,7 +199,7 @@
 /// A header's time in seconds, which may have a fraction.
 pub fn seconds_ms(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     let seconds = text(headers, name)?.trim().parse::<f64>().ok()?;
-    seconds.is_finite().then_some((seconds * 1_000.0) as u64)
+    seconds.is_finite().then_some((seconds * 1_000.0).min(MAX_TIME_MS) as u64)
 }
 
 /// Whether a name is that of a field about a channel, which heads alone hold.
@@ -216,7 +219,7 @@
     let value = text(headers, &HeaderName::from_static("keep-alive"))?;
     let mut fields = value.split(',').filter_map(|field| field.trim().split_once('='));
     let seconds = fields.find(|(name, _)| *name == "timeout")?.1;
-    Some(seconds.trim().parse::<u64>().ok()? * 1_000)
+    Some(seconds.trim().parse::<u64>().ok()?.saturating_mul(1_000).min(MAX_TIME_MS as u64))
 }
 
 /// A field of a query.
--- a/src/gateway/rate.rs
+++ b/src/gateway/rate.rs
@@ -4,6 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// The highest rate that is told apart, in requests per second: as good as none, and bounded in sums.
+const MAX_PER_S: f64 = 1e9;
+
 /// A number of requests per second, stored in thousandths.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Rate {
@@ -20,7 +23,7 @@
 
     /// Creates a rate from a number of requests per second.
     pub fn per_s(per_s: f64) -> Rate {
-        Rate { milli_per_s: (per_s * 1_000.0) as u64 }
+        Rate { milli_per_s: (per_s.min(MAX_PER_S) * 1_000.0) as u64 }
     }
 
     /// Returns the number of requests per second.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -34,6 +34,7 @@
 mod membership;
 mod odd_entries;
 mod odd_names;
+mod odd_numbers;
 mod operator_orders;
 mod operator_queue;
 mod out_of_step;
