--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -17,6 +17,7 @@
 use super::loads::Aged;
 use super::policy::answer_end::Life;
 use super::policy::answer_match::{AnswerMatch, ChannelHistory, Message};
+use super::policy::identity::Identity;
 use super::policy::speed::SpeedHistory;
 use super::rate::Rate;
 use super::shared_check::SharedCheck;
@@ -71,6 +72,7 @@
     listed_ms: u64,
     leaving: Cell<bool>,
     replaced: Cell<bool>,
+    superseded: Cell<bool>,
     suspect_until_ms: Cell<u64>,
     lost_until_ms: Cell<u64>,
     has_exited: Cell<bool>,
@@ -97,6 +99,8 @@
     pub logged_speed: Cell<LoggedSpeed>,
     /// Checks whether its process lives on after an answer.
     pub life_checks: SharedCheck<Life>,
+    /// Checks who answers at its address.
+    pub identity_checks: SharedCheck<Identity>,
 }
 
 /// The speed of an upstream that was logged, and when.
@@ -229,6 +233,7 @@
             version: RefCell::new(upstream.version.clone()),
             leaving: Cell::new(upstream.is_leaving),
             replaced: Cell::new(false),
+            superseded: Cell::new(false),
             suspect_until_ms: Cell::new(0),
             lost_until_ms: Cell::new(0),
             has_exited: Cell::new(false),
@@ -247,6 +252,7 @@
             speed: RefCell::default(),
             logged_speed: Cell::new(LoggedSpeed { speed: 1.0, at_ms: 0 }),
             life_checks: SharedCheck::default(),
+            identity_checks: SharedCheck::default(),
             upstream,
         })
     }
@@ -406,16 +412,26 @@
         !self.is_leaving() && !self.is_replaced()
     }
 
-    /// Whether another life has its address, so that this one never comes back.
+    /// Whether another life has its address, as an answer from there or a younger entry says.
     pub fn is_replaced(&self) -> bool {
+        self.is_absent() || self.superseded.get()
+    }
+
+    /// Whether an answer from its address showed that it isn't there, so that it never comes back.
+    pub fn is_absent(&self) -> bool {
         self.replaced.get()
     }
 
-    /// Notes that another life has its address.
+    /// Notes that an answer from its address showed that it isn't there.
     pub fn replace(&self) {
         self.replaced.set(true);
     }
 
+    /// Takes in whether a younger entry names its address.
+    pub fn supersede(&self, is_superseded: bool) {
+        self.superseded.set(is_superseded);
+    }
+
     /// Takes in what the list says now of the same life.
     pub fn relist(&self, upstream: &Upstream) {
         self.leaving.set(upstream.is_leaving);
