--- a/tests/processes/router_messages.rs
+++ b/tests/processes/router_messages.rs
@@ -7,6 +7,7 @@
 use fastrand::Rng;
 use siskinrock::control::membership::{Change, Member, Roster, Table};
 use siskinrock::control::peers::Exchange;
+use siskinrock::records::record::{Identity, Kind, Op, Outcome, Owner, Request};
 use siskinrock::wire::{self, AskHandover, Inquiry, RunState, Witness};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -48,10 +49,36 @@
         ("handover", wire::encode(&AskHandover { slots: vec![1, 2, 1_023], table })),
         ("witness", wire::encode(&Witness { suspect: peer, reaches: false })),
         ("inquire", wire::encode(&Inquiry { nonce: 5, state: RunState::Unknown })),
-        ("records", wire::encode(&wire::Batch { requests: Vec::new() })),
+        ("records", wire::encode(&wire::Batch { requests: operations() })),
     ]
 }
 
+/// What a run does to its record, from its claim to its outcome.
+fn operations() -> Vec<Request> {
+    let identity = Identity {
+        key: Arc::from("harbour/a-key"),
+        kind: Kind::Generation,
+        body_hash: 9,
+        nonce: 5,
+    };
+    let owner = Owner { id: Arc::from("r-1"), addr: Arc::from("127.0.0.1:9") };
+    let claim = Op::Claim { identity: identity.clone(), owner: owner.clone() };
+    let append = Op::Append {
+        identity: identity.clone(),
+        owner: owner.clone(),
+        term: 1,
+        from: 0,
+        tokens: wire::decode(&wire::encode(&("one two three", [3, 7, 13]))).unwrap(),
+        stream: None,
+    };
+    let over = Op::TakeOver { identity: identity.clone(), owner: owner.clone(), term: 2 };
+    let outcome = Outcome::Finished { tokens: 3, reason: Arc::from("length") };
+    let settle = Op::Settle { identity: identity.clone(), owner, term: 2, outcome };
+    let release = Op::Release { identity };
+    let all = [claim, append, over, settle, release];
+    all.map(|op| Request { epoch: 2, op }).into()
+}
+
 /// Sends one message; whether there is an answer of any status.
 async fn is_answered(addr: SocketAddr, path: &str, body: &[u8]) -> bool {
     let exchanged = async {
