--- a/src/records/journal.rs
+++ b/src/records/journal.rs
@@ -7,11 +7,33 @@
 
 /// The accepted tokens, in order.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "Parts")]
 pub struct Journal {
     text: String,
     ends: Vec<u32>,
 }
 
+/// A journal as others send it.
+#[derive(Deserialize)]
+struct Parts {
+    text: String,
+    ends: Vec<u32>,
+}
+
+impl TryFrom<Parts> for Journal {
+    type Error = &'static str;
+
+    /// Refuses ends between which no tokens are: a cut there would not be one of a text.
+    fn try_from(Parts { text, ends }: Parts) -> Result<Journal, &'static str> {
+        let are_cuts = ends.iter().all(|end| text.is_char_boundary(*end as usize));
+        let last = ends.last().map_or(0, |end| *end as usize);
+        if !are_cuts || !ends.is_sorted() || last != text.len() {
+            return Err("the ends of the tokens don't fit their text");
+        }
+        Ok(Journal { text, ends })
+    }
+}
+
 impl Journal {
     /// The number of accepted tokens.
     pub fn len(&self) -> u32 {
--- a/tests/processes/router_messages.rs
+++ b/tests/processes/router_messages.rs
@@ -7,6 +7,7 @@
 use fastrand::Rng;
 use siskinrock::control::membership::{Change, Member, Roster, Table};
 use siskinrock::control::peers::Exchange;
+use siskinrock::records::journal::Journal;
 use siskinrock::records::record::{Identity, Kind, Op, Outcome, Owner, Request};
 use siskinrock::wire::{self, AskHandover, Inquiry, RunState, Witness};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -123,3 +124,18 @@
     assert!(panic.is_none(), "{panic:?}");
     assert!(ground.is_serving().await);
 }
+
+/// Guards against a journal of a peer that can't be cut between two tokens.
+#[parameterized(
+    inside_a_letter = { "\u{e9}", &[1, 2] },
+    beyond_the_text = { "one", &[3, 9] },
+    backwards = { "one two", &[7, 3, 7] },
+    short_of_the_text = { "one two", &[3] },
+)]
+fn a_journal_whose_ends_dont_fit_is_refused(text: &str, ends: &[u32]) {
+    let told = wire::encode(&(text, ends));
+    let cut = std::panic::catch_unwind(|| {
+        wire::decode::<Journal>(&told).map(|mut journal| journal.truncate(1))
+    });
+    assert!(cut.is_ok_and(|read| read.is_err()));
+}
