A watch that moved on isn't judged as one that leads no further

Cause: `Watched::judge` took an early answer without records for one that didn't wait, and never asked whether the position moved. Changes of keys that say nothing to an instance move it and have no records.

Change: such an answer is a fault only where the position stays. One that moved is followed by the same pause as one with records (400 ms for the first watcher), which keeps calls bounded.

--- a/src/gateway/control/directory.rs
+++ b/src/gateway/control/directory.rs
@@ -137,6 +137,7 @@
                         wait_ms,
                         waited_ms: self.clock.now_ms() - asked_ms,
                     };
+                    let is_moved = changes.revision > revision;
                     revision = revision.max(changes.revision);
                     self.apply_changes(Changes { revision, ..changes });
                     self.note_sight(call);
@@ -145,7 +146,7 @@
                         continue;
                     }
                     retry.note_progress();
-                    if has_any {
+                    if has_any || is_moved {
                         let is_asked = self.collect_changes(position.batch_delay_ms()).await;
                         if is_asked {
                             calls.check();
--- a/src/gateway/policy/paging.rs
+++ b/src/gateway/policy/paging.rs
@@ -72,7 +72,7 @@
         /// The position that was answered.
         to: u64,
     },
-    /// A watch that should wait for changes returns without any.
+    /// A watch that should wait for changes returns without any, where it was.
     #[display("a watch of {wait_ms} ms returned without changes after {waited_ms} ms")]
     Unwaiting {
         /// How long it was to wait.
@@ -152,7 +152,7 @@
     pub from: u64,
     /// The position that was answered.
     pub to: u64,
-    /// Whether there were changes.
+    /// Whether there were changes that say something to an instance; others move the position only.
     pub has_changes: bool,
     /// How long it was to wait for some.
     pub wait_ms: u64,
@@ -174,7 +174,7 @@
         if has_changes && to == from {
             return Err(Fault::Unmoved { at: from });
         }
-        if !has_changes && waited_ms < wait_ms / 2 {
+        if !has_changes && to == from && waited_ms < wait_ms / 2 {
             return Err(Fault::Unwaiting { wait_ms, waited_ms });
         }
         Ok(())
--- a/tests/gateway/odd_keys.rs
+++ b/tests/gateway/odd_keys.rs
@@ -234,6 +234,34 @@
     running.assert_served().await;
 }
 
+/// Guards against watches that other writers' keys slow down, and against calls without a pause for them.
+#[tokio::test]
+async fn a_watch_keeps_up_beside_keys_of_other_writers_at_a_bounded_rate() {
+    let running = support::start(2).await;
+    let store = running.site.store.clone();
+    let writer = tokio::spawn(async move {
+        for number in 0_u64.. {
+            store.put("lab/x", &json!(number));
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let targets = || running.site.store.targets();
+    let count = || targets().iter().filter(|target| target.contains("kv-watch")).count();
+    let before = count();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let calls = count() - before;
+    // Each waits 400 ms or more before the next one, and one more was under way.
+    assert!(calls <= 2 * (10 + 1), "{calls} calls in 4 s");
+    for gateway in &running.gateways {
+        let metrics = gateway.metrics().await;
+        let unmoved = |line: &&str| line.starts_with("siskinrock_directory_watches_unmoved");
+        let unmoved: Vec<&str> = metrics.lines().filter(unmoved).collect();
+        assert!(unmoved.iter().all(|line| line.ends_with(" 0")), "{unmoved:?}");
+    }
+    writer.abort();
+}
+
 /// What a peer answers for ever to whoever fetches the list.
 fn answer_of(kind: &str, request: &fetch::ListRequest) -> ListResponse {
     let page = Page { revision: 7, has_more: true, ..Page::default() };
