A list has no less room for what its records drop

Cause: what a record takes was counted as the bytes of its written value, for all records under the project's own prefixes, though the record that is kept has its named fields only.

Change: `Record::held_bytes` counts what each kind of record holds: its names and lists.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -6,7 +6,7 @@
 
 use super::crash::CrashRecord;
 use super::duties::DutyCalls;
-use super::fleet::Upstream;
+use super::fleet::{SoftwareVersion, Upstream};
 use super::instance::Registration;
 use super::policy::lease::Holder;
 use super::policy::paging;
@@ -81,6 +81,41 @@
     },
 }
 
+impl Record {
+    /// The memory that it takes beside its key while a list is read, which what was written may exceed.
+    pub fn held_bytes(&self) -> usize {
+        let content_bytes = match self {
+            // There is one, which is held once more when it is in force.
+            Record::Config(_) => return 0,
+            Record::Upstream(upstream) => return upstream.held_bytes(),
+            Record::Instance(registration) => registration.id.len() + registration.domain.len(),
+            Record::Crashes(record) => {
+                let names_bytes: usize = record.crashes.iter().map(|(id, _)| id.len()).sum();
+                record.part.as_ref().map_or(0, |part| part.len())
+                    + size_of_val(&*record.requests)
+                    + size_of_val(&*record.crashes)
+                    + names_bytes
+            }
+            Record::Versions(note) => {
+                let names_bytes: usize =
+                    note.versions.iter().map(SoftwareVersion::name_bytes).sum();
+                note.service.len()
+                    + note.versions.len() * size_of::<SoftwareVersion>()
+                    + names_bytes
+            }
+            Record::Streams(records) => {
+                let names = records.iter().map(|record| record.version.name_bytes());
+                size_of_val(&**records) + names.sum::<usize>()
+            }
+            Record::Holder(holder) => holder.id.len(),
+            Record::ForeignUpstream { detail, .. } | Record::Unreadable { detail, .. } => {
+                detail.len()
+            }
+        };
+        size_of::<Record>() + content_bytes
+    }
+}
+
 /// A record that is gone.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Removed {
--- a/src/gateway/fleet/software_version.rs
+++ b/src/gateway/fleet/software_version.rs
@@ -34,6 +34,14 @@
 }
 
 impl SoftwareVersion {
+    /// The memory that it takes beside its own size.
+    pub fn name_bytes(&self) -> usize {
+        match self {
+            SoftwareVersion::Named(name) => name.len(),
+            SoftwareVersion::Unversioned | SoftwareVersion::Unknown => 0,
+        }
+    }
+
     /// The version with a name.
     pub fn named(name: &str) -> SoftwareVersion {
         SoftwareVersion::Named(Arc::from(name))
--- a/src/gateway/fleet/upstream.rs
+++ b/src/gateway/fleet/upstream.rs
@@ -44,12 +44,8 @@
 impl Upstream {
     /// The memory that it takes.
     pub fn held_bytes(&self) -> usize {
-        let version_bytes = match &self.version {
-            SoftwareVersion::Named(name) => name.len(),
-            SoftwareVersion::Unversioned | SoftwareVersion::Unknown => 0,
-        };
-        let names_bytes = self.id.len() + self.service.len() + self.domain.len() + version_bytes;
-        size_of::<Upstream>() + names_bytes
+        let names_bytes = self.id.len() + self.service.len() + self.domain.len();
+        size_of::<Upstream>() + names_bytes + self.version.name_bytes()
     }
 
     /// Whether both name the same incarnation at the same place.
--- a/tests/gateway/odd_keys.rs
+++ b/tests/gateway/odd_keys.rs
@@ -234,6 +234,28 @@
     running.assert_served().await;
 }
 
+/// Guards against a sound list that counts as too large since what its records drop counts as well.
+#[tokio::test]
+async fn a_list_takes_no_room_for_what_its_records_drop() {
+    let mut running = support::start(1).await;
+    running.site.store.set_page(2);
+    for number in 0..40 {
+        let entry = json!({"id": format!("odd{number:02}"), "incarnation": 1,
+            "peer_addr": "127.0.0.1:9", "front_addr": "127.0.0.1:9", "domain": "ranong-hall",
+            "more": "x".repeat(900 << 10)});
+        running.site.store.put(&format!("siskinrock/instances/odd{number:02}"), &entry);
+    }
+    running.start_again().await;
+    tokio::time::sleep(RECOVERY).await;
+    let metrics = running.gateways[0].metrics().await;
+    let unfinished = |line: &&str| line.starts_with("siskinrock_directory_lists_unfinished");
+    let unfinished: Vec<&str> = metrics.lines().filter(unfinished).collect();
+    assert!(unfinished.iter().all(|line| line.ends_with(" 0")), "{unfinished:?}");
+    let calls = running.page_calls(Duration::from_secs(1)).await;
+    assert_eq!(calls, 0, "the list was read to its end");
+    running.assert_served().await;
+}
+
 /// Guards against watches that other writers' keys slow down, and against calls without a pause for them.
 #[tokio::test]
 async fn a_watch_keeps_up_beside_keys_of_other_writers_at_a_bounded_rate() {
