A sound upstream that was nameless for a moment gets requests again

Cause: the mere absence of a name in the answer to the question "who are you" counted as proof of another process, and that is final. PROTOCOL promises the id with a 200 of the health check alone. Class: a missing proof taken for the proof of the opposite. Change: only a 421 or another id is proof (`Another`, final and told to peers). Whoever names nobody is `Nameless`: it gets nothing until it names itself, and is asked after 0.5, 1, 2, 4 and then every 8 s as long as it is listed; other instances aren't told. A process that has proved itself (its id, or a signed answer) and wasn't lost or seen to exit since stays in use: for it only proof counts. The bound of `odd_entries::a_process_that_is_no_upstream_is_found_out_by_one_request` (21) is as it was.

--- a/src/gateway/policy/identity.rs
+++ b/src/gateway/policy/identity.rs
@@ -13,6 +13,8 @@
     Meant,
     /// Another upstream, or a process that is none.
     Another,
+    /// Whoever answers doesn't say who it is: a process that is no upstream, or an upstream in trouble.
+    Nameless,
     /// Nothing shows who it is.
     Unknown,
 }
@@ -35,7 +37,24 @@
     }
 }
 
+/// The pause before whoever is nameless is asked again who it is, doubled each time.
+const MIN_QUESTION_PAUSE_MS: u64 = 500;
+/// The longest such pause.
+const MAX_QUESTION_PAUSE_MS: u64 = 8_000;
+
+/// How long to wait before whoever is nameless is asked again, after so many questions.
+pub fn question_pause_ms(asked: u32) -> u64 {
+    let doubled = MIN_QUESTION_PAUSE_MS.saturating_mul(1 << asked.min(31));
+    doubled.min(MAX_QUESTION_PAUSE_MS)
+}
+
 impl Identity {
+    /// What remains of it where the process at the address has shown before that it is the upstream: only
+    /// proof of the opposite counts.
+    pub fn after_proof(self) -> Identity {
+        if self == Identity::Nameless { Identity::Unknown } else { self }
+    }
+
     /// What the reply to a question for its health shows, which an upstream answers with its id. One without
     /// room refuses the question like any request, and names itself to nobody.
     pub fn of(meant: &str, reply: &Reply, is_refusal: bool) -> Identity {
@@ -47,7 +66,7 @@
             // A fault of the upstream itself may be the answer to a question, too.
             Reply::Answered { status: 500..=502 | 504.., .. } => Identity::Unknown,
             Reply::Answered { .. } if is_refusal => Identity::Unknown,
-            Reply::Answered { .. } => Identity::Another,
+            Reply::Answered { .. } => Identity::Nameless,
             Reply::Refused | Reply::Broken | Reply::None => Identity::Unknown,
         }
     }
--- a/src/gateway/traffic/endings.rs
+++ b/src/gateway/traffic/endings.rs
@@ -19,7 +19,7 @@
 use super::super::policy::answer_end::{Life, Reply};
 use super::super::policy::answer_match::Message;
 use super::super::policy::body_limit::MAX_QUESTION_BYTES;
-use super::super::policy::identity::{Identity, Proofs};
+use super::super::policy::identity::{self, Identity, Proofs};
 use super::super::worker::{Lease, Worker};
 use super::Traffic;
 
@@ -103,7 +103,8 @@
     }
 
     /// Whether an answer that shows nothing of its maker is that of another process than the upstream that
-    /// was meant, which then gets no more requests.
+    /// was meant. Proof of another ends all requests to it; one that is only nameless gets none until it names
+    /// itself.
     pub(in super::super) async fn is_of_another(
         self: &Rc<Traffic>,
         worker: &Rc<Worker>,
@@ -116,6 +117,9 @@
             is_refusal: marks.not_run || status == 421,
         };
         if !proofs.are_missing() {
+            if marks.is_signed || marks.upstream.as_ref() == Some(&worker.upstream.id) {
+                worker.prove();
+            }
             return false;
         }
         let identity = worker.identity_checks.share(|| self.ask_for_identity(worker)).await;
@@ -123,11 +127,62 @@
             "upstream" => &*worker.upstream.id, "service" => &*worker.upstream.service,
             "address" => %worker.upstream.addr, "status" => status, "who" => ?identity);
         self.metrics.count("answers_without_proof");
-        if identity == Identity::Another && !worker.is_absent() {
+        match identity {
+            Identity::Another => self.note_not_at_its_address(worker),
+            Identity::Nameless => self.keep_out_while_nameless(worker),
+            Identity::Meant | Identity::Unknown => return false,
+        }
+        true
+    }
+
+    fn note_not_at_its_address(&self, worker: &Worker) {
+        if !worker.is_absent() {
             self.metrics.count("upstreams_not_at_their_address");
             self.mark_replaced(worker);
         }
-        identity == Identity::Another
+    }
+
+    /// Keeps an upstream out of placement until an answer to a question names it. It may be sound again at
+    /// any time, so it is asked as long as it is listed.
+    fn keep_out_while_nameless(self: &Rc<Traffic>, worker: &Rc<Worker>) {
+        if !worker.set_nameless(true) {
+            return;
+        }
+        self.metrics.count("upstreams_nameless");
+        let traffic = Rc::clone(self);
+        let worker = Rc::clone(worker);
+        tokio::task::spawn_local(async move {
+            let asked = traffic.ask_until_named(&worker).await;
+            worker.set_nameless(false);
+            slog::info!(traffic.log, "nameless upstream was asked again";
+                "upstream" => &*worker.upstream.id, "address" => %worker.upstream.addr,
+                "who" => ?asked);
+        });
+    }
+
+    /// Asks an upstream again and again until it is known who is at its address, or it is listed no more.
+    async fn ask_until_named(self: &Rc<Traffic>, worker: &Rc<Worker>) -> Identity {
+        let is_listed =
+            || self.worker(&worker.upstream.id).is_some_and(|listed| Rc::ptr_eq(&listed, worker));
+        let mut asked = 0;
+        while is_listed() && !worker.is_absent() {
+            let pause_ms = identity::question_pause_ms(asked);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            asked += 1;
+            match self.ask_for_identity(worker).await {
+                Identity::Meant => {
+                    worker.prove();
+                    worker.answered(self.now_ms());
+                    return Identity::Meant;
+                }
+                Identity::Another => {
+                    self.note_not_at_its_address(worker);
+                    return Identity::Another;
+                }
+                Identity::Nameless | Identity::Unknown => {}
+            }
+        }
+        Identity::Unknown
     }
 
     async fn ask_for_identity(self: &Rc<Traffic>, worker: &Rc<Worker>) -> Identity {
@@ -139,7 +194,8 @@
         let limit = Duration::from_millis(LIFE_CHECK_TIMEOUT_MS);
         let asked = tokio::time::timeout(limit, self.ask_once(worker, path)).await;
         let (reply, is_refusal) = asked.unwrap_or((Reply::None, false));
-        Identity::of(&worker.upstream.id, &reply, is_refusal)
+        let identity = Identity::of(&worker.upstream.id, &reply, is_refusal);
+        if worker.is_proved() { identity.after_proof() } else { identity }
     }
 
     /// Asks an upstream; returns what came of it, and whether the question was refused like a request.
--- a/src/gateway/worker.rs
+++ b/src/gateway/worker.rs
@@ -73,6 +73,8 @@
     leaving: Cell<bool>,
     replaced: Cell<bool>,
     superseded: Cell<bool>,
+    nameless: Cell<bool>,
+    proved: Cell<bool>,
     suspect_until_ms: Cell<u64>,
     lost_until_ms: Cell<u64>,
     has_exited: Cell<bool>,
@@ -234,6 +236,8 @@
             leaving: Cell::new(upstream.is_leaving),
             replaced: Cell::new(false),
             superseded: Cell::new(false),
+            nameless: Cell::new(false),
+            proved: Cell::new(false),
             suspect_until_ms: Cell::new(0),
             lost_until_ms: Cell::new(0),
             has_exited: Cell::new(false),
@@ -409,7 +413,7 @@
 
     /// Whether it may get work at all.
     pub fn takes_work(&self) -> bool {
-        !self.is_leaving() && !self.is_replaced()
+        !self.is_leaving() && !self.is_replaced() && !self.nameless.get()
     }
 
     /// Whether another life has its address, as an answer from there or a younger entry says.
@@ -427,6 +431,22 @@
         self.replaced.set(true);
     }
 
+    /// Keeps it out of placement, or no longer, since whoever is at its address doesn't say who it is.
+    /// Returns whether that is new.
+    pub fn set_nameless(&self, is_nameless: bool) -> bool {
+        self.nameless.replace(is_nameless) != is_nameless
+    }
+
+    /// Notes that an answer proved that it is at its address.
+    pub fn prove(&self) {
+        self.proved.set(true);
+    }
+
+    /// Whether the process at its address has proved that it is the upstream, and wasn't lost since.
+    pub fn is_proved(&self) -> bool {
+        self.proved.get()
+    }
+
     /// Takes in whether a younger entry names its address.
     pub fn supersede(&self, is_superseded: bool) {
         self.superseded.set(is_superseded);
@@ -454,6 +474,7 @@
     /// Notes that its process has exited.
     pub fn exited(&self) {
         self.has_exited.set(true);
+        self.proved.set(false);
     }
 
     /// Whether its process was seen to have exited, and it has not answered since.
@@ -464,6 +485,7 @@
     /// Notes that it is gone or silent; all who wait for it leave.
     pub fn lost(&self, now_ms: u64) {
         self.avoid(now_ms);
+        self.proved.set(false);
         self.silences.send_modify(|count| *count += 1);
     }
 
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -3,6 +3,8 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use siskinrock_fakes::caller;
@@ -211,3 +213,91 @@
     println!("{there:?}: {not_served} of {} that may run once not served", ROUNDS * REQUESTS);
     assert!(not_served <= ODD * usize::from(GATEWAYS), "{not_served}");
 }
+
+/// An upstream that can answer without any name for a while, and counts its requests, not its questions.
+#[derive(Debug)]
+struct Troubled {
+    addr: SocketAddr,
+    is_in_trouble: Arc<AtomicBool>,
+    requests: Arc<AtomicUsize>,
+}
+
+async fn start_troubled(id: &'static str, status: u16, health: u16) -> Troubled {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let is_in_trouble = Arc::new(AtomicBool::new(false));
+    let requests = Arc::new(AtomicUsize::new(0));
+    let all = Troubled { addr, is_in_trouble, requests };
+    let (trouble, counted) = (Arc::clone(&all.is_in_trouble), Arc::clone(&all.requests));
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (trouble, counted) = (Arc::clone(&trouble), Arc::clone(&counted));
+            tokio::spawn(async move {
+                let mut bytes = [0; 4_096];
+                while let Ok(count @ 1..) = stream.read(&mut bytes).await {
+                    let head = String::from_utf8_lossy(&bytes[..count]).into_owned();
+                    let is_request = head.starts_with("GET /look/");
+                    counted.fetch_add(usize::from(is_request), Ordering::SeqCst);
+                    let name = |line: &&str| line.to_lowercase().starts_with("x-request-id:");
+                    let answer = if trouble.load(Ordering::SeqCst) {
+                        let status = if is_request { status } else { health };
+                        format!("HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nno")
+                    } else {
+                        let named = head.lines().find(name).unwrap_or("X-Nothing: -");
+                        format!(
+                            "HTTP/1.1 200 X\r\nX-Instance-Id: {id}\r\nX-Response-Signature: a\r\n\
+                             {named}\r\nContent-Length: 2\r\n\r\nok"
+                        )
+                    };
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    all
+}
+
+/// Sends requests until the upstream gets one more.
+async fn wait_for_request(running: &Running, upstream: &Troubled, what: &str) {
+    const LIMIT: Duration = Duration::from_secs(15);
+    let before = upstream.requests.load(Ordering::SeqCst);
+    let since = Instant::now();
+    while upstream.requests.load(Ordering::SeqCst) == before {
+        assert!(since.elapsed() < LIMIT, "{what}: no request in {LIMIT:?}");
+        let _ = in_time(caller::send(running.front(0), &call("GET", "/look/a"))).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    println!("{what}: a request after {:?}", since.elapsed());
+}
+
+/// Guards against a sound upstream that gets nothing more since one answer of it came without a name.
+#[parameterized(
+    not_found = { 500, 404, false },
+    unavailable = { 503, 503, false },
+    health_without_name = { 500, 200, false },
+    not_found_once_proved = { 500, 404, true },
+    unavailable_once_proved = { 503, 503, true }
+)]
+#[test_macro(tokio::test)]
+async fn an_upstream_that_was_nameless_gets_requests_again(
+    status: u16,
+    health: u16,
+    is_proved_before: bool,
+) {
+    const ID: &str = "troubled";
+    let running = support::start(1).await;
+    let upstream = start_troubled(ID, status, health).await;
+    upstream.is_in_trouble.store(!is_proved_before, Ordering::SeqCst);
+    let entry = server_entry("booking-app", ZONES[0], "ready", upstream.addr);
+    running.site.store.put(&format!("servers/{ID}"), &entry);
+    wait_until_listed(&running).await;
+    if is_proved_before {
+        wait_for_request(&running, &upstream, "sound at first").await;
+        upstream.is_in_trouble.store(true, Ordering::SeqCst);
+    }
+    wait_for_request(&running, &upstream, "in trouble").await;
+    upstream.is_in_trouble.store(false, Ordering::SeqCst);
+    wait_for_request(&running, &upstream, "sound again").await;
+}
